Lay out workspace, shared types, kernel and stand-in store

Cause: the parts are built side by side and need one set of types, messages and interfaces first. Conclusion: the interfaces stand; steering, state, front and operator parts grow from here.

--- /dev/null
+++ b/packages/decision/src/core/model/configuration.ts
@@ -0,0 +1,255 @@
+/**
+ * The configuration: what operators edit (the document, in sections) and what
+ * a VM steers by (the compiled configuration).
+ */
+import {z} from 'zod';
+import {
+  type Generation,
+  type RegionName,
+  type ServiceName,
+  type TargetId,
+  type VmId,
+  type WorkspaceName,
+  regionNameSchema,
+  serviceNameSchema,
+  targetIdSchema,
+  teamNameSchema,
+  templateNameSchema,
+  vmIdSchema,
+  workspaceNameSchema,
+  zoneNameSchema,
+} from './identifiers.js';
+import {type ServicePolicy, servicePolicySchema} from './policy.js';
+import {
+  type EntryVm,
+  type Link,
+  type Region,
+  type Service,
+  type Target,
+  serviceSchema,
+  topologySchema,
+} from './topology.js';
+
+/** Milliseconds since the Unix epoch. */
+const instantSchema = z.number().int().nonnegative();
+
+export const parameterDefinitionSchema = z.discriminatedUnion('type', [
+  z.strictObject({
+    type: z.literal('number'),
+    unit: z.string(),
+    description: z.string().min(1),
+    default: z.number(),
+    minimum: z.number(),
+    maximum: z.number(),
+  }),
+  z.strictObject({
+    type: z.literal('integer'),
+    unit: z.string(),
+    description: z.string().min(1),
+    default: z.int(),
+    minimum: z.int(),
+    maximum: z.int(),
+  }),
+  z.strictObject({
+    type: z.literal('choice'),
+    description: z.string().min(1),
+    default: z.string(),
+    choices: z.array(z.string()).min(1).readonly(),
+  }),
+  z.strictObject({
+    type: z.literal('switch'),
+    description: z.string().min(1),
+    default: z.boolean(),
+  }),
+]);
+export type ParameterDefinition = z.infer<typeof parameterDefinitionSchema>;
+
+export const parameterValueSchema = z.union([
+  z.number(),
+  z.string(),
+  z.boolean(),
+]);
+export type ParameterValue = z.infer<typeof parameterValueSchema>;
+
+/**
+ * A steering template. Any leaf of a policy may be `{"parameter": "name"}`;
+ * it takes the workspace's value, or the parameter's default.
+ */
+export const steeringTemplateSchema = z.strictObject({
+  name: templateNameSchema,
+  version: z.int().positive(),
+  description: z.string(),
+  parameters: z.record(z.string(), parameterDefinitionSchema),
+  /** Policy per service; checked against ServicePolicy once filled in. */
+  policies: z.record(serviceNameSchema, z.record(z.string(), z.unknown())),
+});
+export type SteeringTemplate = z.infer<typeof steeringTemplateSchema>;
+
+/** A workspace's instance of a template. */
+export const workspaceInstanceSchema = z.strictObject({
+  name: workspaceNameSchema,
+  template: templateNameSchema,
+  templateVersion: z.int().positive(),
+  values: z.record(z.string(), parameterValueSchema),
+});
+export type WorkspaceInstance = z.infer<typeof workspaceInstanceSchema>;
+
+export const approvalSchema = z.strictObject({
+  workspace: workspaceNameSchema,
+  service: serviceNameSchema,
+  callingTeam: teamNameSchema,
+  state: z.enum(['requested', 'approved', 'revoked']),
+  decidedBy: z.string().optional(),
+  decidedAtMs: instantSchema.optional(),
+  note: z.string().max(500).optional(),
+});
+export type Approval = z.infer<typeof approvalSchema>;
+
+export const drainScopeSchema = z.discriminatedUnion('kind', [
+  z.strictObject({kind: z.literal('target'), target: targetIdSchema}),
+  z.strictObject({
+    kind: z.literal('service-zone'),
+    service: serviceNameSchema,
+    region: regionNameSchema,
+    zone: zoneNameSchema,
+  }),
+  z.strictObject({
+    kind: z.literal('zone'),
+    region: regionNameSchema,
+    zone: zoneNameSchema,
+  }),
+  z.strictObject({kind: z.literal('region'), region: regionNameSchema}),
+  z.strictObject({kind: z.literal('entry-vm'), vm: vmIdSchema}),
+]);
+export type DrainScope = z.infer<typeof drainScopeSchema>;
+
+/** A planned drain; what it does is a function of these fields and the time. */
+export const drainSchema = z.strictObject({
+  id: z.string().min(1).max(64),
+  scope: drainScopeSchema,
+  startAtMs: instantSchema,
+  /** The drained fraction grows evenly from 0 to 1 over this time. */
+  rampMs: z.int().nonnegative(),
+  /** When the drained things take work again; open if absent. */
+  endAtMs: instantSchema.optional(),
+  plannedBy: z.string().min(1),
+  abortedAtMs: instantSchema.optional(),
+});
+export type Drain = z.infer<typeof drainSchema>;
+
+/** A planned move of client blocks; a function of these fields and the time. */
+export const shiftSchema = z.strictObject({
+  id: z.string().min(1).max(64),
+  workspace: workspaceNameSchema,
+  service: serviceNameSchema.optional(),
+  from: regionNameSchema,
+  to: regionNameSchema,
+  /** Fraction of the blocks at home in `from` that end up in `to`, 0 to 1. */
+  fraction: z.number().min(0).max(1),
+  startAtMs: instantSchema,
+  plannedBy: z.string().min(1),
+  abortedAtMs: instantSchema.optional(),
+});
+export type Shift = z.infer<typeof shiftSchema>;
+
+/** A block of client addresses with its home region. */
+export const clientBlockSchema = z.tuple([z.string(), regionNameSchema]);
+export type ClientBlock = z.infer<typeof clientBlockSchema>;
+
+/**
+ * Sections are the unit of change and of transfer: each is stored as one
+ * content-addressed chunk of at most 1 MB. The name of a section tells its
+ * kind: `topology`, `service/<name>`, `template/<name>`, `workspace/<name>`,
+ * `approvals`, `drains`, `shifts`, `client-blocks/<shard>`.
+ */
+export const sectionSchema = z.discriminatedUnion('kind', [
+  z.strictObject({kind: z.literal('topology'), topology: topologySchema}),
+  z.strictObject({kind: z.literal('service'), service: serviceSchema}),
+  z.strictObject({
+    kind: z.literal('template'),
+    template: steeringTemplateSchema,
+  }),
+  z.strictObject({
+    kind: z.literal('workspace'),
+    workspace: workspaceInstanceSchema,
+  }),
+  z.strictObject({
+    kind: z.literal('approvals'),
+    approvals: z.array(approvalSchema).readonly(),
+  }),
+  z.strictObject({
+    kind: z.literal('drains'),
+    drains: z.array(drainSchema).readonly(),
+  }),
+  z.strictObject({
+    kind: z.literal('shifts'),
+    shifts: z.array(shiftSchema).readonly(),
+  }),
+  z.strictObject({
+    kind: z.literal('client-blocks'),
+    shard: z.string().min(1),
+    blocks: z.array(clientBlockSchema).readonly(),
+  }),
+]);
+export type Section = z.infer<typeof sectionSchema>;
+export type SectionName = string;
+
+/** All sections of one generation. */
+export type ConfigurationDocument = ReadonlyMap<SectionName, Section>;
+
+export {servicePolicySchema};
+
+/** One service as one workspace uses it. */
+export interface WorkspaceService {
+  readonly workspace: WorkspaceName;
+  readonly service: ServiceName;
+  readonly policy: ServicePolicy;
+}
+
+/** What a VM steers by: the document of one generation, checked and indexed. */
+export interface Configuration {
+  readonly generation: Generation;
+  readonly regions: ReadonlyMap<RegionName, Region>;
+  readonly links: readonly Link[];
+  readonly entryVms: ReadonlyMap<VmId, EntryVm>;
+  readonly services: ReadonlyMap<ServiceName, Service>;
+  readonly targets: ReadonlyMap<
+    TargetId,
+    {readonly service: ServiceName; readonly target: Target}
+  >;
+  readonly workspaces: ReadonlyMap<
+    WorkspaceName,
+    ReadonlyMap<ServiceName, WorkspaceService>
+  >;
+  readonly approvals: readonly Approval[];
+  readonly drains: readonly Drain[];
+  readonly shifts: readonly Shift[];
+  /** In the order of the sections; the look-up table indexes them. */
+  readonly clientBlocks: readonly (readonly ClientBlock[])[];
+}
+
+/** The name under which a section is stored in the document. */
+export function sectionNameOf(section: Section): SectionName {
+  switch (section.kind) {
+    case 'service':
+      return `service/${section.service.name}`;
+    case 'template':
+      return `template/${section.template.name}`;
+    case 'workspace':
+      return `workspace/${section.workspace.name}`;
+    case 'client-blocks':
+      return `client-blocks/${section.shard}`;
+    case 'topology':
+    case 'approvals':
+    case 'drains':
+    case 'shifts':
+      return section.kind;
+    default:
+      return assertNever(section);
+  }
+}
+
+/** Fails to compile where a switch leaves a member of a union out. */
+export function assertNever(value: never): never {
+  throw new Error(`unexpected member: ${JSON.stringify(value)}`);
+}
--- /dev/null
+++ b/packages/decision/src/core/model/index.ts
@@ -0,0 +1,8 @@
+/** Types that all parts of the system share. */
+export * from './configuration.js';
+export * from './identifiers.js';
+export * from './membership_view.js';
+export * from './policy.js';
+export * from './random.js';
+export * from './requests.js';
+export * from './topology.js';
--- /dev/null
+++ b/packages/decision/src/core/random/index.ts
@@ -0,0 +1,1 @@
+export * from './random_source.js';
--- /dev/null
+++ b/packages/decision/src/core/rollout/types.ts
@@ -0,0 +1,38 @@
+/**
+ * Configuration in the platform's store and on its way to the VMs.
+ *
+ * Key `configuration/head` holds the head; `configuration/chunk/<digest>`
+ * holds a section. Accepting is one conditional update of the head.
+ */
+import {z} from 'zod';
+import {generationSchema} from '../model/index.js';
+
+export const CONFIGURATION_HEAD_KEY = 'configuration/head';
+export const CONFIGURATION_CHUNK_PREFIX = 'configuration/chunk/';
+/** Write identifiers kept in the head, to resolve lost answers. */
+export const REMEMBERED_WRITES = 64;
+
+export const manifestEntrySchema = z.strictObject({
+  section: z.string().min(1),
+  digest: z.string().min(1),
+  bytes: z.int().nonnegative(),
+});
+export type ManifestEntry = z.infer<typeof manifestEntrySchema>;
+
+export const configurationHeadSchema = z.strictObject({
+  generation: generationSchema,
+  manifest: z.array(manifestEntrySchema).readonly(),
+  writes: z
+    .array(
+      z.strictObject({
+        writeId: z.string().min(1),
+        generation: generationSchema,
+        author: z.string(),
+        summary: z.string().max(500),
+        atMs: z.number(),
+      }),
+    )
+    .max(REMEMBERED_WRITES)
+    .readonly(),
+});
+export type ConfigurationHead = z.infer<typeof configurationHeadSchema>;
--- /dev/null
+++ b/packages/decision/src/core/steering/index.ts
@@ -0,0 +1,2 @@
+export * from './peer_messages.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/decision/src/core/steering/types.ts
@@ -0,0 +1,199 @@
+/**
+ * The interface of the steering state machine: events in, actions out. It
+ * reads no clock and opens no socket; a daemon or a bench drives it.
+ *
+ * Times are milliseconds. `nowMs` of each step is monotonic and on the same
+ * scale as the deadlines; `wallMs` is the Unix time, for planned drains and
+ * shifts, whose starts are recorded in the configuration.
+ */
+import type {
+  AttemptDestination,
+  AttemptResult,
+  Configuration,
+  MembershipView,
+  Outcome,
+  RefusalReason,
+  RegionName,
+  RequestFacts,
+  RequestId,
+  ServiceName,
+  TargetId,
+  VmId,
+  WorkspaceName,
+} from '../model/index.js';
+import type {SteeringPeerMessage} from './peer_messages.js';
+
+export interface StepTime {
+  readonly nowMs: number;
+  readonly wallMs: number;
+}
+
+/** Where a sign that a target is leaving came from. */
+export type TargetSignSource =
+  'configuration' | 'platform-list' | 'health-answer' | 'refusal' | 'peer';
+
+/** What a target says of itself; lags, and may be wrong. */
+export interface TargetReport {
+  readonly target: TargetId;
+  readonly inFlight: number;
+  readonly slots: number;
+  readonly healthy: boolean;
+  readonly leaving: boolean;
+}
+
+export type SteeringEvent =
+  | {
+      readonly kind: 'configuration-accepted';
+      readonly configuration: Configuration;
+    }
+  /** Whether the configuration may be stale beyond the bound. */
+  | {readonly kind: 'freshness-changed'; readonly fresh: boolean}
+  | {readonly kind: 'membership-changed'; readonly view: MembershipView}
+  | {readonly kind: 'request-arrived'; readonly request: RequestFacts}
+  /** The first byte of an attempt is about to be written. */
+  | {
+      readonly kind: 'attempt-sent';
+      readonly request: RequestId;
+      readonly attempt: number;
+    }
+  /** Head of the answer arrived; the request now occupies the link. */
+  | {
+      readonly kind: 'attempt-answering';
+      readonly request: RequestId;
+      readonly attempt: number;
+      readonly status: number;
+      readonly contentLength?: number;
+    }
+  | {
+      readonly kind: 'attempt-finished';
+      readonly request: RequestId;
+      readonly attempt: number;
+      readonly result: AttemptResult;
+    }
+  /** The caller went away, or the request is answered otherwise. */
+  | {readonly kind: 'request-cancelled'; readonly request: RequestId}
+  | {readonly kind: 'target-reported'; readonly report: TargetReport}
+  | {
+      readonly kind: 'target-leaving';
+      readonly target: TargetId;
+      readonly source: TargetSignSource;
+    }
+  | {
+      readonly kind: 'peer-message';
+      readonly from: VmId;
+      readonly message: SteeringPeerMessage;
+    }
+  | {readonly kind: 'quarantine-lifted'; readonly fingerprint: string}
+  | {readonly kind: 'tick'};
+
+export type SteeringAction =
+  | {
+      readonly kind: 'send-attempt';
+      readonly request: RequestId;
+      /** Counts from 1 within the request. */
+      readonly attempt: number;
+      readonly destination: AttemptDestination;
+      readonly deadlineMs: number;
+      readonly hedge: boolean;
+      /** Bytes a second that the answer may take on a region link. */
+      readonly paceBytesPerSecond?: number;
+    }
+  | {
+      readonly kind: 'cancel-attempt';
+      readonly request: RequestId;
+      readonly attempt: number;
+    }
+  | {
+      readonly kind: 'refuse';
+      readonly request: RequestId;
+      readonly reason: RefusalReason;
+      readonly outcome: Outcome;
+      readonly retryAfterMs?: number;
+    }
+  | {
+      readonly kind: 'send-to-peer';
+      readonly to: VmId;
+      readonly message: SteeringPeerMessage;
+    }
+  /** Ask for a tick no later than this; earlier ones replace later ones. */
+  | {readonly kind: 'wake-at'; readonly nowMs: number}
+  | {readonly kind: 'note'; readonly note: SteeringNote};
+
+/** What steering did, for logs, journal and metrics. */
+export type SteeringNote =
+  | {
+      readonly kind: 'decision';
+      readonly request: RequestId;
+      readonly explanation: readonly string[];
+    }
+  | {
+      readonly kind: 'target-left';
+      readonly target: TargetId;
+      readonly source: TargetSignSource;
+    }
+  | {
+      readonly kind: 'target-ejected';
+      readonly target: TargetId;
+      readonly cause: string;
+    }
+  | {readonly kind: 'target-restored'; readonly target: TargetId}
+  | {
+      readonly kind: 'failover-started';
+      readonly from: RegionName;
+      readonly startedAtWallMs: number;
+    }
+  | {readonly kind: 'failover-ended'; readonly from: RegionName}
+  | {
+      readonly kind: 'request-quarantined';
+      readonly fingerprint: string;
+      readonly targetsLost: number;
+    }
+  | {readonly kind: 'quarantine-ended'; readonly fingerprint: string}
+  | {
+      readonly kind: 'slots-lent';
+      readonly to: VmId;
+      readonly service: ServiceName;
+      readonly slots: number;
+    }
+  | {
+      readonly kind: 'slots-borrowed';
+      readonly from: VmId;
+      readonly service: ServiceName;
+      readonly slots: number;
+    };
+
+/** Figures for status pages, metrics, heartbeats and look-up weights. */
+export interface SteeringStatus {
+  readonly pools: readonly PoolStatus[];
+  readonly quarantines: readonly {
+    readonly fingerprint: string;
+    readonly targetsLost: number;
+    readonly untilMs: number;
+  }[];
+  readonly failovers: readonly {
+    readonly from: RegionName;
+    readonly startedAtWallMs: number;
+    /** Fraction of the region's cohorts that may be served elsewhere. */
+    readonly fraction: number;
+  }[];
+  readonly leavingTargets: readonly TargetId[];
+  readonly ejectedTargets: readonly TargetId[];
+}
+
+/** This VM's part of one service's slots in its region. */
+export interface PoolStatus {
+  readonly service: ServiceName;
+  readonly region: RegionName;
+  /** Slots that this VM may use now, with borrowed and without lent ones. */
+  readonly usableSlots: number;
+  readonly ownedSlots: number;
+  readonly inFlight: number;
+  readonly queued: number;
+  readonly inFlightByWorkspace: ReadonlyMap<WorkspaceName, number>;
+}
+
+export interface Steering {
+  /** Never throws on any order of events; unknown identifiers are ignored. */
+  step(event: SteeringEvent, time: StepTime): readonly SteeringAction[];
+  status(time: StepTime): SteeringStatus;
+}
--- /dev/null
+++ b/packages/invariants/src/index.ts
@@ -0,0 +1,2 @@
+/** Front door of the package. */
+export {};
--- /dev/null
+++ b/packages/library/src/core/access/index.ts
@@ -0,0 +1,2 @@
+export * from './tokens.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/library/src/core/access/tokens.ts
@@ -0,0 +1,152 @@
+/** Signed tokens over jose: JWTs checked against a set of public keys. */
+import {regionNameSchema, teamNameSchema, vmIdSchema} from '@ibisbeam/decision';
+import {
+  type JSONWebKeySet,
+  type JWK,
+  SignJWT,
+  createLocalJWKSet,
+  errors,
+  importJWK,
+  jwtVerify,
+} from 'jose';
+import {type Either, EitherAsync, Left, Right} from 'purify-ts';
+import {z} from 'zod';
+import type {TimerService} from '../timers/index.js';
+import type {
+  AccessError,
+  Principal,
+  TokenAudience,
+  TokenSigner,
+  TokenVerifier,
+} from './types.js';
+
+const ISSUER = 'ibisbeam';
+/** Verified tokens remembered until they expire, to spare the signature. */
+const REMEMBERED_TOKENS = 4_096;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+const principalSchema = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('operator'), name: z.string().min(1).max(128)}),
+  z.object({
+    kind: z.literal('target-owner'),
+    name: z.string().min(1).max(128),
+    team: teamNameSchema,
+  }),
+  z.object({kind: z.literal('calling-team'), team: teamNameSchema}),
+  z.object({
+    kind: z.literal('vm'),
+    vm: vmIdSchema,
+    region: regionNameSchema,
+  }),
+]);
+
+interface RememberedToken {
+  readonly principal: Principal;
+  readonly expiresAtWallMs: number;
+}
+
+/** @param keys Public keys; two may be valid at once while keys rotate. */
+export function createTokenVerifier(
+  keys: JSONWebKeySet,
+  timers: Pick<TimerService, 'wallMs'>,
+): TokenVerifier {
+  const keySet = createLocalJWKSet(keys);
+  const remembered = new Map<string, RememberedToken>();
+
+  function recall(memoryKey: string): Principal | undefined {
+    const known = remembered.get(memoryKey);
+    if (!known) {
+      return undefined;
+    }
+    if (known.expiresAtWallMs <= timers.wallMs()) {
+      remembered.delete(memoryKey);
+      return undefined;
+    }
+    return known.principal;
+  }
+
+  function remember(memoryKey: string, token: RememberedToken): void {
+    if (remembered.size >= REMEMBERED_TOKENS) {
+      const oldest = remembered.keys().next().value;
+      if (oldest !== undefined) {
+        remembered.delete(oldest);
+      }
+    }
+    remembered.set(memoryKey, token);
+  }
+
+  async function check(
+    token: string,
+    audience: TokenAudience,
+  ): Promise<Either<AccessError, Principal>> {
+    try {
+      const {payload} = await jwtVerify(token, keySet, {
+        issuer: ISSUER,
+        audience,
+        currentDate: new Date(timers.wallMs()),
+        requiredClaims: ['exp', 'principal'],
+      });
+      const principal = principalSchema.safeParse(payload['principal']);
+      if (!principal.success) {
+        return Left({kind: 'malformed'});
+      }
+      remember(`${audience} ${token}`, {
+        principal: principal.data,
+        expiresAtWallMs: payload.exp! * MILLISECONDS_PER_SECOND,
+      });
+      return Right(principal.data);
+    } catch (error) {
+      return Left(accessError(error));
+    }
+  }
+
+  return {
+    verify: (token, audience) =>
+      EitherAsync(async ({liftEither}) => {
+        if (!token) {
+          return liftEither(Left({kind: 'missing'}));
+        }
+        const known = recall(`${audience} ${token}`);
+        return known ?? liftEither(await check(token, audience));
+      }),
+  };
+}
+
+function accessError(error: unknown): AccessError {
+  if (error instanceof errors.JWTExpired) {
+    return {kind: 'expired'};
+  }
+  if (error instanceof errors.JWTClaimValidationFailed) {
+    return {kind: error.claim === 'aud' ? 'audience' : 'malformed'};
+  }
+  if (
+    error instanceof errors.JWSSignatureVerificationFailed ||
+    error instanceof errors.JWKSNoMatchingKey
+  ) {
+    return {kind: 'forged'};
+  }
+  return {kind: 'malformed'};
+}
+
+/** @param privateKey Private JSON Web Key with `alg` and `kid`. */
+export async function createTokenSigner(
+  privateKey: JWK,
+  timers: Pick<TimerService, 'wallMs'>,
+): Promise<TokenSigner> {
+  const algorithm = privateKey.alg ?? 'EdDSA';
+  const key = await importJWK(privateKey, algorithm);
+
+  return {
+    sign: (principal, audience, lifetimeMs) => {
+      const issuedAt = Math.floor(timers.wallMs() / MILLISECONDS_PER_SECOND);
+      const lifetime = Math.ceil(lifetimeMs / MILLISECONDS_PER_SECOND);
+      return new SignJWT({principal})
+        .setProtectedHeader({alg: algorithm, kid: privateKey.kid})
+        .setIssuer(ISSUER)
+        .setAudience(audience)
+        .setIssuedAt(issuedAt)
+        .setExpirationTime(issuedAt + lifetime)
+        .sign(key);
+    },
+  };
+}
--- /dev/null
+++ b/packages/library/src/core/errors/index.ts
@@ -0,0 +1,2 @@
+export * from './catalogue.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/library/src/core/kernel/kernel.ts
@@ -0,0 +1,199 @@
+import type {TaskMessages, TaskName, VmEvent} from '../messages/index.js';
+import {createMailbox, type Mailbox} from './mailbox.js';
+import {startOrder} from './start_order.js';
+import type {Kernel, PlugIn, Task, TaskContext} from './types.js';
+
+export const MAILBOX_CAPACITY = 4096;
+const FIRST_RESTART_DELAY_MS = 100;
+const LONGEST_RESTART_DELAY_MS = 10_000;
+/** A task that ran this long without failure begins again at the first delay. */
+const RESTART_FORGIVEN_AFTER_MS = 60_000;
+const DEFAULT_ASK_TIMEOUT_MS = 5_000;
+
+type MailboxItem =
+  | {readonly kind: 'message'; readonly message: TaskMessages[TaskName]}
+  | {readonly kind: 'event'; readonly event: VmEvent};
+
+interface RunningTask {
+  readonly plugIn: PlugIn;
+  task: Task<TaskName>;
+  readonly mailbox: Mailbox<MailboxItem>;
+  restartDelayMs: number;
+  startedAtMs: number;
+  restarting: boolean;
+}
+
+export type KernelDependencies = Omit<TaskContext, 'publish' | 'post' | 'ask'>;
+
+/** Builds a kernel from plug-ins; nothing runs before `start`. */
+export function createKernel(
+  plugIns: readonly PlugIn[],
+  dependencies: KernelDependencies,
+): Kernel {
+  const {timers, logger, metrics} = dependencies;
+  const ordered = startOrder(plugIns);
+  const running = new Map<TaskName, RunningTask>();
+  let stopping: Promise<void> | undefined;
+  let fatal: unknown;
+  let reportEnded: (end: {readonly fatal?: unknown}) => void = () => {};
+  const ended = new Promise<{readonly fatal?: unknown}>(resolve => {
+    reportEnded = resolve;
+  });
+
+  const context: TaskContext = {...dependencies, publish, post, ask};
+
+  function offer(entry: RunningTask, item: MailboxItem): void {
+    if (entry.restarting || entry.mailbox.offer(item)) {
+      return;
+    }
+    metrics.emit({
+      kind: 'count',
+      name: 'mailbox.dropped',
+      tags: {task: entry.plugIn.name},
+    });
+    logger.log('warn', 'mailbox-full', {task: entry.plugIn.name});
+  }
+
+  function publish(event: VmEvent): void {
+    for (const entry of running.values()) {
+      if (entry.plugIn.subscribesTo.includes(event.kind)) {
+        offer(entry, {kind: 'event', event});
+      }
+    }
+  }
+
+  function post<Name extends TaskName>(
+    task: Name,
+    message: TaskMessages[Name],
+  ): void {
+    const entry = running.get(task);
+    if (entry) {
+      offer(entry, {kind: 'message', message});
+    }
+  }
+
+  function ask<Name extends TaskName, Answer>(
+    task: Name,
+    build: (reply: (answer: Answer) => void) => TaskMessages[Name],
+    timeoutMs = DEFAULT_ASK_TIMEOUT_MS,
+  ): Promise<Answer | undefined> {
+    return new Promise(resolve => {
+      if (!running.has(task)) {
+        resolve(undefined);
+        return;
+      }
+      const timeout = timers.after(timeoutMs, () => resolve(undefined));
+      post(
+        task,
+        build(answer => {
+          timeout.cancel();
+          resolve(answer);
+        }),
+      );
+    });
+  }
+
+  function consume(
+    entry: RunningTask,
+    item: MailboxItem,
+  ): void | Promise<void> {
+    switch (item.kind) {
+      case 'message':
+        return entry.task.receive?.(item.message);
+      case 'event':
+        return entry.task.observe?.(item.event);
+    }
+  }
+
+  function taskFailed(entry: RunningTask, error: unknown): void {
+    const {name, onFailure} = entry.plugIn;
+    if (entry.restarting || stopping) {
+      return;
+    }
+    logger.log('error', 'task-failed', {task: name, error: describe(error)});
+    if (onFailure === 'fatal') {
+      fatal = error;
+      void stop();
+      return;
+    }
+    void restart(entry);
+  }
+
+  async function restart(entry: RunningTask): Promise<void> {
+    const {name} = entry.plugIn;
+    entry.restarting = true;
+    entry.mailbox.clear();
+    if (timers.nowMs() - entry.startedAtMs > RESTART_FORGIVEN_AFTER_MS) {
+      entry.restartDelayMs = FIRST_RESTART_DELAY_MS;
+    }
+    await entry.task.stop().catch(() => {});
+    await timers.sleep(entry.restartDelayMs);
+    if (stopping) {
+      return;
+    }
+    entry.restartDelayMs = Math.min(
+      entry.restartDelayMs * 2,
+      LONGEST_RESTART_DELAY_MS,
+    );
+    entry.task = entry.plugIn.create(context) as Task<TaskName>;
+    entry.startedAtMs = timers.nowMs();
+    metrics.emit({kind: 'count', name: 'task.restarts', tags: {task: name}});
+    entry.restarting = false;
+    try {
+      await entry.task.start();
+      logger.log('warn', 'task-restarted', {task: name});
+    } catch (error) {
+      taskFailed(entry, error);
+    }
+  }
+
+  async function start(): Promise<void> {
+    for (const plugIn of ordered) {
+      const entry: RunningTask = {
+        plugIn,
+        task: plugIn.create(context) as Task<TaskName>,
+        mailbox: createMailbox<MailboxItem>(
+          MAILBOX_CAPACITY,
+          item => consume(entry, item),
+          error => taskFailed(entry, error),
+        ),
+        restartDelayMs: FIRST_RESTART_DELAY_MS,
+        startedAtMs: timers.nowMs(),
+        restarting: false,
+      };
+      running.set(plugIn.name, entry);
+      await entry.task.start();
+      logger.log('debug', 'task-started', {task: plugIn.name});
+    }
+    for (const hook of dependencies.hooks.vmStarted) {
+      hook();
+    }
+  }
+
+  function stop(): Promise<void> {
+    stopping ??= stopAll();
+    return stopping;
+  }
+
+  async function stopAll(): Promise<void> {
+    for (const entry of [...running.values()].reverse()) {
+      await entry.task.stop().catch(error =>
+        logger.log('error', 'task-failed', {
+          task: entry.plugIn.name,
+          error: describe(error),
+        }),
+      );
+      entry.mailbox.clear();
+    }
+    running.clear();
+    reportEnded({fatal});
+  }
+
+  return {start, stop, publish, post, ask, ended};
+}
+
+function describe(error: unknown): string {
+  return error instanceof Error
+    ? (error.stack ?? error.message)
+    : String(error);
+}
--- /dev/null
+++ b/packages/library/src/core/logs/index.ts
@@ -0,0 +1,2 @@
+export * from './key_value_logger.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/library/src/core/logs/key_value_logger.ts
@@ -0,0 +1,78 @@
+import bunyan from 'bunyan';
+import type {LogEvent, LogFields, Logger, LogLevel} from './types.js';
+
+/** Fields of bunyan's own that the line states otherwise or not at all. */
+const BUNYAN_FIELDS = new Set([
+  'name',
+  'hostname',
+  'pid',
+  'level',
+  'msg',
+  'time',
+  'v',
+]);
+
+const PLAIN_VALUE = /^[A-Za-z0-9_.:@/+-]+$/;
+
+export interface LoggerOptions {
+  readonly level: LogLevel;
+  readonly fields: LogFields;
+  readonly write: (line: string) => void;
+}
+
+/** A logger that writes one line of key=value pairs for each event. */
+export function createKeyValueLogger(options: LoggerOptions): Logger {
+  const logger = bunyan.createLogger({
+    name: 'ibisbeam',
+    level: options.level,
+    streams: [
+      {
+        type: 'raw',
+        level: options.level,
+        stream: {
+          write: (record: Record<string, unknown>) =>
+            options.write(formatRecord(record)),
+        } as unknown as NodeJS.WritableStream,
+      },
+    ],
+    ...options.fields,
+  });
+
+  function log(level: LogLevel, event: LogEvent, fields?: LogFields): void {
+    logger[level]({...fields}, event);
+  }
+
+  return {log};
+}
+
+/** A logger that drops everything. */
+export function createSilentLogger(): Logger {
+  return {log: () => {}};
+}
+
+function formatRecord(record: Record<string, unknown>): string {
+  const time = record['time'] as Date;
+  const level = bunyan.nameFromLevel[record['level'] as number] ?? 'info';
+  const parts = [
+    `time=${time.toISOString()}`,
+    `level=${level}`,
+    `event=${String(record['msg'])}`,
+  ];
+  for (const [key, value] of Object.entries(record)) {
+    if (BUNYAN_FIELDS.has(key) || value === undefined) {
+      continue;
+    }
+    parts.push(`${key}=${formatValue(value)}`);
+  }
+  return `${parts.join(' ')}\n`;
+}
+
+function formatValue(value: unknown): string {
+  if (typeof value === 'string') {
+    return PLAIN_VALUE.test(value) ? value : JSON.stringify(value);
+  }
+  if (typeof value === 'number' || typeof value === 'boolean') {
+    return String(value);
+  }
+  return JSON.stringify(JSON.stringify(value) ?? String(value));
+}
--- /dev/null
+++ b/packages/library/src/core/logs/types.ts
@@ -0,0 +1,41 @@
+/** Events that may stand in the log; `docs/operators/logs.md` describes each. */
+export type LogEvent =
+  | 'vm-started'
+  | 'vm-stopping'
+  | 'vm-stopped'
+  | 'stop-bound-hit'
+  | 'task-started'
+  | 'task-failed'
+  | 'task-restarted'
+  | 'mailbox-full'
+  | 'request-finished'
+  | 'request-refused'
+  | 'lookup-refused'
+  | 'input-refused'
+  | 'configuration-in-force'
+  | 'configuration-stale'
+  | 'configuration-fresh'
+  | 'configuration-rejected'
+  | 'store-unreachable'
+  | 'store-reachable'
+  | 'watch-gap'
+  | 'vm-state-changed'
+  | 'self-doubt'
+  | 'peer-connected'
+  | 'peer-disconnected'
+  | 'peer-refused'
+  | 'claim-unresolved'
+  | 'claims-collected'
+  | 'steering-note'
+  | 'operator-call'
+  | 'access-refused'
+  | 'burn-summary-written'
+  | 'burn-summary-failed';
+
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+export type LogFields = Readonly<Record<string, unknown>>;
+
+export interface Logger {
+  log(level: LogLevel, event: LogEvent, fields?: LogFields): void;
+}
--- /dev/null
+++ b/packages/library/src/core/messages/types.ts
@@ -0,0 +1,153 @@
+/**
+ * Messages between the tasks of one VM. `TaskMessages` maps each task to what
+ * its mailbox takes; `VmEvents` are published to every task that subscribes.
+ */
+import type {
+  ClaimDecision,
+  ClaimEnd,
+  ClaimRequest,
+  Configuration,
+  Generation,
+  MembershipView,
+  RequestId,
+  RequestRecord,
+  SteeringNote,
+  SteeringStatus,
+  TargetId,
+  TargetSignSource,
+  VmId,
+} from '@ibisbeam/decision';
+
+/** Channel of a peer link; each belongs to one task. */
+export type PeerChannel =
+  'membership' | 'configuration' | 'steering' | 'claims';
+
+/** Published events. */
+export type VmEvent =
+  | {
+      readonly kind: 'configuration-in-force';
+      readonly configuration: Configuration;
+    }
+  | {
+      readonly kind: 'freshness-changed';
+      readonly fresh: boolean;
+      readonly why: string;
+    }
+  | {readonly kind: 'membership-changed'; readonly view: MembershipView}
+  | {
+      readonly kind: 'peer-message';
+      readonly from: VmId;
+      readonly channel: PeerChannel;
+      /** Checked by the receiving task against its channel's schema. */
+      readonly body: unknown;
+    }
+  | {readonly kind: 'peer-connected' | 'peer-disconnected'; readonly peer: VmId}
+  | {
+      readonly kind: 'target-sign';
+      readonly target: TargetId;
+      readonly source: TargetSignSource;
+    }
+  | {readonly kind: 'store-reachability'; readonly reachable: boolean}
+  | {readonly kind: 'request-finished'; readonly record: RequestRecord}
+  | {readonly kind: 'steering-note'; readonly note: SteeringNote}
+  /** This VM has begun to stop: look-ups leave it out, links say so. */
+  | {readonly kind: 'stop-began'; readonly endsAtMs: number};
+
+export type VmEventKind = VmEvent['kind'];
+
+/** What this VM can say about its configuration. */
+export interface ConfigurationStatus {
+  readonly generation?: Generation;
+  readonly inForceSinceWallMs?: number;
+  /** Newest generation heard of from anybody. */
+  readonly newestHeard?: Generation;
+  readonly watching: boolean;
+  readonly fresh: boolean;
+  readonly why: string;
+  readonly document?: ReadonlyMap<string, unknown>;
+}
+
+export interface PlatformCallCounts {
+  readonly byPurpose: Readonly<
+    Record<string, {calls: number; failures: number; bytes: number}>
+  >;
+}
+
+export interface JournalEntry {
+  readonly atWallMs: number;
+  readonly event: string;
+  readonly request?: RequestId;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+type Reply<Answer> = (answer: Answer) => void;
+
+/** Direct messages, by receiving task. */
+export interface TaskMessages {
+  readonly peer_links:
+    | {
+        readonly kind: 'send';
+        readonly to: VmId;
+        readonly channel: PeerChannel;
+        readonly body: unknown;
+      }
+    | {readonly kind: 'peers-wanted'; readonly peers: readonly VmId[]}
+    | {readonly kind: 'status'; readonly reply: Reply<readonly VmId[]>};
+  readonly configuration: {
+    readonly kind: 'status';
+    readonly reply: Reply<ConfigurationStatus>;
+  };
+  readonly membership: {
+    readonly kind: 'view';
+    readonly reply: Reply<MembershipView | undefined>;
+  };
+  readonly claims:
+    | {
+        readonly kind: 'begin';
+        readonly request: ClaimRequest;
+        readonly reply: Reply<ClaimDecision>;
+      }
+    | {
+        readonly kind: 'end';
+        readonly token: string;
+        readonly end: ClaimEnd;
+        /** After the record is kept, or is known not to be. */
+        readonly reply: Reply<{readonly recorded: boolean}>;
+      };
+  readonly forwarding:
+    | {readonly kind: 'status'; readonly reply: Reply<ForwardingStatus>}
+    | {readonly kind: 'lift-quarantine'; readonly fingerprint: string};
+  readonly lookup: {
+    readonly kind: 'status';
+    readonly reply: Reply<LookupStatus>;
+  };
+  readonly journal: {
+    readonly kind: 'query';
+    readonly request?: RequestId;
+    readonly sinceWallMs?: number;
+    readonly limit: number;
+    readonly reply: Reply<readonly JournalEntry[]>;
+  };
+  readonly burn: {
+    readonly kind: 'summary';
+    readonly reply: Reply<unknown>;
+  };
+  readonly operator_port: {
+    readonly kind: 'status';
+    readonly reply: Reply<{readonly address: string}>;
+  };
+}
+
+export interface ForwardingStatus {
+  readonly inFlight: number;
+  readonly stopping: boolean;
+  readonly steering: SteeringStatus;
+  readonly callerAddress: string;
+}
+
+export interface LookupStatus {
+  readonly generation?: Generation;
+  readonly blocks: number;
+}
+
+export type TaskName = keyof TaskMessages;
--- /dev/null
+++ b/packages/library/src/core/metrics/index.ts
@@ -0,0 +1,2 @@
+export * from './statsd_metrics.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/library/src/core/settings/index.ts
@@ -0,0 +1,3 @@
+export * from './jsonc.js';
+export * from './load_settings.js';
+export * from './schema.js';
--- /dev/null
+++ b/packages/library/src/core/timers/index.ts
@@ -0,0 +1,3 @@
+export * from './manual_timer_service.js';
+export * from './system_timer_service.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/stand_ins/src/core/deployments/build_deployment.ts
@@ -0,0 +1,224 @@
+/** Builds a user's deployment as a configuration document, at any size. */
+import {
+  type ClientBlock,
+  type ConfigurationDocument,
+  type EntryVm,
+  type Link,
+  type RegionName,
+  type Section,
+  type Service,
+  type Target,
+  regionName,
+  sectionNameOf,
+  sectionSchema,
+  serviceName,
+  targetId,
+  teamName,
+  templateName,
+  vmId,
+  workspaceName,
+  zoneName,
+} from '@ibisbeam/decision';
+import {
+  type DeploymentFacts,
+  LINK_BITS_PER_SECOND,
+  LINK_USABLE_FRACTION,
+  type ServiceFacts,
+  ZONES,
+  deploymentFacts,
+} from './deployment_facts.js';
+import type {DeploymentOptions} from './types.js';
+
+/** Client blocks in one section, well under the store's megabyte. */
+const BLOCKS_PER_SECTION = 20_000;
+
+export function buildDeployment(
+  options: DeploymentOptions,
+): ConfigurationDocument {
+  const facts = deploymentFacts[options.name];
+  const sections: Section[] = [
+    buildTopology(facts, options),
+    ...facts.services.map(service => buildService(service, facts, options)),
+    buildTemplate(facts),
+    {
+      kind: 'workspace',
+      workspace: {
+        name: workspaceName(facts.workspace),
+        template: templateName('standard-steering'),
+        templateVersion: 1,
+        values: {},
+      },
+    },
+    buildApprovals(facts),
+    {kind: 'drains', drains: []},
+    {kind: 'shifts', shifts: []},
+    ...buildClientBlocks(facts, options),
+  ];
+  const document = new Map<string, Section>();
+  for (const section of sections) {
+    document.set(sectionNameOf(section), sectionSchema.parse(section));
+  }
+  return document;
+}
+
+function buildTopology(
+  facts: DeploymentFacts,
+  options: DeploymentOptions,
+): Section {
+  const regions = facts.regions.map(name => ({
+    name: regionName(name),
+    zones: ZONES.map(zoneName),
+  }));
+  return {
+    kind: 'topology',
+    topology: {
+      regions,
+      links: buildLinks(regions.map(region => region.name)),
+      entryVms: buildEntryVms(facts, options),
+    },
+  };
+}
+
+function buildLinks(regions: readonly RegionName[]): readonly Link[] {
+  const links: Link[] = [];
+  for (const from of regions) {
+    for (const to of regions) {
+      if (from === to) {
+        continue;
+      }
+      links.push({
+        from,
+        to,
+        bitsPerSecond: LINK_BITS_PER_SECOND,
+        usableFraction: LINK_USABLE_FRACTION,
+      });
+    }
+  }
+  return links;
+}
+
+function buildEntryVms(
+  facts: DeploymentFacts,
+  options: DeploymentOptions,
+): readonly EntryVm[] {
+  const vms: EntryVm[] = [];
+  for (let index = 0; index < options.entryVmCount; index += 1) {
+    const place = placeOf(index, facts);
+    const addresses = options.vmAddresses?.(index) ?? {
+      callerAddress: `10.0.${index >> 8}.${index & 255}:8080`,
+      peerAddress: `10.0.${index >> 8}.${index & 255}:8081`,
+      operatorAddress: `10.0.${index >> 8}.${index & 255}:8082`,
+    };
+    vms.push({
+      id: vmId(`${place.region}-${place.zone}-${index + 1}`),
+      ...place,
+      ...addresses,
+    });
+  }
+  return vms;
+}
+
+/** Spreads things over the regions first, then over their zones. */
+function placeOf(index: number, facts: DeploymentFacts) {
+  const region = facts.regions[index % facts.regions.length]!;
+  const round = Math.floor(index / facts.regions.length);
+  return {
+    region: regionName(region),
+    zone: zoneName(ZONES[round % ZONES.length]!),
+  };
+}
+
+function buildService(
+  service: ServiceFacts,
+  facts: DeploymentFacts,
+  options: DeploymentOptions,
+): Section {
+  const targets: Target[] = [];
+  const workers = Math.ceil(service.workers / options.workerDivisor);
+  for (let index = 0; index < workers; index += 1) {
+    const id = targetId(`${service.name}-${index + 1}`);
+    targets.push({
+      id,
+      ...placeOf(index, facts),
+      address:
+        options.targetAddress?.(id) ?? `10.1.${index >> 8}.${index & 255}:9000`,
+      slots: service.slots,
+    });
+  }
+  const built: Service = {
+    name: serviceName(service.name),
+    owner: teamName(facts.owner),
+    targets,
+  };
+  return {kind: 'service', service: built};
+}
+
+function buildTemplate(facts: DeploymentFacts): Section {
+  const policies: Record<string, Record<string, unknown>> = {};
+  for (const service of facts.services) {
+    policies[service.name] = {
+      ...service.policy,
+      shift: {...service.policy.shift, capFraction: {parameter: 'shiftCap'}},
+    };
+  }
+  return {
+    kind: 'template',
+    template: {
+      name: templateName('standard-steering'),
+      version: 1,
+      description: `Steering of ${facts.workspace}.`,
+      parameters: {
+        shiftCap: {
+          type: 'number',
+          unit: 'fraction of a region per minute',
+          description: 'Largest part of a region that may move in a minute.',
+          default: 0.1,
+          minimum: 0.01,
+          maximum: 0.25,
+        },
+      },
+      policies: policies as never,
+    },
+  };
+}
+
+function buildApprovals(facts: DeploymentFacts): Section {
+  const approvals = [];
+  for (const service of facts.services) {
+    for (const team of facts.callingTeams) {
+      approvals.push({
+        workspace: workspaceName(facts.workspace),
+        service: serviceName(service.name),
+        callingTeam: teamName(team),
+        state: 'approved' as const,
+        decidedBy: facts.owner,
+        decidedAtMs: 0,
+      });
+    }
+  }
+  return {kind: 'approvals', approvals};
+}
+
+function buildClientBlocks(
+  facts: DeploymentFacts,
+  options: DeploymentOptions,
+): readonly Section[] {
+  const sections: Section[] = [];
+  const count = options.clientBlockCount;
+  for (let start = 0; start < count; start += BLOCKS_PER_SECTION) {
+    const blocks: ClientBlock[] = [];
+    const end = Math.min(start + BLOCKS_PER_SECTION, count);
+    for (let index = start; index < end; index += 1) {
+      const region = facts.regions[index % facts.regions.length]!;
+      blocks.push([blockPrefix(index), regionName(region)]);
+    }
+    const shard = String(start / BLOCKS_PER_SECTION).padStart(4, '0');
+    sections.push({kind: 'client-blocks', shard, blocks});
+  }
+  return sections;
+}
+
+/** Consecutive /24 blocks from 64.0.0.0 on. */
+function blockPrefix(index: number): string {
+  return `${64 + (index >> 16)}.${(index >> 8) & 255}.${index & 255}.0/24`;
+}
--- /dev/null
+++ b/packages/stand_ins/src/core/platform_store/index.ts
@@ -0,0 +1,2 @@
+export * from './memory_platform.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/stand_ins/src/index.ts
@@ -0,0 +1,3 @@
+/** Stand-ins for the platform and for targets; for tests and benches only. */
+export * from './core/deployments/index.js';
+export * from './core/platform_store/index.js';
--- /dev/null
+++ b/scripts/ready.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Installs the packages and builds the workspace where either is missing.
+set -eu
+cd "$(dirname "$0")/.."
+if [ ! -f node_modules/.package-lock.json ]; then
+  npm ci --no-audit --no-fund --loglevel=error
+fi
+npx --no-install tsc --build
