Divide slots among configured VMs and account for each use

Cause: VMs of a region cannot agree while the store is away, so the sum of what they use must follow from the configuration alone. Each (target, slot) pair belongs to one configured VM; growth waits for others to confirm the new generation; leases give slots up first.

--- /dev/null
+++ b/packages/decision/src/core/capacity/holdings.ts
@@ -0,0 +1,285 @@
+/**
+ * The slots of one pool that this VM may use: its own share, less what it has
+ * lent, plus what it has borrowed. Every attempt holds one token; nothing may
+ * be sent to a target without one.
+ */
+import type {TargetId, VmId} from '../model/index.js';
+import type {SlotShare} from './shares.js';
+
+/** Permission to have one request at a target. */
+export interface SlotToken {
+  readonly target: TargetId;
+  /** Set when the slot is a borrowed one. */
+  readonly lease?: BorrowedLease;
+}
+
+export interface BorrowedLease {
+  readonly lender: VmId;
+  readonly ask: number;
+  readonly slots: ReadonlyMap<TargetId, number>;
+  /** Counted from when this VM asked. */
+  readonly endsAtMs: number;
+  readonly inUse: Map<TargetId, number>;
+  usedAtMs: number;
+}
+
+export interface LentLease {
+  readonly borrower: VmId;
+  readonly ask: number;
+  readonly slots: readonly (readonly [TargetId, number])[];
+  /** With the margin, counted from when this VM granted. */
+  readonly takenBackAtMs: number;
+}
+
+export interface Holdings {
+  /** Replaces the own share; slots in use beyond it are not replaced. */
+  own(share: SlotShare): void;
+  ownedAt(target: TargetId): number;
+  owned(): number;
+  /** Slots usable now by a request with this deadline, used ones included. */
+  usableAt(target: TargetId, lastsUntilMs: number): number;
+  usable(lastsUntilMs: number): number;
+  inUseAt(target: TargetId): number;
+  inUse(): number;
+  freeAt(target: TargetId, lastsUntilMs: number): number;
+  /** @param lastsUntilMs Latest time at which the slot is still occupied. */
+  take(
+    target: TargetId,
+    nowMs: number,
+    lastsUntilMs: number,
+  ): SlotToken | undefined;
+  give(token: SlotToken): void;
+  /** Gives up free own slots, at most so many; undefined if there are none. */
+  lend(
+    lease: Omit<LentLease, 'slots'>,
+    slots: number,
+    lendable: (target: TargetId) => boolean,
+  ): LentLease | undefined;
+  lentLease(borrower: VmId, ask: number): LentLease | undefined;
+  lentReturned(borrower: VmId, ask: number): void;
+  borrow(lease: Omit<BorrowedLease, 'inUse' | 'usedAtMs'>, nowMs: number): void;
+  /** Borrowed leases that no request uses; they are dropped when taken. */
+  takeIdleLeases(unusedSinceMs: number): readonly BorrowedLease[];
+  borrowedSlots(nowMs: number): number;
+  lentSlots(): number;
+  /** Drops ended leases. */
+  expire(nowMs: number): void;
+  targets(): ReadonlySet<TargetId>;
+}
+
+export function createHoldings(): Holdings {
+  let share: SlotShare = new Map();
+  const ownInUse = new Map<TargetId, number>();
+  const lentAt = new Map<TargetId, number>();
+  const lent = new Map<string, LentLease>();
+  const borrowed: BorrowedLease[] = [];
+  let tokensOut = 0;
+
+  const ownedAt = (target: TargetId) => share.get(target) ?? 0;
+
+  function ownFreeAt(target: TargetId): number {
+    const free =
+      ownedAt(target) - countAt(lentAt, target) - countAt(ownInUse, target);
+    return Math.max(0, free);
+  }
+
+  function borrowedFreeAt(target: TargetId, lastsUntilMs: number): number {
+    let free = 0;
+    for (const lease of borrowed) {
+      if (lease.endsAtMs > lastsUntilMs) {
+        free += countAt(lease.slots, target) - countAt(lease.inUse, target);
+      }
+    }
+    return free;
+  }
+
+  const freeAt = (target: TargetId, lastsUntilMs: number) =>
+    ownFreeAt(target) + borrowedFreeAt(target, lastsUntilMs);
+
+  function inUseAt(target: TargetId): number {
+    let used = countAt(ownInUse, target);
+    for (const lease of borrowed) {
+      used += countAt(lease.inUse, target);
+    }
+    return used;
+  }
+
+  function take(
+    target: TargetId,
+    nowMs: number,
+    lastsUntilMs: number,
+  ): SlotToken | undefined {
+    if (ownFreeAt(target) > 0) {
+      addAt(ownInUse, target, 1);
+      tokensOut += 1;
+      return {target};
+    }
+    for (const lease of borrowed) {
+      const free = countAt(lease.slots, target) - countAt(lease.inUse, target);
+      if (free > 0 && lease.endsAtMs > lastsUntilMs) {
+        addAt(lease.inUse, target, 1);
+        lease.usedAtMs = nowMs;
+        tokensOut += 1;
+        return {target, lease};
+      }
+    }
+    return undefined;
+  }
+
+  function lend(
+    lease: Omit<LentLease, 'slots'>,
+    slots: number,
+    lendable: (target: TargetId) => boolean,
+  ): LentLease | undefined {
+    const given: [TargetId, number][] = [];
+    let left = slots;
+    const byFree = [...share.keys()]
+      .filter(lendable)
+      .sort((one, other) => ownFreeAt(other) - ownFreeAt(one));
+    for (const target of byFree) {
+      const part = Math.min(left, Math.ceil(ownFreeAt(target) / 2));
+      if (part > 0) {
+        given.push([target, part]);
+        left -= part;
+      }
+    }
+    if (given.length === 0) {
+      return undefined;
+    }
+    for (const [target, count] of given) {
+      addAt(lentAt, target, count);
+    }
+    const granted = {...lease, slots: given};
+    lent.set(leaseKey(lease.borrower, lease.ask), granted);
+    return granted;
+  }
+
+  function dropLent(key: string): void {
+    const lease = lent.get(key);
+    if (!lease) {
+      return;
+    }
+    lent.delete(key);
+    for (const [target, count] of lease.slots) {
+      addAt(lentAt, target, -count);
+    }
+  }
+
+  function takeIdleLeases(unusedSinceMs: number): readonly BorrowedLease[] {
+    const idle = borrowed.filter(
+      lease => lease.usedAtMs <= unusedSinceMs && lease.inUse.size === 0,
+    );
+    for (const lease of idle) {
+      borrowed.splice(borrowed.indexOf(lease), 1);
+    }
+    return idle;
+  }
+
+  function expire(nowMs: number): void {
+    for (const [key, lease] of lent) {
+      if (lease.takenBackAtMs <= nowMs) {
+        dropLent(key);
+      }
+    }
+    for (const lease of [...borrowed]) {
+      if (lease.endsAtMs <= nowMs && lease.inUse.size === 0) {
+        borrowed.splice(borrowed.indexOf(lease), 1);
+      }
+    }
+  }
+
+  function targets(): ReadonlySet<TargetId> {
+    const all = new Set(share.keys());
+    for (const lease of borrowed) {
+      for (const target of lease.slots.keys()) {
+        all.add(target);
+      }
+    }
+    return all;
+  }
+
+  function usableAt(target: TargetId, lastsUntilMs: number): number {
+    let usable = Math.max(0, ownedAt(target) - countAt(lentAt, target));
+    for (const lease of borrowed) {
+      if (lease.endsAtMs > lastsUntilMs) {
+        usable += countAt(lease.slots, target);
+      }
+    }
+    return usable;
+  }
+
+  function usable(lastsUntilMs: number): number {
+    let total = 0;
+    for (const target of targets()) {
+      total += usableAt(target, lastsUntilMs);
+    }
+    return total;
+  }
+
+  return {
+    own: next => {
+      share = next;
+    },
+    ownedAt,
+    owned: () => sum(share.values()),
+    usableAt,
+    usable,
+    inUseAt,
+    inUse: () => tokensOut,
+    freeAt,
+    take,
+    give: token => {
+      tokensOut -= 1;
+      addAt(token.lease?.inUse ?? ownInUse, token.target, -1);
+    },
+    lend,
+    lentLease: (borrower, ask) => lent.get(leaseKey(borrower, ask)),
+    lentReturned: (borrower, ask) => dropLent(leaseKey(borrower, ask)),
+    borrow: (lease, nowMs) => {
+      borrowed.push({...lease, inUse: new Map(), usedAtMs: nowMs});
+    },
+    takeIdleLeases,
+    borrowedSlots: nowMs => {
+      let slots = 0;
+      for (const lease of borrowed) {
+        slots += lease.endsAtMs > nowMs ? sum(lease.slots.values()) : 0;
+      }
+      return slots;
+    },
+    lentSlots: () => sum(lentAt.values()),
+    expire,
+    targets,
+  };
+}
+
+function leaseKey(borrower: VmId, ask: number): string {
+  return `${borrower}/${ask}`;
+}
+
+function countAt(
+  counts: ReadonlyMap<TargetId, number>,
+  target: TargetId,
+): number {
+  return counts.get(target) ?? 0;
+}
+
+function addAt(
+  counts: Map<TargetId, number>,
+  target: TargetId,
+  change: number,
+): void {
+  const next = countAt(counts, target) + change;
+  if (next === 0) {
+    counts.delete(target);
+    return;
+  }
+  counts.set(target, next);
+}
+
+function sum(values: Iterable<number>): number {
+  let total = 0;
+  for (const value of values) {
+    total += value;
+  }
+  return total;
+}
--- a/packages/decision/src/core/capacity/index.ts
+++ b/packages/decision/src/core/capacity/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from './rendezvous.js';
+export * from './shares.js';
+export * from './holdings.js';
+export * from './share_growth.js';
--- /dev/null
+++ b/packages/decision/src/core/capacity/share_growth.ts
@@ -0,0 +1,188 @@
+/**
+ * Decides when this VM may grow into a new configuration's share. It shrinks
+ * at once. It grows once every VM that may still use the slots under an older
+ * generation runs the new one or is gone, and what that VM had in flight by
+ * then has ended.
+ */
+import type {
+  Generation,
+  MembershipView,
+  TargetId,
+  VmId,
+} from '../model/index.js';
+import type {SlotShare} from './shares.js';
+
+/** Shares of one pool by VM, as one generation divides it. */
+export type Division = ReadonlyMap<VmId, SlotShare>;
+
+export interface ShareGrowth {
+  /** Takes a generation's division; returns the share to use from now on. */
+  divided(division: Division, generation: Generation, nowMs: number): SlotShare;
+  /** The share to use now, or undefined if it has not changed. */
+  advance(
+    view: MembershipView | undefined,
+    nowMs: number,
+  ): SlotShare | undefined;
+  /** Nothing may be used before this time: an earlier life may still. */
+  holdUntil(notBeforeMs: number): void;
+  /** Whether some of the share waits. */
+  waiting(): boolean;
+}
+
+export interface ShareGrowthOptions {
+  readonly vm: VmId;
+  readonly inForceBoundMs: number;
+  /** Longest time for which a slot taken before stays in use. */
+  readonly longestUseMs: number;
+}
+
+interface PendingGrowth {
+  readonly generation: Generation;
+  readonly since: number;
+  /** VMs that must have confirmed, by target that grows. */
+  readonly waitsFor: ReadonlyMap<TargetId, ReadonlySet<VmId>>;
+  readonly confirmedAtMs: Map<VmId, number>;
+}
+
+export function createShareGrowth(options: ShareGrowthOptions): ShareGrowth {
+  const {vm, inForceBoundMs, longestUseMs} = options;
+  let division: Division | undefined;
+  let generation: Generation | undefined;
+  let current = new Map<TargetId, number>();
+  let pending: PendingGrowth | undefined;
+  let notBeforeMs = 0;
+  let released = true;
+
+  function divided(
+    next: Division,
+    nextGeneration: Generation,
+    nowMs: number,
+  ): SlotShare {
+    const previous = division;
+    const exact =
+      pending === undefined &&
+      generation !== undefined &&
+      nextGeneration <= generation + 1;
+    const wanted = next.get(vm) ?? new Map<TargetId, number>();
+    const waitsFor = new Map<TargetId, ReadonlySet<VmId>>();
+    const usedNow = new Map<TargetId, number>();
+    for (const [target, slots] of wanted) {
+      const used = previous ? (current.get(target) ?? 0) : slots;
+      usedNow.set(target, Math.min(slots, used));
+      if (slots > used) {
+        waitsFor.set(target, holdersToAwait(previous, next, target, exact));
+      }
+    }
+    division = next;
+    generation = nextGeneration;
+    current = usedNow;
+    pending =
+      waitsFor.size === 0
+        ? undefined
+        : {
+            generation: nextGeneration,
+            since: nowMs,
+            waitsFor,
+            confirmedAtMs: new Map(),
+          };
+    return released ? current : new Map();
+  }
+
+  /** All others unless the step from the former division is known exactly. */
+  function holdersToAwait(
+    previous: Division | undefined,
+    next: Division,
+    target: TargetId,
+    exact: boolean,
+  ): ReadonlySet<VmId> {
+    const others = new Set<VmId>();
+    for (const other of [...(previous?.keys() ?? []), ...next.keys()]) {
+      const before = previous?.get(other)?.get(target) ?? 0;
+      const after = next.get(other)?.get(target) ?? 0;
+      if (other !== vm && (!exact || before > after)) {
+        others.add(other);
+      }
+    }
+    return others;
+  }
+
+  function confirmed(
+    growth: PendingGrowth,
+    other: VmId,
+    view: MembershipView | undefined,
+    nowMs: number,
+  ): boolean {
+    const seen = view?.vms.get(other);
+    if (seen?.state === 'gone') {
+      return true;
+    }
+    if (seen?.generation !== undefined) {
+      return seen.generation >= growth.generation;
+    }
+    return nowMs - growth.since >= inForceBoundMs;
+  }
+
+  function advance(
+    view: MembershipView | undefined,
+    nowMs: number,
+  ): SlotShare | undefined {
+    const opened = !released && nowMs >= notBeforeMs;
+    released ||= opened;
+    const grown = pending ? growInto(pending, view, nowMs) : false;
+    return released && (opened || grown) ? current : undefined;
+  }
+
+  function growInto(
+    growth: PendingGrowth,
+    view: MembershipView | undefined,
+    nowMs: number,
+  ): boolean {
+    const wanted = division?.get(vm);
+    let grown = false;
+    let waiting = false;
+    for (const [target, others] of growth.waitsFor) {
+      if (!mayGrow(growth, others, view, nowMs)) {
+        waiting = true;
+        continue;
+      }
+      const slots = wanted?.get(target) ?? 0;
+      if ((current.get(target) ?? 0) < slots) {
+        current = new Map(current).set(target, slots);
+        grown = true;
+      }
+    }
+    if (!waiting) {
+      pending = undefined;
+    }
+    return grown;
+  }
+
+  function mayGrow(
+    growth: PendingGrowth,
+    others: ReadonlySet<VmId>,
+    view: MembershipView | undefined,
+    nowMs: number,
+  ): boolean {
+    for (const other of others) {
+      let at = growth.confirmedAtMs.get(other);
+      if (at === undefined && confirmed(growth, other, view, nowMs)) {
+        at = nowMs;
+        growth.confirmedAtMs.set(other, at);
+      }
+      if (at === undefined || nowMs < at + longestUseMs) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  return {
+    divided,
+    advance,
+    holdUntil: untilMs => {
+      notBeforeMs = Math.max(notBeforeMs, untilMs);
+      released = false;
+    },
+    waiting: () => !released || pending !== undefined,
+  };
+}
--- /dev/null
+++ b/packages/decision/src/core/capacity/shares.ts
@@ -0,0 +1,112 @@
+/**
+ * Divides the slots of a service in a region among the entry VMs that are
+ * configured there. Every VM computes the same division from the same
+ * configuration; which VMs are alive plays no part.
+ */
+import type {
+  Configuration,
+  EntryVm,
+  RegionName,
+  ServiceName,
+  Target,
+  TargetId,
+  VmId,
+} from '../model/index.js';
+import {rendezvousOrder} from './rendezvous.js';
+
+/** Slots by target. */
+export type SlotShare = ReadonlyMap<TargetId, number>;
+
+/** Entry VMs configured in a region, in the order of their names. */
+export function vmsOfRegion(
+  configuration: Configuration,
+  region: RegionName,
+): readonly EntryVm[] {
+  const vms = [...configuration.entryVms.values()];
+  return vms
+    .filter(vm => vm.region === region)
+    .sort((one, other) => (one.id < other.id ? -1 : 1));
+}
+
+/** Targets of a service in a region, in the order of their names. */
+export function targetsOfRegion(
+  configuration: Configuration,
+  service: ServiceName,
+  region: RegionName,
+): readonly Target[] {
+  const targets = configuration.services.get(service)?.targets ?? [];
+  return targets
+    .filter(target => target.region === region)
+    .sort((one, other) => (one.id < other.id ? -1 : 1));
+}
+
+/**
+ * The sum over VMs is each target's slots. Slot number `n` of all slots of
+ * the pool, targets in order, belongs to holder `n mod holders`.
+ */
+export function divideSlots(
+  targets: readonly Target[],
+  vms: readonly EntryVm[],
+  key: string,
+  minimumSlotsPerHolder: number,
+): ReadonlyMap<VmId, SlotShare> {
+  const shares = new Map<VmId, Map<TargetId, number>>();
+  const holders = chooseHolders(targets, vms, key, minimumSlotsPerHolder);
+  if (holders.length === 0) {
+    return shares;
+  }
+  let position = 0;
+  for (const target of targets) {
+    for (let slot = 0; slot < target.slots; slot += 1) {
+      const holder = holders[position % holders.length]!;
+      const share = shares.get(holder) ?? new Map<TargetId, number>();
+      share.set(target.id, (share.get(target.id) ?? 0) + 1);
+      shares.set(holder, share);
+      position += 1;
+    }
+  }
+  return shares;
+}
+
+/** VMs that hold slots of the pool; all of them if the pool is large enough. */
+export function chooseHolders(
+  targets: readonly Target[],
+  vms: readonly EntryVm[],
+  key: string,
+  minimumSlotsPerHolder: number,
+): readonly VmId[] {
+  let slots = 0;
+  for (const target of targets) {
+    slots += target.slots;
+  }
+  const most = Math.max(1, Math.floor(slots / minimumSlotsPerHolder));
+  const ordered = alternateZones(vms, key);
+  return ordered.slice(0, Math.min(most, ordered.length));
+}
+
+/** Rendezvous order in which consecutive VMs stand in different zones. */
+function alternateZones(vms: readonly EntryVm[], key: string): readonly VmId[] {
+  const byZone = new Map<string, VmId[]>();
+  const zoneOf = new Map(vms.map(vm => [vm.id, vm.zone]));
+  const order = rendezvousOrder(
+    vms.map(vm => vm.id),
+    key,
+  );
+  for (const vm of order) {
+    const zone = zoneOf.get(vm)!;
+    const members = byZone.get(zone) ?? [];
+    members.push(vm);
+    byZone.set(zone, members);
+  }
+  const alternated: VmId[] = [];
+  const queues = [...byZone.values()];
+  while (alternated.length < vms.length) {
+    for (const queue of queues) {
+      const vm = queue.shift();
+      if (vm !== undefined) {
+        alternated.push(vm);
+      }
+    }
+  }
+  return alternated;
+}
