--- a/packages/decision/src/core/admission/index.ts
+++ b/packages/decision/src/core/admission/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './request_queue.js';
--- /dev/null
+++ b/packages/decision/src/core/admission/request_queue.ts
@@ -0,0 +1,116 @@
+/**
+ * The short queue before a pool. Higher priorities leave first, and within a
+ * priority the workspace that occupies least. When it is full, the lowest
+ * priority is dropped, and there the workspace that has most in it.
+ */
+import type {RequestId, WorkspaceName} from '../model/index.js';
+
+export interface QueueEntry {
+  readonly request: RequestId;
+  readonly workspace: WorkspaceName;
+  readonly priority: number;
+  readonly deadlineMs: number;
+}
+
+export interface RequestQueue {
+  /**
+   * Puts the entry in; returns the entry that had to leave, which may be this
+   * one, or undefined if there was room.
+   */
+  enter(entry: QueueEntry, places: number): QueueEntry | undefined;
+  /** The entry to serve next. */
+  peek(
+    occupiedBy: (workspace: WorkspaceName) => number,
+  ): QueueEntry | undefined;
+  remove(request: RequestId): boolean;
+  /** Entries that must wait for as long as this one or longer go before it. */
+  ahead(priority: number): number;
+  takeExpired(nowMs: number): readonly QueueEntry[];
+  workspaces(): ReadonlySet<WorkspaceName>;
+  entries(): readonly QueueEntry[];
+  size(): number;
+}
+
+export function createRequestQueue(): RequestQueue {
+  let entries: QueueEntry[] = [];
+
+  function enter(entry: QueueEntry, places: number): QueueEntry | undefined {
+    entries.push(entry);
+    if (entries.length <= places) {
+      return undefined;
+    }
+    const victim = chooseVictim(entries);
+    entries.splice(entries.indexOf(victim), 1);
+    return victim;
+  }
+
+  function peek(
+    occupiedBy: (workspace: WorkspaceName) => number,
+  ): QueueEntry | undefined {
+    let best: QueueEntry | undefined;
+    for (const entry of entries) {
+      if (!best || goesBefore(entry, best, occupiedBy)) {
+        best = entry;
+      }
+    }
+    return best;
+  }
+
+  function remove(request: RequestId): boolean {
+    const index = entries.findIndex(entry => entry.request === request);
+    if (index < 0) {
+      return false;
+    }
+    entries.splice(index, 1);
+    return true;
+  }
+
+  function takeExpired(nowMs: number): readonly QueueEntry[] {
+    const expired = entries.filter(entry => entry.deadlineMs <= nowMs);
+    if (expired.length > 0) {
+      entries = entries.filter(entry => entry.deadlineMs > nowMs);
+    }
+    return expired;
+  }
+
+  return {
+    enter,
+    peek,
+    remove,
+    ahead: priority =>
+      entries.filter(entry => entry.priority >= priority).length,
+    takeExpired,
+    workspaces: () => new Set(entries.map(entry => entry.workspace)),
+    entries: () => entries,
+    size: () => entries.length,
+  };
+}
+
+function goesBefore(
+  entry: QueueEntry,
+  best: QueueEntry,
+  occupiedBy: (workspace: WorkspaceName) => number,
+): boolean {
+  if (entry.priority !== best.priority) {
+    return entry.priority > best.priority;
+  }
+  return occupiedBy(entry.workspace) < occupiedBy(best.workspace);
+}
+
+function chooseVictim(entries: readonly QueueEntry[]): QueueEntry {
+  const counts = new Map<WorkspaceName, number>();
+  for (const entry of entries) {
+    counts.set(entry.workspace, (counts.get(entry.workspace) ?? 0) + 1);
+  }
+  let victim = entries[0]!;
+  for (const entry of entries) {
+    const lower = entry.priority < victim.priority;
+    const crowded =
+      entry.priority === victim.priority &&
+      counts.get(entry.workspace)! >= counts.get(victim.workspace)!;
+    if (lower || crowded) {
+      victim = entry;
+    }
+  }
+  return victim;
+}
--- a/packages/decision/src/core/links/index.ts
+++ b/packages/decision/src/core/links/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './link_budgets.js';
--- a/packages/decision/src/core/model/policy.ts
+++ b/packages/decision/src/core/model/policy.ts
@@ -31,6 +31,8 @@
   failover: z.boolean(),
 });
 
+export type ShiftPolicy = z.infer<typeof shiftPolicySchema>;
+
 export const objectivePolicySchema = z.strictObject({
   /** Fraction of requests that must be answered, such as 0.999. */
   availability: z.number().min(0.5).max(0.99999),
--- a/packages/decision/src/core/quarantine/index.ts
+++ b/packages/decision/src/core/quarantine/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './crash_suspicions.js';
--- a/packages/decision/src/core/retries/index.ts
+++ b/packages/decision/src/core/retries/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './retry_budget.js';
+export * from './latency_window.js';
--- /dev/null
+++ b/packages/decision/src/core/routing/choose_target.ts
@@ -0,0 +1,94 @@
+/** Choice among the targets of a pool that have a free slot. */
+import type {Preference, RandomSource, ZoneName} from '../model/index.js';
+import type {TargetRecord} from './target_record.js';
+
+export interface TargetCandidate {
+  readonly record: TargetRecord;
+  /** Requests that this VM has there. */
+  readonly inFlight: number;
+  /** Requests that this VM may have there. */
+  readonly limit: number;
+}
+
+export interface ChoiceContext {
+  readonly preference: Preference;
+  readonly zone: ZoneName;
+  readonly random: RandomSource;
+}
+
+/** Round trip between two availability zones of a region. */
+const OTHER_ZONE_MS = 3;
+/** Cost of one failure, as if the answer came this much later. */
+const FAILURE_COST_MS = 1_000;
+/** Candidates that are compared; more than these are sampled. */
+const COMPARED_CANDIDATES = 16;
+/** In the headroom preference, one whole limit weighs as much as this. */
+const HEADROOM_WEIGHT_MS = 10_000;
+const DEFAULT_LATENCY_MS = 20;
+
+/** The candidate of least cost; ties are drawn. */
+export function chooseTarget(
+  candidates: readonly TargetCandidate[],
+  context: ChoiceContext,
+): TargetCandidate | undefined {
+  const typicalMs = typicalLatency(candidates);
+  let best: TargetCandidate | undefined;
+  let bestCost = Infinity;
+  for (const candidate of sample(candidates, context.random)) {
+    const tie = 1 + context.random.next() * 1e-3;
+    const cost = costOf(candidate, typicalMs, context) * tie;
+    if (cost < bestCost) {
+      best = candidate;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+function sample(
+  candidates: readonly TargetCandidate[],
+  random: RandomSource,
+): readonly TargetCandidate[] {
+  if (candidates.length <= COMPARED_CANDIDATES) {
+    return candidates;
+  }
+  const drawn: TargetCandidate[] = [];
+  for (let count = 0; count < COMPARED_CANDIDATES; count += 1) {
+    drawn.push(candidates[random.below(candidates.length)]!);
+  }
+  return drawn;
+}
+
+function typicalLatency(candidates: readonly TargetCandidate[]): number {
+  let total = 0;
+  let known = 0;
+  for (const {record} of candidates) {
+    if (record.answers > 0) {
+      total += record.latencyMs;
+      known += 1;
+    }
+  }
+  return known === 0 ? DEFAULT_LATENCY_MS : total / known;
+}
+
+/** Milliseconds that a request is expected to cost there. */
+function costOf(
+  candidate: TargetCandidate,
+  typicalMs: number,
+  context: ChoiceContext,
+): number {
+  const {record, inFlight, limit} = candidate;
+  const answered = record.answers > 0;
+  const latencyMs = answered
+    ? record.latencyMs + 2 * record.deviationMs
+    : typicalMs;
+  const zoneMs = record.target.zone === context.zone ? 0 : OTHER_ZONE_MS;
+  const failureMs = record.failureRate * FAILURE_COST_MS;
+  const use = (inFlight + 1) / Math.max(1, limit);
+  switch (context.preference) {
+    case 'latency':
+      return latencyMs * (1 + use / 2) + zoneMs + failureMs;
+    case 'headroom':
+      return use * HEADROOM_WEIGHT_MS + latencyMs + zoneMs + failureMs * 10;
+  }
+}
--- /dev/null
+++ b/packages/decision/src/core/shifts/failovers.ts
@@ -0,0 +1,138 @@
+/**
+ * Failovers: what is served elsewhere while a region is silent. The fraction
+ * is a function of the recorded start (and end) and the Unix time. Starts are
+ * merged by the later one, so that no VM is ahead of the others.
+ */
+import type {RegionName, ShiftPolicy} from '../model/index.js';
+
+export interface Failover {
+  readonly from: RegionName;
+  readonly startedAtWallMs: number;
+  readonly endedAtWallMs?: number;
+}
+
+export interface Failovers {
+  get(from: RegionName): Failover | undefined;
+  all(): readonly Failover[];
+  /** Takes what another VM knows; true if it was news. */
+  adopt(known: Failover): boolean;
+  /** @param fastestRampMs Shortest time in which all cohorts may move. */
+  start(from: RegionName, wallMs: number, fastestRampMs: number): Failover;
+  end(from: RegionName, wallMs: number): Failover | undefined;
+  /** Forgets failovers whose ramp back is over. */
+  expire(wallMs: number, slowestRampMs: number): void;
+}
+
+export function createFailovers(): Failovers {
+  const known = new Map<RegionName, Failover>();
+
+  function adopt(news: Failover): boolean {
+    const current = known.get(news.from);
+    const startedAtWallMs = Math.max(
+      news.startedAtWallMs,
+      current?.startedAtWallMs ?? -Infinity,
+    );
+    const endedAtWallMs = mergeEnds(current, news, startedAtWallMs);
+    const changed =
+      !current ||
+      current.startedAtWallMs !== startedAtWallMs ||
+      current.endedAtWallMs !== endedAtWallMs;
+    if (changed) {
+      known.set(news.from, {from: news.from, startedAtWallMs, endedAtWallMs});
+    }
+    return changed;
+  }
+
+  function start(
+    from: RegionName,
+    wallMs: number,
+    fastestRampMs: number,
+  ): Failover {
+    const earlier = known.get(from);
+    if (earlier && earlier.endedAtWallMs === undefined) {
+      return earlier;
+    }
+    const failover = {
+      from,
+      startedAtWallMs: wallMs - movedMs(earlier, wallMs, fastestRampMs),
+    };
+    known.set(from, failover);
+    return failover;
+  }
+
+  function end(from: RegionName, wallMs: number): Failover | undefined {
+    const current = known.get(from);
+    if (!current || current.endedAtWallMs !== undefined) {
+      return undefined;
+    }
+    const ended = {...current, endedAtWallMs: wallMs};
+    known.set(from, ended);
+    return ended;
+  }
+
+  return {
+    get: from => known.get(from),
+    all: () => [...known.values()],
+    adopt,
+    start,
+    end,
+    expire: (wallMs, slowestRampMs) => {
+      for (const failover of [...known.values()]) {
+        const endedAt = failover.endedAtWallMs ?? Infinity;
+        if (wallMs - endedAt > slowestRampMs) {
+          known.delete(failover.from);
+        }
+      }
+    },
+  };
+}
+
+/** An end counts only if it lies after the start that is in force. */
+function mergeEnds(
+  current: Failover | undefined,
+  news: Failover,
+  startedAtWallMs: number,
+): number | undefined {
+  const ends = [current?.endedAtWallMs, news.endedAtWallMs].filter(
+    end => end !== undefined && end >= startedAtWallMs,
+  ) as number[];
+  return ends.length === 0 ? undefined : Math.max(...ends);
+}
+
+/** Ramp time that an earlier failover still has to its credit. */
+function movedMs(
+  earlier: Failover | undefined,
+  wallMs: number,
+  fastestRampMs: number,
+): number {
+  if (!earlier || earlier.endedAtWallMs === undefined) {
+    return 0;
+  }
+  const upMs = Math.min(
+    fastestRampMs,
+    earlier.endedAtWallMs - earlier.startedAtWallMs,
+  );
+  return Math.max(0, upMs - (wallMs - earlier.endedAtWallMs));
+}
+
+/** Fraction of the region's cohorts that may be served elsewhere, 0 to 1. */
+export function failoverFraction(
+  failover: Failover,
+  policy: ShiftPolicy,
+  capUse: number,
+  wallMs: number,
+): number {
+  const rate = (policy.capFraction * capUse) / policy.intervalMs;
+  const upUntilMs = Math.min(wallMs, failover.endedAtWallMs ?? Infinity);
+  const risen = Math.max(
+    0,
+    Math.min(1, (upUntilMs - failover.startedAtWallMs) * rate),
+  );
+  const downMs = Math.max(0, wallMs - (failover.endedAtWallMs ?? Infinity));
+  return Math.max(0, risen - downMs * rate);
+}
+
+/** Time in which all cohorts move under the policy's cap. */
+export function fullRampMs(policy: ShiftPolicy, capUse: number): number {
+  return policy.intervalMs / (policy.capFraction * capUse);
+}
--- a/packages/decision/src/core/shifts/index.ts
+++ b/packages/decision/src/core/shifts/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './drained_targets.js';
+export * from './planned_moves.js';
+export * from './failovers.js';
--- /dev/null
+++ b/packages/decision/src/core/steering/attempt_results.ts
@@ -0,0 +1,262 @@
+/** What happens when attempts progress and end. */
+import {assertNever} from '../model/index.js';
+import type {AttemptResult, RefusalReason} from '../model/index.js';
+import {recordAnswer, recordFailure, recordShed} from '../routing/index.js';
+import {serveQueue} from './admissions.js';
+import {releaseAttempt} from './attempts.js';
+import {type Pool, ejectIfOutlier} from './pool.js';
+import {close, forgetIfDone, refuse} from './refusals.js';
+import type {AttemptState, RequestState} from './requests.js';
+import {retry} from './retrying.js';
+import {type SteeringState, budgetOf, findTarget} from './state.js';
+import {suspectCrash} from './crash_reports.js';
+
+const SERVER_ERROR_STATUS = 500;
+const AVOID_PEER_MS = 500;
+const SERVICE_TIME_SMOOTHING = 0.05;
+
+export function attemptAnswering(
+  state: SteeringState,
+  request: RequestState,
+  attempt: AttemptState,
+  contentLength: number | undefined,
+): void {
+  attempt.answering = true;
+  for (const other of request.attempts.values()) {
+    if (other !== attempt && !other.cancelling) {
+      other.cancelling = true;
+      state.context.emit({
+        kind: 'cancel-attempt',
+        request: request.facts.id,
+        attempt: other.number,
+      });
+    }
+  }
+  debitLink(state, request, attempt, contentLength);
+}
+
+/** Charges the link for an answer that is longer than was expected. */
+function debitLink(
+  state: SteeringState,
+  request: RequestState,
+  attempt: AttemptState,
+  contentLength: number | undefined,
+): void {
+  const {relayedFrom, expectedResponseBytes} = request.facts;
+  const crosses =
+    relayedFrom !== undefined && relayedFrom.region !== state.context.region;
+  if (!crosses || contentLength === undefined) {
+    return;
+  }
+  const unexpected = contentLength - (expectedResponseBytes ?? 0);
+  if (attempt.linkBytesPerSecond === 0 && unexpected > 0) {
+    const {nowMs} = state.context.time();
+    state.links.debit(relayedFrom.region, unexpected, nowMs);
+  }
+}
+
+export function attemptFinished(
+  state: SteeringState,
+  request: RequestState,
+  attempt: AttemptState,
+  result: AttemptResult,
+): void {
+  request.attempts.delete(attempt.number);
+  const pool = state.pools.get(request.facts.service);
+  const ran = mayHaveRun(attempt, result);
+  releaseAttempt(state, pool, request, attempt, ran && !endedByAnswer(result));
+  if (attempt.destination.kind === 'target') {
+    judgeTarget(state, request, attempt, result);
+  } else {
+    judgePeer(state, request, attempt, result);
+  }
+  if (request.closed) {
+    forgetIfDone(state, request);
+  } else {
+    decideNext(state, request, attempt, result, ran);
+  }
+  if (pool) {
+    serveQueue(state, pool);
+  }
+}
+
+function endedByAnswer(result: AttemptResult): boolean {
+  return result.kind === 'answered';
+}
+
+/** Whether the target may have run the request, and may still be at it. */
+function mayHaveRun(attempt: AttemptState, result: AttemptResult): boolean {
+  switch (result.kind) {
+    case 'answered':
+    case 'broken':
+      return true;
+    case 'shed':
+    case 'not-sent':
+      return false;
+    case 'timed-out':
+      return attempt.sent;
+    case 'cancelled':
+      return result.sent;
+    default:
+      return assertNever(result);
+  }
+}
+
+function judgeTarget(
+  state: SteeringState,
+  request: RequestState,
+  attempt: AttemptState,
+  result: AttemptResult,
+): void {
+  const {destination} = attempt;
+  const found =
+    destination.kind === 'target'
+      ? findTarget(state, destination.target)
+      : undefined;
+  if (!found) {
+    return;
+  }
+  const {pool, record} = found;
+  const {context} = state;
+  const {nowMs} = context.time();
+  switch (result.kind) {
+    case 'answered':
+      state.suspicions.targetSurvived(record.target.id, attempt.startedMs);
+      state.suspicions.answered(request.facts.fingerprint);
+      if (result.status >= SERVER_ERROR_STATUS) {
+        recordFailure(record);
+        ejectIfOutlier(pool, record, `status ${result.status}`, context);
+        return;
+      }
+      noteLatency(pool, nowMs - attempt.startedMs);
+      recordAnswer(record, nowMs - attempt.startedMs);
+      return;
+    case 'shed':
+      recordShed(record, nowMs);
+      return;
+    case 'broken':
+      if (!suspectCrash(state, request, record.target.id)) {
+        recordFailure(record);
+        ejectIfOutlier(pool, record, result.cause, context);
+      }
+      return;
+    case 'not-sent':
+      recordFailure(record);
+      ejectIfOutlier(pool, record, result.cause, context);
+      return;
+    case 'timed-out':
+      recordFailure(record);
+      ejectIfOutlier(pool, record, 'timed out', context);
+      return;
+    case 'cancelled':
+      return;
+    default:
+      assertNever(result);
+  }
+}
+
+function noteLatency(pool: Pool, latencyMs: number): void {
+  pool.latencies.add(latencyMs);
+  pool.serviceTimeMs +=
+    SERVICE_TIME_SMOOTHING * (latencyMs - pool.serviceTimeMs);
+}
+
+function judgePeer(
+  state: SteeringState,
+  request: RequestState,
+  attempt: AttemptState,
+  result: AttemptResult,
+): void {
+  const {destination} = attempt;
+  if (destination.kind !== 'relay') {
+    return;
+  }
+  const untilMs = state.context.time().nowMs + AVOID_PEER_MS;
+  switch (result.kind) {
+    case 'shed':
+    case 'not-sent':
+    case 'broken':
+    case 'timed-out':
+      state.peers.avoid(destination.vm, request.facts.service, untilMs);
+      return;
+    case 'answered':
+      state.suspicions.answered(request.facts.fingerprint);
+      return;
+    case 'cancelled':
+      return;
+    default:
+      assertNever(result);
+  }
+}
+
+function decideNext(
+  state: SteeringState,
+  request: RequestState,
+  attempt: AttemptState,
+  result: AttemptResult,
+  ran: boolean,
+): void {
+  if (result.kind === 'answered') {
+    countSuccess(state, request, attempt, result.status);
+    close(state, request);
+    return;
+  }
+  request.mayHaveRun ||= ran;
+  if (request.attempts.size > 0) {
+    return;
+  }
+  if (attempt.answering) {
+    refuse(state, request, 'target-failed');
+    return;
+  }
+  const safe = request.facts.idempotent || !request.mayHaveRun;
+  if (result.kind !== 'cancelled' && safe && retry(state, request, result)) {
+    return;
+  }
+  const {reason, retryAfterMs} = finalReason(state, request, result);
+  refuse(state, request, reason, retryAfterMs);
+}
+
+/** A success that another VM counts too fills each budget by half. */
+function countSuccess(
+  state: SteeringState,
+  request: RequestState,
+  attempt: AttemptState,
+  status: number,
+): void {
+  if (status >= SERVER_ERROR_STATUS) {
+    return;
+  }
+  const {facts, policy} = request;
+  const relayed =
+    facts.relayedFrom !== undefined || attempt.destination.kind === 'relay';
+  const budget = budgetOf(state, facts.workspace, facts.service, policy);
+  budget.succeeded(relayed ? 0.5 : 1);
+}
+
+const RETRY_AFTER_FAILURE_MS = 1_000;
+const RETRY_AFTER_SHED_MS = 250;
+
+function finalReason(
+  state: SteeringState,
+  request: RequestState,
+  result: AttemptResult,
+): {readonly reason: RefusalReason; readonly retryAfterMs?: number} {
+  const {nowMs} = state.context.time();
+  const suspicion = state.suspicions.state(request.facts.fingerprint, nowMs);
+  if (suspicion === 'quarantined') {
+    const untilMs = state.suspicions.untilMs(request.facts.fingerprint);
+    return {reason: 'request-quarantined', retryAfterMs: untilMs - nowMs};
+  }
+  if (nowMs >= request.facts.deadlineMs) {
+    return {reason: 'deadline-expired'};
+  }
+  if (result.kind === 'shed') {
+    const away = request.region !== state.context.region;
+    return {
+      reason: away ? 'no-healthy-target' : 'region-full',
+      retryAfterMs: result.retryAfterMs ?? RETRY_AFTER_SHED_MS,
+    };
+  }
+  return {reason: 'target-failed', retryAfterMs: RETRY_AFTER_FAILURE_MS};
+}
--- /dev/null
+++ b/packages/decision/src/core/steering/configuration_change.ts
@@ -0,0 +1,35 @@
+/** Takes a new configuration: shares, targets, links, planned moves. */
+import type {Configuration} from '../model/index.js';
+import {configurePool, createPool} from './pool.js';
+import {refuse} from './refusals.js';
+import type {SteeringState} from './state.js';
+
+const RETRY_AFTER_REMOVAL_MS = 1_000;
+
+export function takeConfiguration(
+  state: SteeringState,
+  configuration: Configuration,
+): void {
+  const {context} = state;
+  state.moves.clear();
+  state.budgets.clear();
+  state.links.configure(configuration);
+  for (const service of configuration.services.keys()) {
+    const pool =
+      state.pools.get(service) ?? createPool(service, configuration, context);
+    state.pools.set(service, pool);
+    configurePool(pool, configuration, context);
+  }
+  for (const [service, pool] of state.pools) {
+    if (configuration.services.has(service)) {
+      continue;
+    }
+    for (const entry of [...pool.queue.entries()]) {
+      const request = state.requests.get(entry.request);
+      if (request) {
+        refuse(state, request, 'unknown-service', RETRY_AFTER_REMOVAL_MS);
+      }
+    }
+    state.pools.delete(service);
+  }
+}
--- /dev/null
+++ b/packages/decision/src/core/steering/context.ts
@@ -0,0 +1,50 @@
+/** What the parts of steering share: who we are, the time, the outputs. */
+import type {
+  Configuration,
+  Incarnation,
+  MembershipView,
+  RandomSource,
+  RegionName,
+  VmId,
+  ZoneName,
+} from '../model/index.js';
+import type {SteeringParameters} from './parameters.js';
+import type {SteeringPeerMessage} from './peer_messages.js';
+import type {SteeringAction, SteeringNote, StepTime} from './types.js';
+
+export interface SteeringContext {
+  readonly vm: VmId;
+  readonly region: RegionName;
+  readonly zone: ZoneName;
+  readonly incarnation?: Incarnation | string;
+  readonly random: RandomSource;
+  readonly parameters: SteeringParameters;
+  /** Of the step that is being taken. */
+  time(): StepTime;
+  configuration(): Configuration | undefined;
+  view(): MembershipView | undefined;
+  emit(action: SteeringAction): void;
+  note(note: SteeringNote): void;
+  send(to: VmId, message: SteeringPeerMessage): void;
+  wakeAt(nowMs: number): void;
+}
+
+/** VMs of a region that are believed to take work, this one left out. */
+export function liveVms(
+  context: SteeringContext,
+  region: RegionName,
+): readonly VmId[] {
+  const configuration = context.configuration();
+  const view = context.view();
+  const vms: VmId[] = [];
+  for (const vm of configuration?.entryVms.values() ?? []) {
+    if (vm.region !== region || vm.id === context.vm) {
+      continue;
+    }
+    const seen = view?.vms.get(vm.id);
+    if (!view || seen?.state === 'live') {
+      vms.push(vm.id);
+    }
+  }
+  return vms;
+}
--- /dev/null
+++ b/packages/decision/src/core/steering/failover_watch.ts
@@ -0,0 +1,158 @@
+/** Starts and ends failovers by the membership view and what peers know. */
+import {rendezvousOrder} from '../capacity/index.js';
+import type {MembershipView, RegionName, VmId} from '../model/index.js';
+import {type Failover, fullRampMs} from '../shifts/index.js';
+import {everyPeer} from './crash_reports.js';
+import type {SteeringState} from './state.js';
+
+export interface FailoverWatch {
+  viewChanged(view: MembershipView): void;
+  tick(): void;
+  adopt(from: VmId, failover: Failover): void;
+  /** Tells a VM that has started what it must know. */
+  answer(to: VmId): void;
+}
+
+const PEERS_PER_REGION = 2;
+
+export function createFailoverWatch(state: SteeringState): FailoverWatch {
+  const {context, failovers} = state;
+  /** Regions that fell silent, with the time from which peers were asked. */
+  const askedAtMs = new Map<RegionName, number>();
+
+  function viewChanged(view: MembershipView): void {
+    const {nowMs, wallMs} = context.time();
+    for (const region of view.silentRegions) {
+      const running = failovers.get(region);
+      const active = running && running.endedAtWallMs === undefined;
+      if (active || askedAtMs.has(region) || view.selfDoubt) {
+        continue;
+      }
+      askedAtMs.set(region, nowMs);
+      for (const peer of informedPeers()) {
+        context.send(peer, {kind: 'failovers-wanted'});
+      }
+      context.wakeAt(nowMs + context.parameters.failoverAnswerBoundMs);
+    }
+    for (const region of [...askedAtMs.keys()]) {
+      if (!view.silentRegions.has(region)) {
+        askedAtMs.delete(region);
+      }
+    }
+    for (const failover of failovers.all()) {
+      if (!view.silentRegions.has(failover.from)) {
+        endFailover(failover.from, wallMs);
+      }
+    }
+  }
+
+  function endFailover(region: RegionName, wallMs: number): void {
+    const ended = failovers.end(region, wallMs);
+    if (ended) {
+      context.note({kind: 'failover-ended', from: region});
+      announce(ended, informedPeers());
+    }
+  }
+
+  function tick(): void {
+    const {nowMs, wallMs} = context.time();
+    const {failoverAnswerBoundMs} = context.parameters;
+    for (const [region, atMs] of askedAtMs) {
+      const running = failovers.get(region);
+      const active = running && running.endedAtWallMs === undefined;
+      if (active) {
+        askedAtMs.delete(region);
+      } else if (nowMs - atMs >= failoverAnswerBoundMs) {
+        askedAtMs.delete(region);
+        startOwn(region, wallMs);
+      }
+    }
+    failovers.expire(wallMs, slowestRampMs());
+  }
+
+  function startOwn(region: RegionName, wallMs: number): void {
+    const failover = failovers.start(region, wallMs, fastestRampMs());
+    noteStart(failover);
+    announce(failover, informedPeers());
+  }
+
+  function noteStart(failover: Failover): void {
+    context.note({
+      kind: 'failover-started',
+      from: failover.from,
+      startedAtWallMs: failover.startedAtWallMs,
+    });
+  }
+
+  function announce(failover: Failover, peers: readonly VmId[]): void {
+    for (const peer of peers) {
+      context.send(peer, {kind: 'failover-known', ...failover});
+    }
+  }
+
+  /** Peers of this region, and a few of each other one. */
+  function informedPeers(): readonly VmId[] {
+    const configuration = context.configuration();
+    const byRegion = new Map<RegionName, VmId[]>();
+    for (const vm of rendezvousOrder(everyPeer(state), context.vm)) {
+      const region = configuration?.entryVms.get(vm)?.region;
+      if (region === undefined) {
+        continue;
+      }
+      const members = byRegion.get(region) ?? [];
+      if (region === context.region || members.length < PEERS_PER_REGION) {
+        members.push(vm);
+      }
+      byRegion.set(region, members);
+    }
+    return [...byRegion.values()].flat();
+  }
+
+  function adopt(from: VmId, failover: Failover): void {
+    const before = failovers.get(failover.from);
+    if (!failovers.adopt(failover)) {
+      return;
+    }
+    const adopted = failovers.get(failover.from)!;
+    if (before?.startedAtWallMs !== adopted.startedAtWallMs) {
+      noteStart(adopted);
+    }
+    const sender = context.configuration()?.entryVms.get(from);
+    if (sender?.region !== context.region) {
+      const own = everyPeer(state).filter(
+        vm =>
+          context.configuration()?.entryVms.get(vm)?.region === context.region,
+      );
+      announce(adopted, own);
+    }
+  }
+
+  function fastestRampMs(): number {
+    return Math.min(...rampTimes());
+  }
+
+  function slowestRampMs(): number {
+    return Math.max(...rampTimes());
+  }
+
+  function rampTimes(): readonly number[] {
+    const times: number[] = [];
+    for (const services of context.configuration()?.workspaces.values() ?? []) {
+      for (const {policy} of services.values()) {
+        times.push(fullRampMs(policy.shift, context.parameters.capUse));
+      }
+    }
+    return times.length === 0 ? [0] : times;
+  }
+
+  return {
+    viewChanged,
+    tick,
+    adopt,
+    answer: to => {
+      for (const failover of failovers.all()) {
+        announce(failover, [to]);
+      }
+    },
+  };
+}
--- a/packages/decision/src/core/steering/peer_messages.ts
+++ b/packages/decision/src/core/steering/peer_messages.ts
@@ -48,8 +48,20 @@
     kind: z.literal('failover-known'),
     from: regionNameSchema,
     startedAtWallMs: z.number(),
+    /** When the region was heard of again; the ramp back starts there. */
+    endedAtWallMs: z.number().optional(),
+  }),
+  /** A started VM asks what it must know before it takes work. */
+  z.strictObject({
+    kind: z.literal('failovers-wanted'),
+    /** The asking VM's incarnation. */
+    incarnation: z.string().max(64).optional(),
+  }),
+  /** An earlier incarnation of the asking VM was live so long ago. */
+  z.strictObject({
+    kind: z.literal('previous-life-known'),
+    ageMs: z.number().nonnegative(),
   }),
-  z.strictObject({kind: z.literal('failovers-wanted')}),
   /** Free slots by service, for the choice of a relay. */
   z.strictObject({
     kind: z.literal('pool-load'),
--- /dev/null
+++ b/packages/decision/src/core/steering/placement.ts
@@ -0,0 +1,201 @@
+/** Which region shall run a request. */
+import {assertNever} from '../model/index.js';
+import type {
+  RefusalReason,
+  RegionName,
+  RequestFacts,
+  ServicePolicy,
+  VmId,
+} from '../model/index.js';
+import {
+  type PlannedMove,
+  cohortPlace,
+  failoverFraction,
+  fullRampMs,
+  plannedMoves,
+  regionAfterMoves,
+} from '../shifts/index.js';
+import type {Pool} from './pool.js';
+import type {SteeringState} from './state.js';
+
+export type Placement =
+  | {
+      readonly kind: 'region';
+      readonly region: RegionName;
+      readonly foreign: boolean;
+    }
+  /** One VM alone may run it. */
+  | {readonly kind: 'vm'; readonly vm: VmId; readonly region: RegionName}
+  | {
+      readonly kind: 'refused';
+      readonly reason: RefusalReason;
+      readonly retryAfterMs: number;
+    };
+
+const RETRY_AFTER_SILENCE_MS = 1_000;
+
+export function placeRequest(
+  state: SteeringState,
+  facts: RequestFacts,
+  policy: ServicePolicy,
+): Placement {
+  const {region: own} = state.context;
+  const home = homeOf(state, facts);
+  if (facts.relayedFrom) {
+    return {kind: 'region', region: own, foreign: home !== own};
+  }
+  const planned = afterPlannedMoves(state, facts, policy, home);
+  if (planned === own) {
+    return {kind: 'region', region: own, foreign: home !== own};
+  }
+  const failover = failoverPlacement(state, facts, policy, planned);
+  switch (failover) {
+    case 'stays':
+      return {kind: 'region', region: planned, foreign: false};
+    case 'moved':
+      return {kind: 'region', region: own, foreign: true};
+    case 'not-allowed':
+      return {
+        kind: 'refused',
+        reason: 'no-healthy-target',
+        retryAfterMs: RETRY_AFTER_SILENCE_MS,
+      };
+    case 'not-yet':
+      return {
+        kind: 'refused',
+        reason: 'shift-cap-reached',
+        retryAfterMs: timeUntilMoved(state, facts, policy, planned),
+      };
+    default:
+      return assertNever(failover);
+  }
+}
+
+/** Home region of the caller; that of the first VM if it has none. */
+export function homeOf(state: SteeringState, facts: RequestFacts): RegionName {
+  const {context} = state;
+  const {homeRegion} = facts;
+  if (homeRegion && context.configuration()?.regions.has(homeRegion)) {
+    return homeRegion;
+  }
+  return facts.relayedFrom?.region ?? context.region;
+}
+
+function movesOf(
+  state: SteeringState,
+  facts: RequestFacts,
+  policy: ServicePolicy,
+): readonly PlannedMove[] {
+  const key = `${facts.workspace}/${facts.service}`;
+  const known = state.moves.get(key);
+  if (known) {
+    return known;
+  }
+  const {context} = state;
+  const configuration = context.configuration();
+  if (!configuration) {
+    return [];
+  }
+  const moves = plannedMoves(
+    configuration,
+    facts.workspace,
+    facts.service,
+    policy.shift,
+    context.parameters.capUse,
+  );
+  state.moves.set(key, moves);
+  return moves;
+}
+
+function afterPlannedMoves(
+  state: SteeringState,
+  facts: RequestFacts,
+  policy: ServicePolicy,
+  home: RegionName,
+): RegionName {
+  const {context} = state;
+  const configuration = context.configuration();
+  const moves = movesOf(state, facts, policy);
+  if (!configuration || moves.length === 0) {
+    return home;
+  }
+  const {wallMs} = context.time();
+  return regionAfterMoves(configuration, moves, home, facts.cohort, wallMs);
+}
+
+function failoverPlacement(
+  state: SteeringState,
+  facts: RequestFacts,
+  policy: ServicePolicy,
+  from: RegionName,
+): 'stays' | 'moved' | 'not-yet' | 'not-allowed' {
+  const {context} = state;
+  const silent = context.view()?.silentRegions.has(from) ?? false;
+  const failover = state.failovers.get(from);
+  if (!policy.shift.failover) {
+    return silent ? 'not-allowed' : 'stays';
+  }
+  if (!failover) {
+    return silent ? 'not-yet' : 'stays';
+  }
+  const fraction = failoverFraction(
+    failover,
+    policy.shift,
+    context.parameters.capUse,
+    context.time().wallMs,
+  );
+  if (cohortPlace(facts.cohort, failoverKey(from)) < fraction) {
+    return 'moved';
+  }
+  return silent ? 'not-yet' : 'stays';
+}
+
+function failoverKey(from: RegionName): string {
+  return `failover/${from}`;
+}
+
+function timeUntilMoved(
+  state: SteeringState,
+  facts: RequestFacts,
+  policy: ServicePolicy,
+  from: RegionName,
+): number {
+  const {context} = state;
+  const failover = state.failovers.get(from);
+  if (!failover) {
+    return RETRY_AFTER_SILENCE_MS;
+  }
+  const place = cohortPlace(facts.cohort, failoverKey(from));
+  const rampMs = fullRampMs(policy.shift, context.parameters.capUse);
+  const movesAtMs = failover.startedAtWallMs + place * rampMs;
+  return Math.max(RETRY_AFTER_SILENCE_MS, movesAtMs - context.time().wallMs);
+}
+
+/**
+ * Slots that requests from other regions may use here. The bound grows with
+ * the time since the recorded start of what moves them, so that it is the
+ * same before and after this VM was replaced.
+ */
+export function foreignLimit(
+  state: SteeringState,
+  pool: Pool,
+  facts: RequestFacts,
+  policy: ServicePolicy,
+): number {
+  const {context} = state;
+  const home = homeOf(state, facts);
+  const {capFraction, intervalMs} = policy.shift;
+  const owned = pool.holdings.owned();
+  const {wallMs} = context.time();
+  let startedMs = wallMs;
+  const failover = state.failovers.get(home);
+  if (failover) {
+    startedMs = Math.min(startedMs, failover.startedAtWallMs);
+  }
+  for (const move of movesOf(state, facts, policy)) {
+    startedMs = Math.min(startedMs, move.startsAtMs);
+  }
+  const intervals = 1 + (wallMs - startedMs) / intervalMs;
+  const limit = owned * Math.min(1, capFraction * intervals);
+  return Math.max(1, Math.floor(limit));
+}
--- /dev/null
+++ b/packages/decision/src/core/steering/state.ts
@@ -0,0 +1,90 @@
+/** Everything that the parts of steering work on together. */
+import type {SlotToken} from '../capacity/index.js';
+import type {LinkBudgets} from '../links/index.js';
+import type {
+  RequestId,
+  ServiceName,
+  ServicePolicy,
+  TargetId,
+  VmId,
+  WorkspaceName,
+} from '../model/index.js';
+import type {CrashSuspicions} from '../quarantine/index.js';
+import {type RetryBudget, createRetryBudget} from '../retries/index.js';
+import type {TargetRecord} from '../routing/index.js';
+import type {Failovers, PlannedMove} from '../shifts/index.js';
+import type {SteeringContext} from './context.js';
+import type {PeerLoads} from './peer_loads.js';
+import type {Pool} from './pool.js';
+import type {RequestTable} from './requests.js';
+
+export interface SteeringState {
+  readonly context: SteeringContext;
+  readonly requests: RequestTable;
+  readonly pools: Map<ServiceName, Pool>;
+  readonly budgets: Map<string, RetryBudget>;
+  /** Planned moves by workspace and service, of the configuration in force. */
+  readonly moves: Map<string, readonly PlannedMove[]>;
+  readonly failovers: Failovers;
+  readonly suspicions: CrashSuspicions;
+  readonly links: LinkBudgets;
+  readonly peers: PeerLoads;
+  /** Slots of attempts that were cut off, until the target has noticed. */
+  readonly cooling: {
+    readonly token: SlotToken;
+    readonly pool: Pool;
+    untilMs: number;
+  }[];
+  /** Requests that get a second attempt at a time. */
+  readonly hedges: {readonly request: RequestId; readonly atMs: number}[];
+  readonly counters: {decisions: number};
+  readonly knownLives: Map<VmId, KnownLife>;
+}
+
+/** Incarnations of another VM, as seen in the membership views. */
+export interface KnownLife {
+  readonly incarnation: string;
+  /** When it was seen gone; absent while it may live. */
+  readonly endedMs?: number;
+  readonly previousEndedMs?: number;
+}
+
+export function policyOf(
+  state: SteeringState,
+  workspace: WorkspaceName,
+  service: ServiceName,
+): ServicePolicy | undefined {
+  const configuration = state.context.configuration();
+  return configuration?.workspaces.get(workspace)?.get(service)?.policy;
+}
+
+export function budgetOf(
+  state: SteeringState,
+  workspace: WorkspaceName,
+  service: ServiceName,
+  policy: ServicePolicy,
+): RetryBudget {
+  const key = `${workspace}/${service}`;
+  const known = state.budgets.get(key);
+  if (known) {
+    return known;
+  }
+  const created = createRetryBudget(
+    policy.retryBudgetFraction,
+    policy.hedging.enabled ? policy.hedging.budgetFraction : 0,
+    state.context.parameters.retryBurst,
+  );
+  state.budgets.set(key, created);
+  return created;
+}
+
+/** The record of a target of this region, with its pool. */
+export function findTarget(
+  state: SteeringState,
+  target: TargetId,
+): {readonly pool: Pool; readonly record: TargetRecord} | undefined {
+  const service = state.context.configuration()?.targets.get(target)?.service;
+  const pool = service === undefined ? undefined : state.pools.get(service);
+  const record = pool?.records.get(target);
+  return pool && record && {pool, record};
+}
--- /dev/null
+++ b/packages/decision/src/core/steering/target_signs.ts
@@ -0,0 +1,65 @@
+/** Signs that targets are leaving, and their return. */
+import type {TargetId} from '../model/index.js';
+import {liveVms} from './context.js';
+import {type SteeringState, findTarget} from './state.js';
+import type {TargetReport, TargetSignSource} from './types.js';
+
+/** Takes a target out of the choice at the first sign, whatever its source. */
+export function targetLeaving(
+  state: SteeringState,
+  target: TargetId,
+  source: TargetSignSource,
+): void {
+  const found = findTarget(state, target);
+  if (!found) {
+    return;
+  }
+  const {record} = found;
+  if (record.leaving) {
+    record.leaving = {source: record.leaving.source};
+    return;
+  }
+  record.leaving = {source};
+  const {context} = state;
+  context.note({kind: 'target-left', target, source});
+  if (source === 'peer') {
+    return;
+  }
+  for (const peer of liveVms(context, context.region)) {
+    context.send(peer, {kind: 'target-leaving', target});
+  }
+}
+
+/** What a target says of itself; it may lag or mislead. */
+export function targetReported(
+  state: SteeringState,
+  report: TargetReport,
+): void {
+  if (report.leaving) {
+    targetLeaving(state, report.target, 'health-answer');
+    return;
+  }
+  const found = findTarget(state, report.target);
+  if (!found) {
+    return;
+  }
+  const {record} = found;
+  const {context} = state;
+  const {nowMs} = context.time();
+  record.report = {report, atMs: nowMs};
+  const {leaving} = record;
+  if (!leaving) {
+    return;
+  }
+  if (!report.healthy) {
+    record.leaving = {source: leaving.source};
+    return;
+  }
+  const healthySinceMs = leaving.healthySinceMs ?? nowMs;
+  if (nowMs - healthySinceMs < context.parameters.leavingHoldDownMs) {
+    record.leaving = {source: leaving.source, healthySinceMs};
+    return;
+  }
+  delete record.leaving;
+  context.note({kind: 'target-restored', target: report.target});
+}
--- /dev/null
+++ b/packages/decision/src/core/steering/ticks.ts
@@ -0,0 +1,148 @@
+/** What steering does as time passes without other events. */
+import {rendezvousOrder} from '../capacity/index.js';
+import type {RegionName, ServiceName, VmId} from '../model/index.js';
+import {serveQueue} from './admissions.js';
+import {attemptFinished} from './attempt_results.js';
+import {everyPeer} from './crash_reports.js';
+import type {EarlierLives} from './earlier_lives.js';
+import type {FailoverWatch} from './failover_watch.js';
+import {advancePool, freeSlots, workingSlots} from './pool.js';
+import {startHedges} from './retrying.js';
+import type {SlotLending} from './slot_lending.js';
+import type {SteeringState} from './state.js';
+
+export interface TickParts {
+  readonly lending: SlotLending;
+  readonly failoverWatch: FailoverWatch;
+  readonly earlierLives: EarlierLives;
+}
+
+export interface Ticks {
+  tick(): void;
+}
+
+/** Attempts whose end was never reported are given up this long after. */
+const LOST_ATTEMPT_MS = 10_000;
+
+export function createTicks(state: SteeringState, parts: TickParts): Ticks {
+  const {context} = state;
+  const {lending, failoverWatch, earlierLives} = parts;
+  let loadSentMs = -Infinity;
+
+  function tick(): void {
+    if (!context.configuration()) {
+      return;
+    }
+    releaseCooled();
+    earlierLives.tick();
+    failoverWatch.tick();
+    startHedges(state);
+    for (const pool of state.pools.values()) {
+      advancePool(pool, context);
+      serveQueue(state, pool);
+      lending.considerAsking(pool);
+    }
+    const {nowMs} = context.time();
+    if (nowMs - loadSentMs >= context.parameters.poolLoadIntervalMs) {
+      loadSentMs = nowMs;
+      everyInterval();
+    }
+    planWake();
+  }
+
+  function everyInterval(): void {
+    sendPoolLoad();
+    lending.returnIdle();
+    dropLostAttempts();
+    noteRestoredTargets();
+    for (const fingerprint of state.suspicions.takeEnded(
+      context.time().nowMs,
+    )) {
+      context.note({kind: 'quarantine-ended', fingerprint});
+    }
+  }
+
+  function releaseCooled(): void {
+    const {nowMs} = context.time();
+    const {cooling} = state;
+    while (cooling.length > 0 && cooling[0]!.untilMs <= nowMs) {
+      const cooled = cooling.shift()!;
+      cooled.pool.holdings.give(cooled.token);
+    }
+  }
+
+  function sendPoolLoad(): void {
+    const pools: [ServiceName, number, number][] = [];
+    for (const pool of state.pools.values()) {
+      const waiting = pool.queue.size();
+      const free = Math.max(0, freeSlots(pool, context) - waiting);
+      pools.push([pool.service, free, workingSlots(pool, context)]);
+    }
+    for (const peer of loadPeers()) {
+      context.send(peer, {kind: 'pool-load', pools});
+    }
+  }
+
+  /** All VMs of the region and a few of each other region. */
+  function loadPeers(): readonly VmId[] {
+    const configuration = context.configuration();
+    const counts = new Map<RegionName, number>();
+    const chosen: VmId[] = [];
+    for (const vm of rendezvousOrder(everyPeer(state), context.vm)) {
+      const region = configuration?.entryVms.get(vm)?.region;
+      if (region === undefined) {
+        continue;
+      }
+      const count = counts.get(region) ?? 0;
+      const most = context.parameters.poolLoadPeersPerRegion;
+      if (region === context.region || count < most) {
+        chosen.push(vm);
+        counts.set(region, count + 1);
+      }
+    }
+    return chosen;
+  }
+
+  /** Keeps slots from being lost if the driver never reports an end. */
+  function dropLostAttempts(): void {
+    const {nowMs} = context.time();
+    for (const request of state.requests.values()) {
+      for (const attempt of [...request.attempts.values()]) {
+        if (nowMs > attempt.deadlineMs + LOST_ATTEMPT_MS) {
+          attemptFinished(state, request, attempt, {kind: 'timed-out'});
+        }
+      }
+    }
+  }
+
+  function noteRestoredTargets(): void {
+    const {nowMs} = context.time();
+    for (const pool of state.pools.values()) {
+      for (const record of pool.records.values()) {
+        const {ejectedUntilMs, ejectionNoted} = record;
+        if (ejectionNoted && ejectedUntilMs <= nowMs) {
+          record.ejectionNoted = false;
+          context.note({kind: 'target-restored', target: record.target.id});
+        }
+      }
+    }
+  }
+
+  function planWake(): void {
+    context.wakeAt(loadSentMs + context.parameters.poolLoadIntervalMs);
+    const [cooling] = state.cooling;
+    if (cooling) {
+      context.wakeAt(cooling.untilMs);
+    }
+    for (const hedge of state.hedges) {
+      context.wakeAt(hedge.atMs);
+    }
+    for (const pool of state.pools.values()) {
+      for (const entry of pool.queue.entries()) {
+        context.wakeAt(entry.deadlineMs);
+      }
+    }
+  }
+
+  return {tick};
+}
--- /dev/null
+++ b/packages/decision/test/steering/attempts.test.ts
@@ -0,0 +1,153 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type SteeringAction, vmId} from '../../src/index.js';
+import {
+  KURZEME,
+  RIGA,
+  buildConfiguration,
+  targetName,
+  vmName,
+} from '../support/configuration_fixture.js';
+import {buildView, createDriver, only} from '../support/steering_driver.js';
+
+function ready(options: Parameters<typeof buildConfiguration>[0] = {}) {
+  const driver = createDriver();
+  const configuration = buildConfiguration(options);
+  driver.step({kind: 'configuration-accepted', configuration});
+  driver.step({kind: 'membership-changed', view: buildView(configuration)});
+  return driver;
+}
+
+const sends = (actions: readonly SteeringAction[]) =>
+  only(actions, 'send-attempt');
+const refusals = (actions: readonly SteeringAction[]) =>
+  only(actions, 'refuse');
+
+test('sends a request of its own region to a target there', () => {
+  const [send] = sends(ready().request());
+  assert.equal(send?.destination.kind, 'target');
+});
+
+test('refuses as not run before there is a configuration', () => {
+  const [refusal] = refusals(createDriver().request());
+  assert.equal(refusal?.reason, 'no-configuration');
+  assert.equal(refusal?.outcome, 'not-run');
+});
+
+test('passes a request on to a VM of its home region', () => {
+  const [send] = sends(ready().request({homeRegion: KURZEME}));
+  assert.ok(send?.destination.kind === 'relay');
+  assert.equal(send.destination.region, KURZEME);
+});
+
+test('never relays a relayed request again', () => {
+  const driver = ready({slots: [[1], [6], [6]], vms: [1, 1, 1]});
+  const relayedFrom = {vm: vmName(1, 0), region: KURZEME};
+  for (let count = 0; count < 10; count += 1) {
+    for (const send of sends(driver.request({relayedFrom}))) {
+      assert.equal(send.destination.kind, 'target');
+    }
+  }
+});
+
+test('never has more at a target than the slots that it owns there', () => {
+  const driver = ready({vms: [1, 1, 1], slots: [[2, 3], [6], [6]]});
+  const counts = new Map<string, number>();
+  for (let count = 0; count < 40; count += 1) {
+    for (const {destination} of sends(driver.request())) {
+      assert.ok(destination.kind === 'target');
+      const {target} = destination;
+      counts.set(target, (counts.get(target) ?? 0) + 1);
+    }
+  }
+  assert.ok((counts.get(targetName(0, 0)) ?? 0) <= 2);
+  assert.ok((counts.get(targetName(0, 1)) ?? 0) <= 3);
+});
+
+test('keeps the slot of a cut attempt until the target has noticed', () => {
+  const driver = ready({vms: [1, 1, 1], slots: [[1], [6], [6]]});
+  const [send] = sends(driver.request());
+  driver.finish(send!, {kind: 'cancelled', sent: true});
+  assert.equal(sends(driver.request()).length, 0);
+  assert.equal(sends(driver.pass(300)).length, 1);
+});
+
+test('tries an idempotent request again at another target', () => {
+  const driver = ready({vms: [1, 1, 1]});
+  const [first] = sends(driver.request());
+  const [second] = sends(driver.finish(first!, {kind: 'timed-out'}));
+  assert.ok(second);
+  assert.notDeepEqual(second.destination, first!.destination);
+});
+
+test('never sends a non-idempotent request again once it may have run', () => {
+  for (const kind of ['broken', 'timed-out'] as const) {
+    const driver = ready();
+    const [first] = sends(driver.request({idempotent: false}));
+    const after = driver.finish(first!, {kind, cause: 'reset'} as never);
+    assert.equal(sends(after).length, 0);
+    assert.equal(refusals(after)[0]?.outcome, 'unknown');
+  }
+});
+
+test('sends a non-idempotent request again after a shed', () => {
+  const driver = ready();
+  const [first] = sends(driver.request({idempotent: false}));
+  const after = driver.finish(first!, {kind: 'shed'});
+  assert.equal(sends(after).length, 1);
+});
+
+test('stays within a tenth of further attempts in a full outage', () => {
+  const driver = ready();
+  let attempts = 0;
+  const requests = 1_000;
+  for (let count = 0; count < requests; count += 1) {
+    let open = sends(driver.request());
+    while (open.length > 0) {
+      attempts += open.length;
+      open = sends(
+        driver.finish(open[0]!, {kind: 'not-sent', cause: 'refused'}),
+      );
+    }
+    driver.pass(5);
+  }
+  assert.ok(attempts <= requests * 1.1);
+});
+
+test('gives a leaving target no work after the first sign', () => {
+  const driver = ready();
+  const leaving = targetName(0, 0);
+  driver.step({kind: 'target-leaving', target: leaving, source: 'refusal'});
+  for (let count = 0; count < 30; count += 1) {
+    for (const {destination} of sends(driver.request())) {
+      assert.notDeepEqual(destination, {kind: 'target', target: leaving});
+    }
+  }
+});
+
+test('tells the VMs of its region that a target is leaving', () => {
+  const messages = only(
+    ready().step({
+      kind: 'target-leaving',
+      target: targetName(0, 0),
+      source: 'health-answer',
+    }),
+    'send-to-peer',
+  );
+  const told = messages.map(action => action.to).sort();
+  assert.deepEqual(told, [vmId(`${RIGA}-2`), vmId(`${RIGA}-3`)]);
+});
+
+test('takes a leaving target back only after a time of healthy reports', () => {
+  const driver = ready({vms: [1, 1, 1], slots: [[6], [6], [6]]});
+  const target = targetName(0, 0);
+  const report = {target, inFlight: 0, slots: 6, healthy: true, leaving: false};
+  driver.step({kind: 'target-leaving', target, source: 'platform-list'});
+  driver.step({kind: 'target-reported', report});
+  driver.pass(5_000);
+  driver.step({kind: 'target-reported', report});
+  assert.equal(sends(driver.request()).length, 0);
+  driver.pass(30_000);
+  driver.step({kind: 'target-reported', report});
+  assert.equal(sends(driver.request()).length, 1);
+});
