--- /dev/null
+++ b/packages/library/src/core/platform/http_platform_store.ts
@@ -0,0 +1,294 @@
+/** A client of the platform's object API over HTTP. */
+import {Agent} from 'node:http';
+import type {RandomSource} from '@ibisbeam/decision';
+import got, {type Method, type Response, TimeoutError, RequestError} from 'got';
+import {EitherAsync, Left, Right, type Either} from 'purify-ts';
+import type {z} from 'zod';
+import type {Metrics} from '../metrics/index.js';
+import type {TimerService} from '../timers/index.js';
+import {type CallCounter, createCallCounter} from './call_counter.js';
+import {type CallGate, createCallGate} from './call_gate.js';
+import type {
+  ObjectVersion,
+  PlatformCallOptions,
+  PlatformError,
+  PlatformObject,
+  PlatformStore,
+  PlatformWatchOptions,
+} from './types.js';
+import {
+  conflictSchema,
+  platformChangesSchema,
+  platformListingSchema,
+  platformObjectSchema,
+  platformVmsSchema,
+} from './wire.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+/** Added to a watch's own wait before the call counts as lost. */
+const WATCH_GRACE_MS = 2_000;
+
+export interface HttpPlatformOptions {
+  readonly url: string;
+  /** Deadline of a call that states none. */
+  readonly callTimeoutMs: number;
+  readonly timers: Pick<TimerService, 'nowMs'>;
+  readonly random: RandomSource;
+  readonly metrics: Metrics;
+  /** Sent as a bearer token when given. */
+  readonly token?: string;
+}
+
+export interface HttpPlatformStore extends PlatformStore {
+  readonly counter: CallCounter;
+  close(): void;
+}
+
+interface Call<Schema extends z.ZodType> {
+  readonly method: Method;
+  readonly path: string;
+  readonly schema: Schema;
+  readonly options: PlatformCallOptions;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  readonly timeoutMs?: number;
+  readonly signal?: AbortSignal;
+}
+
+export function createHttpPlatformStore(
+  options: HttpPlatformOptions,
+): HttpPlatformStore {
+  const agent = new Agent({keepAlive: true});
+  const counter = createCallCounter(options.metrics);
+  const gate = createCallGate(options.timers, options.random);
+  const client = got.extend({
+    prefixUrl: options.url,
+    agent: {http: agent},
+    retry: {limit: 0},
+    throwHttpErrors: false,
+    followRedirect: false,
+    headers: options.token ? {authorization: `Bearer ${options.token}`} : {},
+  });
+
+  function call<Schema extends z.ZodType>(
+    wanted: Call<Schema>,
+  ): EitherAsync<PlatformError, z.output<Schema>> {
+    return EitherAsync(async ({liftEither}) => {
+      const waitMs = gate.enter();
+      if (waitMs !== undefined) {
+        const cause = 'the store was away at the last try';
+        return liftEither(
+          Left({kind: 'unavailable', cause, retryAfterMs: waitMs}),
+        );
+      }
+      const result = await exchange(wanted);
+      reportToGate(gate, result);
+      return liftEither(result);
+    });
+  }
+
+  async function exchange<Schema extends z.ZodType>(
+    wanted: Call<Schema>,
+  ): Promise<Either<PlatformError, z.output<Schema>>> {
+    const {purpose, timeoutMs} = wanted.options;
+    const sentBytes = Buffer.byteLength(wanted.body ?? '');
+    try {
+      const response = await client(wanted.path, {
+        method: wanted.method,
+        headers: {
+          ...wanted.headers,
+          ...(wanted.body ? {'content-type': 'application/json'} : {}),
+        },
+        body: wanted.body,
+        timeout: {
+          request: wanted.timeoutMs ?? timeoutMs ?? options.callTimeoutMs,
+        },
+        signal: wanted.signal,
+      });
+      const receivedBytes = response.rawBody.byteLength;
+      const result = readResponse(response, wanted.schema);
+      counter.called(purpose, sentBytes + receivedBytes, result.isLeft());
+      return result;
+    } catch (error) {
+      counter.called(purpose, sentBytes, true);
+      return Left(transportError(error, wanted.method !== 'GET'));
+    }
+  }
+
+  function put(
+    key: string,
+    value: unknown,
+    condition: Readonly<Record<string, string>>,
+    callOptions: PlatformCallOptions,
+  ): EitherAsync<PlatformError, PlatformObject> {
+    return call({
+      method: 'PUT',
+      path: objectPath(key),
+      schema: platformObjectSchema,
+      options: callOptions,
+      headers: condition,
+      body: JSON.stringify({value}),
+    });
+  }
+
+  function watch(
+    prefix: string,
+    after: ObjectVersion,
+    watchOptions: PlatformWatchOptions,
+  ) {
+    const query = new URLSearchParams({
+      prefix,
+      after: String(after),
+      waitMs: String(watchOptions.waitMs),
+    });
+    return call({
+      method: 'GET',
+      path: `v1/changes?${query.toString()}`,
+      schema: platformChangesSchema,
+      options: watchOptions,
+      timeoutMs: watchOptions.waitMs + WATCH_GRACE_MS,
+      signal: watchOptions.signal,
+    });
+  }
+
+  return {
+    counter,
+    close: () => agent.destroy(),
+    read: (key, callOptions) =>
+      call({
+        method: 'GET',
+        path: objectPath(key),
+        schema: platformObjectSchema,
+        options: callOptions,
+      }),
+    create: (key, value, callOptions) =>
+      put(key, value, {'if-none-match': '*'}, callOptions),
+    update: (key, expected, value, callOptions) =>
+      put(key, value, {'if-match': String(expected)}, callOptions),
+    delete: (key, expected, callOptions) =>
+      call({
+        method: 'DELETE',
+        path: objectPath(key),
+        schema: platformObjectSchema.partial(),
+        options: callOptions,
+        headers: {'if-match': String(expected)},
+      }).map(() => undefined),
+    list: (prefix, callOptions) =>
+      call({
+        method: 'GET',
+        path: `v1/objects?${new URLSearchParams({prefix}).toString()}`,
+        schema: platformListingSchema,
+        options: callOptions,
+      }),
+    watch,
+    listVms: callOptions =>
+      call({
+        method: 'GET',
+        path: 'v1/vms',
+        schema: platformVmsSchema,
+        options: callOptions,
+      }).map(answer => answer.vms),
+  };
+}
+
+function objectPath(key: string): string {
+  return `v1/objects/${encodeURIComponent(key)}`;
+}
+
+function reportToGate(
+  gate: CallGate,
+  result: Either<PlatformError, unknown>,
+): void {
+  result
+    .ifRight(() => gate.succeeded())
+    .ifLeft(error => {
+      if (error.kind === 'unavailable') {
+        gate.failed(error.retryAfterMs);
+        return;
+      }
+      if (error.kind === 'lost-answer') {
+        gate.failed();
+        return;
+      }
+      gate.succeeded();
+    });
+}
+
+function readResponse<Schema extends z.ZodType>(
+  response: Response<string>,
+  schema: Schema,
+): Either<PlatformError, z.output<Schema>> {
+  switch (response.statusCode) {
+    case 200:
+      return readBody(response, schema);
+    case 204:
+      return Right({} as z.output<Schema>);
+    case 404:
+      return Left({kind: 'not-found'});
+    case 410:
+      return Left({kind: 'watch-gap'});
+    case 412:
+      return readBody(response, conflictSchema).chain(({current}) =>
+        Left({kind: 'conflict', current} as PlatformError),
+      );
+    case 429:
+    case 503:
+      return Left({
+        kind: 'unavailable',
+        cause: `status ${response.statusCode}`,
+        retryAfterMs: retryAfterMs(response),
+      });
+    default:
+      return Left(unexpectedStatus(response));
+  }
+}
+
+/** A server error may stand in for an answer that was lost on the way. */
+function unexpectedStatus(response: Response<string>): PlatformError {
+  const cause = `status ${response.statusCode}: ${response.body.slice(0, 200)}`;
+  if (response.statusCode >= 500) {
+    return {kind: 'lost-answer', cause};
+  }
+  return {kind: 'rejected', cause};
+}
+
+function readBody<Schema extends z.ZodType>(
+  response: Response<string>,
+  schema: Schema,
+): Either<PlatformError, z.output<Schema>> {
+  let decoded: unknown;
+  try {
+    decoded = JSON.parse(response.body);
+  } catch {
+    return Left({kind: 'lost-answer', cause: 'the answer is not JSON'});
+  }
+  const parsed = schema.safeParse(decoded);
+  if (!parsed.success) {
+    return Left({kind: 'lost-answer', cause: 'the answer has another shape'});
+  }
+  return Right(parsed.data);
+}
+
+function retryAfterMs(response: Response<string>): number | undefined {
+  const seconds = Number(response.headers['retry-after']);
+  if (!Number.isFinite(seconds) || seconds < 0) {
+    return undefined;
+  }
+  return seconds * MILLISECONDS_PER_SECOND;
+}
+
+/** A write whose bytes may have reached the store may have taken effect. */
+function transportError(error: unknown, isWrite: boolean): PlatformError {
+  const cause = error instanceof Error ? error.message : String(error);
+  if (isWrite && !wasNeverSent(error)) {
+    return {kind: 'lost-answer', cause};
+  }
+  return {kind: 'unavailable', cause};
+}
+
+function wasNeverSent(error: unknown): boolean {
+  if (error instanceof TimeoutError) {
+    return error.event === 'connect' || error.event === 'lookup';
+  }
+  return error instanceof RequestError && error.code === 'ECONNREFUSED';
+}
