--- /dev/null
+++ b/packages/decision/src/core/hashing/index.ts
@@ -0,0 +1,1 @@
+export * from './hashing.js';
--- /dev/null
+++ b/packages/decision/src/core/lookup/addresses.ts
@@ -0,0 +1,63 @@
+/** Network bits of IP numbers, by ipaddr.js. */
+import ipaddr from 'ipaddr.js';
+
+/** Networks of IPv4 are numbers below 2^32, of IPv6 the first 64 bits. */
+export type Network =
+  | {readonly family: 'ipv4'; readonly bits: number}
+  | {readonly family: 'ipv6'; readonly bits: bigint};
+
+const IPV4_BITS = 32;
+/** Blocks of IPv6 are at most this long; the rest names the host. */
+const IPV6_BLOCK_BITS = 64;
+const BYTE_RANGE = 256;
+
+/** `undefined` when the text is no IP number. */
+export function parseNetwork(text: string): Network | undefined {
+  if (!ipaddr.isValid(text)) {
+    return undefined;
+  }
+  const address = ipaddr.process(text);
+  const bytes = address.toByteArray();
+  if (address.kind() === 'ipv4') {
+    let bits = 0;
+    for (const byte of bytes) {
+      bits = bits * BYTE_RANGE + byte;
+    }
+    return {family: 'ipv4', bits};
+  }
+  let bits = 0n;
+  for (const byte of bytes.slice(0, IPV6_BLOCK_BITS / 8)) {
+    bits = bits * BigInt(BYTE_RANGE) + BigInt(byte);
+  }
+  return {family: 'ipv6', bits};
+}
+
+/** Clears the bits behind the prefix. */
+export function maskNetwork(network: Network, prefixLength: number): Network {
+  if (network.family === 'ipv4') {
+    const span = 2 ** (IPV4_BITS - prefixLength);
+    return {family: 'ipv4', bits: network.bits - (network.bits % span)};
+  }
+  const hostBits = BigInt(IPV6_BLOCK_BITS - prefixLength);
+  return {family: 'ipv6', bits: (network.bits >> hostBits) << hostBits};
+}
+
+/** A network with its prefix length, or `undefined` for any other text. */
+export function parseBlock(
+  text: string,
+): {readonly network: Network; readonly prefixLength: number} | undefined {
+  const slash = text.lastIndexOf('/');
+  if (slash < 0) {
+    return undefined;
+  }
+  const network = parseNetwork(text.slice(0, slash));
+  const prefixLength = Number(text.slice(slash + 1));
+  if (!network || !Number.isInteger(prefixLength) || prefixLength < 0) {
+    return undefined;
+  }
+  const width = network.family === 'ipv4' ? IPV4_BITS : IPV6_BLOCK_BITS;
+  if (prefixLength > width) {
+    return undefined;
+  }
+  return {network: maskNetwork(network, prefixLength), prefixLength};
+}
--- /dev/null
+++ b/packages/decision/src/core/lookup/block_table.ts
@@ -0,0 +1,191 @@
+/**
+ * Longest-prefix match over client blocks. Each section becomes one sorted
+ * typed array per prefix length, so that a block takes 6 bytes (IPv4) and a
+ * change of one section parses that section only.
+ */
+import {hash32} from '../hashing/index.js';
+import type {ClientBlocks, RegionName} from '../model/index.js';
+import {
+  type Network,
+  maskNetwork,
+  parseBlock,
+  parseNetwork,
+} from './addresses.js';
+import {COHORT_COUNT, type ClientPlace} from './types.js';
+
+/** Prefix lengths by which unknown addresses are put into cohorts. */
+const UNKNOWN_IPV4_PREFIX = 24;
+const UNKNOWN_IPV6_PREFIX = 48;
+
+type Bits = number | bigint;
+
+/** Blocks of one section with one family and prefix length. */
+interface PrefixTable {
+  readonly family: Network['family'];
+  readonly prefixLength: number;
+  /** Sorted. */
+  readonly networks: Uint32Array | BigUint64Array;
+  /** Home region of each network, as an index into the builder's list. */
+  readonly regions: Uint16Array;
+}
+
+export interface BlockTable {
+  readonly blockCount: number;
+  /** `undefined` when the text is no IP number. */
+  find(address: string): ClientPlace | undefined;
+}
+
+/** Builds tables; remembers the sections that it has parsed. */
+export interface BlockTableBuilder {
+  /** Parses one section ahead of `build`, to spread the work over turns. */
+  prepare(section: ClientBlocks): void;
+  build(sections: readonly ClientBlocks[]): BlockTable;
+}
+
+export function createBlockTableBuilder(): BlockTableBuilder {
+  const parsed = new WeakMap<ClientBlocks, readonly PrefixTable[]>();
+  const regions: RegionName[] = [];
+
+  function numberOf(region: RegionName): number {
+    const known = regions.indexOf(region);
+    if (known >= 0) {
+      return known;
+    }
+    regions.push(region);
+    return regions.length - 1;
+  }
+
+  function tablesOf(section: ClientBlocks): readonly PrefixTable[] {
+    const known = parsed.get(section);
+    if (known) {
+      return known;
+    }
+    const tables = parseSection(section, numberOf);
+    parsed.set(section, tables);
+    return tables;
+  }
+
+  function build(sections: readonly ClientBlocks[]): BlockTable {
+    const tables = sections.flatMap(tablesOf);
+    tables.sort((one, other) => other.prefixLength - one.prefixLength);
+    let blockCount = 0;
+    for (const table of tables) {
+      blockCount += table.networks.length;
+    }
+    return {blockCount, find: address => findPlace(tables, regions, address)};
+  }
+
+  return {build, prepare: section => void tablesOf(section)};
+}
+
+/** The first text of a section that is no block, if there is one. */
+export function malformedBlock(section: ClientBlocks): string | undefined {
+  for (const list of Object.values(section)) {
+    for (const text of list.split(' ')) {
+      if (text !== '' && !parseBlock(text)) {
+        return text;
+      }
+    }
+  }
+  return undefined;
+}
+
+function parseSection(
+  section: ClientBlocks,
+  numberOf: (region: RegionName) => number,
+): readonly PrefixTable[] {
+  const groups = new Map<string, {bits: Bits; region: number}[]>();
+  for (const [region, list] of Object.entries(section)) {
+    const number = numberOf(region as RegionName);
+    for (const text of list.split(' ')) {
+      const block = parseBlock(text);
+      if (!block) {
+        continue;
+      }
+      const group = `${block.network.family}/${block.prefixLength}`;
+      const entry = {bits: block.network.bits, region: number};
+      const members = groups.get(group);
+      if (members) {
+        members.push(entry);
+      } else {
+        groups.set(group, [entry]);
+      }
+    }
+  }
+  const tables: PrefixTable[] = [];
+  for (const [group, entries] of groups) {
+    tables.push(buildPrefixTable(group, entries));
+  }
+  return tables;
+}
+
+function buildPrefixTable(
+  group: string,
+  entries: {readonly bits: Bits; readonly region: number}[],
+): PrefixTable {
+  const [family, prefixLength] = group.split('/');
+  entries.sort((one, other) => (one.bits < other.bits ? -1 : 1));
+  const networks =
+    family === 'ipv4'
+      ? Uint32Array.from(entries, entry => Number(entry.bits))
+      : BigUint64Array.from(entries, entry => BigInt(entry.bits));
+  return {
+    family: family as Network['family'],
+    prefixLength: Number(prefixLength),
+    networks,
+    regions: Uint16Array.from(entries, entry => entry.region),
+  };
+}
+
+function findPlace(
+  tables: readonly PrefixTable[],
+  regions: readonly RegionName[],
+  address: string,
+): ClientPlace | undefined {
+  const network = parseNetwork(address);
+  if (!network) {
+    return undefined;
+  }
+  for (const table of tables) {
+    if (table.family !== network.family) {
+      continue;
+    }
+    const masked = maskNetwork(network, table.prefixLength);
+    const index = indexOf(table.networks, masked.bits);
+    if (index >= 0) {
+      return {
+        homeRegion: regions[table.regions[index]!],
+        cohort: cohortOf(masked, table.prefixLength),
+      };
+    }
+  }
+  const length =
+    network.family === 'ipv4' ? UNKNOWN_IPV4_PREFIX : UNKNOWN_IPV6_PREFIX;
+  return {cohort: cohortOf(maskNetwork(network, length), length)};
+}
+
+function indexOf(networks: PrefixTable['networks'], wanted: Bits): number {
+  let low = 0;
+  let high = networks.length - 1;
+  if (high < 0 || wanted < networks[low]! || wanted > networks[high]!) {
+    return -1;
+  }
+  while (low <= high) {
+    const middle = (low + high) >> 1;
+    const found = networks[middle]!;
+    if (found === wanted) {
+      return middle;
+    }
+    if (found < wanted) {
+      low = middle + 1;
+    } else {
+      high = middle - 1;
+    }
+  }
+  return -1;
+}
+
+function cohortOf(network: Network, prefixLength: number): number {
+  const {family, bits} = network;
+  return hash32(`${family}/${prefixLength}/${bits}`) % COHORT_COUNT;
+}
--- a/packages/decision/src/core/model/configuration.ts
+++ b/packages/decision/src/core/model/configuration.ts
@@ -152,9 +152,16 @@
 });
 export type Shift = z.infer<typeof shiftSchema>;
 
-/** A block of client addresses with its home region. */
-export const clientBlockSchema = z.tuple([z.string(), regionNameSchema]);
-export type ClientBlock = z.infer<typeof clientBlockSchema>;
+/**
+ * Client blocks by home region: prefixes such as `64.0.0.0/24`, separated by
+ * single spaces. One string per region keeps 480,000 blocks small in memory
+ * and quick to check; the look-up table parses it.
+ */
+export const clientBlocksSchema = z.record(
+  regionNameSchema,
+  z.string().regex(/^[0-9a-fA-F.:/ ]*$/),
+);
+export type ClientBlocks = z.infer<typeof clientBlocksSchema>;
 
 /**
  * Sections are the unit of change and of transfer: each is stored as one
@@ -188,7 +195,7 @@
   z.strictObject({
     kind: z.literal('client-blocks'),
     shard: z.string().min(1),
-    blocks: z.array(clientBlockSchema).readonly(),
+    blocks: clientBlocksSchema,
   }),
 ]);
 export type Section = z.infer<typeof sectionSchema>;
@@ -225,7 +232,7 @@
   readonly drains: readonly Drain[];
   readonly shifts: readonly Shift[];
   /** In the order of the sections; the look-up table indexes them. */
-  readonly clientBlocks: readonly (readonly ClientBlock[])[];
+  readonly clientBlocks: readonly ClientBlocks[];
 }
 
 /** The name under which a section is stored in the document. */
--- a/packages/decision/src/core/templates/compile.ts
+++ b/packages/decision/src/core/templates/compile.ts
@@ -2,7 +2,7 @@
 import {type Either, Left, Right} from 'purify-ts';
 import {
   type Approval,
-  type ClientBlock,
+  type ClientBlocks,
   type Configuration,
   type ConfigurationDocument,
   type Drain,
@@ -33,7 +33,7 @@
   approvals: readonly Approval[];
   drains: readonly Drain[];
   shifts: readonly Shift[];
-  readonly clientBlocks: (readonly ClientBlock[])[];
+  readonly clientBlocks: ClientBlocks[];
 }
 
 /**
@@ -257,14 +257,13 @@
     }
   }
   for (const blocks of collected.clientBlocks) {
-    for (const [prefix, home] of blocks) {
-      if (!regions.has(home)) {
+    for (const home of Object.keys(blocks)) {
+      if (!regions.has(home as RegionName)) {
         problems.push({
           section: 'client-blocks',
-          path: prefix,
+          path: home,
           problem: `there is no region ${home}`,
         });
-        return problems;
       }
     }
   }
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -4,6 +4,7 @@
 export * from './core/capacity/index.js';
 export * from './core/claims/index.js';
 export * from './core/drains/index.js';
+export * from './core/hashing/index.js';
 export * from './core/links/index.js';
 export * from './core/lookup/index.js';
 export * from './core/membership/index.js';
--- a/packages/stand_ins/src/core/deployments/build_deployment.ts
+++ b/packages/stand_ins/src/core/deployments/build_deployment.ts
@@ -1,6 +1,6 @@
 /** Builds a user's deployment as a configuration document, at any size. */
 import {
-  type ClientBlock,
+  type ClientBlocks,
   type ConfigurationDocument,
   type EntryVm,
   type Link,
@@ -206,14 +206,25 @@
   const sections: Section[] = [];
   const count = options.clientBlockCount;
   for (let start = 0; start < count; start += BLOCKS_PER_SECTION) {
-    const blocks: ClientBlock[] = [];
+    const prefixes: Record<string, string[]> = {};
+    for (const region of facts.regions) {
+      prefixes[region] = [];
+    }
     const end = Math.min(start + BLOCKS_PER_SECTION, count);
     for (let index = start; index < end; index += 1) {
       const region = facts.regions[index % facts.regions.length]!;
-      blocks.push([blockPrefix(index), regionName(region)]);
+      prefixes[region]!.push(blockPrefix(index));
+    }
+    const blocks: Record<string, string> = {};
+    for (const [region, list] of Object.entries(prefixes)) {
+      blocks[region] = list.join(' ');
     }
     const shard = String(start / BLOCKS_PER_SECTION).padStart(4, '0');
-    sections.push({kind: 'client-blocks', shard, blocks});
+    sections.push({
+      kind: 'client-blocks',
+      shard,
+      blocks: blocks as ClientBlocks,
+    });
   }
   return sections;
 }
