Check the promises over a run's trace

Each of the eleven checks takes a trace and returns violations. Each is shown to fail on a trace that breaks its promise and to pass the neighbouring one that keeps it (28 tests).

--- /dev/null
+++ b/packages/invariants/src/checks/check_amplification.ts
@@ -0,0 +1,37 @@
+import type {Trace, Violation} from '../trace.js';
+
+const AMPLIFICATION_LIMIT = 1.1;
+/** Fewer requests than this say nothing about a ratio. */
+const MINIMUM_REQUESTS = 100;
+
+/** Attempts sent to targets, per request sent by callers. */
+export function amplification(trace: Trace): number {
+  let requests = 0;
+  let attempts = 0;
+  for (const event of trace.events) {
+    if (event.kind === 'request-sent') {
+      requests += 1;
+    }
+    if (event.kind === 'attempt-sent') {
+      attempts += 1;
+    }
+  }
+  return requests === 0 ? 0 : attempts / requests;
+}
+
+/** Retries and hedges together add at most a tenth to what callers send. */
+export function checkAmplification(trace: Trace): readonly Violation[] {
+  const requests = trace.events.filter(event => event.kind === 'request-sent');
+  const ratio = amplification(trace);
+  if (requests.length < MINIMUM_REQUESTS || ratio <= AMPLIFICATION_LIMIT) {
+    return [];
+  }
+  return [
+    {
+      check: 'amplification',
+      atMs: trace.events.at(-1)!.atMs,
+      subject: 'fleet',
+      detail: `${ratio.toFixed(3)} attempts a request; the limit is ${AMPLIFICATION_LIMIT}`,
+    },
+  ];
+}
--- /dev/null
+++ b/packages/invariants/src/checks/check_leaving_targets.ts
@@ -0,0 +1,36 @@
+import type {TargetId} from '@ibisbeam/decision';
+import type {Trace, Violation} from '../trace.js';
+
+/** New work may still be sent for this long after the first sign. */
+const LEAVING_GRACE_MS = 3_000;
+
+/** A leaving target gets no new work beyond the grace time. */
+export function checkLeavingTargets(trace: Trace): readonly Violation[] {
+  const signedAtMs = new Map<TargetId, number>();
+  const violations: Violation[] = [];
+  for (const event of trace.events) {
+    if (event.kind === 'leaving-ended') {
+      signedAtMs.delete(event.target);
+      continue;
+    }
+    if (event.kind === 'leaving-signed') {
+      const earlier = signedAtMs.get(event.target);
+      signedAtMs.set(event.target, earlier ?? event.atMs);
+      continue;
+    }
+    if (event.kind !== 'attempt-sent') {
+      continue;
+    }
+    const sinceMs = signedAtMs.get(event.target);
+    if (sinceMs === undefined || event.atMs - sinceMs <= LEAVING_GRACE_MS) {
+      continue;
+    }
+    violations.push({
+      check: 'leaving-target',
+      atMs: event.atMs,
+      subject: event.target,
+      detail: `${event.vm} sent ${event.request} ${(event.atMs - sinceMs).toFixed(0)} ms after the first sign`,
+    });
+  }
+  return violations;
+}
--- /dev/null
+++ b/packages/invariants/src/checks/check_overload.ts
@@ -0,0 +1,84 @@
+import type {TargetId} from '@ibisbeam/decision';
+import type {Trace, TracedTarget, Violation} from '../trace.js';
+
+interface Occupancy {
+  readonly target: TracedTarget;
+  held: number;
+  overSinceMs?: number;
+}
+
+/**
+ * No target holds more of the system's requests than it has slots. A region's
+ * slots are the sum over its targets, so this covers the region as well. Each
+ * violation is one period of overload.
+ */
+export function checkOverload(trace: Trace): readonly Violation[] {
+  const occupancies = new Map<TargetId, Occupancy>();
+  for (const [id, target] of trace.facts.targets) {
+    occupancies.set(id, {target, held: 0});
+  }
+  const violations: Violation[] = [];
+
+  function settle(id: TargetId, occupancy: Occupancy, atMs: number): void {
+    const over = occupancy.held > occupancy.target.slots;
+    if (over && occupancy.overSinceMs === undefined) {
+      occupancy.overSinceMs = atMs;
+    }
+    if (!over && occupancy.overSinceMs !== undefined) {
+      violations.push(overloadViolation(id, occupancy.overSinceMs, atMs));
+      occupancy.overSinceMs = undefined;
+    }
+  }
+
+  let lastMs = 0;
+  for (const event of trace.events) {
+    lastMs = event.atMs;
+    if (
+      event.kind !== 'target-entered' &&
+      event.kind !== 'target-left' &&
+      event.kind !== 'target-lost'
+    ) {
+      continue;
+    }
+    const occupancy = occupancies.get(event.target);
+    if (!occupancy) {
+      continue;
+    }
+    if (event.kind === 'target-lost') {
+      occupancy.held = 0;
+    } else {
+      occupancy.held += event.kind === 'target-entered' ? 1 : -1;
+    }
+    settle(event.target, occupancy, event.atMs);
+  }
+  for (const [id, occupancy] of occupancies) {
+    occupancy.held = 0;
+    settle(id, occupancy, lastMs);
+  }
+  return violations;
+}
+
+function overloadViolation(
+  target: TargetId,
+  sinceMs: number,
+  untilMs: number,
+): Violation {
+  return {
+    check: 'overload',
+    atMs: sinceMs,
+    subject: target,
+    detail: 'held more requests than it has slots',
+    durationMs: untilMs - sinceMs,
+  };
+}
+
+/** Sum of the overload periods of all targets, in milliseconds. */
+export function overloadTimeMs(violations: readonly Violation[]): number {
+  let total = 0;
+  for (const violation of violations) {
+    if (violation.check === 'overload') {
+      total += violation.durationMs ?? 0;
+    }
+  }
+  return total;
+}
--- a/packages/invariants/src/index.ts
+++ b/packages/invariants/src/index.ts
@@ -1,2 +1,4 @@
-/** Front door of the package. */
-export {};
+/** The promises of the system as checks over the trace of a run. */
+export * from './check_trace.js';
+export * from './checks/index.js';
+export * from './trace.js';
--- /dev/null
+++ b/packages/invariants/test/checks.test.ts
@@ -0,0 +1,281 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  generation,
+  regionName,
+  requestId,
+  serviceName,
+  targetId,
+  vmId,
+} from '@ibisbeam/decision';
+import {
+  CHECKS,
+  type CheckName,
+  type TraceEvent,
+  type TraceFacts,
+  checkTrace,
+} from '../src/index.js';
+
+const riga = regionName('riga');
+const kurzeme = regionName('kurzeme');
+const ledger = serviceName('booking-ledger');
+const first = targetId('booking-ledger-1');
+const away = targetId('booking-ledger-2');
+const vm = vmId('riga-a-1');
+
+const facts: TraceFacts = {
+  targets: new Map([
+    [first, {service: ledger, region: riga, slots: 1}],
+    [away, {service: ledger, region: kurzeme, slots: 1}],
+  ]),
+  links: [{from: kurzeme, to: riga, usableBitsPerSecond: 2e9}],
+  shiftCaps: new Map([[ledger, {capFraction: 0.001, intervalMs: 1_000}]]),
+  cohorts: 1_000,
+};
+
+function sent(name: string, atMs: number, cohort = 1): TraceEvent {
+  return {
+    kind: 'request-sent',
+    atMs,
+    request: requestId(name),
+    operation: 'deposit-1',
+    service: ledger,
+    homeRegion: riga,
+    cohort,
+    idempotent: false,
+    first: true,
+  };
+}
+
+function atTarget(
+  kind: 'target-entered' | 'target-left' | 'run-started',
+  name: string,
+  atMs: number,
+  target = first,
+): TraceEvent {
+  return {kind, atMs, request: requestId(name), target};
+}
+
+function attempt(name: string, atMs: number): TraceEvent {
+  return {
+    kind: 'attempt-sent',
+    atMs,
+    vm,
+    request: requestId(name),
+    target: first,
+  };
+}
+
+const answered = (
+  name: string,
+  answerTo: string,
+  whole = true,
+): TraceEvent => ({
+  kind: 'request-ended',
+  atMs: 50,
+  request: requestId(name),
+  end: {kind: 'answered', answerTo: requestId(answerTo), whole},
+});
+
+const accepted = (atMs: number, number: number): TraceEvent => ({
+  kind: 'configuration-accepted',
+  atMs,
+  generation: generation(number),
+});
+
+const inForce = (atMs: number, number: number): TraceEvent => ({
+  kind: 'configuration-in-force',
+  atMs,
+  vm,
+  generation: generation(number),
+});
+
+const cut: TraceEvent = {
+  kind: 'request-cut',
+  atMs: 9,
+  vm,
+  request: requestId('a'),
+  cause: 'stop',
+};
+
+const signed: TraceEvent = {kind: 'leaving-signed', atMs: 0, target: first};
+
+const lost = (target: number): TraceEvent => ({
+  kind: 'target-lost',
+  atMs: target,
+  target: targetId(`booking-ledger-${target}`),
+  fingerprint: 'poison',
+});
+
+const sentMany: readonly TraceEvent[] = Array.from({length: 100}, (_, index) =>
+  sent(`many-${index}`, 0),
+);
+
+/** A trace that breaks the promise, and one next to it that keeps it. */
+const cases: readonly {
+  readonly check: CheckName;
+  readonly name: string;
+  readonly broken: readonly TraceEvent[];
+  readonly kept: readonly TraceEvent[];
+}[] = [
+  {
+    check: 'overload',
+    name: 'a second request enters a target of one slot',
+    broken: [
+      atTarget('target-entered', 'a', 1),
+      atTarget('target-entered', 'b', 2),
+      atTarget('target-left', 'a', 3),
+    ],
+    kept: [
+      atTarget('target-entered', 'a', 1),
+      atTarget('target-left', 'a', 2),
+      atTarget('target-entered', 'b', 2),
+    ],
+  },
+  {
+    check: 'shift-cap',
+    name: 'two cohorts move within an interval that allows one',
+    broken: [
+      sent('a', 0, 1),
+      sent('b', 0, 2),
+      atTarget('run-started', 'a', 1, away),
+      atTarget('run-started', 'b', 1_000, away),
+    ],
+    kept: [
+      sent('a', 0, 1),
+      sent('b', 0, 2),
+      atTarget('run-started', 'a', 1, away),
+      atTarget('run-started', 'b', 1_001, away),
+    ],
+  },
+  {
+    check: 'link-budget',
+    name: 'flows take more than the usable part of a link',
+    broken: [
+      {
+        kind: 'link-rate',
+        atMs: 1,
+        from: kurzeme,
+        to: riga,
+        bitsPerSecond: 2.1e9,
+      },
+    ],
+    kept: [
+      {kind: 'link-rate', atMs: 1, from: kurzeme, to: riga, bitsPerSecond: 2e9},
+    ],
+  },
+  {
+    check: 'truthful-refusal',
+    name: 'a request that ran is refused as not run',
+    broken: [
+      sent('a', 0),
+      atTarget('run-started', 'a', 1),
+      {
+        kind: 'request-ended',
+        atMs: 2,
+        request: requestId('a'),
+        end: {kind: 'refused', reason: 'target-failed', outcome: 'not-run'},
+      },
+    ],
+    kept: [
+      sent('a', 0),
+      atTarget('run-started', 'a', 1),
+      {
+        kind: 'request-ended',
+        atMs: 2,
+        request: requestId('a'),
+        end: {kind: 'refused', reason: 'target-failed', outcome: 'unknown'},
+      },
+    ],
+  },
+  {
+    check: 'at-most-once',
+    name: 'a resend of a deposit runs again',
+    broken: [
+      sent('a', 0),
+      sent('b', 1),
+      atTarget('run-started', 'a', 2),
+      atTarget('run-started', 'b', 3),
+    ],
+    kept: [sent('a', 0), sent('b', 1), atTarget('run-started', 'a', 2)],
+  },
+  {
+    check: 'own-whole-answer',
+    name: 'a caller gets the answer of another',
+    broken: [answered('a', 'b')],
+    kept: [answered('a', 'a')],
+  },
+  {
+    check: 'own-whole-answer',
+    name: 'a part passes for the whole',
+    broken: [answered('a', 'a', false)],
+    kept: [answered('a', 'a')],
+  },
+  {
+    check: 'leaving-target',
+    name: 'work is sent 3,001 ms after the first sign',
+    broken: [signed, attempt('a', 3_001)],
+    kept: [signed, attempt('a', 3_000)],
+  },
+  {
+    check: 'graceful-stop',
+    name: 'a planned stop cuts a request',
+    broken: [cut],
+    kept: [{...cut, cause: 'crash'} as TraceEvent],
+  },
+  {
+    check: 'configuration',
+    name: 'a VM goes back to an earlier generation',
+    broken: [inForce(1, 2), inForce(2, 1)],
+    kept: [inForce(1, 1), inForce(2, 2)],
+  },
+  {
+    check: 'configuration',
+    name: 'a VM still runs the earlier generation after the bound',
+    broken: [inForce(0, 1), accepted(1, 2), inForce(11_002, 2)],
+    kept: [inForce(0, 1), accepted(1, 2), inForce(11_001, 2)],
+  },
+  {
+    check: 'crashing-request',
+    name: 'a fourth target is lost to one request',
+    broken: [lost(1), lost(2), lost(3), lost(4)],
+    kept: [lost(1), lost(2), lost(3)],
+  },
+  {
+    check: 'amplification',
+    name: '111 attempts are sent for 100 requests',
+    broken: [
+      ...sentMany,
+      ...Array.from({length: 111}, () => attempt('many-1', 0)),
+    ],
+    kept: [
+      ...sentMany,
+      ...Array.from({length: 110}, () => attempt('many-1', 0)),
+    ],
+  },
+];
+
+describe('each check', () => {
+  for (const {check, name, broken, kept} of cases) {
+    it(`${check} fails when ${name}`, () => {
+      assert.notEqual(CHECKS[check]({facts, events: broken}).length, 0);
+    });
+
+    it(`${check} passes the trace that differs in that alone`, () => {
+      assert.deepEqual(CHECKS[check]({facts, events: kept}), []);
+    });
+  }
+
+  it('has a broken trace here', () => {
+    const covered = new Set(cases.map(one => one.check));
+    assert.deepEqual(new Set(Object.keys(CHECKS)), covered);
+  });
+});
+
+describe('checkTrace', () => {
+  it('gathers the violations of all checks', () => {
+    const found = checkTrace({facts, events: [cut, answered('a', 'b')]});
+    const checks = found.map(violation => violation.check).sort();
+    assert.deepEqual(checks, ['graceful-stop', 'own-whole-answer']);
+  });
+});
