--- /dev/null
+++ b/packages/decision/src/core/access/approvals.ts
@@ -0,0 +1,56 @@
+/** Looks approvals up: a calling team may send only where it is approved. */
+import type {
+  Approval,
+  ServiceName,
+  TeamName,
+  WorkspaceName,
+} from '../model/index.js';
+
+/** `absent`: the team never asked for approval. */
+export type ApprovalStanding = Approval['state'] | 'absent';
+
+export interface ApprovalKey {
+  readonly workspace: WorkspaceName;
+  readonly service: ServiceName;
+  readonly callingTeam: TeamName;
+}
+
+export interface ApprovalIndex {
+  standing(key: ApprovalKey): ApprovalStanding;
+}
+
+/** Builds an index once per configuration, for the path of every request. */
+export function indexApprovals(approvals: readonly Approval[]): ApprovalIndex {
+  const states = new Map<string, Approval['state']>();
+  for (const approval of approvals) {
+    states.set(textOf(approval), approval.state);
+  }
+  return {standing: key => states.get(textOf(key)) ?? 'absent'};
+}
+
+/** For callers that look up once; the path of a request uses an index. */
+export function isApproved(
+  approvals: readonly Approval[],
+  key: ApprovalKey,
+): boolean {
+  return findApproval(approvals, key)?.state === 'approved';
+}
+
+export function findApproval(
+  approvals: readonly Approval[],
+  key: ApprovalKey,
+): Approval | undefined {
+  const wanted = textOf(key);
+  let found: Approval | undefined;
+  for (const approval of approvals) {
+    if (textOf(approval) === wanted) {
+      found = approval;
+    }
+  }
+  return found;
+}
+
+/** Names hold no spaces, so that the joined text is unique. */
+function textOf(key: ApprovalKey): string {
+  return `${key.workspace} ${key.service} ${key.callingTeam}`;
+}
--- /dev/null
+++ b/packages/decision/src/core/drains/check_drain.ts
@@ -0,0 +1,232 @@
+/** Checks a planned drain against the headroom that would remain. */
+import type {
+  Configuration,
+  Drain,
+  RegionName,
+  ServiceName,
+} from '../model/index.js';
+import {isDrainOpen} from './drain_progress.js';
+import {describeScope, scopeCoversTarget, scopeProblem} from './drain_scope.js';
+
+/** Part of the remaining slots that work in progress may fill, 0 to 1. */
+export const DRAIN_UTILIZATION_LIMIT = 0.8;
+
+/** Slots in use, as the VMs of a region reported them. */
+export interface ServiceLoad {
+  readonly service: ServiceName;
+  readonly region: RegionName;
+  /** Requests in flight and queued. */
+  readonly inUse: number;
+}
+
+/** One service in one region, before and during the drain. */
+export interface DrainCheckRow {
+  readonly service: ServiceName;
+  readonly region: RegionName;
+  readonly slotsNow: number;
+  readonly slotsLeft: number;
+  readonly inUse: number;
+  /** Requests that the rest of the region could not carry. */
+  readonly overflow: number;
+}
+
+export interface DrainCheck {
+  readonly rows: readonly DrainCheckRow[];
+  /** Why the drain is refused, with figures; empty when it may begin. */
+  readonly refusals: readonly string[];
+}
+
+/**
+ * @param load Use of the services; a service and region that is absent counts
+ *   as unused, so that the caller must know whether all VMs answered.
+ * @param wallMs Unix time in milliseconds.
+ */
+export function checkDrain(
+  configuration: Configuration,
+  drain: Drain,
+  load: readonly ServiceLoad[],
+  wallMs: number,
+): DrainCheck {
+  const wrong = planProblems(configuration, drain, wallMs);
+  if (wrong.length > 0) {
+    return {rows: [], refusals: wrong};
+  }
+  const others = configuration.drains.filter(
+    other => isDrainOpen(other, wallMs) && overlaps(other, drain),
+  );
+  const rows: DrainCheckRow[] = [];
+  const refusals: string[] = [];
+  for (const service of configuration.services.keys()) {
+    const ofService: DrainCheckRow[] = [];
+    for (const region of configuration.regions.keys()) {
+      const inUse = usedSlots(load, service, region);
+      ofService.push(
+        checkPool(configuration, drain, others, {service, region, inUse}),
+      );
+    }
+    if (!ofService.some(row => row.slotsLeft < row.slotsNow)) {
+      continue;
+    }
+    rows.push(...ofService);
+    refusals.push(...headroomRefusals(ofService));
+    refusals.push(...rateRefusals(configuration, drain, ofService));
+  }
+  return {rows, refusals};
+}
+
+function planProblems(
+  configuration: Configuration,
+  drain: Drain,
+  wallMs: number,
+): readonly string[] {
+  const problems: string[] = [];
+  const unknown = scopeProblem(drain.scope, configuration);
+  if (unknown) {
+    problems.push(unknown);
+  }
+  if (
+    drain.endAtMs !== undefined &&
+    drain.endAtMs <= drain.startAtMs + drain.rampMs
+  ) {
+    problems.push(
+      `the end must come after the start and the ramp of ${drain.rampMs} ms`,
+    );
+  }
+  const scope = describeScope(drain.scope);
+  for (const other of configuration.drains) {
+    if (
+      isDrainOpen(other, wallMs) &&
+      overlaps(other, drain) &&
+      describeScope(other.scope) === scope
+    ) {
+      problems.push(`drain ${other.id} already covers ${scope}`);
+    }
+  }
+  return problems;
+}
+
+function checkPool(
+  configuration: Configuration,
+  drain: Drain,
+  others: readonly Drain[],
+  pool: {service: ServiceName; region: RegionName; inUse: number},
+): DrainCheckRow {
+  const slotsNow = slotsUnder(configuration, others, pool);
+  const slotsLeft = slotsUnder(configuration, [...others, drain], pool);
+  const usable = Math.floor(slotsLeft * DRAIN_UTILIZATION_LIMIT);
+  const overflow = Math.max(0, pool.inUse - usable);
+  return {...pool, slotsNow, slotsLeft, overflow};
+}
+
+/** Slots of a service in a region that the drains leave in use. */
+function slotsUnder(
+  configuration: Configuration,
+  drains: readonly Drain[],
+  pool: {service: ServiceName; region: RegionName},
+): number {
+  const service = configuration.services.get(pool.service)!;
+  let slots = 0;
+  for (const target of service.targets) {
+    if (target.region !== pool.region) {
+      continue;
+    }
+    const drained = drains.some(drain =>
+      scopeCoversTarget(drain.scope, service.name, target),
+    );
+    slots += drained ? 0 : target.slots;
+  }
+  return Math.floor(slots * vmFraction(configuration, drains, pool.region));
+}
+
+/** Slots are divided over the region's VMs; a drained VM's part lies idle. */
+function vmFraction(
+  configuration: Configuration,
+  drains: readonly Drain[],
+  region: RegionName,
+): number {
+  let all = 0;
+  let staying = 0;
+  for (const vm of configuration.entryVms.values()) {
+    if (vm.region !== region) {
+      continue;
+    }
+    all += 1;
+    const leaves = drains.some(
+      ({scope}) => scope.kind === 'entry-vm' && scope.vm === vm.id,
+    );
+    staying += leaves ? 0 : 1;
+  }
+  return all === 0 ? 0 : staying / all;
+}
+
+function headroomRefusals(rows: readonly DrainCheckRow[]): readonly string[] {
+  let overflow = 0;
+  let free = 0;
+  const short: string[] = [];
+  for (const row of rows) {
+    const usable = Math.floor(row.slotsLeft * DRAIN_UTILIZATION_LIMIT);
+    free += Math.max(0, usable - row.inUse);
+    overflow += row.overflow;
+    if (row.overflow > 0) {
+      short.push(
+        `${row.region} keeps ${row.slotsLeft} of ${row.slotsNow} slots for ${row.inUse} requests`,
+      );
+    }
+  }
+  if (overflow <= free) {
+    return [];
+  }
+  return [
+    `${rows[0]!.service}: ${short.join('; ')}; ${overflow} requests would have to move, the other regions have room for ${free} (limit ${DRAIN_UTILIZATION_LIMIT * 100} % of the slots)`,
+  ];
+}
+
+/** Work that leaves a region moves no faster than the smallest cap allows. */
+function rateRefusals(
+  configuration: Configuration,
+  drain: Drain,
+  rows: readonly DrainCheckRow[],
+): readonly string[] {
+  const refusals: string[] = [];
+  for (const row of rows) {
+    const moved = row.slotsNow === 0 ? 0 : row.overflow / row.slotsNow;
+    if (moved === 0) {
+      continue;
+    }
+    for (const services of configuration.workspaces.values()) {
+      const shift = services.get(row.service)?.policy.shift;
+      if (!shift) {
+        continue;
+      }
+      const neededMs = Math.ceil(
+        (moved / shift.capFraction) * shift.intervalMs,
+      );
+      if (drain.rampMs < neededMs) {
+        refusals.push(
+          `${row.service}: ${Math.round(moved * 100)} % of ${row.region} would leave the region within ${drain.rampMs} ms; the cap of ${shift.capFraction * 100} % per ${shift.intervalMs} ms needs a ramp of at least ${neededMs} ms`,
+        );
+      }
+    }
+  }
+  return refusals;
+}
+
+function usedSlots(
+  load: readonly ServiceLoad[],
+  service: ServiceName,
+  region: RegionName,
+): number {
+  let inUse = 0;
+  for (const entry of load) {
+    if (entry.service === service && entry.region === region) {
+      inUse += entry.inUse;
+    }
+  }
+  return inUse;
+}
+
+function overlaps(one: Drain, other: Drain): boolean {
+  const oneEnd = one.endAtMs ?? Number.POSITIVE_INFINITY;
+  const otherEnd = other.endAtMs ?? Number.POSITIVE_INFINITY;
+  return one.startAtMs < otherEnd && other.startAtMs < oneEnd;
+}
--- /dev/null
+++ b/packages/decision/test/access/change_approvals.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  type Approval,
+  type ApprovalActor,
+  type Service,
+  changeApprovals,
+  indexApprovals,
+  isApproved,
+  serviceName,
+  teamName,
+  workspaceName,
+} from '../../src/index.js';
+
+const KEY = {
+  workspace: workspaceName('lodging'),
+  service: serviceName('ledger'),
+  callingTeam: teamName('front-desk'),
+};
+const SERVICE: Service = {
+  name: KEY.service,
+  owner: teamName('ledger-owners'),
+  targets: [],
+};
+const OWNER: ApprovalActor = {
+  kind: 'target-owner',
+  name: 'ilze',
+  team: SERVICE.owner,
+};
+const APPROVED: Approval = {...KEY, state: 'approved'};
+
+function change(
+  verb: 'request' | 'grant' | 'revoke',
+  actor: ApprovalActor,
+  approvals: readonly Approval[] = [],
+) {
+  return changeApprovals(approvals, {verb, key: KEY}, SERVICE, actor, 5);
+}
+
+test('an owner grants and the team may send', () => {
+  const after = change('grant', OWNER).unsafeCoerce();
+  assert.equal(isApproved(after, KEY), true);
+  assert.equal(indexApprovals(after).standing(KEY), 'approved');
+});
+
+test('a revoked team may not send', () => {
+  const after = change('revoke', OWNER, [APPROVED]).unsafeCoerce();
+  assert.equal(after.length, 1);
+  assert.equal(isApproved(after, KEY), false);
+});
+
+test('an owner of another service may not grant', () => {
+  const other = {...OWNER, team: teamName('others')};
+  const problem = change('grant', other).swap().unsafeCoerce();
+  assert.deepEqual(problem, {kind: 'not-owner', owner: SERVICE.owner});
+});
+
+test('an operator may not grant', () => {
+  const problem = change('grant', {kind: 'operator', name: 'janis'}).swap();
+  assert.equal(problem.unsafeCoerce().kind, 'not-owner');
+});
+
+test('a team may ask for itself only', () => {
+  const own: ApprovalActor = {kind: 'calling-team', team: KEY.callingTeam};
+  const asked = change('request', own).unsafeCoerce();
+  assert.equal(indexApprovals(asked).standing(KEY), 'requested');
+  assert.equal(isApproved(asked, KEY), false);
+  const other: ApprovalActor = {kind: 'calling-team', team: teamName('x')};
+  assert.equal(
+    change('request', other).swap().unsafeCoerce().kind,
+    'not-own-team',
+  );
+});
+
+test('a team that never asked stands as absent', () => {
+  assert.equal(indexApprovals([]).standing(KEY), 'absent');
+});
