--- a/packages/decision/src/core/model/identifiers.ts
+++ b/packages/decision/src/core/model/identifiers.ts
@@ -11,7 +11,7 @@
   .string()
   .regex(
     NAME_PATTERN,
-    'expected lower-case letters, digits, dots and dashes, at most 64',
+    'lower-case letters, digits, dots and dashes, at most 64',
   );
 
 export const regionNameSchema = nameSchema.brand<'RegionName'>();
--- a/packages/decision/src/core/model/topology.ts
+++ b/packages/decision/src/core/model/topology.ts
@@ -12,7 +12,10 @@
 /** An IP number and a port, such as `10.0.1.4:8080` or `[::1]:8080`. */
 export const socketAddressSchema = z
   .string()
-  .regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/);
+  .regex(
+    /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
+    'an IP number and a port, such as 10.0.1.4:8080',
+  );
 
 export const regionSchema = z.strictObject({
   name: regionNameSchema,
