Hold a started VM's slots until earlier lives have ended

Cause: a VM that starts cannot know what an earlier life of it still has at targets, nor which shares the others use; it asks its peers and waits for as long as their answers say. Before: slots were used at once; a schedule with a replaced VM overbooked a target (seen by removing the wait again).

--- a/packages/decision/src/core/capacity/share_growth.ts
+++ b/packages/decision/src/core/capacity/share_growth.ts
@@ -23,7 +23,7 @@
     view: MembershipView | undefined,
     nowMs: number,
   ): SlotShare | undefined;
-  /** Nothing may be used before this time: an earlier life may still. */
+  /** Nothing may be used before this time; replaces an earlier such time. */
   holdUntil(notBeforeMs: number): void;
   /** Whether some of the share waits. */
   waiting(): boolean;
@@ -180,7 +180,7 @@
     divided,
     advance,
     holdUntil: untilMs => {
-      notBeforeMs = Math.max(notBeforeMs, untilMs);
+      notBeforeMs = untilMs;
       released = false;
     },
     waiting: () => !released || pending !== undefined,
--- a/packages/decision/src/core/shifts/planned_moves.ts
+++ b/packages/decision/src/core/shifts/planned_moves.ts
@@ -4,7 +4,8 @@
  * just started, knows it. Moves of one workspace and service follow one
  * another, so that their sum stays under the cap.
  */
-import {hashToUnit, rendezvousOrder} from '../capacity/index.js';
+import {hash32, rankByRendezvous} from '../hashing/index.js';
+import {COHORT_COUNT} from '../lookup/types.js';
 import type {
   Configuration,
   RegionName,
@@ -13,8 +14,7 @@
   WorkspaceName,
 } from '../model/index.js';
 
-export const COHORTS = 1_000;
-/** Coprime with COHORTS: spreads neighbouring cohorts. */
+/** Coprime with COHORT_COUNT: spreads neighbouring cohorts. */
 const COHORT_STRIDE = 617;
 
 /** One move of part of a region's cohorts. */
@@ -220,9 +220,9 @@
 
 /** Place of a cohort in the order in which a move takes cohorts, 0 to 1. */
 export function cohortPlace(cohort: number, move: string): number {
-  const offset = Math.floor(hashToUnit(move) * COHORTS);
-  const place = (cohort * COHORT_STRIDE + offset) % COHORTS;
-  return place / COHORTS;
+  const offset = hash32(move) % COHORT_COUNT;
+  const place = (cohort * COHORT_STRIDE + offset) % COHORT_COUNT;
+  return place / COHORT_COUNT;
 }
 
 function otherRegion(
@@ -237,5 +237,5 @@
       others.push(region);
     }
   }
-  return rendezvousOrder(others, `${from}|${cohort}`)[0];
+  return rankByRendezvous(`${from}|${cohort}`, others)[0];
 }
--- a/packages/decision/src/core/steering/crash_reports.ts
+++ b/packages/decision/src/core/steering/crash_reports.ts
@@ -1,5 +1,6 @@
 /** Notices lost targets and tells the other VMs which request was there. */
-import type {TargetId, VmId} from '../model/index.js';
+import type {TargetId} from '../model/index.js';
+import {everyPeer} from './peer_groups.js';
 import type {RequestState} from './requests.js';
 import type {SteeringState} from './state.js';
 
@@ -21,7 +22,7 @@
     return before !== 'clear';
   }
   const targets = suspicions.targetsLost(fingerprint);
-  for (const peer of everyPeer(state)) {
+  for (const peer of everyPeer(context)) {
     context.send(peer, {
       kind: 'crash-suspected',
       fingerprint,
@@ -40,13 +41,6 @@
   return before !== 'clear';
 }
 
-/** All configured entry VMs but this one. */
-export function everyPeer(state: SteeringState): readonly VmId[] {
-  const {context} = state;
-  const vms = [...(context.configuration()?.entryVms.keys() ?? [])];
-  return vms.filter(vm => vm !== context.vm);
-}
-
 /** Another VM saw targets die under a request. */
 export function crashReported(
   state: SteeringState,
@@ -75,9 +69,10 @@
   state: SteeringState,
   fingerprint: string,
 ): void {
+  const {context} = state;
   state.suspicions.lift(fingerprint);
-  state.context.note({kind: 'quarantine-ended', fingerprint});
-  for (const peer of everyPeer(state)) {
-    state.context.send(peer, {kind: 'quarantine-lifted', fingerprint});
+  context.note({kind: 'quarantine-ended', fingerprint});
+  for (const peer of everyPeer(context)) {
+    context.send(peer, {kind: 'quarantine-lifted', fingerprint});
   }
 }
--- a/packages/decision/src/core/steering/earlier_lives.ts
+++ b/packages/decision/src/core/steering/earlier_lives.ts
@@ -1,64 +1,187 @@
 /**
- * Earlier incarnations of VMs. What an earlier life had in flight at targets
- * may still run there, so a VM that has started asks its peers whether they
- * knew one, and leaves its slots alone for as long as that may matter.
+ * Starts of VMs. What an earlier life of a VM had in flight at targets may
+ * still run there, and other VMs may still use slots under an older
+ * configuration. A VM that has started therefore asks its peers what they
+ * know and leaves its slots alone for as long as that matters.
  */
-import type {MembershipView, VmId} from '../model/index.js';
-import {everyPeer} from './crash_reports.js';
+import type {Generation, MembershipView, VmId} from '../model/index.js';
+import {informedPeers, regionPeers} from './peer_groups.js';
+import type {SteeringPeerMessage} from './peer_messages.js';
 import type {SteeringState} from './state.js';
 
+export type StartAnswer = Omit<
+  Extract<SteeringPeerMessage, {readonly kind: 'start-answer'}>,
+  'kind'
+>;
+
 export interface EarlierLives {
-  /** Holds the new VM's slots back until peers have had time to answer. */
-  started(): void;
+  /** Notes that this VM uses another share from now on. */
+  configurationTaken(): void;
   tick(): void;
   viewChanged(view: MembershipView): void;
   /** Answers a VM that has started. */
   answer(to: VmId, incarnation: string | undefined): void;
-  /** A peer knew an earlier life of this VM. */
-  known(ageMs: number): void;
+  /** A peer answered this VM's question. */
+  answered(from: VmId, answer: StartAnswer): void;
 }
 
 /** Answers count only this long after the start. */
 const ANSWERS_UNTIL_MS = 10_000;
-const ASK_INTERVAL_MS = 500;
-const ASK_UNTIL_MS = 3_000;
+const ASK_INTERVAL_MS = 250;
+const ASK_UNTIL_MS = 5_000;
+/** A longer gap between two steps means that this VM was paused. */
+const PAUSE_MS = 1_000;
+
+interface Start {
+  readonly atMs: number;
+  readonly answers: Map<VmId, StartAnswer>;
+  waitUntilMs: number;
+  askedMs: number;
+  seenMs: number;
+  waiting: boolean;
+}
 
 export function createEarlierLives(state: SteeringState): EarlierLives {
   const {context, knownLives} = state;
-  let startedMs: number | undefined;
-  let askedMs = -Infinity;
+  const {parameters} = context;
+  let start: Start | undefined;
+  /** When this VM took its second or a later configuration. */
+  let changedMs: number | undefined;
+  let earlierLifeEndedMs: number | undefined;
+  let configured = false;
 
-  function started(): void {
+  function configurationTaken(): void {
     const {nowMs} = context.time();
-    const alone = everyPeer(state).length === 0;
-    if (startedMs !== undefined || context.incarnation === undefined || alone) {
+    if (configured) {
+      changedMs = nowMs;
       return;
     }
-    startedMs = nowMs;
-    const untilMs = nowMs + context.parameters.startAnswerBoundMs;
-    for (const pool of state.pools.values()) {
-      pool.growth.holdUntil(untilMs);
+    configured = true;
+    if (context.incarnation === undefined || askedPeers().length === 0) {
+      return;
     }
-    context.wakeAt(untilMs);
-    ask(nowMs);
+    start = {
+      atMs: nowMs,
+      answers: new Map(),
+      waitUntilMs: nowMs + parameters.startAnswerBoundMs,
+      askedMs: -Infinity,
+      seenMs: nowMs,
+      waiting: true,
+    };
+    holdAll(() => Infinity);
   }
 
-  function ask(nowMs: number): void {
-    askedMs = nowMs;
-    for (const peer of everyPeer(state)) {
-      context.send(peer, {
-        kind: 'failovers-wanted',
-        incarnation: context.incarnation,
-      });
+  const askedPeers = () =>
+    informedPeers(context, parameters.poolLoadPeersPerRegion);
+
+  /** @param untilMs End of the hold by the longest use of the pool's slots. */
+  function holdAll(untilMs: (longestUseMs: number) => number): void {
+    const {nowMs} = context.time();
+    for (const pool of state.pools.values()) {
+      const until = untilMs(pool.longestUseMs);
+      pool.growth.holdUntil(until);
+      if (until > nowMs) {
+        pool.holdings.own(new Map());
+      }
     }
   }
 
   function tick(): void {
+    if (!start) {
+      return;
+    }
+    const {nowMs} = context.time();
+    if (start.waiting && nowMs - start.seenMs > PAUSE_MS) {
+      start.waitUntilMs = nowMs + parameters.startAnswerBoundMs;
+    }
+    start.seenMs = nowMs;
+    ask(start, nowMs);
+    if (start.waiting && nowMs >= start.waitUntilMs) {
+      settle(start, nowMs);
+    }
+    if (start.waiting) {
+      context.wakeAt(Math.min(start.waitUntilMs, nowMs + ASK_INTERVAL_MS));
+    }
+  }
+
+  function ask(begun: Start, nowMs: number): void {
+    const due = nowMs - begun.askedMs >= ASK_INTERVAL_MS;
+    if (!due || nowMs - begun.atMs > ASK_UNTIL_MS) {
+      return;
+    }
+    begun.askedMs = nowMs;
+    for (const peer of askedPeers()) {
+      if (!begun.answers.has(peer)) {
+        context.send(peer, {
+          kind: 'failovers-wanted',
+          incarnation: context.incarnation,
+        });
+      }
+    }
+  }
+
+  function answered(from: VmId, answer: StartAnswer): void {
     const {nowMs} = context.time();
-    const asks = startedMs !== undefined && nowMs - startedMs < ASK_UNTIL_MS;
-    if (asks && nowMs - askedMs >= ASK_INTERVAL_MS) {
-      ask(nowMs);
+    if (!start || nowMs - start.atMs > ANSWERS_UNTIL_MS) {
+      return;
+    }
+    start.answers.set(from, answer);
+    const {earlierLifeAgeMs} = answer;
+    if (earlierLifeAgeMs !== undefined) {
+      const endedMs = nowMs - earlierLifeAgeMs;
+      earlierLifeEndedMs = Math.max(earlierLifeEndedMs ?? endedMs, endedMs);
+    }
+    const all = askedPeers().every(peer => start?.answers.has(peer));
+    if (all || !start.waiting) {
+      settle(start, nowMs);
+    }
+  }
+
+  /** Sets the end of the hold by what has been answered. */
+  function settle(begun: Start, nowMs: number): void {
+    begun.waiting = false;
+    const othersMs = othersSettledMs(begun, nowMs);
+    const sinceMs = Math.max(earlierLifeEndedMs ?? -Infinity, othersMs);
+    holdAll(longestUseMs =>
+      sinceMs === -Infinity ? nowMs : Math.max(nowMs, sinceMs + longestUseMs),
+    );
+    context.wakeAt(nowMs);
+  }
+
+  /** From when on the region's other VMs use this generation's shares only. */
+  function othersSettledMs(begun: Start, nowMs: number): number {
+    const generation = context.configuration()?.generation;
+    if (generation === undefined || begun.answers.size === 0) {
+      return -Infinity;
+    }
+    let firstKnownMs = nowMs;
+    for (const answer of begun.answers.values()) {
+      firstKnownMs = Math.min(
+        firstKnownMs,
+        settledMs(answer, generation, nowMs),
+      );
+    }
+    let latestMs = -Infinity;
+    for (const peer of regionPeers(context)) {
+      const answer = begun.answers.get(peer);
+      const peerMs = answer
+        ? settledMs(answer, generation, nowMs)
+        : firstKnownMs + parameters.inForceBoundMs;
+      latestMs = Math.max(latestMs, peerMs);
     }
+    return latestMs;
+  }
+
+  function settledMs(
+    answer: StartAnswer,
+    generation: Generation,
+    nowMs: number,
+  ): number {
+    if (answer.generation < generation) {
+      return nowMs + parameters.inForceBoundMs;
+    }
+    const {settledForMs} = answer;
+    return settledForMs === undefined ? -Infinity : nowMs - settledForMs;
   }
 
   function viewChanged(view: MembershipView): void {
@@ -88,37 +211,37 @@
   }
 
   function answer(to: VmId, incarnation: string | undefined): void {
-    const known = knownLives.get(to);
-    if (!known || incarnation === undefined) {
+    const generation = context.configuration()?.generation;
+    if (incarnation === undefined || generation === undefined) {
       return;
     }
     const {nowMs} = context.time();
-    const endedMs =
-      known.incarnation === incarnation
-        ? known.previousEndedMs
-        : (known.endedMs ?? nowMs);
-    if (endedMs !== undefined) {
-      context.send(to, {
-        kind: 'previous-life-known',
-        ageMs: Math.max(0, nowMs - endedMs),
-      });
-    }
+    const endedMs = earlierLifeEnd(to, incarnation, nowMs);
+    const settled = Math.max(
+      changedMs ?? -Infinity,
+      earlierLifeEndedMs ?? -Infinity,
+    );
+    context.send(to, {
+      kind: 'start-answer',
+      earlierLifeAgeMs: endedMs === undefined ? undefined : nowMs - endedMs,
+      generation,
+      settledForMs: settled === -Infinity ? undefined : nowMs - settled,
+    });
   }
 
-  function known(ageMs: number): void {
-    const {nowMs} = context.time();
-    if (startedMs === undefined || nowMs - startedMs > ANSWERS_UNTIL_MS) {
-      return;
-    }
-    for (const pool of state.pools.values()) {
-      const untilMs = nowMs + pool.longestUseMs - ageMs;
-      if (untilMs > nowMs) {
-        pool.growth.holdUntil(untilMs);
-        pool.holdings.own(new Map());
-        context.wakeAt(untilMs);
-      }
+  function earlierLifeEnd(
+    vm: VmId,
+    incarnation: string,
+    nowMs: number,
+  ): number | undefined {
+    const known = knownLives.get(vm);
+    if (!known) {
+      return undefined;
     }
+    return known.incarnation === incarnation
+      ? known.previousEndedMs
+      : (known.endedMs ?? nowMs);
   }
 
-  return {started, tick, viewChanged, answer, known};
+  return {configurationTaken, tick, viewChanged, answer, answered};
 }
--- a/packages/decision/src/core/steering/failover_watch.ts
+++ b/packages/decision/src/core/steering/failover_watch.ts
@@ -1,8 +1,7 @@
 /** Starts and ends failovers by the membership view and what peers know. */
-import {rendezvousOrder} from '../capacity/index.js';
 import type {MembershipView, RegionName, VmId} from '../model/index.js';
 import {type Failover, fullRampMs} from '../shifts/index.js';
-import {everyPeer} from './crash_reports.js';
+import {informedPeers, regionPeers} from './peer_groups.js';
 import type {SteeringState} from './state.js';
 
 export interface FailoverWatch {
@@ -29,7 +28,7 @@
         continue;
       }
       askedAtMs.set(region, nowMs);
-      for (const peer of informedPeers()) {
+      for (const peer of informedPeers(context, PEERS_PER_REGION)) {
         context.send(peer, {kind: 'failovers-wanted'});
       }
       context.wakeAt(nowMs + context.parameters.failoverAnswerBoundMs);
@@ -50,7 +49,7 @@
     const ended = failovers.end(region, wallMs);
     if (ended) {
       context.note({kind: 'failover-ended', from: region});
-      announce(ended, informedPeers());
+      announce(ended, informedPeers(context, PEERS_PER_REGION));
     }
   }
 
@@ -73,7 +72,7 @@
   function startOwn(region: RegionName, wallMs: number): void {
     const failover = failovers.start(region, wallMs, fastestRampMs());
     noteStart(failover);
-    announce(failover, informedPeers());
+    announce(failover, informedPeers(context, PEERS_PER_REGION));
   }
 
   function noteStart(failover: Failover): void {
@@ -90,24 +89,6 @@
     }
   }
 
-  /** Peers of this region, and a few of each other one. */
-  function informedPeers(): readonly VmId[] {
-    const configuration = context.configuration();
-    const byRegion = new Map<RegionName, VmId[]>();
-    for (const vm of rendezvousOrder(everyPeer(state), context.vm)) {
-      const region = configuration?.entryVms.get(vm)?.region;
-      if (region === undefined) {
-        continue;
-      }
-      const members = byRegion.get(region) ?? [];
-      if (region === context.region || members.length < PEERS_PER_REGION) {
-        members.push(vm);
-      }
-      byRegion.set(region, members);
-    }
-    return [...byRegion.values()].flat();
-  }
-
   function adopt(from: VmId, failover: Failover): void {
     const before = failovers.get(failover.from);
     if (!failovers.adopt(failover)) {
@@ -119,11 +100,7 @@
     }
     const sender = context.configuration()?.entryVms.get(from);
     if (sender?.region !== context.region) {
-      const own = everyPeer(state).filter(
-        vm =>
-          context.configuration()?.entryVms.get(vm)?.region === context.region,
-      );
-      announce(adopted, own);
+      announce(adopted, regionPeers(context));
     }
   }
 
--- a/packages/decision/src/core/steering/parameters.ts
+++ b/packages/decision/src/core/steering/parameters.ts
@@ -16,7 +16,7 @@
   readonly maximumAttempts: number;
   /** Tokens that a retry budget may hold. */
   readonly retryBurst: number;
-  /** Time that a started VM waits for what peers know of it. */
+  /** Time that a started VM waits for its peers' answers. */
   readonly startAnswerBoundMs: number;
   /** One in this many successes is explained. */
   readonly explanationSample: number;
@@ -53,7 +53,7 @@
   poolLoadPeersPerRegion: 2,
   maximumAttempts: 3,
   retryBurst: 5,
-  startAnswerBoundMs: 1_000,
+  startAnswerBoundMs: 2_000,
   explanationSample: 1_000,
   maximumRequests: 20_000,
   ejectionMs: 5_000,
--- /dev/null
+++ b/packages/decision/src/core/steering/peer_groups.ts
@@ -0,0 +1,40 @@
+/** Groups of other entry VMs, by the configuration. */
+import {rankByRendezvous} from '../hashing/index.js';
+import type {RegionName, VmId} from '../model/index.js';
+import type {SteeringContext} from './context.js';
+
+/** All configured entry VMs but this one. */
+export function everyPeer(context: SteeringContext): readonly VmId[] {
+  const vms = [...(context.configuration()?.entryVms.keys() ?? [])];
+  return vms.filter(vm => vm !== context.vm);
+}
+
+/** All other VMs of this region, whatever their state. */
+export function regionPeers(context: SteeringContext): readonly VmId[] {
+  const vms = context.configuration()?.entryVms;
+  return everyPeer(context).filter(
+    vm => vms?.get(vm)?.region === context.region,
+  );
+}
+
+/** All VMs of the region and a few, always the same, of each other one. */
+export function informedPeers(
+  context: SteeringContext,
+  perRegion: number,
+): readonly VmId[] {
+  const configuration = context.configuration();
+  const counts = new Map<RegionName, number>();
+  const chosen: VmId[] = [];
+  for (const vm of rankByRendezvous(context.vm, everyPeer(context))) {
+    const region = configuration?.entryVms.get(vm)?.region;
+    if (region === undefined) {
+      continue;
+    }
+    const count = counts.get(region) ?? 0;
+    if (region === context.region || count < perRegion) {
+      chosen.push(vm);
+      counts.set(region, count + 1);
+    }
+  }
+  return chosen;
+}
--- a/packages/decision/src/core/steering/peer_message_handler.ts
+++ b/packages/decision/src/core/steering/peer_message_handler.ts
@@ -68,8 +68,8 @@
         earlierLives.answer(from, message.incarnation);
         answerSuspicions(from);
         return;
-      case 'previous-life-known':
-        earlierLives.known(message.ageMs);
+      case 'start-answer':
+        earlierLives.answered(from, message);
         return;
       case 'pool-load':
         state.peers.heard(from, message.pools, state.context.time().nowMs);
--- a/packages/decision/src/core/steering/peer_messages.ts
+++ b/packages/decision/src/core/steering/peer_messages.ts
@@ -1,6 +1,7 @@
 /** Messages between the steering parts of two entry VMs. */
 import {z} from 'zod';
 import {
+  generationSchema,
   regionNameSchema,
   serviceNameSchema,
   targetIdSchema,
@@ -57,10 +58,17 @@
     /** The asking VM's incarnation. */
     incarnation: z.string().max(64).optional(),
   }),
-  /** An earlier incarnation of the asking VM was live so long ago. */
+  /** Answer to `failovers-wanted` of a VM that has started. */
   z.strictObject({
-    kind: z.literal('previous-life-known'),
-    ageMs: z.number().nonnegative(),
+    kind: z.literal('start-answer'),
+    /** How long ago an earlier incarnation of it ended; absent if unknown. */
+    earlierLifeAgeMs: z.number().nonnegative().optional(),
+    generation: generationSchema,
+    /**
+     * For how long the answering VM has used its share of that generation and
+     * nothing else; absent if it never used another.
+     */
+    settledForMs: z.number().nonnegative().optional(),
   }),
   /** Free slots by service, for the choice of a relay. */
   z.strictObject({
--- a/packages/decision/src/core/steering/steering.ts
+++ b/packages/decision/src/core/steering/steering.ts
@@ -166,7 +166,7 @@
     }
     configuration = next;
     takeConfiguration(state, next);
-    earlierLives.started();
+    earlierLives.configurationTaken();
     ticks.tick();
   }
 
--- a/packages/decision/src/core/steering/ticks.ts
+++ b/packages/decision/src/core/steering/ticks.ts
@@ -1,12 +1,11 @@
 /** What steering does as time passes without other events. */
-import {rendezvousOrder} from '../capacity/index.js';
-import type {RegionName, ServiceName, VmId} from '../model/index.js';
+import type {ServiceName} from '../model/index.js';
 import {serveQueue} from './admissions.js';
 import {attemptFinished} from './attempt_results.js';
-import {everyPeer} from './crash_reports.js';
 import type {EarlierLives} from './earlier_lives.js';
 import type {FailoverWatch} from './failover_watch.js';
 import {advancePool, freeSlots, workingSlots} from './pool.js';
+import {informedPeers} from './peer_groups.js';
 import {startHedges} from './retrying.js';
 import type {SlotLending} from './slot_lending.js';
 import type {SteeringState} from './state.js';
@@ -78,31 +77,12 @@
       const free = Math.max(0, freeSlots(pool, context) - waiting);
       pools.push([pool.service, free, workingSlots(pool, context)]);
     }
-    for (const peer of loadPeers()) {
+    const {poolLoadPeersPerRegion} = context.parameters;
+    for (const peer of informedPeers(context, poolLoadPeersPerRegion)) {
       context.send(peer, {kind: 'pool-load', pools});
     }
   }
 
-  /** All VMs of the region and a few of each other region. */
-  function loadPeers(): readonly VmId[] {
-    const configuration = context.configuration();
-    const counts = new Map<RegionName, number>();
-    const chosen: VmId[] = [];
-    for (const vm of rendezvousOrder(everyPeer(state), context.vm)) {
-      const region = configuration?.entryVms.get(vm)?.region;
-      if (region === undefined) {
-        continue;
-      }
-      const count = counts.get(region) ?? 0;
-      const most = context.parameters.poolLoadPeersPerRegion;
-      if (region === context.region || count < most) {
-        chosen.push(vm);
-        counts.set(region, count + 1);
-      }
-    }
-    return chosen;
-  }
-
   /** Keeps slots from being lost if the driver never reports an end. */
   function dropLostAttempts(): void {
     const {nowMs} = context.time();
--- /dev/null
+++ b/packages/decision/test/capacity/lending.test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createHoldings} from '../../src/index.js';
+import {
+  SERVICE,
+  buildConfiguration,
+  targetName,
+  vmName,
+} from '../support/configuration_fixture.js';
+import {buildView, createDriver, only} from '../support/steering_driver.js';
+
+const TARGET = targetName(0, 0);
+const LENDER = vmName(0, 1);
+
+test('uses a borrowed slot only for what ends before the lease does', () => {
+  const holdings = createHoldings();
+  const slots = new Map([[TARGET, 1]]);
+  holdings.borrow({lender: LENDER, ask: 1, slots, endsAtMs: 100}, 0);
+  assert.equal(holdings.take(TARGET, 0, 100), undefined);
+  assert.ok(holdings.take(TARGET, 0, 99));
+});
+
+test('gives slots up before it lends them', () => {
+  const holdings = createHoldings();
+  holdings.own(new Map([[TARGET, 2]]));
+  const lease = {borrower: LENDER, ask: 1, takenBackAtMs: 100};
+  holdings.lend(lease, 1, () => true);
+  assert.ok(holdings.take(TARGET, 0, 10));
+  assert.equal(holdings.take(TARGET, 0, 10), undefined);
+  holdings.expire(100);
+  assert.ok(holdings.take(TARGET, 100, 110));
+});
+
+test('counts a lease from when it asked, not from when the grant came', () => {
+  const driver = createDriver({parameters: {poolLoadLifetimeMs: 60_000}});
+  const configuration = buildConfiguration({
+    vms: [2, 0, 0],
+    slots: [[8], [], []],
+  });
+  driver.step({kind: 'configuration-accepted', configuration});
+  driver.step({kind: 'membership-changed', view: buildView(configuration)});
+  const from = LENDER;
+  driver.step({
+    kind: 'peer-message',
+    from,
+    message: {kind: 'pool-load', pools: [[SERVICE, 4, 4]]},
+  });
+  const sends = only(driver.request({deadlineMs: 9_000}), 'send-attempt');
+  driver.request({deadlineMs: 9_000});
+  assert.equal(sends.length, 1);
+  const messages = only(driver.pass(200), 'send-to-peer');
+  const wanted = messages.map(action => action.message);
+  const ask = wanted.find(message => message.kind === 'slots-wanted');
+  assert.ok(ask?.kind === 'slots-wanted');
+  const leaseMs = 3_000;
+  driver.nowMs += 2_500;
+  driver.step({
+    kind: 'peer-message',
+    from,
+    message: {...ask, kind: 'slots-granted', slots: [[TARGET, 2]], leaseMs},
+  });
+  const usable = () =>
+    driver.steering.status({nowMs: driver.nowMs, wallMs: 0}).pools[0]!
+      .usableSlots;
+  const during = usable();
+  driver.pass(600);
+  assert.ok(usable() < during);
+});
