Borrow slots at once when a pool has none free

Cause: with slots divided among VMs and pool loads a second old, requests waited at one VM while its neighbour had free slots. Ruled out: relays alone, since the loads that they go by are stale. A lender answers each ask, also with nothing, so that the borrower asks the next peer within a round trip.

--- a/packages/decision/src/core/steering/admissions.ts
+++ b/packages/decision/src/core/steering/admissions.ts
@@ -119,6 +119,7 @@
     return;
   }
   pool.wantedAtMs.set(facts.workspace, context.time().nowMs);
+  state.touchedPools.add(pool);
   if (request.foreign) {
     const limit = foreignLimit(state, pool, facts, policy);
     if (pool.foreignInFlight >= limit) {
--- a/packages/decision/src/core/steering/parameters.ts
+++ b/packages/decision/src/core/steering/parameters.ts
@@ -62,7 +62,7 @@
   slowStartMs: 10_000,
   leaseDeadlines: 3,
   leaseMarginMs: 1_000,
-  borrowIntervalMs: 200,
+  borrowIntervalMs: 20,
   quarantineMs: 600_000,
   longQuarantineMs: 86_400_000,
   failoverAnswerBoundMs: 1_000,
--- a/packages/decision/src/core/steering/peer_message_handler.ts
+++ b/packages/decision/src/core/steering/peer_message_handler.ts
@@ -1,6 +1,7 @@
 /** Passes messages of other VMs to the parts that they concern. */
 import {assertNever} from '../model/index.js';
-import type {VmId} from '../model/index.js';
+import type {ServiceName, VmId} from '../model/index.js';
+import {serveQueue} from './admissions.js';
 import {crashReported} from './crash_reports.js';
 import type {EarlierLives} from './earlier_lives.js';
 import type {FailoverWatch} from './failover_watch.js';
@@ -38,6 +39,7 @@
           message.slots,
           message.leaseMs,
         );
+        servePool(message.service);
         return;
       case 'slots-returned':
         lending.returned(from, message.ask, message.service);
@@ -79,6 +81,14 @@
     }
   }
 
+  function servePool(service: ServiceName): void {
+    const pool = state.pools.get(service);
+    if (pool) {
+      serveQueue(state, pool);
+      state.touchedPools.add(pool);
+    }
+  }
+
   /** A VM that has started must not run what crashed targets before. */
   function answerSuspicions(to: VmId): void {
     const {nowMs} = state.context.time();
--- a/packages/decision/src/core/steering/slot_lending.ts
+++ b/packages/decision/src/core/steering/slot_lending.ts
@@ -2,7 +2,7 @@
 import type {ServiceName, TargetId, VmId} from '../model/index.js';
 import {barred} from '../routing/index.js';
 import {liveVms} from './context.js';
-import {type Pool, freeSlots, workingSlots} from './pool.js';
+import {type Pool, freeSlots} from './pool.js';
 import type {SteeringState} from './state.js';
 
 export interface SlotLending {
@@ -27,11 +27,20 @@
   readonly askedAtMs: number;
 }
 
-/** Asks below this free fraction, before anything has to wait. */
-const SHORT_FREE_FRACTION = 0.15;
-/** A lender keeps this part of its free slots. */
-const KEPT_FREE_FRACTION = 0.5;
-const UNUSED_RETURN_MS = 1_000;
+/** Progress of the search for a lender. */
+interface Asking {
+  notBeforeMs: number;
+  /** Peers asked since the search began. */
+  readonly refusedBy: Set<VmId>;
+}
+
+/** The part of its free slots that a lender gives. */
+const LENT_FREE_FRACTION = 0.5;
+const UNUSED_RETURN_MS = 250;
+/** An ask without an answer counts as refused after this. */
+const ANSWER_TIMEOUT_MS = 25;
+/** An answer that comes later than this is not used. */
+const OPEN_ASK_LIFETIME_MS = 1_000;
 const MAXIMUM_OPEN_ASKS = 64;
 /** Clocks of two VMs run at the same rate within this fraction. */
 const CLOCK_RATE_MARGIN = 0.01;
@@ -41,56 +50,67 @@
   const {context} = state;
   const {parameters} = context;
   const open = new Map<number, OpenAsk>();
-  const askedAtMs = new Map<ServiceName, number>();
+  const askings = new Map<ServiceName, Asking>();
   /** Never used by an earlier life of this VM. */
   let nextAsk = Math.floor(context.random.next() * FIRST_ASK_RANGE);
 
   function considerAsking(pool: Pool): void {
     const {nowMs} = context.time();
-    const last = askedAtMs.get(pool.service) ?? -Infinity;
-    if (nowMs - last < parameters.borrowIntervalMs || !isShort(pool)) {
+    const asking = askingOf(pool.service);
+    if (!isShort(pool)) {
       return;
     }
-    const lender = chooseLender(pool);
-    if (!lender) {
+    if (nowMs < asking.notBeforeMs) {
+      context.wakeAt(asking.notBeforeMs);
       return;
     }
-    const wanted =
-      pool.queue.size() + Math.ceil(workingSlots(pool, context) / 4);
-    const slots = Math.max(
-      1,
-      Math.min(wanted, Math.floor(lender.free * KEPT_FREE_FRACTION)),
-    );
-    askedAtMs.set(pool.service, nowMs);
+    const lender = chooseLender(pool, asking);
+    if (lender === undefined) {
+      asking.refusedBy.clear();
+      asking.notBeforeMs = nowMs + parameters.borrowIntervalMs;
+      context.wakeAt(asking.notBeforeMs);
+      return;
+    }
+    asking.notBeforeMs = nowMs + ANSWER_TIMEOUT_MS;
+    asking.refusedBy.add(lender);
     const ask = nextAsk;
     nextAsk += 1;
-    open.set(ask, {service: pool.service, to: lender.vm, askedAtMs: nowMs});
-    context.send(lender.vm, {
+    open.set(ask, {service: pool.service, to: lender, askedAtMs: nowMs});
+    context.send(lender, {
       kind: 'slots-wanted',
       ask,
       service: pool.service,
-      slots,
+      slots: pool.queue.size() + 1,
     });
   }
 
+  function askingOf(service: ServiceName): Asking {
+    const known = askings.get(service);
+    if (known) {
+      return known;
+    }
+    const created = {notBeforeMs: -Infinity, refusedBy: new Set<VmId>()};
+    askings.set(service, created);
+    return created;
+  }
+
   function isShort(pool: Pool): boolean {
     if (pool.queue.size() > 0) {
       return true;
     }
-    const slots = workingSlots(pool, context);
-    const free = freeSlots(pool, context);
-    return pool.holdings.inUse() > 0 && free < slots * SHORT_FREE_FRACTION;
+    return pool.holdings.inUse() > 0 && freeSlots(pool, context) === 0;
   }
 
-  function chooseLender(
-    pool: Pool,
-  ): {readonly vm: VmId; readonly free: number} | undefined {
+  /** The peer that told of most free slots and has not refused lately. */
+  function chooseLender(pool: Pool, asking: Asking): VmId | undefined {
     const {nowMs} = context.time();
-    let best: {readonly vm: VmId; readonly free: number} | undefined;
+    let best: VmId | undefined;
+    let bestFree = -1;
     for (const vm of liveVms(context, context.region)) {
       const free = state.peers.free(vm, pool.service, nowMs) ?? 0;
-      if (free >= 2 && free > (best?.free ?? 0)) {
-        best = {vm, free};
+      if (!asking.refusedBy.has(vm) && free > bestFree) {
+        best = vm;
+        bestFree = free;
       }
     }
     return best;
@@ -110,14 +130,11 @@
     const {nowMs} = context.time();
     const known = pool.holdings.lentLease(from, ask);
     const lease = known ?? grant(pool, from, ask, slots, nowMs);
-    if (!lease) {
-      return;
-    }
     context.send(from, {
       kind: 'slots-granted',
       ask,
       service,
-      slots: lease.slots.map(([target, count]) => [target, count]),
+      slots: lease?.slots.map(([target, count]) => [target, count]) ?? [],
       leaseMs: pool.leaseMs,
     });
   }
@@ -129,7 +146,7 @@
     slots: number,
     nowMs: number,
   ) {
-    const spare = Math.floor(freeSlots(pool, context) * KEPT_FREE_FRACTION);
+    const spare = Math.ceil(freeSlots(pool, context) * LENT_FREE_FRACTION);
     const given = Math.min(slots, spare);
     if (given <= 0 || pool.queue.size() > 0) {
       return undefined;
@@ -172,6 +189,13 @@
     }
     open.delete(ask);
     const {nowMs} = context.time();
+    const asking = askingOf(service);
+    asking.notBeforeMs = nowMs;
+    if (slots.length === 0) {
+      considerAsking(pool);
+      return;
+    }
+    asking.refusedBy.clear();
     const endsAtMs = asked.askedAtMs + leaseMs;
     if (endsAtMs <= nowMs) {
       return;
@@ -200,7 +224,7 @@
       }
     }
     for (const [ask, asked] of open) {
-      const old = nowMs - asked.askedAtMs > UNUSED_RETURN_MS;
+      const old = nowMs - asked.askedAtMs > OPEN_ASK_LIFETIME_MS;
       if (old || open.size > MAXIMUM_OPEN_ASKS) {
         open.delete(ask);
       }
--- a/packages/decision/src/core/steering/state.ts
+++ b/packages/decision/src/core/steering/state.ts
@@ -38,6 +38,8 @@
   /** Requests that get a second attempt at a time. */
   readonly hedges: {readonly request: RequestId; readonly atMs: number}[];
   readonly counters: {decisions: number};
+  /** Pools that were asked for a slot in this step. */
+  readonly touchedPools: Set<Pool>;
   readonly knownLives: Map<VmId, KnownLife>;
 }
 
--- a/packages/decision/src/core/steering/steering.ts
+++ b/packages/decision/src/core/steering/steering.ts
@@ -104,6 +104,7 @@
     cooling: [],
     hedges: [],
     counters: {decisions: 0},
+    touchedPools: new Set(),
     knownLives: new Map(),
   };
   const lending = createSlotLending(state);
@@ -209,6 +210,10 @@
     actions = [];
     wantedWakeMs = Infinity;
     handle(event);
+    for (const pool of state.touchedPools) {
+      lending.considerAsking(pool);
+    }
+    state.touchedPools.clear();
     if (scheduledWakeMs < time.nowMs) {
       wantedWakeMs = time.nowMs;
       scheduledWakeMs = Infinity;
--- a/packages/decision/src/core/steering/ticks.ts
+++ b/packages/decision/src/core/steering/ticks.ts
@@ -39,8 +39,9 @@
     for (const pool of state.pools.values()) {
       advancePool(pool, context);
       serveQueue(state, pool);
-      lending.considerAsking(pool);
+      state.touchedPools.add(pool);
     }
+    lending.returnIdle();
     const {nowMs} = context.time();
     if (nowMs - loadSentMs >= context.parameters.poolLoadIntervalMs) {
       loadSentMs = nowMs;
@@ -51,7 +52,6 @@
 
   function everyInterval(): void {
     sendPoolLoad();
-    lending.returnIdle();
     dropLostAttempts();
     noteRestoredTargets();
     for (const fingerprint of state.suspicions.takeEnded(
