--- /dev/null
+++ b/packages/decision/src/core/claims/tickets.ts
@@ -0,0 +1,58 @@
+/**
+ * Tickets: idempotency keys minted by one incarnation of one VM. Only that
+ * incarnation may run the operation, so its memory is the fence and the store
+ * is not needed.
+ */
+import {
+  type Incarnation,
+  type VmId,
+  incarnationSchema,
+  vmIdSchema,
+} from '../model/index.js';
+
+const PREFIX = 'ibt1';
+const SEPARATOR = '~';
+
+/** Time from minting within which the operation may begin. */
+export const TICKET_LIFETIME_MS = 600_000;
+/** Clocks of VMs agree within this. */
+const CLOCK_TOLERANCE_MS = 2_000;
+
+export interface Ticket {
+  readonly vm: VmId;
+  readonly incarnation: Incarnation;
+  readonly mintedAtWallMs: number;
+  readonly counter: number;
+}
+
+export function formatTicket(ticket: Ticket): string {
+  return [
+    PREFIX,
+    ticket.vm,
+    ticket.incarnation,
+    ticket.mintedAtWallMs.toString(36),
+    ticket.counter.toString(36),
+  ].join(SEPARATOR);
+}
+
+/** Nothing when the key is one of the caller's own. */
+export function parseTicket(key: string): Ticket | undefined {
+  const parts = key.split(SEPARATOR);
+  if (parts[0] !== PREFIX || parts.length < 5) {
+    return undefined;
+  }
+  const vm = vmIdSchema.safeParse(parts[1]);
+  const life = incarnationSchema.safeParse(parts.slice(2, -2).join(SEPARATOR));
+  const mintedAtWallMs = parseInt(parts.at(-2)!, 36);
+  const counter = parseInt(parts.at(-1)!, 36);
+  if (!vm.success || !life.success || Number.isNaN(mintedAtWallMs + counter)) {
+    return undefined;
+  }
+  return {vm: vm.data, incarnation: life.data, mintedAtWallMs, counter};
+}
+
+/** Whether an operation may still begin under the ticket. */
+export function ticketMayBegin(ticket: Ticket, wallMs: number): boolean {
+  const ageMs = wallMs - ticket.mintedAtWallMs;
+  return ageMs >= -CLOCK_TOLERANCE_MS && ageMs <= TICKET_LIFETIME_MS;
+}
--- a/packages/decision/src/core/claims/types.ts
+++ b/packages/decision/src/core/claims/types.ts
@@ -6,6 +6,7 @@
  */
 import type {
   Incarnation,
+  Outcome,
   RequestId,
   ServiceName,
   VmId,
@@ -41,15 +42,28 @@
   | {readonly kind: 'in-progress'; readonly retryAfterMs: number}
   | {readonly kind: 'outcome-unknown'}
   | {readonly kind: 'key-reused'}
-  /** Not run, because no claim could be made. */
-  | {readonly kind: 'unavailable'; readonly retryAfterMs: number};
+  /**
+   * This request was not run, because no claim could be made. `outcome` tells
+   * whether an earlier request with the same key may have run.
+   */
+  | {
+      readonly kind: 'unavailable';
+      readonly retryAfterMs: number;
+      readonly outcome: Outcome;
+    };
 
 export interface ClaimRequest {
   readonly key: ClaimKey;
   readonly request: RequestId;
   /** Hash of method, path and body, to refuse a key reused for another. */
   readonly fingerprint: string;
+  /** Remaining time of the request, milliseconds. */
   readonly deadlineMs: number;
+  /**
+   * The caller states that it never sent this key before. Only then does a
+   * claim that could not be made mean that nothing ran under the key.
+   */
+  readonly firstAttempt?: boolean;
 }
 
 export interface ClaimHolder {
--- /dev/null
+++ b/packages/decision/src/core/membership/peer_messages.ts
@@ -0,0 +1,46 @@
+/** The heartbeat between two entry VMs; its size is bounded. */
+import {z} from 'zod';
+import {
+  generationSchema,
+  incarnationSchema,
+  regionNameSchema,
+  vmIdSchema,
+} from '../model/index.js';
+
+export const MAXIMUM_UPDATES_PER_BEAT = 8;
+const MAXIMUM_REGIONS = 256;
+
+export const vmStateSchema = z.enum(['live', 'suspect', 'leaving', 'gone']);
+
+/** What somebody says of a VM: name, incarnation, revision, state, generation. */
+export const vmUpdateSchema = z.tuple([
+  vmIdSchema,
+  incarnationSchema.nullable(),
+  z.int().nonnegative(),
+  vmStateSchema,
+  generationSchema.nullable(),
+]);
+export type VmUpdate = z.infer<typeof vmUpdateSchema>;
+
+export const beatSchema = z.strictObject({
+  kind: z.literal('beat'),
+  incarnation: incarnationSchema,
+  /** The sender's own; it raises it to contradict what is said of it. */
+  revision: z.int().nonnegative(),
+  leaving: z.boolean().optional(),
+  generation: generationSchema.optional(),
+  /** Regions with the time since any VM of them was heard of, in ms. */
+  regions: z
+    .array(z.tuple([regionNameSchema, z.int().nonnegative()]))
+    .max(MAXIMUM_REGIONS)
+    .readonly()
+    .optional(),
+  updates: z
+    .array(vmUpdateSchema)
+    .max(MAXIMUM_UPDATES_PER_BEAT)
+    .readonly()
+    .optional(),
+  /** Of all that the sender knows to be other than live. */
+  digest: z.int().nonnegative(),
+});
+export type Beat = z.infer<typeof beatSchema>;
--- /dev/null
+++ b/packages/decision/src/core/membership/types.ts
@@ -0,0 +1,70 @@
+/** Events and actions of the membership state machine. */
+import type {
+  EntryVm,
+  Generation,
+  Incarnation,
+  MembershipView,
+  RegionName,
+  VmId,
+  VmState,
+  ZoneName,
+} from '../model/index.js';
+import type {Beat} from './peer_messages.js';
+
+export interface MembershipOptions {
+  readonly vm: VmId;
+  readonly region: RegionName;
+  readonly zone: ZoneName;
+  readonly incarnation: Incarnation;
+  /**
+   * Unix time in whole seconds at which this life began. It is the first
+   * revision, so that a later life contradicts what is said of an earlier.
+   */
+  readonly startedAtSeconds: number;
+  readonly heartbeatIntervalMs: number;
+  readonly suspectAfterMs: number;
+  readonly listIntervalMs: number;
+}
+
+/** One VM in the platform's list. */
+export interface ListedVm {
+  readonly vm: VmId;
+  readonly incarnation: Incarnation;
+  readonly state: 'live' | 'leaving';
+}
+
+export type MembershipEvent =
+  | {readonly kind: 'started'}
+  | {readonly kind: 'configured'; readonly entryVms: Iterable<EntryVm>}
+  | {readonly kind: 'peer-connected'; readonly peer: VmId}
+  | {readonly kind: 'peer-disconnected'; readonly peer: VmId}
+  | {readonly kind: 'beat'; readonly from: VmId; readonly beat: Beat}
+  | {readonly kind: 'platform-list'; readonly vms: readonly ListedVm[]}
+  | {readonly kind: 'generation'; readonly generation: Generation}
+  | {readonly kind: 'stop-began'}
+  | {readonly kind: 'tick'};
+
+export type MembershipAction =
+  | {readonly kind: 'send'; readonly to: VmId; readonly beat: Beat}
+  | {readonly kind: 'links-wanted'; readonly peers: readonly VmId[]}
+  | {readonly kind: 'list-vms'}
+  | {readonly kind: 'view-changed'; readonly view: MembershipView}
+  | {readonly kind: 'note'; readonly note: MembershipNote};
+
+export type MembershipNote =
+  | {
+      readonly kind: 'vm-state-changed';
+      readonly vm: VmId;
+      readonly state: VmState;
+      readonly incarnation?: Incarnation;
+    }
+  | {
+      readonly kind: 'self-doubt';
+      readonly doubting: boolean;
+      readonly cause: 'paused' | 'cut-off' | 'over';
+    };
+
+export interface Membership {
+  step(event: MembershipEvent, nowMs: number): readonly MembershipAction[];
+  view(nowMs: number): MembershipView;
+}
--- a/packages/decision/src/core/random/index.ts
+++ b/packages/decision/src/core/random/index.ts
@@ -1,1 +1,2 @@
 export * from './random_source.js';
+export * from './rendezvous.js';
--- /dev/null
+++ b/packages/decision/src/core/rollout/chunk_fetches.ts
@@ -0,0 +1,143 @@
+/** Which chunks are being fetched, and from whom. */
+import type {VmId} from '../model/index.js';
+
+const MAXIMUM_FETCHES = 8;
+const FETCH_TIMEOUT_MS = 2_000;
+/** Others than watchers leave the store to the watchers for this long. */
+const STORE_GRACE_MS = 2_000;
+const STORE_RETRY_MS = 1_000;
+
+export type ChunkSource = VmId | 'store';
+
+export interface ChunkRequest {
+  readonly digest: string;
+  readonly source: ChunkSource;
+}
+
+interface Fetch {
+  source: ChunkSource;
+  untilMs: number;
+  readonly failed: Set<ChunkSource>;
+  /** After this the store may be asked. */
+  storeFromMs: number;
+  active: boolean;
+}
+
+export interface ChunkFetches {
+  /** Starts over for a new set; fetches of digests still wanted go on. */
+  want(digests: ReadonlySet<string>, nowMs: number): void;
+  arrived(digest: string): boolean;
+  failed(digest: string, source: ChunkSource, nowMs: number): void;
+  sourceLost(source: ChunkSource): void;
+  /** What to ask now; `peers` that have the chunks, nearest first. */
+  next(
+    peers: readonly VmId[],
+    isWatcher: boolean,
+    nowMs: number,
+  ): readonly ChunkRequest[];
+  missing(): number;
+}
+
+export function createChunkFetches(): ChunkFetches {
+  const fetches = new Map<string, Fetch>();
+
+  function want(digests: ReadonlySet<string>, nowMs: number): void {
+    for (const digest of [...fetches.keys()]) {
+      if (!digests.has(digest)) {
+        fetches.delete(digest);
+      }
+    }
+    for (const digest of digests) {
+      if (!fetches.has(digest)) {
+        fetches.set(digest, {
+          source: 'store',
+          untilMs: nowMs,
+          failed: new Set(),
+          storeFromMs: nowMs + STORE_GRACE_MS,
+          active: false,
+        });
+      }
+    }
+  }
+
+  function chooseSource(
+    fetch: Fetch,
+    peers: readonly VmId[],
+    isWatcher: boolean,
+    nowMs: number,
+  ): ChunkSource | undefined {
+    for (const peer of peers) {
+      if (!fetch.failed.has(peer)) {
+        return peer;
+      }
+    }
+    if (isWatcher || nowMs >= fetch.storeFromMs) {
+      return fetch.failed.has('store') ? undefined : 'store';
+    }
+    return undefined;
+  }
+
+  function next(
+    peers: readonly VmId[],
+    isWatcher: boolean,
+    nowMs: number,
+  ): readonly ChunkRequest[] {
+    const requests: ChunkRequest[] = [];
+    let active = 0;
+    for (const fetch of fetches.values()) {
+      expire(fetch, nowMs);
+      active += fetch.active ? 1 : 0;
+    }
+    for (const [digest, fetch] of fetches) {
+      if (active >= MAXIMUM_FETCHES) {
+        break;
+      }
+      if (fetch.active || nowMs < fetch.untilMs) {
+        continue;
+      }
+      const source = chooseSource(fetch, peers, isWatcher, nowMs);
+      if (source === undefined) {
+        // Every source failed once: begin again after a while.
+        fetch.failed.clear();
+        fetch.untilMs = nowMs + STORE_RETRY_MS;
+        continue;
+      }
+      fetch.source = source;
+      fetch.active = true;
+      fetch.untilMs = nowMs + FETCH_TIMEOUT_MS;
+      active += 1;
+      requests.push({digest, source});
+    }
+    return requests;
+  }
+
+  function expire(fetch: Fetch, nowMs: number): void {
+    if (fetch.active && nowMs >= fetch.untilMs) {
+      fetch.failed.add(fetch.source);
+      fetch.active = false;
+    }
+  }
+
+  return {
+    want,
+    next,
+    arrived: digest => fetches.delete(digest),
+    failed: (digest, source, nowMs) => {
+      const fetch = fetches.get(digest);
+      if (fetch?.active && fetch.source === source) {
+        fetch.failed.add(source);
+        fetch.active = false;
+        fetch.untilMs = nowMs;
+      }
+    },
+    sourceLost: source => {
+      for (const fetch of fetches.values()) {
+        if (fetch.active && fetch.source === source) {
+          fetch.active = false;
+          fetch.untilMs = 0;
+        }
+      }
+    },
+    missing: () => fetches.size,
+  };
+}
--- /dev/null
+++ b/packages/library/src/core/configuration/chunks.ts
@@ -0,0 +1,136 @@
+/** Sections as content-addressed chunks in the store. */
+import {
+  CONFIGURATION_CHUNK_PREFIX,
+  type Section,
+  canonicalJson,
+  chunkDigest,
+  sectionSchema,
+} from '@ibisbeam/decision';
+import {type Either, EitherAsync, Left, Right} from 'purify-ts';
+import {z} from 'zod';
+import type {
+  PlatformCallOptions,
+  PlatformError,
+  PlatformObject,
+  PlatformStore,
+} from '../platform/index.js';
+import type {PublishError} from './types.js';
+
+/** Under the store's limit of 1 MB with room for the envelope. */
+export const MAXIMUM_CHUNK_BYTES = 1_000_000;
+const CREATE_ATTEMPTS = 3;
+
+/** `writtenAtMs` keeps the collection from taking a chunk just before use. */
+export const storedChunkSchema = z.strictObject({
+  text: z.string(),
+  writtenAtMs: z.number(),
+});
+
+export interface EncodedChunk {
+  readonly digest: string;
+  readonly text: string;
+  readonly bytes: number;
+}
+
+export function encodeSection(section: Section): EncodedChunk {
+  const text = canonicalJson(section);
+  return {
+    digest: chunkDigest(text),
+    text,
+    bytes: Buffer.byteLength(JSON.stringify(text)),
+  };
+}
+
+/** The text of a chunk whose digest holds. */
+export function chunkText(
+  object: PlatformObject,
+): Either<PublishError, string> {
+  const stored = storedChunkSchema.safeParse(object.value);
+  if (!stored.success) {
+    return Left(corrupt(object.key, 'not a chunk'));
+  }
+  const digest = object.key.slice(CONFIGURATION_CHUNK_PREFIX.length);
+  if (chunkDigest(stored.data.text) !== digest) {
+    return Left(corrupt(object.key, 'the digest does not match'));
+  }
+  return Right(stored.data.text);
+}
+
+export function readSection(
+  platform: PlatformStore,
+  digest: string,
+  options: PlatformCallOptions,
+): EitherAsync<PublishError, Section> {
+  const key = `${CONFIGURATION_CHUNK_PREFIX}${digest}`;
+  return platform
+    .read(key, options)
+    .mapLeft<PublishError>(cause => ({
+      kind: 'unavailable',
+      operation: `read of ${key}`,
+      cause,
+    }))
+    .chain(object => EitherAsync.liftEither(chunkText(object)))
+    .chain(text => EitherAsync.liftEither(parseSection(key, text)));
+}
+
+function parseSection(
+  key: string,
+  text: string,
+): Either<PublishError, Section> {
+  const parsed = sectionSchema.safeParse(JSON.parse(text));
+  return parsed.success
+    ? Right(parsed.data)
+    : Left(corrupt(key, parsed.error.message));
+}
+
+/**
+ * Stores a chunk. One that exists is written anew, so that a collection that
+ * saw it unused finds another version and leaves it.
+ */
+export function storeChunk(
+  platform: PlatformStore,
+  chunk: EncodedChunk,
+  wallMs: number,
+  options: PlatformCallOptions,
+): EitherAsync<PublishError, void> {
+  const key = `${CONFIGURATION_CHUNK_PREFIX}${chunk.digest}`;
+  const value = {text: chunk.text, writtenAtMs: wallMs};
+
+  async function attempt(): Promise<PlatformError | undefined> {
+    const created = await platform.create(key, value, options).run();
+    const error = errorOf(created);
+    if (error?.kind !== 'conflict' || !error.current) {
+      return error;
+    }
+    const {version} = error.current;
+    return errorOf(await platform.update(key, version, value, options).run());
+  }
+
+  return EitherAsync(async ({throwE}) => {
+    let cause: PlatformError | undefined;
+    for (let count = 0; count < CREATE_ATTEMPTS; count += 1) {
+      cause = await attempt();
+      if (!cause) {
+        return;
+      }
+      if (cause.kind === 'unavailable' || cause.kind === 'rejected') {
+        break;
+      }
+    }
+    return throwE({
+      kind: 'unavailable',
+      operation: `write of ${key}`,
+      cause: cause!,
+    });
+  });
+}
+
+function errorOf<Value>(
+  result: Either<PlatformError, Value>,
+): PlatformError | undefined {
+  return result.swap().toMaybe().extract();
+}
+
+export function corrupt(key: string, problem: string): PublishError {
+  return {kind: 'corrupt', key, problem};
+}
--- /dev/null
+++ b/packages/library/src/core/configuration/collect_chunks.ts
@@ -0,0 +1,57 @@
+/** Deletes chunks that no accepted configuration needs any more. */
+import {CONFIGURATION_CHUNK_PREFIX} from '@ibisbeam/decision';
+import {EitherAsync} from 'purify-ts';
+import type {PlatformStore} from '../platform/index.js';
+import {storedChunkSchema} from './chunks.js';
+import {readHead} from './read_document.js';
+import type {PublishError} from './types.js';
+
+/**
+ * Far longer than a publication takes. A publication writes its chunks anew
+ * before the head, which also changes the version that a deletion expects.
+ */
+export const CHUNK_GRACE_MS = 3_600_000;
+
+export interface CollectionResult {
+  readonly kept: number;
+  readonly deleted: number;
+}
+
+/** Harmless if several run at once. */
+export function collectChunks(
+  platform: PlatformStore,
+  wallMs: number,
+): EitherAsync<PublishError, CollectionResult> {
+  return EitherAsync(async ({fromPromise}) => {
+    const listed = await fromPromise(
+      platform
+        .list(CONFIGURATION_CHUNK_PREFIX, {purpose: 'configuration-read'})
+        .mapLeft<PublishError>(cause => ({
+          kind: 'unavailable',
+          operation: 'list of chunks',
+          cause,
+        }))
+        .run(),
+    );
+    // The head is read after the list: what it names then is not deleted.
+    const stored = await fromPromise(
+      readHead(platform, 'configuration-read').run(),
+    );
+    const used = new Set(stored?.head.manifest.map(entry => entry.digest));
+    let deleted = 0;
+    for (const object of listed.objects) {
+      const digest = object.key.slice(CONFIGURATION_CHUNK_PREFIX.length);
+      const chunk = storedChunkSchema.safeParse(object.value);
+      const young =
+        chunk.success && wallMs - chunk.data.writtenAtMs < CHUNK_GRACE_MS;
+      if (used.has(digest) || young) {
+        continue;
+      }
+      const result = await platform
+        .delete(object.key, object.version, {purpose: 'configuration-read'})
+        .run();
+      deleted += result.isRight() ? 1 : 0;
+    }
+    return {kept: listed.objects.length - deleted, deleted};
+  });
+}
--- /dev/null
+++ b/packages/library/src/core/configuration/publish_change.ts
@@ -0,0 +1,327 @@
+/** Changes the configuration by one conditional update of the head. */
+import {
+  CONFIGURATION_HEAD_KEY,
+  type ConfigurationHead,
+  type ConfigurationProblem,
+  type Generation,
+  type ManifestEntry,
+  REMEMBERED_WRITES,
+  type Section,
+  type SectionName,
+  compileConfiguration,
+  generation,
+  sectionNameOf,
+  sectionSchema,
+} from '@ibisbeam/decision';
+import {EitherAsync} from 'purify-ts';
+import type {PlatformError, PlatformStore} from '../platform/index.js';
+import {
+  type EncodedChunk,
+  MAXIMUM_CHUNK_BYTES,
+  encodeSection,
+  storeChunk,
+} from './chunks.js';
+import {readDocument, readHead} from './read_document.js';
+import type {
+  AcceptedChange,
+  PublishError,
+  SectionChanges,
+  SectionConflict,
+  StoredConfiguration,
+} from './types.js';
+
+const PUBLISH_ATTEMPTS = 8;
+const PURPOSE = {purpose: 'configuration-publish'} as const;
+
+export interface PublishOptions {
+  readonly platform: PlatformStore;
+  /** What the operator looked at when making the change. */
+  readonly base: StoredConfiguration;
+  readonly sections: SectionChanges;
+  readonly author: string;
+  readonly summary: string;
+  /** Unique to this change; a repeated call with it changes nothing more. */
+  readonly writeId: string;
+  /** Unix time, for the record of the write. */
+  readonly wallMs: number;
+}
+
+/**
+ * Accepts a change, or changes nothing and says why. Where others changed
+ * only other sections since the base, the change is made on theirs. A lost
+ * answer is resolved by looking for the write identifier in the head.
+ */
+export function publishChange(
+  options: PublishOptions,
+): EitherAsync<PublishError, AcceptedChange> {
+  const {platform, base, writeId} = options;
+
+  return EitherAsync(async ({throwE, fromPromise}) => {
+    const encoded = await fromPromise(encodeChanges(options.sections).run());
+    let current = base;
+    /** Generation that an update with a lost answer would have made. */
+    let maybeWritten: Generation | undefined;
+    let lostAnswers = 0;
+    for (let count = 0; count < PUBLISH_ATTEMPTS; count += 1) {
+      const read = await readDocument(platform, {
+        purpose: 'configuration-publish',
+        known: current,
+      }).run();
+      if (read.isLeft() && maybeWritten !== undefined) {
+        return throwE({kind: 'outcome-unknown', writeId});
+      }
+      current = await fromPromise(Promise.resolve(read));
+      const written = findWrite(current, writeId);
+      if (written !== undefined) {
+        return accepted(written, lostAnswers > 0);
+      }
+      if (maybeWritten !== undefined && !covers(current, maybeWritten)) {
+        return throwE({kind: 'outcome-unknown', writeId});
+      }
+      if (maybeWritten !== undefined && hasReached(current, maybeWritten)) {
+        // Somebody else's write took its place: it can take effect no more.
+        maybeWritten = undefined;
+      }
+      const head = await fromPromise(
+        prepare(options, encoded, current).run(),
+      );
+      const error = await update(head, current);
+      switch (error?.kind) {
+        case undefined:
+          return accepted(head.generation, false);
+        case 'conflict':
+          break;
+        case 'lost-answer':
+          maybeWritten = head.generation;
+          lostAnswers += 1;
+          break;
+        default:
+          return throwE(
+            maybeWritten === undefined
+              ? unavailable(error!)
+              : {kind: 'outcome-unknown', writeId},
+          );
+      }
+    }
+    return throwE(
+      maybeWritten === undefined
+        ? {kind: 'contention', attempts: PUBLISH_ATTEMPTS}
+        : {kind: 'outcome-unknown', writeId},
+    );
+  });
+
+  function accepted(made: Generation, readBack: boolean): AcceptedChange {
+    const expected = (base.head?.generation ?? 0) + 1;
+    return {generation: made, writeId, rebased: made !== expected, readBack};
+  }
+
+  async function update(
+    head: ConfigurationHead,
+    current: StoredConfiguration,
+  ): Promise<PlatformError | undefined> {
+    const result =
+      current.headVersion === undefined
+        ? platform.create(CONFIGURATION_HEAD_KEY, head, PURPOSE)
+        : platform.update(
+            CONFIGURATION_HEAD_KEY,
+            current.headVersion,
+            head,
+            PURPOSE,
+          );
+    return (await result.run()).swap().toMaybe().extract();
+  }
+}
+
+type EncodedChanges = ReadonlyMap<SectionName, EncodedChunk | undefined>;
+
+function encodeChanges(
+  sections: SectionChanges,
+): EitherAsync<PublishError, EncodedChanges> {
+  return EitherAsync(async ({throwE}) => {
+    const encoded = new Map<SectionName, EncodedChunk | undefined>();
+    for (const [name, section] of sections) {
+      const problems = section ? sectionProblems(name, section) : [];
+      if (problems.length > 0) {
+        return throwE({kind: 'invalid', problems});
+      }
+      const chunk = section && encodeSection(section);
+      if (chunk && chunk.bytes > MAXIMUM_CHUNK_BYTES) {
+        const {bytes} = chunk;
+        return throwE({kind: 'section-too-large', section: name, bytes});
+      }
+      encoded.set(name, chunk);
+    }
+    return encoded;
+  });
+}
+
+/** What a VM would not take, whatever the types say. */
+function sectionProblems(
+  name: SectionName,
+  section: Section,
+): readonly ConfigurationProblem[] {
+  const parsed = sectionSchema.safeParse(section);
+  if (!parsed.success) {
+    return parsed.error.issues.map(({path, message}) => ({
+      section: name,
+      path: path.join('.'),
+      problem: message,
+    }));
+  }
+  const expected = sectionNameOf(parsed.data);
+  if (expected === name) {
+    return [];
+  }
+  const problem = `the section belongs under the name ${expected}`;
+  return [{section: name, path: '', problem}];
+}
+
+/** Checks the change against what stands now, and stores its chunks. */
+function prepare(
+  options: PublishOptions,
+  encoded: EncodedChanges,
+  current: StoredConfiguration,
+): EitherAsync<PublishError, ConfigurationHead> {
+  return EitherAsync(async ({throwE, fromPromise}) => {
+    const conflicts = findConflicts(options, encoded, current);
+    if (conflicts.length > 0) {
+      return throwE({
+        kind: 'conflict',
+        sections: conflicts,
+        generation: current.head!.generation,
+        writes: writesSince(options.base, current),
+      });
+    }
+    const next = generation((current.head?.generation ?? 0) + 1);
+    const document = new Map(current.document);
+    for (const [name, section] of options.sections) {
+      if (section) {
+        document.set(name, section);
+      } else {
+        document.delete(name);
+      }
+    }
+    const compiled = compileConfiguration(document, next);
+    if (compiled.isLeft()) {
+      const problems = compiled.swap().unsafeCoerce();
+      return throwE({kind: 'invalid', problems});
+    }
+    for (const chunk of encoded.values()) {
+      if (chunk) {
+        await fromPromise(
+          storeChunk(options.platform, chunk, options.wallMs, PURPOSE).run(),
+        );
+      }
+    }
+    return buildHead(options, encoded, current, next);
+  });
+}
+
+function findConflicts(
+  options: PublishOptions,
+  encoded: EncodedChanges,
+  current: StoredConfiguration,
+): readonly SectionConflict[] {
+  const before = digests(options.base);
+  const now = digests(current);
+  const conflicts: SectionConflict[] = [];
+  for (const [section, chunk] of encoded) {
+    const theirs = now.get(section);
+    if (theirs === before.get(section) || theirs === chunk?.digest) {
+      continue;
+    }
+    conflicts.push({
+      section,
+      base: options.base.document.get(section),
+      theirs: current.document.get(section),
+      ours: options.sections.get(section),
+    });
+  }
+  return conflicts;
+}
+
+function digests(
+  configuration: StoredConfiguration,
+): ReadonlyMap<SectionName, string> {
+  const entries = configuration.head?.manifest ?? [];
+  return new Map(entries.map(entry => [entry.section, entry.digest]));
+}
+
+function buildHead(
+  options: PublishOptions,
+  encoded: EncodedChanges,
+  current: StoredConfiguration,
+  next: Generation,
+): ConfigurationHead {
+  const manifest = new Map<SectionName, ManifestEntry>();
+  for (const entry of current.head?.manifest ?? []) {
+    manifest.set(entry.section, entry);
+  }
+  for (const [section, chunk] of encoded) {
+    if (chunk) {
+      const {digest, bytes} = chunk;
+      manifest.set(section, {section, digest, bytes});
+    } else {
+      manifest.delete(section);
+    }
+  }
+  const write = {
+    writeId: options.writeId,
+    generation: next,
+    author: options.author,
+    summary: options.summary.slice(0, 500),
+    atMs: options.wallMs,
+  };
+  const writes = [...(current.head?.writes ?? []), write];
+  return {
+    generation: next,
+    manifest: [...manifest.values()],
+    writes: writes.slice(-REMEMBERED_WRITES),
+  };
+}
+
+function findWrite(
+  current: StoredConfiguration,
+  writeId: string,
+): Generation | undefined {
+  const writes = current.head?.writes ?? [];
+  return writes.find(write => write.writeId === writeId)?.generation;
+}
+
+function hasReached(current: StoredConfiguration, wanted: Generation): boolean {
+  return (current.head?.generation ?? 0) >= wanted;
+}
+
+function unavailable(cause: PlatformError): PublishError {
+  const operation = `update of ${CONFIGURATION_HEAD_KEY}`;
+  return {kind: 'unavailable', operation, cause};
+}
+
+/** Whether the remembered writes reach back to the given generation. */
+function covers(current: StoredConfiguration, wanted: Generation): boolean {
+  const {head} = current;
+  if (!head || head.generation < wanted) {
+    return true;
+  }
+  return (head.writes[0]?.generation ?? 0) <= wanted;
+}
+
+function writesSince(
+  base: StoredConfiguration,
+  current: StoredConfiguration,
+): ConfigurationHead['writes'] {
+  const since = base.head?.generation ?? 0;
+  const writes = current.head?.writes ?? [];
+  return writes.filter(write => write.generation > since);
+}
+
+/** Whether a write took effect; for changes whose outcome was unknown. */
+export function resolveWrite(
+  platform: PlatformStore,
+  writeId: string,
+): EitherAsync<PublishError, Generation | undefined> {
+  return readHead(platform, 'operator').map(stored => {
+    const writes = stored?.head.writes ?? [];
+    return writes.find(write => write.writeId === writeId)?.generation;
+  });
+}
--- /dev/null
+++ b/packages/library/src/core/configuration/read_document.ts
@@ -0,0 +1,118 @@
+/** Reads the accepted configuration from the store. */
+import {
+  CONFIGURATION_HEAD_KEY,
+  type ConfigurationHead,
+  type Section,
+  type SectionName,
+  configurationHeadSchema,
+} from '@ibisbeam/decision';
+import {EitherAsync, Left, Right} from 'purify-ts';
+import type {
+  PlatformObject,
+  PlatformPurpose,
+  PlatformStore,
+} from '../platform/index.js';
+import {corrupt, readSection} from './chunks.js';
+import type {PublishError, StoredConfiguration} from './types.js';
+
+const PARALLEL_READS = 8;
+
+export interface StoredHead {
+  readonly head: ConfigurationHead;
+  readonly version: number;
+}
+
+/** The head, or nothing before the first configuration is accepted. */
+export function readHead(
+  platform: PlatformStore,
+  purpose: PlatformPurpose,
+): EitherAsync<PublishError, StoredHead | undefined> {
+  return EitherAsync(async ({throwE, liftEither}) => {
+    const result = await platform.read(CONFIGURATION_HEAD_KEY, {purpose}).run();
+    const error = result.swap().toMaybe().extract();
+    if (error?.kind === 'not-found') {
+      return undefined;
+    }
+    if (error) {
+      const operation = `read of ${CONFIGURATION_HEAD_KEY}`;
+      return throwE({kind: 'unavailable', operation, cause: error});
+    }
+    const object = result.unsafeCoerce();
+    return {head: await liftEither(parseHead(object)), version: object.version};
+  });
+}
+
+export function parseHead(object: PlatformObject) {
+  const parsed = configurationHeadSchema.safeParse(object.value);
+  return parsed.success
+    ? Right<ConfigurationHead, PublishError>(parsed.data)
+    : Left<PublishError, ConfigurationHead>(
+        corrupt(object.key, parsed.error.message),
+      );
+}
+
+/**
+ * Reads the whole accepted configuration.
+ *
+ * @param known A configuration read earlier, whose unchanged sections need
+ *   not be read again.
+ */
+export function readDocument(
+  platform: PlatformStore,
+  options: {
+    readonly purpose?: PlatformPurpose;
+    readonly known?: StoredConfiguration;
+  } = {},
+): EitherAsync<PublishError, StoredConfiguration> {
+  const purpose = options.purpose ?? 'operator';
+  return EitherAsync(async ({fromPromise}) => {
+    const stored = await fromPromise(readHead(platform, purpose).run());
+    if (!stored) {
+      return {document: new Map()};
+    }
+    const sections = knownSections(options.known);
+    const wanted = stored.head.manifest.filter(
+      ({digest}) => !sections.has(digest),
+    );
+    for (let start = 0; start < wanted.length; start += PARALLEL_READS) {
+      const batch = wanted.slice(start, start + PARALLEL_READS);
+      const read = await fromPromise(
+        EitherAsync.all(
+          batch.map(({digest}) => readSection(platform, digest, {purpose})),
+        ).run(),
+      );
+      for (const [index, section] of read.entries()) {
+        sections.set(batch[index]!.digest, section);
+      }
+    }
+    return {
+      head: stored.head,
+      headVersion: stored.version,
+      document: assemble(stored.head, sections),
+    };
+  });
+}
+
+function knownSections(
+  known: StoredConfiguration | undefined,
+): Map<string, Section> {
+  const sections = new Map<string, Section>();
+  for (const {section, digest} of known?.head?.manifest ?? []) {
+    const found = known?.document.get(section);
+    if (found) {
+      sections.set(digest, found);
+    }
+  }
+  return sections;
+}
+
+function assemble(
+  head: ConfigurationHead,
+  sections: ReadonlyMap<string, Section>,
+): ReadonlyMap<SectionName, Section> {
+  const document = new Map<SectionName, Section>();
+  for (const {section, digest} of head.manifest) {
+    document.set(section, sections.get(digest)!);
+  }
+  return document;
+}
--- a/packages/library/src/core/messages/types.ts
+++ b/packages/library/src/core/messages/types.ts
@@ -6,6 +6,7 @@
   ClaimDecision,
   ClaimEnd,
   ClaimRequest,
+  ClaimsStatus,
   Configuration,
   Generation,
   MembershipView,
@@ -113,7 +114,10 @@
         readonly end: ClaimEnd;
         /** After the record is kept, or is known not to be. */
         readonly reply: Reply<{readonly recorded: boolean}>;
-      };
+      }
+    /** A key that only this VM's life may run; needs no store. */
+    | {readonly kind: 'mint-ticket'; readonly reply: Reply<string>}
+    | {readonly kind: 'status'; readonly reply: Reply<ClaimsStatus>};
   readonly forwarding:
     | {readonly kind: 'status'; readonly reply: Reply<ForwardingStatus>}
     | {readonly kind: 'lift-quarantine'; readonly fingerprint: string};
--- a/packages/library/src/index.ts
+++ b/packages/library/src/index.ts
@@ -1,5 +1,6 @@
 /** The library from which the entry daemon is made. */
 export * from './core/access/index.js';
+export * from './core/configuration/index.js';
 export * from './core/errors/index.js';
 export * from './core/kernel/index.js';
 export * from './core/logs/index.js';
@@ -8,4 +9,8 @@
 export * from './core/platform/index.js';
 export * from './core/settings/index.js';
 export * from './core/timers/index.js';
+export * from './plugins/claims/index.js';
+export * from './plugins/configuration/index.js';
 export * from './plugins/index.js';
+export * from './plugins/membership/index.js';
+export * from './plugins/peer_links/index.js';
--- /dev/null
+++ b/packages/library/src/plugins/configuration/configuration_task.ts
@@ -0,0 +1,245 @@
+/** The task that keeps the configuration in force. */
+import {
+  type RolloutAction,
+  CONFIGURATION_CHUNK_PREFIX,
+  type Generation,
+  type MembershipView,
+  type RolloutEvent,
+  type VmId,
+  assertNever,
+  configurationPeerMessageSchema,
+  createRollout,
+} from '@ibisbeam/decision';
+import {chunkText} from '../../core/configuration/index.js';
+import type {Task, TaskContext} from '../../core/kernel/index.js';
+import type {
+  ConfigurationStatus,
+  TaskMessages,
+  VmEvent,
+} from '../../core/messages/index.js';
+import {createHeadWatch} from './head_watch.js';
+
+const TICK_INTERVAL_MS = 250;
+/** Three waits fit into the bound, so that one failed call is no matter. */
+const WATCHES_PER_STALE_BOUND = 3;
+
+/** Outlives the task, so that a restarted one never takes a lower generation. */
+export interface GenerationFloor {
+  generation?: Generation;
+}
+
+export function createConfigurationTask(
+  context: TaskContext,
+  floor: GenerationFloor = {},
+): Task<'configuration'> {
+  const {settings, timers, logger, metrics, platform} = context;
+  const {staleAfterMs} = settings.configuration;
+  const rollout = createRollout({
+    vm: settings.vm.id,
+    region: settings.vm.region,
+    zone: settings.vm.zone,
+    staleAfterMs,
+    announceIntervalMs: settings.membership.heartbeatIntervalMs,
+    floorGeneration: floor.generation,
+  });
+  const headWatch = createHeadWatch({
+    platform,
+    timers,
+    random: context.random,
+    waitMs: Math.min(
+      settings.platform.watchWaitMs,
+      staleAfterMs / WATCHES_PER_STALE_BOUND,
+    ),
+    onHead: (head, askedAtMs) => {
+      noteStore(true);
+      step({kind: 'store-head', head, askedAtMs});
+    },
+    onFailed: cause => {
+      noteStore(false, cause);
+      step({kind: 'store-failed'});
+    },
+    onGap: () => logger.log('warn', 'watch-gap', {prefix: 'configuration'}),
+  });
+  let storeReachable: boolean | undefined;
+  let inForceSinceWallMs: number | undefined;
+  let stopped = false;
+  let cancelTick = () => {};
+
+  function noteStore(reachable: boolean, cause?: string): void {
+    if (reachable === storeReachable) {
+      return;
+    }
+    storeReachable = reachable;
+    const event = reachable ? 'store-reachable' : 'store-unreachable';
+    logger.log(reachable ? 'info' : 'warn', event, {cause});
+    context.publish({kind: 'store-reachability', reachable});
+  }
+
+  function step(event: RolloutEvent): void {
+    if (stopped) {
+      return;
+    }
+    for (const action of rollout.step(event, timers.nowMs())) {
+      perform(action);
+    }
+  }
+
+  function perform(action: RolloutAction): void {
+    switch (action.kind) {
+      case 'watch':
+        headWatch.setEnabled(action.enabled);
+        return;
+      case 'read-head':
+        void headWatch.readOnce();
+        return;
+      case 'read-chunk':
+        void readChunk(action.digest);
+        return;
+      case 'send':
+        context.post('peer_links', {
+          kind: 'send',
+          to: action.to,
+          channel: 'configuration',
+          body: action.message,
+        });
+        return;
+      case 'in-force':
+        putInForce(action);
+        return;
+      case 'freshness':
+        noteFreshness(action);
+        return;
+      case 'note':
+        noteRollout(action.note);
+        return;
+      default:
+        assertNever(action);
+    }
+  }
+
+  async function readChunk(digest: string): Promise<void> {
+    const read = await platform
+      .read(`${CONFIGURATION_CHUNK_PREFIX}${digest}`, {
+        purpose: 'configuration-read',
+      })
+      .run();
+    const text = read.toMaybe().chain(object => chunkText(object).toMaybe());
+    step({kind: 'chunk-read', digest, text: text.extract()});
+  }
+
+  function putInForce(
+    action: Extract<RolloutAction, {kind: 'in-force'}>,
+  ): void {
+    const {configuration} = action;
+    const {generation} = configuration;
+    floor.generation = generation;
+    inForceSinceWallMs = timers.wallMs();
+    metrics.emit({
+      kind: 'gauge',
+      name: 'configuration.generation',
+      value: generation,
+    });
+    logger.log('info', 'configuration-in-force', {generation});
+    context.publish({kind: 'configuration-in-force', configuration});
+    for (const hook of context.hooks.configurationInForce) {
+      hook(generation);
+    }
+  }
+
+  function noteFreshness(
+    action: Extract<RolloutAction, {kind: 'freshness'}>,
+  ): void {
+    const {fresh, cause} = action;
+    const current = cause === 'current';
+    metrics.emit({
+      kind: 'gauge',
+      name: 'configuration.stale',
+      value: current ? 0 : 1,
+    });
+    const event = current ? 'configuration-fresh' : 'configuration-stale';
+    logger.log(current ? 'info' : 'warn', event, {fresh, cause});
+    context.publish({kind: 'freshness-changed', fresh, why: cause});
+  }
+
+  function noteRollout(
+    note: Extract<RolloutAction, {kind: 'note'}>['note'],
+  ): void {
+    logger.log('error', 'configuration-rejected', {...note, cause: note.kind});
+  }
+
+  function status(): ConfigurationStatus {
+    const found = rollout.status(timers.nowMs());
+    return {
+      generation: found.generation,
+      inForceSinceWallMs,
+      newestHeard: found.newestHeard,
+      watching: found.watching,
+      fresh: found.cause === 'current',
+      why: found.cause,
+      document: found.document,
+    };
+  }
+
+  return {
+    start: async () => {
+      const handle = timers.every(TICK_INTERVAL_MS, () =>
+        step({kind: 'tick'}),
+      );
+      cancelTick = () => handle.cancel();
+      step({kind: 'started'});
+      const linked = await context.ask<'peer_links', readonly VmId[]>(
+        'peer_links',
+        reply => ({kind: 'status', reply}),
+      );
+      for (const peer of linked ?? []) {
+        step({kind: 'peer-connected', peer});
+      }
+      const view = await context.ask<
+        'membership',
+        MembershipView | undefined
+      >('membership', reply => ({kind: 'view', reply}));
+      if (view) {
+        step({kind: 'membership-changed', view});
+      }
+    },
+    stop: async () => {
+      stopped = true;
+      cancelTick();
+      headWatch.stop();
+    },
+    receive: (message: TaskMessages['configuration']) => {
+      message.reply(status());
+    },
+    observe: (event: VmEvent) => {
+      switch (event.kind) {
+        case 'peer-connected':
+        case 'peer-disconnected':
+          step({kind: event.kind, peer: event.peer});
+          return;
+        case 'membership-changed':
+          step({kind: 'membership-changed', view: event.view});
+          return;
+        case 'peer-message':
+          takePeerMessage(event);
+          return;
+        default:
+          return;
+      }
+    },
+  };
+
+  function takePeerMessage(
+    event: Extract<VmEvent, {kind: 'peer-message'}>,
+  ): void {
+    if (event.channel !== 'configuration') {
+      return;
+    }
+    const parsed = configurationPeerMessageSchema.safeParse(event.body);
+    if (!parsed.success) {
+      const tags = {cause: 'configuration-message'};
+      metrics.emit({kind: 'count', name: 'peer.rejected', tags});
+      return;
+    }
+    step({kind: 'peer-message', from: event.from, message: parsed.data});
+  }
+}
--- /dev/null
+++ b/packages/library/src/plugins/membership/membership_task.ts
@@ -0,0 +1,171 @@
+/** The task that keeps the view of the entry VMs. */
+import {
+  type Generation,
+  type MembershipAction,
+  type MembershipEvent,
+  type MembershipNote,
+  type VmId,
+  assertNever,
+  beatSchema,
+  createMembership,
+} from '@ibisbeam/decision';
+import type {Task, TaskContext} from '../../core/kernel/index.js';
+import type {TaskMessages, VmEvent} from '../../core/messages/index.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+export function createMembershipTask(context: TaskContext): Task<'membership'> {
+  const {settings, timers, logger, metrics, platform} = context;
+  const {heartbeatIntervalMs, suspectAfterMs} = settings.membership;
+  const membership = createMembership({
+    vm: settings.vm.id,
+    region: settings.vm.region,
+    zone: settings.vm.zone,
+    incarnation: context.incarnation,
+    startedAtSeconds: Math.floor(timers.wallMs() / MILLISECONDS_PER_SECOND),
+    heartbeatIntervalMs,
+    suspectAfterMs,
+    listIntervalMs: settings.platform.vmListIntervalMs,
+  });
+  let generation: Generation | undefined;
+  let stopped = false;
+  let cancelTick = () => {};
+
+  function step(event: MembershipEvent): void {
+    if (stopped) {
+      return;
+    }
+    for (const action of membership.step(event, timers.nowMs())) {
+      perform(action);
+    }
+  }
+
+  function perform(action: MembershipAction): void {
+    switch (action.kind) {
+      case 'send':
+        context.post('peer_links', {
+          kind: 'send',
+          to: action.to,
+          channel: 'membership',
+          body: action.beat,
+        });
+        return;
+      case 'links-wanted':
+        context.post('peer_links', {
+          kind: 'peers-wanted',
+          peers: action.peers,
+        });
+        return;
+      case 'list-vms':
+        void listVms();
+        return;
+      case 'view-changed':
+        publishView(action);
+        return;
+      case 'note':
+        note(action.note);
+        return;
+      default:
+        assertNever(action);
+    }
+  }
+
+  async function listVms(): Promise<void> {
+    const listed = await platform.listVms({purpose: 'vm-list'}).run();
+    listed.ifRight(vms => step({kind: 'platform-list', vms}));
+  }
+
+  function publishView(
+    action: Extract<MembershipAction, {kind: 'view-changed'}>,
+  ): void {
+    let live = 0;
+    for (const vm of action.view.vms.values()) {
+      live += vm.state === 'live' ? 1 : 0;
+    }
+    metrics.emit({kind: 'gauge', name: 'membership.live', value: live});
+    context.publish({kind: 'membership-changed', view: action.view});
+  }
+
+  function note(found: MembershipNote): void {
+    switch (found.kind) {
+      case 'vm-state-changed':
+        logger.log('info', 'vm-state-changed', {
+          vm: found.vm,
+          state: found.state,
+          incarnation: found.incarnation,
+        });
+        return;
+      case 'self-doubt':
+        logger.log('warn', 'self-doubt', {
+          doubting: found.doubting,
+          cause: found.cause,
+        });
+        return;
+      default:
+        assertNever(found);
+    }
+  }
+
+  function takeBeat(event: Extract<VmEvent, {kind: 'peer-message'}>): void {
+    if (event.channel !== 'membership') {
+      return;
+    }
+    const parsed = beatSchema.safeParse(event.body);
+    if (!parsed.success) {
+      const tags = {cause: 'membership-message'};
+      metrics.emit({kind: 'count', name: 'peer.rejected', tags});
+      return;
+    }
+    step({kind: 'beat', from: event.from, beat: parsed.data});
+  }
+
+  function observe(event: VmEvent): void {
+    switch (event.kind) {
+      case 'peer-connected':
+      case 'peer-disconnected':
+        step({kind: event.kind, peer: event.peer});
+        return;
+      case 'peer-message':
+        takeBeat(event);
+        return;
+      case 'configuration-in-force':
+        generation = event.configuration.generation;
+        step({kind: 'generation', generation});
+        step({
+          kind: 'configured',
+          entryVms: event.configuration.entryVms.values(),
+        });
+        return;
+      case 'stop-began':
+        step({kind: 'stop-began'});
+        return;
+      default:
+        return;
+    }
+  }
+
+  return {
+    start: async () => {
+      step({kind: 'started'});
+      const handle = timers.every(heartbeatIntervalMs / 2, () =>
+        step({kind: 'tick'}),
+      );
+      cancelTick = () => handle.cancel();
+      const linked = await context.ask<'peer_links', readonly VmId[]>(
+        'peer_links',
+        reply => ({kind: 'status', reply}),
+      );
+      for (const peer of linked ?? []) {
+        step({kind: 'peer-connected', peer});
+      }
+    },
+    stop: async () => {
+      stopped = true;
+      cancelTick();
+    },
+    receive: (message: TaskMessages['membership']) => {
+      message.reply(membership.view(timers.nowMs()));
+    },
+    observe,
+  };
+}
--- /dev/null
+++ b/packages/library/src/plugins/peer_links/dial_schedule.ts
@@ -0,0 +1,54 @@
+/** When a peer may be dialled again: exponential backoff with full jitter. */
+import type {RandomSource} from '@ibisbeam/decision';
+
+const FIRST_BACKOFF_MS = 250;
+const LONGEST_BACKOFF_MS = 15_000;
+
+export type DialOutcome = 'opened' | 'failed';
+
+interface DialState {
+  backoffMs: number;
+  notBeforeMs: number;
+}
+
+export interface DialSchedule {
+  mayDial(destination: string, nowMs: number): boolean;
+  began(destination: string, nowMs: number): void;
+  ended(destination: string, outcome: DialOutcome, nowMs: number): void;
+  forget(destination: string): void;
+}
+
+export function createDialSchedule(random: RandomSource): DialSchedule {
+  const states = new Map<string, DialState>();
+
+  function stateOf(destination: string): DialState {
+    let state = states.get(destination);
+    if (!state) {
+      state = {backoffMs: FIRST_BACKOFF_MS, notBeforeMs: 0};
+      states.set(destination, state);
+    }
+    return state;
+  }
+
+  return {
+    mayDial: (destination, nowMs) =>
+      nowMs >= (states.get(destination)?.notBeforeMs ?? 0),
+    /** Also bounds how often a link may open that ends at once. */
+    began: (destination, nowMs) => {
+      const state = stateOf(destination);
+      state.notBeforeMs = nowMs + state.backoffMs * (0.5 + random.next());
+    },
+    ended: (destination, outcome, nowMs) => {
+      const state = stateOf(destination);
+      if (outcome === 'opened') {
+        state.backoffMs = FIRST_BACKOFF_MS;
+        return;
+      }
+      state.notBeforeMs = nowMs + state.backoffMs * (0.5 + random.next());
+      state.backoffMs = Math.min(state.backoffMs * 2, LONGEST_BACKOFF_MS);
+    },
+    forget: destination => {
+      states.delete(destination);
+    },
+  };
+}
--- /dev/null
+++ b/packages/library/src/plugins/peer_links/peer_links_task.ts
@@ -0,0 +1,375 @@
+/** Keeps the links that membership wants, and others while they are in use. */
+import type {VmId} from '@ibisbeam/decision';
+import {WebSocket} from 'ws';
+import type {Task, TaskContext} from '../../core/kernel/index.js';
+import type {TaskMessages, VmEvent} from '../../core/messages/index.js';
+import {type DialOutcome, createDialSchedule} from './dial_schedule.js';
+import {type Link, type LinkEnd, startLink} from './link.js';
+import {createPeerServer} from './peer_server.js';
+import {type SendQueue, createSendQueue} from './send_queue.js';
+import {
+  type Greeting,
+  MAXIMUM_FRAME_BYTES,
+  type PeerMessage,
+  encodeBody,
+} from './wire.js';
+
+const TOKEN_LIFETIME_MS = 60_000;
+const DIAL_TIMEOUT_MS = 3_000;
+const CHECK_INTERVAL_MS = 250;
+/** A link that membership does not want is closed when unused for this long. */
+const IDLE_AFTER_MS = 30_000;
+/** Links opened on demand, beside those that membership wants. */
+const MAXIMUM_LINKS_ON_DEMAND = 16;
+
+interface Peer {
+  readonly queue: SendQueue;
+  link?: Link;
+  /** Which end opened the link; decides between two links to one peer. */
+  dialledBy?: VmId;
+  dialling: boolean;
+  lastUsedMs: number;
+}
+
+export function createPeerLinksTask(context: TaskContext): Task<'peer_links'> {
+  const {settings, timers, logger, metrics} = context;
+  const self = settings.vm.id;
+  const peers = new Map<VmId, Peer>();
+  const addresses = new Map<VmId, string>();
+  const seedsReached = new Map<string, VmId>();
+  const seedsDialling = new Set<string>();
+  const schedule = createDialSchedule(context.random);
+  let wanted: ReadonlySet<VmId> = new Set();
+  let stopped = false;
+  let cancelCheck = () => {};
+  const starting = new Set<{close(): void}>();
+  const server = createPeerServer({
+    address: settings.listen.peer,
+    tokenVerifier: context.tokenVerifier,
+    onSocket: (socket, peer) => void openLink(socket, peer, peer),
+    onRefused: cause => {
+      metrics.emit({kind: 'count', name: 'peer.rejected', tags: {cause}});
+      logger.log('warn', 'peer-refused', {cause});
+    },
+  });
+
+  function peerOf(vm: VmId): Peer {
+    let peer = peers.get(vm);
+    if (!peer) {
+      peer = {
+        queue: createSendQueue(),
+        dialling: false,
+        lastUsedMs: timers.nowMs(),
+      };
+      peers.set(vm, peer);
+    }
+    return peer;
+  }
+
+  function ownToken(): Promise<string> {
+    return context.tokenSigner.sign(
+      {kind: 'vm', vm: self, region: settings.vm.region},
+      'ibisbeam-peer',
+      TOKEN_LIFETIME_MS,
+    );
+  }
+
+  /**
+   * @param expected The peer as its token (when it dialled) or the
+   *   configuration (when we did) names it; unknown for a seed.
+   */
+  async function openLink(
+    socket: WebSocket,
+    dialledBy: VmId,
+    expected: VmId | undefined,
+  ): Promise<void> {
+    const weDialled = dialledBy === self;
+    const token = weDialled ? undefined : await ownToken();
+    if (socket.readyState !== WebSocket.OPEN) {
+      return;
+    }
+    let link: Link | undefined;
+    const running = startLink({
+      socket,
+      timers,
+      ours: {vm: self, incarnation: context.incarnation, token},
+      silentAfterMs: settings.membership.suspectAfterMs * 2,
+      acceptGreeting: greeting =>
+        acceptGreeting(greeting, expected, weDialled),
+      onOpen: opened => {
+        link = opened;
+        adopt(opened, dialledBy);
+      },
+      onMessages: messages => {
+        if (link) {
+          take(link, messages);
+        }
+      },
+      onEnd: end => {
+        starting.delete(running);
+        linkEnded(link, end);
+      },
+    });
+    starting.add(running);
+  }
+
+  /** The one that was dialled proves itself by the token in its greeting. */
+  async function acceptGreeting(
+    greeting: Greeting,
+    expected: VmId | undefined,
+    weDialled: boolean,
+  ): Promise<boolean> {
+    if (greeting.vm === self) {
+      return false;
+    }
+    if (expected !== undefined && greeting.vm !== expected) {
+      return false;
+    }
+    if (!weDialled) {
+      return true;
+    }
+    const verified = await context.tokenVerifier.verify(
+      greeting.token,
+      'ibisbeam-peer',
+    );
+    const principal = verified.toMaybe().extractNullable();
+    return principal?.kind === 'vm' && principal.vm === greeting.vm;
+  }
+
+  /**
+   * Both ends may dial at once; both then keep the link that the lower name
+   * dialled. A new incarnation or a second link from the same end replaces.
+   */
+  function adopt(link: Link, dialledBy: VmId): void {
+    const peer = peerOf(link.peer);
+    const old = peer.link;
+    const lower = self < link.peer ? self : link.peer;
+    if (
+      old?.incarnation === link.incarnation &&
+      peer.dialledBy !== dialledBy &&
+      dialledBy !== lower
+    ) {
+      link.close();
+      return;
+    }
+    peer.link = link;
+    peer.dialledBy = dialledBy;
+    peer.lastUsedMs = timers.nowMs();
+    schedule.ended(link.peer, 'opened', timers.nowMs());
+    old?.close();
+    if (old?.incarnation !== link.incarnation) {
+      logger.log('info', 'peer-connected', {
+        peer: link.peer,
+        incarnation: link.incarnation,
+      });
+      context.publish({kind: 'peer-connected', peer: link.peer});
+    }
+    link.flush(peer.queue);
+  }
+
+  function linkEnded(link: Link | undefined, end: LinkEnd): void {
+    if (end === 'greeting-refused' || end === 'malformed') {
+      metrics.emit({kind: 'count', name: 'peer.rejected', tags: {cause: end}});
+      logger.log('warn', 'peer-refused', {peer: link?.peer, cause: end});
+    }
+    const peer = link && peers.get(link.peer);
+    if (!peer || peer.link !== link) {
+      return;
+    }
+    peer.link = undefined;
+    peer.dialledBy = undefined;
+    if (stopped) {
+      return;
+    }
+    logger.log('info', 'peer-disconnected', {peer: link.peer, cause: end});
+    context.publish({kind: 'peer-disconnected', peer: link.peer});
+  }
+
+  function take(link: Link, messages: readonly PeerMessage[]): void {
+    const peer = peers.get(link.peer);
+    if (peer?.link !== link) {
+      return;
+    }
+    for (const {channel, body} of messages) {
+      if (channel !== 'membership') {
+        peer.lastUsedMs = timers.nowMs();
+      }
+      metrics.emit({kind: 'count', name: 'peer.messages', tags: {channel}});
+      context.publish({kind: 'peer-message', from: link.peer, channel, body});
+    }
+  }
+
+  async function dial(
+    address: string,
+    expected: VmId | undefined,
+    onEnded: (outcome: DialOutcome) => void,
+  ): Promise<void> {
+    const authorization = `Bearer ${await ownToken()}`;
+    if (stopped) {
+      return;
+    }
+    const socket = new WebSocket(`ws://${address}/`, {
+      headers: {authorization},
+      handshakeTimeout: DIAL_TIMEOUT_MS,
+      maxPayload: MAXIMUM_FRAME_BYTES,
+      perMessageDeflate: false,
+    });
+    socket.once('open', () => {
+      onEnded('opened');
+      void openLink(socket, self, expected);
+    });
+    socket.once('error', () => onEnded('failed'));
+  }
+
+  function dialPeer(vm: VmId): void {
+    const address = addresses.get(vm);
+    const peer = peerOf(vm);
+    const nowMs = timers.nowMs();
+    const blocked = peer.link || peer.dialling || !schedule.mayDial(vm, nowMs);
+    if (address === undefined || blocked) {
+      return;
+    }
+    peer.dialling = true;
+    schedule.began(vm, nowMs);
+    void dial(address, vm, outcome => {
+      peer.dialling = false;
+      if (outcome === 'failed') {
+        schedule.ended(vm, outcome, timers.nowMs());
+      }
+    });
+  }
+
+  /** Seeds are addresses without names; needed until a configuration is in. */
+  function dialSeeds(): void {
+    if (addresses.size > 0) {
+      return;
+    }
+    const nowMs = timers.nowMs();
+    for (const seed of settings.seeds) {
+      const reached = seedsReached.get(seed);
+      const linked = reached !== undefined && peers.get(reached)?.link;
+      if (linked || seedsDialling.has(seed) || !schedule.mayDial(seed, nowMs)) {
+        continue;
+      }
+      seedsDialling.add(seed);
+      schedule.began(seed, nowMs);
+      void dial(seed, undefined, outcome => {
+        seedsDialling.delete(seed);
+        schedule.ended(seed, outcome, timers.nowMs());
+      });
+    }
+  }
+
+  function send(message: {
+    readonly to: VmId;
+    readonly channel: PeerMessage['channel'];
+    readonly body: unknown;
+  }): void {
+    if (message.to === self) {
+      return;
+    }
+    const peer = peerOf(message.to);
+    if (message.channel !== 'membership') {
+      peer.lastUsedMs = timers.nowMs();
+    }
+    const bytes = encodeBody(message.body).byteLength;
+    const dropped = peer.queue.add(message, bytes);
+    if (dropped > 0) {
+      const tags = {channel: message.channel};
+      metrics.emit({kind: 'count', name: 'peer.dropped', value: dropped, tags});
+    }
+    if (peer.link) {
+      peer.link.flush(peer.queue);
+      return;
+    }
+    dialPeer(message.to);
+  }
+
+  /** Closes idle links, forgets idle peers and dials what is missing. */
+  function check(): void {
+    const nowMs = timers.nowMs();
+    const onDemand: [VmId, Peer][] = [];
+    for (const [vm, peer] of peers) {
+      if (wanted.has(vm)) {
+        continue;
+      }
+      if (nowMs - peer.lastUsedMs > IDLE_AFTER_MS) {
+        peer.link?.close();
+        peers.delete(vm);
+        schedule.forget(vm);
+      } else if (peer.dialledBy === self) {
+        onDemand.push([vm, peer]);
+      }
+    }
+    closeLeastRecentlyUsed(onDemand);
+    for (const vm of wanted) {
+      dialPeer(vm);
+    }
+    dialSeeds();
+  }
+
+  function closeLeastRecentlyUsed(onDemand: [VmId, Peer][]): void {
+    onDemand.sort(([, one], [, other]) => one.lastUsedMs - other.lastUsedMs);
+    const excess = Math.max(0, onDemand.length - MAXIMUM_LINKS_ON_DEMAND);
+    for (const [, peer] of onDemand.slice(0, excess)) {
+      peer.link?.close();
+    }
+  }
+
+  function learnAddresses(
+    event: Extract<VmEvent, {kind: 'configuration-in-force'}>,
+  ): void {
+    addresses.clear();
+    for (const [vm, {peerAddress}] of event.configuration.entryVms) {
+      if (vm !== self) {
+        addresses.set(vm, peerAddress);
+      }
+    }
+  }
+
+  return {
+    start: async () => {
+      await server.start();
+      const handle = timers.every(CHECK_INTERVAL_MS, check);
+      cancelCheck = () => handle.cancel();
+      check();
+    },
+    stop: async () => {
+      stopped = true;
+      cancelCheck();
+      for (const running of [...starting]) {
+        running.close();
+      }
+      await server.stop();
+    },
+    receive: (message: TaskMessages['peer_links']) => {
+      switch (message.kind) {
+        case 'send':
+          send(message);
+          return;
+        case 'peers-wanted':
+          wanted = new Set(message.peers.filter(vm => vm !== self));
+          check();
+          return;
+        case 'status':
+          message.reply(linkedPeers());
+          return;
+      }
+    },
+    observe: (event: VmEvent) => {
+      if (event.kind === 'configuration-in-force') {
+        learnAddresses(event);
+      }
+    },
+  };
+
+  function linkedPeers(): readonly VmId[] {
+    const linked: VmId[] = [];
+    for (const [vm, peer] of peers) {
+      if (peer.link) {
+        linked.push(vm);
+      }
+    }
+    return linked;
+  }
+}
--- /dev/null
+++ b/packages/library/src/plugins/peer_links/peer_server.ts
@@ -0,0 +1,86 @@
+/** The peer port: takes WebSocket upgrades from VMs that prove who they are. */
+import {type IncomingMessage, type Server, createServer} from 'node:http';
+import type {Duplex} from 'node:stream';
+import type {VmId} from '@ibisbeam/decision';
+import {type WebSocket, WebSocketServer} from 'ws';
+import type {TokenVerifier} from '../../core/access/index.js';
+import {parseSocketAddress} from './addresses.js';
+import {MAXIMUM_FRAME_BYTES} from './wire.js';
+
+const BEARER_PREFIX = 'Bearer ';
+const UNAUTHORIZED = 'HTTP/1.1 401 Unauthorized\r\nConnection: close\r\n\r\n';
+
+export interface PeerServerOptions {
+  readonly address: string;
+  readonly tokenVerifier: TokenVerifier;
+  readonly onSocket: (socket: WebSocket, peer: VmId) => void;
+  readonly onRefused: (cause: string) => void;
+}
+
+export interface PeerServer {
+  start(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+export function createPeerServer(options: PeerServerOptions): PeerServer {
+  const sockets = new WebSocketServer({
+    noServer: true,
+    maxPayload: MAXIMUM_FRAME_BYTES,
+    perMessageDeflate: false,
+  });
+  const server: Server = createServer((_request, response) => {
+    response.statusCode = 426;
+    response.end();
+  });
+  server.on('upgrade', (request, socket, head) => {
+    void upgrade(request, socket, head);
+  });
+
+  async function upgrade(
+    request: IncomingMessage,
+    socket: Duplex,
+    head: Buffer,
+  ): Promise<void> {
+    socket.on('error', () => socket.destroy());
+    const verified = await options.tokenVerifier.verify(
+      bearerToken(request),
+      'ibisbeam-peer',
+    );
+    const principal = verified.toMaybe().extractNullable();
+    if (principal?.kind !== 'vm') {
+      options.onRefused(verified.isLeft() ? 'token' : 'not-a-vm');
+      socket.end(UNAUTHORIZED);
+      return;
+    }
+    sockets.handleUpgrade(request, socket, head, opened => {
+      options.onSocket(opened, principal.vm);
+    });
+  }
+
+  return {
+    start: () =>
+      new Promise((resolve, reject) => {
+        const {host, port} = parseSocketAddress(options.address);
+        server.once('error', reject);
+        server.listen(port, host, () => {
+          server.off('error', reject);
+          resolve();
+        });
+      }),
+    stop: () =>
+      new Promise(resolve => {
+        for (const client of sockets.clients) {
+          client.terminate();
+        }
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
+
+function bearerToken(request: IncomingMessage): string | undefined {
+  const header = request.headers.authorization;
+  return header?.startsWith(BEARER_PREFIX)
+    ? header.slice(BEARER_PREFIX.length)
+    : undefined;
+}
--- /dev/null
+++ b/packages/library/src/plugins/peer_links/send_queue.ts
@@ -0,0 +1,91 @@
+/** Messages that wait for one peer. */
+import type {PeerMessage} from './wire.js';
+
+export const QUEUE_MAXIMUM_MESSAGES = 256;
+export const QUEUE_MAXIMUM_BYTES = 4_194_304;
+
+interface QueuedMessage {
+  readonly message: PeerMessage;
+  readonly bytes: number;
+  readonly replaceable: boolean;
+}
+
+export interface SendQueue {
+  /** The number of messages that had to be dropped for it, or it itself. */
+  add(message: PeerMessage, bytes: number): number;
+  /** Takes messages in order, up to the limits but at least one. */
+  take(maximumMessages: number, maximumBytes: number): readonly PeerMessage[];
+  readonly size: () => number;
+}
+
+/** Kinds of which a later message says all that an earlier one said. */
+const REPLACEABLE_KINDS = new Set(['beat', 'announcement', 'pool-load']);
+
+/**
+ * Drop rule: when the queue is full, the oldest replaceable messages go first;
+ * if that makes no room, the new message is dropped. Requests on the other
+ * channels are asked again by their tasks after a timeout.
+ */
+export function createSendQueue(): SendQueue {
+  let queue: QueuedMessage[] = [];
+  let queuedBytes = 0;
+
+  function isFullFor(bytes: number): boolean {
+    return (
+      queue.length >= QUEUE_MAXIMUM_MESSAGES ||
+      queuedBytes + bytes > QUEUE_MAXIMUM_BYTES
+    );
+  }
+
+  function dropOldestReplaceable(): boolean {
+    const index = queue.findIndex(item => item.replaceable);
+    if (index < 0) {
+      return false;
+    }
+    queuedBytes -= queue[index]!.bytes;
+    queue.splice(index, 1);
+    return true;
+  }
+
+  function add(message: PeerMessage, bytes: number): number {
+    let dropped = 0;
+    while (isFullFor(bytes)) {
+      dropped += 1;
+      if (!dropOldestReplaceable()) {
+        return dropped;
+      }
+    }
+    queue.push({message, bytes, replaceable: isReplaceable(message)});
+    queuedBytes += bytes;
+    return dropped;
+  }
+
+  function take(
+    maximumMessages: number,
+    maximumBytes: number,
+  ): readonly PeerMessage[] {
+    const taken: PeerMessage[] = [];
+    let bytes = 0;
+    for (const item of queue) {
+      const fits = bytes + item.bytes <= maximumBytes;
+      if (taken.length >= maximumMessages || (taken.length > 0 && !fits)) {
+        break;
+      }
+      taken.push(item.message);
+      bytes += item.bytes;
+    }
+    queue = queue.slice(taken.length);
+    queuedBytes -= bytes;
+    return taken;
+  }
+
+  return {add, take, size: () => queue.length};
+}
+
+function isReplaceable(message: PeerMessage): boolean {
+  const {body} = message;
+  if (typeof body !== 'object' || body === null || !('kind' in body)) {
+    return false;
+  }
+  return REPLACEABLE_KINDS.has(String(body.kind));
+}
--- /dev/null
+++ b/packages/library/src/plugins/peer_links/wire.ts
@@ -0,0 +1,107 @@
+/** Frames on a peer link: a greeting each way, then batches of messages. */
+import {incarnationSchema, vmIdSchema} from '@ibisbeam/decision';
+import {Packr} from 'msgpackr';
+import {type Either, Left, Right} from 'purify-ts';
+import {z} from 'zod';
+import type {PeerChannel} from '../../core/messages/index.js';
+
+/**
+ * Versions of the message set that this program speaks. A link uses the
+ * highest version that both ends speak; without one it is closed.
+ */
+export const MESSAGE_SET_VERSIONS = {minimum: 1, maximum: 1} as const;
+
+/** A configuration chunk of 1 MB with room for its envelope. */
+export const MAXIMUM_FRAME_BYTES = 1_310_720;
+export const MAXIMUM_GREETING_BYTES = 8_192;
+export const MAXIMUM_MESSAGES_PER_FRAME = 256;
+
+/** Not strict: a newer program may say more in its greeting. */
+const greetingSchema = z.object({
+  kind: z.literal('greeting'),
+  vm: vmIdSchema,
+  incarnation: incarnationSchema,
+  minimumVersion: z.int().positive(),
+  maximumVersion: z.int().positive(),
+  /** Token of the VM that was dialled; the dialler sent its own as a header. */
+  token: z.string().max(4_096).optional(),
+});
+export type Greeting = z.infer<typeof greetingSchema>;
+
+const channelSchema = z.enum([
+  'membership',
+  'configuration',
+  'steering',
+  'claims',
+] satisfies PeerChannel[]);
+
+const frameSchema = z
+  .array(z.tuple([channelSchema, z.unknown()]))
+  .max(MAXIMUM_MESSAGES_PER_FRAME);
+
+export interface PeerMessage {
+  readonly channel: PeerChannel;
+  readonly body: unknown;
+}
+
+export interface WireError {
+  readonly kind: 'undecodable' | 'unexpected-shape' | 'no-common-version';
+  readonly cause?: unknown;
+}
+
+/** Plain maps rather than records, so that versions may differ in fields. */
+const packr = new Packr({useRecords: false, encodeUndefinedAsNil: false});
+
+export function encodeGreeting(greeting: Greeting): Uint8Array {
+  return packr.pack(greeting);
+}
+
+export function encodeBody(body: unknown): Uint8Array {
+  return packr.pack(body);
+}
+
+export function encodeFrame(messages: readonly PeerMessage[]): Uint8Array {
+  return packr.pack(messages.map(message => [message.channel, message.body]));
+}
+
+export function decodeGreeting(data: Uint8Array): Either<WireError, Greeting> {
+  if (data.byteLength > MAXIMUM_GREETING_BYTES) {
+    return Left({kind: 'unexpected-shape', cause: 'the greeting is too long'});
+  }
+  return unpack(data).chain(value => {
+    const greeting = greetingSchema.safeParse(value);
+    return greeting.success
+      ? Right(greeting.data)
+      : Left({kind: 'unexpected-shape', cause: greeting.error});
+  });
+}
+
+export function decodeFrame(
+  data: Uint8Array,
+): Either<WireError, readonly PeerMessage[]> {
+  return unpack(data).chain(value => {
+    const frame = frameSchema.safeParse(value);
+    if (!frame.success) {
+      return Left({kind: 'unexpected-shape', cause: frame.error});
+    }
+    return Right(frame.data.map(([channel, body]) => ({channel, body})));
+  });
+}
+
+/** The highest version that both ends speak. */
+export function commonVersion(
+  ours: {readonly minimum: number; readonly maximum: number},
+  greeting: Greeting,
+): Either<WireError, number> {
+  const version = Math.min(ours.maximum, greeting.maximumVersion);
+  const lowest = Math.max(ours.minimum, greeting.minimumVersion);
+  return version < lowest ? Left({kind: 'no-common-version'}) : Right(version);
+}
+
+function unpack(data: Uint8Array): Either<WireError, unknown> {
+  try {
+    return Right(packr.unpack(data) as unknown);
+  } catch (error) {
+    return Left({kind: 'undecodable', cause: error});
+  }
+}
