--- a/packages/decision/src/core/claims/claim_sweep.ts
+++ b/packages/decision/src/core/claims/claim_sweep.ts
@@ -60,7 +60,5 @@
   wallMs: number,
 ): boolean {
   const record = claimRecordSchema.safeParse(value);
-  return (
-    record.success && wallMs - record.data.claimedAtWallMs > retentionMs
-  );
+  return record.success && wallMs - record.data.claimedAtWallMs > retentionMs;
 }
--- a/packages/decision/src/core/claims/remote_tickets.ts
+++ b/packages/decision/src/core/claims/remote_tickets.ts
@@ -18,12 +18,7 @@
 import type {ClaimPeerMessage} from './peer_messages.js';
 import type {StoreAccess} from './store_access.js';
 import type {Ticket} from './tickets.js';
-import type {
-  ClaimDecision,
-  ClaimEnd,
-  ClaimKey,
-  ClaimRequest,
-} from './types.js';
+import type {ClaimDecision, ClaimEnd, ClaimKey, ClaimRequest} from './types.js';
 
 const ASK_AGAIN_MS = 400;
 const MAXIMUM_BEGIN_TRIES = 3;
@@ -141,7 +136,11 @@
     if (decision.kind === 'run') {
       running.set(ask.nonce, ask);
       const {question} = ask;
-      emit({kind: 'decide', question, decision: {...decision, token: ask.nonce}});
+      emit({
+        kind: 'decide',
+        question,
+        decision: {...decision, token: ask.nonce},
+      });
       return;
     }
     emit({kind: 'decide', question: ask.question, decision});
--- a/packages/decision/src/core/claims/ticket_claims.ts
+++ b/packages/decision/src/core/claims/ticket_claims.ts
@@ -222,8 +222,7 @@
         counter: lastCounter,
       });
     },
-    isOurs: ticket =>
-      ticket.vm === options.vm && ticket.incarnation === life,
+    isOurs: ticket => ticket.vm === options.vm && ticket.incarnation === life,
     begin,
     end,
     tick,
--- a/packages/decision/src/core/membership/create_membership.ts
+++ b/packages/decision/src/core/membership/create_membership.ts
@@ -389,7 +389,11 @@
   function reviewLinks(nowMs: number): void {
     reviewAttempts(nowMs);
     const links = new Set(
-      wantedLinks({vm: self, region: options.region}, records.all(), attemptFor),
+      wantedLinks(
+        {vm: self, region: options.region},
+        records.all(),
+        attemptFor,
+      ),
     );
     const probe = suspectToProbe(nowMs);
     if (probe !== undefined) {
@@ -397,9 +401,7 @@
     }
     const before = wantedSinceMs;
     wanted = [...links].sort();
-    wantedSinceMs = new Map(
-      wanted.map(vm => [vm, before.get(vm) ?? nowMs]),
-    );
+    wantedSinceMs = new Map(wanted.map(vm => [vm, before.get(vm) ?? nowMs]));
     actions.push({kind: 'links-wanted', peers: wanted});
   }
 
@@ -455,10 +457,7 @@
     return silent;
   }
 
-  function viewOf(
-    record: VmRecord,
-    silent: ReadonlySet<RegionName>,
-  ): VmView {
+  function viewOf(record: VmRecord, silent: ReadonlySet<RegionName>): VmView {
     const {vm, region, zone} = record;
     if (vm === self) {
       const state = leaving ? 'leaving' : 'live';
--- a/packages/decision/src/core/membership/overlay.ts
+++ b/packages/decision/src/core/membership/overlay.ts
@@ -69,11 +69,7 @@
   const ring = [...regions].sort();
   const index = ring.indexOf(own);
   const found = new Set<RegionName>();
-  for (
-    let offset = 1;
-    offset < ring.length;
-    offset *= REGION_OFFSET_FACTOR
-  ) {
+  for (let offset = 1; offset < ring.length; offset *= REGION_OFFSET_FACTOR) {
     found.add(ring[(index + offset) % ring.length]!);
   }
   found.delete(own);
--- a/packages/decision/src/core/membership/region_ages.ts
+++ b/packages/decision/src/core/membership/region_ages.ts
@@ -8,10 +8,7 @@
 
 export interface RegionAges {
   heard(region: RegionName, atMs: number): void;
-  take(
-    ages: readonly (readonly [RegionName, number])[],
-    nowMs: number,
-  ): void;
+  take(ages: readonly (readonly [RegionName, number])[], nowMs: number): void;
   lastHeardMs(region: RegionName): number | undefined;
   /** Ages for a beat to one peer, leaving out those with little news. */
   agesFor(
--- a/packages/decision/src/core/rollout/create_rollout.ts
+++ b/packages/decision/src/core/rollout/create_rollout.ts
@@ -209,8 +209,7 @@
     if (message.generation <= knownGeneration()) {
       return;
     }
-    const base =
-      message.base === undefined ? [] : manifests.get(message.base);
+    const base = message.base === undefined ? [] : manifests.get(message.base);
     if (!base) {
       return;
     }
--- a/packages/library/src/core/configuration/publish_change.ts
+++ b/packages/library/src/core/configuration/publish_change.ts
@@ -82,9 +82,7 @@
         // Somebody else's write took its place: it can take effect no more.
         maybeWritten = undefined;
       }
-      const head = await fromPromise(
-        prepare(options, encoded, current).run(),
-      );
+      const head = await fromPromise(prepare(options, encoded, current).run());
       const error = await update(head, current);
       switch (error?.kind) {
         case undefined:
--- a/packages/library/src/plugins/configuration/configuration_task.ts
+++ b/packages/library/src/plugins/configuration/configuration_task.ts
@@ -182,9 +182,7 @@
 
   return {
     start: async () => {
-      const handle = timers.every(TICK_INTERVAL_MS, () =>
-        step({kind: 'tick'}),
-      );
+      const handle = timers.every(TICK_INTERVAL_MS, () => step({kind: 'tick'}));
       cancelTick = () => handle.cancel();
       step({kind: 'started'});
       const linked = await context.ask<'peer_links', readonly VmId[]>(
@@ -194,10 +192,10 @@
       for (const peer of linked ?? []) {
         step({kind: 'peer-connected', peer});
       }
-      const view = await context.ask<
+      const view = await context.ask<'membership', MembershipView | undefined>(
         'membership',
-        MembershipView | undefined
-      >('membership', reply => ({kind: 'view', reply}));
+        reply => ({kind: 'view', reply}),
+      );
       if (view) {
         step({kind: 'membership-changed', view});
       }
--- a/packages/library/src/plugins/configuration/index.ts
+++ b/packages/library/src/plugins/configuration/index.ts
@@ -1,6 +1,9 @@
 /** The configuration in force. */
 import type {PlugInRegistry} from '../../core/kernel/index.js';
-import {type GenerationFloor, createConfigurationTask} from './configuration_task.js';
+import {
+  type GenerationFloor,
+  createConfigurationTask,
+} from './configuration_task.js';
 
 export function registerConfigurationPlugIn(registry: PlugInRegistry): void {
   const floor: GenerationFloor = {};
--- a/packages/library/src/plugins/peer_links/peer_links_task.ts
+++ b/packages/library/src/plugins/peer_links/peer_links_task.ts
@@ -94,8 +94,7 @@
       timers,
       ours: {vm: self, incarnation: context.incarnation, token},
       silentAfterMs: settings.membership.suspectAfterMs * 2,
-      acceptGreeting: greeting =>
-        acceptGreeting(greeting, expected, weDialled),
+      acceptGreeting: greeting => acceptGreeting(greeting, expected, weDialled),
       onOpen: opened => {
         link = opened;
         adopt(opened, dialledBy);
