--- /dev/null
+++ b/packages/decision/src/core/objectives/burn_rates.ts
@@ -0,0 +1,72 @@
+/** Burn rates over several windows, and the alerts that they raise. */
+
+/** A rate of 1 spends exactly the whole budget in the objective's window. */
+export interface WindowRate {
+  readonly window: BurnWindow;
+  /** Absent when nothing was counted in the window. */
+  readonly rate?: number;
+  readonly total: number;
+  readonly bad: number;
+}
+
+export type BurnWindow = '5m' | '1h' | '6h' | '3d';
+
+export const BURN_WINDOWS: readonly {
+  readonly window: BurnWindow;
+  readonly spanMs: number;
+}[] = [
+  {window: '5m', spanMs: 300_000},
+  {window: '1h', spanMs: 3_600_000},
+  {window: '6h', spanMs: 21_600_000},
+  {window: '3d', spanMs: 259_200_000},
+];
+
+/**
+ * Pairs of a long and a short window: the long one says that much was spent,
+ * the short one that it is still being spent.
+ */
+const ALERT_RULES: readonly {
+  readonly severity: 'page' | 'ticket';
+  readonly long: BurnWindow;
+  readonly short: BurnWindow;
+  readonly rate: number;
+}[] = [
+  {severity: 'page', long: '1h', short: '5m', rate: 14.4},
+  {severity: 'page', long: '6h', short: '1h', rate: 6},
+  {severity: 'ticket', long: '3d', short: '6h', rate: 1},
+];
+
+export interface BurnAlert {
+  readonly severity: 'page' | 'ticket';
+  /** Such as `14.4 times the budget over 1h and 5m`. */
+  readonly cause: string;
+}
+
+/** @param allowedFraction Part of the requests that may be bad, over 0. */
+export function burnRate(
+  window: BurnWindow,
+  counted: {readonly total: number; readonly bad: number},
+  allowedFraction: number,
+): WindowRate {
+  if (counted.total === 0) {
+    return {window, ...counted};
+  }
+  const rate = counted.bad / counted.total / allowedFraction;
+  return {window, ...counted, rate};
+}
+
+/** The first rule that both of its windows exceed. */
+export function burnAlert(rates: readonly WindowRate[]): BurnAlert | undefined {
+  const byWindow = new Map(rates.map(entry => [entry.window, entry.rate ?? 0]));
+  for (const rule of ALERT_RULES) {
+    const long = byWindow.get(rule.long) ?? 0;
+    const short = byWindow.get(rule.short) ?? 0;
+    if (long >= rule.rate && short >= rule.rate) {
+      return {
+        severity: rule.severity,
+        cause: `at least ${rule.rate} times the budget over ${rule.long} and ${rule.short}`,
+      };
+    }
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/decision/src/core/objectives/burn_report.ts
@@ -0,0 +1,259 @@
+/** The service-level burn report of all workspaces and services. */
+import type {
+  Configuration,
+  ServiceName,
+  ServicePolicy,
+  WorkspaceName,
+} from '../model/index.js';
+import {
+  type BurnAlert,
+  BURN_WINDOWS,
+  type WindowRate,
+  burnAlert,
+  burnRate,
+} from './burn_rates.js';
+import {
+  BURN_HOUR_MS,
+  BURN_SLICE_MS,
+  type BurnSlice,
+  type ServiceCounts,
+} from './burn_types.js';
+import {availabilityOf, mergeCounts, spentByReason} from './counts.js';
+import type {CoverageGap, JoinedSummaries} from './coverage.js';
+import {mergeHistograms} from './latency_histogram.js';
+
+const DAY_MS = 86_400_000;
+const WORST_HOURS = 5;
+/** Windows up to this length are counted by five-minute slices. */
+const LONGEST_SLICED_WINDOW_MS = 6 * BURN_HOUR_MS;
+
+export type Objective = ServicePolicy['objective'];
+
+export interface Budget {
+  /** Part of the requests that may be bad. */
+  readonly allowedFraction: number;
+  readonly total: number;
+  readonly bad: number;
+  /** 1 is untouched, 0 is spent, under 0 is overspent. */
+  readonly leftFraction: number;
+  readonly rates: readonly WindowRate[];
+  readonly alert?: BurnAlert;
+}
+
+export interface BurnHour {
+  readonly startMs: number;
+  readonly total: number;
+  readonly bad: number;
+  readonly answered: number;
+  readonly late: number;
+}
+
+export interface ServiceBurn {
+  readonly workspace: WorkspaceName;
+  readonly service: ServiceName;
+  readonly objective: Objective;
+  readonly availability: Budget;
+  readonly latency: Budget;
+  readonly quantilesMs: {
+    readonly p50: number;
+    readonly p95: number;
+    readonly p99: number;
+  };
+  /** What the availability budget was spent on, most first. */
+  readonly spent: readonly {readonly reason: string; readonly count: number}[];
+  /** Refusals that the callers brought about; they spend nothing. */
+  readonly callerFaults: readonly {
+    readonly reason: string;
+    readonly count: number;
+  }[];
+  readonly callerGone: number;
+  readonly worstHours: readonly BurnHour[];
+  /** Every hour of the window in which something was counted, in order. */
+  readonly hours: readonly BurnHour[];
+}
+
+export interface BurnReport {
+  readonly atMs: number;
+  readonly countedFromMs?: number;
+  readonly gaps: readonly CoverageGap[];
+  readonly services: readonly ServiceBurn[];
+}
+
+/** @param nowMs Unix time of the report. */
+export function buildBurnReport(
+  configuration: Configuration,
+  joined: JoinedSummaries,
+  nowMs: number,
+): BurnReport {
+  const services: ServiceBurn[] = [];
+  for (const [workspace, ofWorkspace] of configuration.workspaces) {
+    for (const [service, {policy}] of ofWorkspace) {
+      services.push(
+        buildServiceBurn(workspace, service, policy.objective, joined, nowMs),
+      );
+    }
+  }
+  return {
+    atMs: nowMs,
+    countedFromMs: joined.countedFromMs,
+    gaps: joined.gaps,
+    services,
+  };
+}
+
+interface TimedCounts {
+  readonly startMs: number;
+  readonly counts: ServiceCounts;
+}
+
+function buildServiceBurn(
+  workspace: WorkspaceName,
+  service: ServiceName,
+  objective: Objective,
+  joined: JoinedSummaries,
+  nowMs: number,
+): ServiceBurn {
+  const fromMs = nowMs - objective.windowDays * DAY_MS;
+  const inWindow = select(joined.hours, workspace, service, fromMs);
+  const slices = select(joined.slices, workspace, service, 0);
+  const hours = hoursOf(inWindow);
+  const all = inWindow.map(entry => entry.counts);
+  const merged = all.length > 0 ? mergeCounts(all) : undefined;
+  const histogram = mergeHistograms(merged ? [merged.latency] : []);
+  const source = {hours: inWindow, slices, nowMs};
+  return {
+    workspace,
+    service,
+    objective,
+    availability: budgetOf(
+      1 - objective.availability,
+      merged ? [merged] : [],
+      availabilityOf,
+      source,
+    ),
+    latency: budgetOf(
+      1 - objective.latencyFraction,
+      merged ? [merged] : [],
+      latenessOf,
+      source,
+    ),
+    quantilesMs: {
+      p50: histogram.getValueAtPercentile(50),
+      p95: histogram.getValueAtPercentile(95),
+      p99: histogram.getValueAtPercentile(99),
+    },
+    spent: sortedCounts(merged ? [...spentByReason(merged)] : []),
+    callerFaults: sortedCounts(merged ? callerFaultsOf(merged) : []),
+    callerGone: merged?.callerGone ?? 0,
+    worstHours: worstOf(hours),
+    hours,
+  };
+}
+
+function select(
+  slices: readonly BurnSlice[],
+  workspace: WorkspaceName,
+  service: ServiceName,
+  fromMs: number,
+): readonly TimedCounts[] {
+  const selected: TimedCounts[] = [];
+  for (const slice of slices) {
+    if (slice.startMs + slice.spanMs <= fromMs) {
+      continue;
+    }
+    for (const counts of slice.services) {
+      if (counts.workspace === workspace && counts.service === service) {
+        selected.push({startMs: slice.startMs, counts});
+      }
+    }
+  }
+  return selected;
+}
+
+function latenessOf(counts: ServiceCounts): {total: number; bad: number} {
+  return {total: counts.answered, bad: counts.late};
+}
+
+type Measure = (counts: ServiceCounts) => {total: number; bad: number};
+
+function budgetOf(
+  allowedFraction: number,
+  counts: readonly ServiceCounts[],
+  measure: Measure,
+  source: {
+    readonly hours: readonly TimedCounts[];
+    readonly slices: readonly TimedCounts[];
+    readonly nowMs: number;
+  },
+): Budget {
+  const {total, bad} = addUp(counts, measure);
+  const rates: WindowRate[] = [];
+  for (const {window, spanMs} of BURN_WINDOWS) {
+    const sliced = spanMs <= LONGEST_SLICED_WINDOW_MS;
+    const entries = sliced ? source.slices : source.hours;
+    const stepMs = sliced ? BURN_SLICE_MS : BURN_HOUR_MS;
+    const fromMs = source.nowMs - spanMs;
+    const within = entries.filter(entry => entry.startMs + stepMs > fromMs);
+    const counted = addUp(
+      within.map(entry => entry.counts),
+      measure,
+    );
+    rates.push(burnRate(window, counted, allowedFraction));
+  }
+  const spent = total === 0 ? 0 : bad / (total * allowedFraction);
+  const alert = burnAlert(rates);
+  return {allowedFraction, total, bad, leftFraction: 1 - spent, rates, alert};
+}
+
+function addUp(
+  counts: readonly ServiceCounts[],
+  measure: Measure,
+): {total: number; bad: number} {
+  let total = 0;
+  let bad = 0;
+  for (const entry of counts) {
+    const measured = measure(entry);
+    total += measured.total;
+    bad += measured.bad;
+  }
+  return {total, bad};
+}
+
+function hoursOf(entries: readonly TimedCounts[]): readonly BurnHour[] {
+  const hours = new Map<number, BurnHour>();
+  for (const {startMs, counts} of entries) {
+    const known = hours.get(startMs);
+    const {total, bad} = availabilityOf(counts);
+    hours.set(startMs, {
+      startMs,
+      total: (known?.total ?? 0) + total,
+      bad: (known?.bad ?? 0) + bad,
+      answered: (known?.answered ?? 0) + counts.answered,
+      late: (known?.late ?? 0) + counts.late,
+    });
+  }
+  return [...hours.values()].sort((one, other) => one.startMs - other.startMs);
+}
+
+function worstOf(hours: readonly BurnHour[]): readonly BurnHour[] {
+  const bad = hours.filter(hour => hour.bad + hour.late > 0);
+  bad.sort((one, other) => other.bad + other.late - (one.bad + one.late));
+  return bad.slice(0, WORST_HOURS);
+}
+
+function callerFaultsOf(
+  counts: ServiceCounts,
+): readonly (readonly [string, number])[] {
+  const spent = spentByReason(counts);
+  return Object.entries(counts.refused).filter(
+    ([reason]) => !spent.has(reason),
+  );
+}
+
+function sortedCounts(
+  entries: readonly (readonly [string, number])[],
+): readonly {reason: string; count: number}[] {
+  const sorted = entries.map(([reason, count]) => ({reason, count}));
+  sorted.sort((one, other) => other.count - one.count);
+  return sorted;
+}
--- /dev/null
+++ b/packages/decision/src/core/objectives/counts.ts
@@ -0,0 +1,174 @@
+/** Counts finished requests, and adds counts up. */
+import type {Histogram} from 'hdr-histogram-js';
+import {
+  type RefusalReason,
+  type RequestRecord,
+  type ServiceName,
+  type WorkspaceName,
+  assertNever,
+} from '../model/index.js';
+import {classifyRecord, spendsBudget} from './budget_rules.js';
+import type {ServiceCounts} from './burn_types.js';
+import {
+  createLatencyHistogram,
+  encodeHistogram,
+  mergeHistograms,
+  recordLatency,
+} from './latency_histogram.js';
+
+/** Counts of one span that still grows. */
+export interface CountRecorder {
+  record(record: RequestRecord, latencyThresholdMs: number | undefined): void;
+  counts(): readonly ServiceCounts[];
+}
+
+interface Growing {
+  readonly counts: {-readonly [Key in keyof ServiceCounts]: ServiceCounts[Key]};
+  readonly refused: Record<string, number>;
+  readonly latency: Histogram;
+}
+
+export function createCountRecorder(): CountRecorder {
+  const byService = new Map<string, Growing>();
+
+  function growingOf(workspace: WorkspaceName, service: ServiceName): Growing {
+    const key = `${workspace} ${service}`;
+    const known = byService.get(key);
+    if (known) {
+      return known;
+    }
+    const refused: Record<string, number> = {};
+    const growing: Growing = {
+      counts: {...emptyCounts(workspace, service), refused},
+      refused,
+      latency: createLatencyHistogram(),
+    };
+    byService.set(key, growing);
+    return growing;
+  }
+
+  function record(
+    finished: RequestRecord,
+    latencyThresholdMs: number | undefined,
+  ): void {
+    const {counts, refused, latency} = growingOf(
+      finished.workspace,
+      finished.service,
+    );
+    const found = classifyRecord(finished);
+    switch (found.kind) {
+      case 'answered':
+        counts.answered += 1;
+        recordLatency(latency, finished.durationMs);
+        if (
+          latencyThresholdMs !== undefined &&
+          finished.durationMs > latencyThresholdMs
+        ) {
+          counts.late += 1;
+        }
+        return;
+      case 'failed':
+        counts.failed += 1;
+        return;
+      case 'unknown':
+        counts.unknown += 1;
+        return;
+      case 'caller-gone':
+        counts.callerGone += 1;
+        return;
+      case 'refused':
+        refused[found.reason] = (refused[found.reason] ?? 0) + 1;
+        return;
+      default:
+        assertNever(found);
+    }
+  }
+
+  return {
+    record,
+    counts: () => {
+      const services: ServiceCounts[] = [];
+      for (const {counts, refused, latency} of byService.values()) {
+        services.push({
+          ...counts,
+          refused: {...refused},
+          latency: encodeHistogram(latency),
+        });
+      }
+      return services;
+    },
+  };
+}
+
+export function emptyCounts(
+  workspace: WorkspaceName,
+  service: ServiceName,
+): ServiceCounts {
+  return {
+    workspace,
+    service,
+    answered: 0,
+    late: 0,
+    failed: 0,
+    unknown: 0,
+    callerGone: 0,
+    refused: {},
+    latency: '',
+  };
+}
+
+/** Adds the counts of one workspace and service up. */
+export function mergeCounts(parts: readonly ServiceCounts[]): ServiceCounts {
+  const first = parts[0]!;
+  const refused: Record<string, number> = {};
+  const merged = {...emptyCounts(first.workspace, first.service), refused};
+  for (const part of parts) {
+    merged.answered += part.answered;
+    merged.late += part.late;
+    merged.failed += part.failed;
+    merged.unknown += part.unknown;
+    merged.callerGone += part.callerGone;
+    for (const [reason, count] of Object.entries(part.refused)) {
+      refused[reason] = (refused[reason] ?? 0) + count;
+    }
+  }
+  const histograms = parts.map(part => part.latency);
+  return {...merged, latency: encodeHistogram(mergeHistograms(histograms))};
+}
+
+/** Requests that spent the availability budget, by reason. */
+export function spentByReason(
+  counts: ServiceCounts,
+): ReadonlyMap<string, number> {
+  const spent = new Map<string, number>();
+  addPositive(spent, 'target-error', counts.failed);
+  addPositive(spent, 'unknown-outcome', counts.unknown);
+  for (const [reason, count] of Object.entries(counts.refused)) {
+    if (spendsBudget(reason as RefusalReason)) {
+      addPositive(spent, reason, count);
+    }
+  }
+  return spent;
+}
+
+function addPositive(
+  spent: Map<string, number>,
+  reason: string,
+  count: number,
+): void {
+  if (count > 0) {
+    spent.set(reason, (spent.get(reason) ?? 0) + count);
+  }
+}
+
+/** Requests that count for availability, and how many of them failed. */
+export function availabilityOf(counts: ServiceCounts): {
+  readonly total: number;
+  readonly bad: number;
+} {
+  let bad = 0;
+  for (const count of spentByReason(counts).values()) {
+    bad += count;
+  }
+  return {total: counts.answered + bad, bad};
+}
--- /dev/null
+++ b/packages/library/src/core/operator_interface/index.ts
@@ -0,0 +1,1 @@
+export * from './types.js';
--- /dev/null
+++ b/packages/library/src/core/operator_interface/types.ts
@@ -0,0 +1,141 @@
+/**
+ * Shapes of the operator port's answers. The port builds them, the command
+ * line checks them, and `docs/openapi.json` is generated from them.
+ *
+ * Times that end in `AtMs` or `SinceMs` are Unix milliseconds; ages and
+ * remaining times are spans, since monotonic clocks of VMs do not compare.
+ */
+import {
+  burnSummarySchema,
+  drainSchema,
+  generationSchema,
+  incarnationSchema,
+  regionNameSchema,
+  requestIdSchema,
+  serviceNameSchema,
+  shiftSchema,
+  targetIdSchema,
+  vmIdSchema,
+  workspaceNameSchema,
+  zoneNameSchema,
+} from '@ibisbeam/decision';
+import {z} from 'zod';
+
+export const poolStatusSchema = z.object({
+  service: serviceNameSchema,
+  region: regionNameSchema,
+  usableSlots: z.number(),
+  ownedSlots: z.number(),
+  inFlight: z.number(),
+  queued: z.number(),
+  inFlightByWorkspace: z.record(workspaceNameSchema, z.number()),
+});
+export type PoolStatusAnswer = z.infer<typeof poolStatusSchema>;
+
+export const configurationAnswerSchema = z.object({
+  vm: vmIdSchema,
+  incarnation: incarnationSchema,
+  generation: generationSchema.optional(),
+  inForceSinceMs: z.number().optional(),
+  newestHeard: generationSchema.optional(),
+  watching: z.boolean(),
+  fresh: z.boolean(),
+  why: z.string(),
+});
+export type ConfigurationAnswer = z.infer<typeof configurationAnswerSchema>;
+
+export const vmStatusSchema = z.object({
+  vm: vmIdSchema,
+  region: regionNameSchema,
+  zone: zoneNameSchema,
+  incarnation: incarnationSchema.optional(),
+  state: z.enum(['live', 'suspect', 'leaving', 'gone']),
+  generation: generationSchema.optional(),
+  heardAgoMs: z.number().optional(),
+});
+export type VmStatusAnswer = z.infer<typeof vmStatusSchema>;
+
+export const statusAnswerSchema = z.object({
+  vm: vmIdSchema,
+  region: regionNameSchema,
+  zone: zoneNameSchema,
+  incarnation: incarnationSchema,
+  atMs: z.number(),
+  configuration: configurationAnswerSchema.optional(),
+  store: z.object({
+    reachable: z.boolean().optional(),
+    sinceMs: z.number().optional(),
+  }),
+  vms: z.array(vmStatusSchema),
+  silentRegions: z.array(regionNameSchema),
+  selfDoubt: z.boolean(),
+  stopping: z.boolean(),
+  inFlight: z.number().optional(),
+  /** This VM's part of the slots of its own region. */
+  pools: z.array(poolStatusSchema),
+  drains: z.array(
+    z.object({
+      drain: drainSchema,
+      state: z.enum(['planned', 'ramping', 'drained', 'ended', 'aborted']),
+      fraction: z.number(),
+      timeLeftMs: z.number().optional(),
+    }),
+  ),
+  shifts: z.array(shiftSchema),
+  failovers: z.array(
+    z.object({
+      from: regionNameSchema,
+      startedAtMs: z.number(),
+      fraction: z.number(),
+    }),
+  ),
+  leavingTargets: z.array(targetIdSchema),
+  ejectedTargets: z.array(targetIdSchema),
+  quarantines: z.array(
+    z.object({
+      fingerprint: z.string(),
+      targetsLost: z.number(),
+      timeLeftMs: z.number(),
+    }),
+  ),
+  /** What this VM cannot know, one sentence each. */
+  unknown: z.array(z.string()),
+});
+export type StatusAnswer = z.infer<typeof statusAnswerSchema>;
+
+export const journalEntrySchema = z.object({
+  atMs: z.number(),
+  event: z.string(),
+  request: requestIdSchema.optional(),
+  fields: z.record(z.string(), z.unknown()),
+});
+export type JournalEntryAnswer = z.infer<typeof journalEntrySchema>;
+
+export const journalAnswerSchema = z.object({
+  vm: vmIdSchema,
+  incarnation: incarnationSchema,
+  entries: z.array(journalEntrySchema),
+});
+export type JournalAnswer = z.infer<typeof journalAnswerSchema>;
+
+export const burnAnswerSchema = burnSummarySchema;
+
+export const liftAnswerSchema = z.object({
+  vm: vmIdSchema,
+  fingerprint: z.string(),
+  /** The VM tells its peers; each lifts it on its own. */
+  lifted: z.literal(true),
+});
+
+/** Problem details of RFC 9457. */
+export const problemSchema = z.object({
+  type: z.url(),
+  title: z.string(),
+  status: z.int(),
+  detail: z.string().optional(),
+});
+export type Problem = z.infer<typeof problemSchema>;
+
+export const sinceParameterSchema = z.coerce.number().int().nonnegative();
+export const limitParameterSchema = z.coerce.number().int().min(1).max(5_000);
+export const fingerprintSchema = z.string().regex(/^[A-Za-z0-9._:-]{1,64}$/);
--- /dev/null
+++ b/packages/library/src/plugins/journal/refusal_tally.ts
@@ -0,0 +1,40 @@
+/** Counts refusals by the minute, so that a night's refusals fit a journal. */
+import type {RequestRecord} from '@ibisbeam/decision';
+
+export interface RefusalTally {
+  add(record: RequestRecord): void;
+  /** What was counted since the last call, and starts again. */
+  take(): readonly {
+    readonly workspace: string;
+    readonly service: string;
+    readonly reason: string;
+    readonly count: number;
+  }[];
+}
+
+export function createRefusalTally(): RefusalTally {
+  let counts = new Map<
+    string,
+    {workspace: string; service: string; reason: string; count: number}
+  >();
+  return {
+    add: ({workspace, service, result, refusal}) => {
+      if (result !== 'refused' && result !== 'unknown') {
+        return;
+      }
+      const reason = refusal ?? result;
+      const key = `${workspace} ${service} ${reason}`;
+      const known = counts.get(key);
+      if (known) {
+        known.count += 1;
+        return;
+      }
+      counts.set(key, {workspace, service, reason, count: 1});
+    },
+    take: () => {
+      const taken = [...counts.values()];
+      counts = new Map();
+      return taken;
+    },
+  };
+}
--- /dev/null
+++ b/packages/library/src/plugins/journal/ring.ts
@@ -0,0 +1,18 @@
+/** Keeps the newest items up to a capacity. */
+export interface Ring<Item> {
+  add(item: Item): void;
+  /** Oldest first. */
+  items(): readonly Item[];
+}
+
+export function createRing<Item>(capacity: number): Ring<Item> {
+  const kept: Item[] = [];
+  let next = 0;
+  return {
+    add: item => {
+      kept[next] = item;
+      next = (next + 1) % capacity;
+    },
+    items: () => [...kept.slice(next), ...kept.slice(0, next)],
+  };
+}
--- /dev/null
+++ b/packages/library/src/plugins/operator_port/index.ts
@@ -0,0 +1,17 @@
+import type {PlugInRegistry} from '../../core/kernel/index.js';
+import {createOperatorPortTask} from './operator_port_task.js';
+
+/** Registers the HTTP port of the operators. */
+export function registerOperatorPortPlugIn(registry: PlugInRegistry): void {
+  registry.register({
+    name: 'operator_port',
+    dependsOn: [],
+    subscribesTo: [
+      'configuration-in-force',
+      'store-reachability',
+      'stop-began',
+    ],
+    onFailure: 'restart',
+    create: createOperatorPortTask,
+  });
+}
--- /dev/null
+++ b/packages/library/src/plugins/operator_port/operator_port_task.ts
@@ -0,0 +1,189 @@
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import Koa, {type Context, type Next} from 'koa';
+import type {Principal} from '../../core/access/index.js';
+import type {Task, TaskContext} from '../../core/kernel/index.js';
+import {createBurstLog} from '../../core/logs/index.js';
+import type {TaskMessages, VmEvent} from '../../core/messages/index.js';
+import type {KnownFacts} from './build_status.js';
+import {answerProblem} from './problems.js';
+import {createRoutes} from './routes.js';
+
+const MAXIMUM_CONNECTIONS = 64;
+const HEADERS_TIMEOUT_MS = 5_000;
+const REQUEST_TIMEOUT_MS = 10_000;
+const MAXIMUM_HEADER_BYTES = 16_384;
+const BEARER_PATTERN = /^Bearer (\S+)$/;
+
+/** Serves status, explanations, events and burn summaries to operators. */
+export function createOperatorPortTask(
+  context: TaskContext,
+): Task<'operator_port'> {
+  const {logger, metrics, timers, tokenVerifier} = context;
+  const refusals = createBurstLog(logger, timers, 'warn', 'access-refused');
+  const badInput = createBurstLog(logger, timers, 'warn', 'input-refused');
+  const known: KnownFacts = {stopping: false};
+  const server = createServer(
+    {
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      maxHeaderSize: MAXIMUM_HEADER_BYTES,
+    },
+    createApplication().callback(),
+  );
+  server.maxConnections = MAXIMUM_CONNECTIONS;
+  server.on('clientError', refuseBrokenInput);
+
+  function createApplication(): Koa {
+    const application = new Koa();
+    const router = createRoutes(context, known);
+    application.silent = true;
+    application.use(answerFailures);
+    application.use(authorize);
+    application.use(router.routes());
+    application.use(answerUnknownRoutes);
+    return application;
+  }
+
+  async function answerFailures(http: Context, next: Next): Promise<void> {
+    try {
+      await next();
+    } catch (error) {
+      logger.log('error', 'task-failed', {
+        task: 'operator_port',
+        error: error instanceof Error ? error.message : String(error),
+      });
+      answerProblem(http, 'internal');
+    }
+    if (http.status === 400) {
+      countRefusal('malformed-request');
+      badInput.note('malformed-request', {port: 'operator', path: http.path});
+    }
+  }
+
+  async function authorize(http: Context, next: Next): Promise<void> {
+    const header = http.get('authorization');
+    const token = BEARER_PATTERN.exec(header)?.[1];
+    const verified = await tokenVerifier
+      .verify(token, 'ibisbeam-operator')
+      .run();
+    await verified.caseOf<Promise<void>>({
+      Left: async error => {
+        refuse(error.kind);
+        answerProblem(http, 'unauthenticated');
+      },
+      Right: async principal => {
+        if (!mayCall(principal, http.method)) {
+          refuse('principal');
+          answerProblem(http, 'not-allowed');
+          return;
+        }
+        await next();
+      },
+    });
+  }
+
+  function refuse(cause: string): void {
+    countRefusal(cause);
+    refusals.note(cause, {port: 'operator', cause});
+  }
+
+  function countRefusal(cause: string): void {
+    metrics.emit({
+      kind: 'count',
+      name: 'access.refused',
+      tags: {port: 'operator', cause},
+    });
+  }
+
+  function refuseBrokenInput(error: Error, socket: Socket): void {
+    countRefusal('broken-input');
+    badInput.note('broken-input', {port: 'operator', cause: error.message});
+    if (socket.writable) {
+      socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
+      return;
+    }
+    socket.destroy();
+  }
+
+  function observe(event: VmEvent): void {
+    switch (event.kind) {
+      case 'configuration-in-force':
+        known.configuration = event.configuration;
+        return;
+      case 'store-reachability':
+        if (known.storeReachable !== event.reachable) {
+          known.storeReachable = event.reachable;
+          known.storeSinceWallMs = timers.wallMs();
+        }
+        return;
+      case 'stop-began':
+        known.stopping = true;
+        return;
+      default:
+        return;
+    }
+  }
+
+  function receive(message: TaskMessages['operator_port']): void {
+    message.reply({address: addressOf(server)});
+  }
+
+  return {
+    start: () => listen(server, context.settings.listen.operator),
+    stop: () => close(server),
+    observe,
+    receive,
+  };
+}
+
+/** Operators do all; target owners and VMs' peers may not change anything. */
+function mayCall(principal: Principal, method: string): boolean {
+  switch (principal.kind) {
+    case 'operator':
+      return true;
+    case 'target-owner':
+      return method === 'GET';
+    case 'calling-team':
+    case 'vm':
+      return false;
+  }
+}
+
+async function answerUnknownRoutes(http: Context): Promise<void> {
+  if (http.body === undefined && http.status === 404) {
+    answerProblem(http, 'not-found', http.path.slice(0, 200));
+  }
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const separator = address.lastIndexOf(':');
+  const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
+  const port = Number(address.slice(separator + 1));
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
+
+function close(server: Server): Promise<void> {
+  return new Promise(resolve => {
+    server.close(() => resolve());
+    server.closeIdleConnections();
+    // Answers of this port are short; a slow reader must not hold up a stop.
+    server.closeAllConnections();
+  });
+}
+
+function addressOf(server: Server): string {
+  const address = server.address() as AddressInfo | null;
+  if (!address) {
+    return '';
+  }
+  const host =
+    address.family === 'IPv6' ? `[${address.address}]` : address.address;
+  return `${host}:${address.port}`;
+}
