--- /dev/null
+++ b/packages/command_line/src/commands/approval/grant.ts
@@ -0,0 +1,10 @@
+import {defineCommand} from '../../core/command.js';
+import {approvalOptions, runApprovalChange} from './change.js';
+
+/** Approve a calling team (only the owner of the service). */
+export const approvalGrantCommand = defineCommand({
+  command: 'grant',
+  describe: 'Approve a calling team (only the owner of the service)',
+  options: approvalOptions,
+  run: (session, options) => runApprovalChange(session, 'grant', options),
+});
--- /dev/null
+++ b/packages/command_line/src/commands/approval/request.ts
@@ -0,0 +1,10 @@
+import {defineCommand} from '../../core/command.js';
+import {approvalOptions, runApprovalChange} from './change.js';
+
+/** Ask the owner of a service to approve a calling team. */
+export const approvalRequestCommand = defineCommand({
+  command: 'request',
+  describe: 'Ask the owner of a service to approve a calling team',
+  options: approvalOptions,
+  run: (session, options) => runApprovalChange(session, 'request', options),
+});
--- /dev/null
+++ b/packages/command_line/src/commands/approval/revoke.ts
@@ -0,0 +1,10 @@
+import {defineCommand} from '../../core/command.js';
+import {approvalOptions, runApprovalChange} from './change.js';
+
+/** Revoke the approval of a calling team (only the owner). */
+export const approvalRevokeCommand = defineCommand({
+  command: 'revoke',
+  describe: 'Revoke the approval of a calling team (only the owner)',
+  options: approvalOptions,
+  run: (session, options) => runApprovalChange(session, 'revoke', options),
+});
--- /dev/null
+++ b/packages/command_line/src/commands/configuration/publish.ts
@@ -0,0 +1,77 @@
+import {
+  type Section,
+  type SectionName,
+  changedLeaves,
+} from '@ibisbeam/decision';
+import {operatorError} from '@ibisbeam/library';
+import {EitherAsync, Left} from 'purify-ts';
+import {defineCommand} from '../../core/command.js';
+import {
+  applyChange,
+  compile,
+  readStored,
+} from '../../core/configuration_access.js';
+import {answerChange} from '../../core/describe_change.js';
+import {gatherLoad} from '../../core/operator_client.js';
+import {loadSections} from '../../core/section_file.js';
+import {requireOperator} from '../../core/session.js';
+
+/** Publishes the sections of a folder that differ from what is in force. */
+export const configurationPublishCommand = defineCommand({
+  command: 'publish <folder>',
+  describe: 'Publish the changed sections of a folder as one change',
+  options: builder =>
+    builder
+      .positional('folder', {type: 'string', demandOption: true})
+      .option('with-approvals', {
+        type: 'boolean',
+        default: false,
+        describe:
+          'Take approvals from the folder; only into a store without any',
+      }),
+  run: (session, {folder, withApprovals}) =>
+    EitherAsync(async ({liftEither, fromPromise}) => {
+      const operator = await fromPromise(
+        requireOperator(session, 'publishing a configuration').run(),
+      );
+      const wanted = await liftEither(
+        loadSections(folder, session.dependencies),
+      );
+      const base = await fromPromise(readStored(session).run());
+      const sections = new Map<SectionName, Section>();
+      for (const [name, section] of wanted) {
+        const standing = base.document.get(name);
+        // Approvals are the target owners': an operator only seeds them.
+        if (section.kind === 'approvals' && (standing || !withApprovals)) {
+          continue;
+        }
+        if (changedLeaves(standing, section, '').length > 0) {
+          sections.set(name, section);
+        }
+      }
+      if (sections.size === 0) {
+        const what = `the sections of ${folder}`;
+        await liftEither(
+          Left([operatorError('AlreadySo', {what, state: 'in force'})]),
+        );
+      }
+      const before =
+        base.document.size === 0
+          ? undefined
+          : compile(base.document, base.head?.generation ?? 0)
+              .toMaybe()
+              .extract();
+      const fleet = before ? await gatherLoad(session, before) : undefined;
+      const summary = `configuration: ${[...sections.keys()].join(', ')}`;
+      const outcome = await fromPromise(
+        applyChange(session, {
+          base,
+          sections,
+          author: operator.name,
+          summary,
+          load: fleet?.load ?? [],
+        }).run(),
+      );
+      return answerChange(summary, outcome, fleet);
+    }),
+});
--- /dev/null
+++ b/packages/command_line/src/commands/quarantine/list.ts
@@ -0,0 +1,57 @@
+import {statusAnswerSchema} from '@ibisbeam/library';
+import {EitherAsync} from 'purify-ts';
+import {fleetPorts} from '../../core/ask_journals.js';
+import {defineCommand} from '../../core/command.js';
+import {callPorts} from '../../core/operator_client.js';
+import {formatSpan, formatTable} from '../../core/table.js';
+
+/** Lists requests that crashed targets and are refused now. */
+export const quarantineListCommand = defineCommand({
+  command: 'list',
+  describe: 'List requests that are refused because targets died of them',
+  options: builder => builder,
+  run: session =>
+    EitherAsync(async ({fromPromise}) => {
+      const ports = await fromPromise(fleetPorts(session).run());
+      const replies = await callPorts(session, ports, {
+        path: '/v1/status',
+        schema: statusAnswerSchema,
+      });
+      const found = new Map<
+        string,
+        {targetsLost: number; timeLeftMs: number; vms: string[]}
+      >();
+      const warnings: string[] = [];
+      for (const {address, vm, result} of replies) {
+        result
+          .ifLeft(errors => {
+            const cause = errors[0]?.message ?? '';
+            warnings.push(`no answer from ${vm ?? address}: ${cause}`);
+          })
+          .ifRight(status => {
+            for (const quarantine of status.quarantines) {
+              const known = found.get(quarantine.fingerprint);
+              const {targetsLost, timeLeftMs} = quarantine;
+              found.set(quarantine.fingerprint, {
+                targetsLost: Math.max(known?.targetsLost ?? 0, targetsLost),
+                timeLeftMs: Math.max(known?.timeLeftMs ?? 0, timeLeftMs),
+                vms: [...(known?.vms ?? []), status.vm],
+              });
+            }
+          });
+      }
+      const quarantines = [...found].map(([fingerprint, rest]) => ({
+        fingerprint,
+        ...rest,
+      }));
+      const header = ['FINGERPRINT', 'TARGETS LOST', 'TIME LEFT', 'AT VMS'];
+      const rows = quarantines.map(entry => [
+        entry.fingerprint,
+        String(entry.targetsLost),
+        formatSpan(entry.timeLeftMs),
+        entry.vms.join(', '),
+      ]);
+      const text = rows.length === 0 ? 'None.' : formatTable(header, rows);
+      return {text, data: {quarantines}, warnings};
+    }),
+});
--- /dev/null
+++ b/packages/command_line/src/commands/status.ts
@@ -0,0 +1,184 @@
+import {describeScope} from '@ibisbeam/decision';
+import {
+  type PoolStatusAnswer,
+  type StatusAnswer,
+  statusAnswerSchema,
+} from '@ibisbeam/library';
+import {EitherAsync} from 'purify-ts';
+import {defineCommand} from '../core/command.js';
+import {readAccepted} from '../core/configuration_access.js';
+import {callAnyPort, gatherLoad} from '../core/operator_client.js';
+import {
+  formatInstant,
+  formatPercent,
+  formatSpan,
+  formatTable,
+} from '../core/table.js';
+
+/** Status from any one VM; with --all the load of every VM as well. */
+export const statusCommand = defineCommand({
+  command: 'status',
+  describe: 'What one VM knows of the fleet, and what it cannot know',
+  options: builder =>
+    builder.option('all', {
+      type: 'boolean',
+      default: false,
+      describe: 'Ask every VM of the configuration for its part of the slots',
+    }),
+  run: (session, {all}) =>
+    EitherAsync(async ({fromPromise}) => {
+      const status = await fromPromise(
+        callAnyPort(session, {
+          path: '/v1/status',
+          schema: statusAnswerSchema,
+        }).run(),
+      );
+      if (!all) {
+        const text = describeStatus(status, status.pools, status.unknown);
+        return {text, data: status};
+      }
+      const accepted = await fromPromise(readAccepted(session).run());
+      const fleet = await gatherLoad(session, accepted.configuration);
+      const pools = addPools(fleet.statuses.flatMap(({pools}) => pools));
+      const unknown = [
+        ...status.unknown.filter(text => !text.startsWith('Slots in use at')),
+        ...fleet.unknown.map(
+          ({vm, cause}) => `The part of VM ${vm} of the slots: ${cause}.`,
+        ),
+      ];
+      const text = describeStatus(status, pools, unknown);
+      return {text, data: {...status, pools, unknown}};
+    }),
+});
+
+/** Adds the VMs' parts of each pool up. */
+function addPools(
+  pools: readonly PoolStatusAnswer[],
+): readonly PoolStatusAnswer[] {
+  const sums = new Map<string, PoolStatusAnswer>();
+  for (const pool of pools) {
+    const key = `${pool.region} ${pool.service}`;
+    const known = sums.get(key);
+    if (!known) {
+      sums.set(key, pool);
+      continue;
+    }
+    const inFlightByWorkspace = {...known.inFlightByWorkspace};
+    for (const [name, count] of Object.entries(pool.inFlightByWorkspace)) {
+      const workspace = name as keyof typeof inFlightByWorkspace;
+      inFlightByWorkspace[workspace] =
+        (inFlightByWorkspace[workspace] ?? 0) + count;
+    }
+    sums.set(key, {
+      ...known,
+      usableSlots: known.usableSlots + pool.usableSlots,
+      ownedSlots: known.ownedSlots + pool.ownedSlots,
+      inFlight: known.inFlight + pool.inFlight,
+      queued: known.queued + pool.queued,
+      inFlightByWorkspace,
+    });
+  }
+  return [...sums.keys()].sort().map(key => sums.get(key)!);
+}
+
+function describeStatus(
+  status: StatusAnswer,
+  pools: readonly PoolStatusAnswer[],
+  unknown: readonly string[],
+): string {
+  const parts = [
+    `VM ${status.vm} in ${status.region}/${status.zone}, incarnation ${status.incarnation}, at ${formatInstant(status.atMs)}`,
+    describeConfiguration(status),
+    `Store: ${describeStore(status)}`,
+    `In flight at this VM: ${status.inFlight ?? 'not known'}${status.stopping ? ' (stopping)' : ''}`,
+    '',
+    formatTable(
+      ['VM', 'REGION', 'ZONE', 'STATE', 'GENERATION', 'HEARD'],
+      status.vms.map(vm => [
+        vm.vm,
+        vm.region,
+        vm.zone,
+        vm.state,
+        vm.generation === undefined ? '' : String(vm.generation),
+        vm.heardAgoMs === undefined ? '' : `${formatSpan(vm.heardAgoMs)} ago`,
+      ]),
+    ),
+    '',
+    formatTable(
+      ['REGION', 'SERVICE', 'SLOTS', 'IN USE', 'QUEUED', 'HEADROOM'],
+      pools.map(describePool),
+    ),
+    '',
+    ...describeMovements(status),
+    'Not known:',
+    ...(unknown.length > 0 ? unknown : ['nothing']).map(text => `  ${text}`),
+  ];
+  return parts.join('\n');
+}
+
+function describePool(pool: PoolStatusAnswer): string[] {
+  const headroom =
+    pool.usableSlots === 0 ? 0 : 1 - pool.inFlight / pool.usableSlots;
+  return [
+    pool.region,
+    pool.service,
+    String(pool.usableSlots),
+    String(pool.inFlight),
+    String(pool.queued),
+    formatPercent(headroom),
+  ];
+}
+
+function describeConfiguration({configuration}: StatusAnswer): string {
+  if (!configuration?.generation) {
+    return 'Configuration: none yet';
+  }
+  const since = configuration.inForceSinceMs;
+  const when = since === undefined ? '' : `, since ${formatInstant(since)}`;
+  const fresh = configuration.fresh ? 'fresh' : `STALE (${configuration.why})`;
+  return `Configuration: generation ${configuration.generation}${when}, ${fresh}`;
+}
+
+function describeStore({store}: StatusAnswer): string {
+  if (store.reachable === undefined) {
+    return 'not tried yet';
+  }
+  const since =
+    store.sinceMs === undefined ? '' : ` since ${formatInstant(store.sinceMs)}`;
+  return `${store.reachable ? 'reachable' : 'NOT reachable'}${since}`;
+}
+
+function describeMovements(status: StatusAnswer): readonly string[] {
+  const lines: string[] = [];
+  for (const {drain, state, fraction, timeLeftMs} of status.drains) {
+    const left =
+      timeLeftMs === undefined ? '' : `, ${formatSpan(timeLeftMs)} left`;
+    lines.push(
+      `Drain ${drain.id} of ${describeScope(drain.scope)}: ${state}, ${formatPercent(fraction)}${left}`,
+    );
+  }
+  for (const shift of status.shifts) {
+    lines.push(
+      `Shift ${shift.id}: ${formatPercent(shift.fraction)} of ${shift.from} to ${shift.to}, from ${formatInstant(shift.startAtMs)}`,
+    );
+  }
+  for (const failover of status.failovers) {
+    lines.push(
+      `Failover of ${failover.from} since ${formatInstant(failover.startedAtMs)}: ${formatPercent(failover.fraction)} may be served elsewhere`,
+    );
+  }
+  for (const quarantine of status.quarantines) {
+    lines.push(
+      `Quarantine ${quarantine.fingerprint}: ${quarantine.targetsLost} targets lost, ${formatSpan(quarantine.timeLeftMs)} left`,
+    );
+  }
+  if (status.leavingTargets.length > 0) {
+    lines.push(`Targets leaving: ${status.leavingTargets.join(', ')}`);
+  }
+  if (status.ejectedTargets.length > 0) {
+    lines.push(`Targets ejected: ${status.ejectedTargets.join(', ')}`);
+  }
+  return lines.length > 0
+    ? [...lines, '']
+    : ['No drains, shifts, failovers or quarantines.', ''];
+}
--- /dev/null
+++ b/packages/command_line/src/commands/token/inspect.ts
@@ -0,0 +1,99 @@
+import {createTokenVerifier, operatorError} from '@ibisbeam/library';
+import {type JWTPayload, decodeJwt, decodeProtectedHeader} from 'jose';
+import {type Either, EitherAsync, Left, Right} from 'purify-ts';
+import {defineCommand} from '../../core/command.js';
+import type {Errors} from '../../core/dependencies.js';
+import {parseKeySet} from '../../core/key_files.js';
+import {type Session, describePrincipal} from '../../core/session.js';
+import {formatInstant} from '../../core/table.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+interface Contents {
+  readonly payload: JWTPayload;
+  readonly keyId: string | undefined;
+}
+
+/** Shows whom a token is for and until when; never the token itself. */
+export const tokenInspectCommand = defineCommand({
+  command: 'inspect <file>',
+  describe: 'Show principal, audience, expiry and key of a token file',
+  options: builder =>
+    builder.positional('file', {type: 'string', demandOption: true}),
+  run: (session, {file}) =>
+    EitherAsync(async ({liftEither}) => {
+      const {timers} = session.dependencies;
+      const token = await liftEither(
+        session.dependencies.readText(file).map(text => text.trim()),
+      );
+      const {payload, keyId} = await liftEither(decode(file, token));
+      const expiresAtMs = (payload.exp ?? 0) * MILLISECONDS_PER_SECOND;
+      const expired = expiresAtMs <= timers.wallMs();
+      const checked = await checkSignature(session, token, payload);
+      const facts = {
+        principal: payload['principal'],
+        audience: payload.aud,
+        expiresAtMs,
+        expired,
+        keyId,
+        signature: checked,
+      };
+      const text = [
+        `Principal  ${JSON.stringify(payload['principal'])}`,
+        `Audience   ${String(payload.aud)}`,
+        `Expires    ${formatInstant(expiresAtMs)}${expired ? ' (EXPIRED)' : ''}`,
+        `Key        ${keyId ?? '(none)'}`,
+        `Check      ${checked}`,
+      ];
+      return {text: text.join('\n'), data: facts};
+    }),
+});
+
+function decode(file: string, token: string): Either<Errors, Contents> {
+  try {
+    const payload = decodeJwt(token);
+    return Right({payload, keyId: decodeProtectedHeader(token).kid});
+  } catch {
+    return Left([
+      operatorError('InputInvalid', {
+        where: file,
+        expected: 'a signed token (JWT)',
+        found: 'something else',
+      }),
+    ]);
+  }
+}
+
+async function checkSignature(
+  session: Session,
+  token: string,
+  payload: JWTPayload,
+): Promise<string> {
+  const profile = session.profile().toMaybe().extract();
+  const reference = profile?.verificationKeys;
+  if (!reference || !('file' in reference)) {
+    return 'not checked: give --keys-file';
+  }
+  const keys = session.dependencies
+    .readText(reference.file)
+    .chain(parseKeySet)
+    .toMaybe()
+    .extract();
+  if (!keys) {
+    return `not checked: no key set in ${reference.file}`;
+  }
+  const audience = payload.aud;
+  if (
+    audience !== 'ibisbeam-caller' &&
+    audience !== 'ibisbeam-operator' &&
+    audience !== 'ibisbeam-peer'
+  ) {
+    return 'REFUSED by every port: the audience is not one of them';
+  }
+  const verifier = createTokenVerifier(keys, session.dependencies.timers);
+  const verified = await verifier.verify(token, audience).run();
+  return verified.caseOf({
+    Left: error => `REFUSED: ${error.kind}`,
+    Right: principal => `valid for ${describePrincipal(principal)}`,
+  });
+}
--- /dev/null
+++ b/packages/command_line/src/commands/workspace/history.ts
@@ -0,0 +1,37 @@
+import {EitherAsync} from 'purify-ts';
+import {defineCommand} from '../../core/command.js';
+import {readStored} from '../../core/configuration_access.js';
+import {formatInstant, formatTable} from '../../core/table.js';
+import {findWorkspace} from './workspace_change.js';
+
+/** Lists the accepted changes of a workspace that the head remembers. */
+export const workspaceHistoryCommand = defineCommand({
+  command: 'history <workspace>',
+  describe: 'List the remembered changes of a workspace and its template',
+  options: builder =>
+    builder.positional('workspace', {type: 'string', demandOption: true}),
+  run: (session, options) =>
+    EitherAsync(async ({liftEither, fromPromise}) => {
+      const stored = await fromPromise(readStored(session).run());
+      const {section, template} = await liftEither(
+        findWorkspace(stored, options.workspace),
+      );
+      const all = stored.head?.writes ?? [];
+      const about = [`${section}:`, `template/${template.name}:`];
+      const writes = all.filter(write =>
+        about.some(start => write.summary.startsWith(start)),
+      );
+      const rows = writes.map(write => [
+        String(write.generation),
+        formatInstant(write.atMs),
+        write.author,
+        write.summary,
+      ]);
+      const oldest = all[0]?.generation ?? 0;
+      const text = [
+        formatTable(['GENERATION', 'WHEN', 'WHO', 'WHAT'], rows),
+        `The store remembers the last ${all.length} changes of all sections, from generation ${oldest} on.`,
+      ].join('\n');
+      return {text, data: {writes, rememberedFrom: oldest}};
+    }),
+});
--- /dev/null
+++ b/packages/command_line/src/commands/workspace/show.ts
@@ -0,0 +1,81 @@
+import {
+  type ParameterDefinition,
+  assertNever,
+  fillInTemplate,
+} from '@ibisbeam/decision';
+import {operatorError} from '@ibisbeam/library';
+import {EitherAsync} from 'purify-ts';
+import {defineCommand} from '../../core/command.js';
+import {readStored} from '../../core/configuration_access.js';
+import {formatTable} from '../../core/table.js';
+import {findWorkspace} from './workspace_change.js';
+
+/** Prints a workspace's parameters with unit, bounds and description. */
+export const workspaceShowCommand = defineCommand({
+  command: 'show <workspace>',
+  describe: "Print a workspace's parameters and what they mean",
+  options: builder =>
+    builder
+      .positional('workspace', {type: 'string', demandOption: true})
+      .option('policies', {
+        type: 'boolean',
+        default: false,
+        describe: 'Print the filled-in policies as well',
+      }),
+  run: (session, options) =>
+    EitherAsync(async ({liftEither, fromPromise}) => {
+      const stored = await fromPromise(readStored(session).run());
+      const found = await liftEither(findWorkspace(stored, options.workspace));
+      const {workspace, template} = found;
+      const policies = await liftEither(
+        fillInTemplate(template, workspace)
+          .map(filled => Object.fromEntries(filled))
+          .mapLeft(problems =>
+            problems.map(problem =>
+              operatorError('ConfigurationInvalid', {...problem}),
+            ),
+          ),
+      );
+      const rows: string[][] = [];
+      for (const [name, definition] of Object.entries(template.parameters)) {
+        const value = workspace.values[name];
+        rows.push([
+          name,
+          String(value ?? definition.default),
+          value === undefined ? 'default' : 'set',
+          describeBounds(definition),
+          definition.description,
+        ]);
+      }
+      const parts = [
+        `Workspace ${workspace.name}, template ${template.name} version ${template.version}`,
+        formatTable(['PARAMETER', 'VALUE', 'FROM', 'BOUNDS', 'MEANING'], rows),
+      ];
+      if (options.policies) {
+        parts.push(JSON.stringify(policies, null, 2));
+      }
+      return {
+        text: parts.join('\n'),
+        data: {
+          generation: stored.head?.generation,
+          workspace,
+          parameters: template.parameters,
+          policies,
+        },
+      };
+    }),
+});
+
+function describeBounds(definition: ParameterDefinition): string {
+  switch (definition.type) {
+    case 'number':
+    case 'integer':
+      return `${definition.minimum} to ${definition.maximum} ${definition.unit}`;
+    case 'choice':
+      return definition.choices.join(' | ');
+    case 'switch':
+      return 'true | false';
+    default:
+      return assertNever(definition);
+  }
+}
--- /dev/null
+++ b/packages/command_line/src/core/burn_page/burn_page.ts
@@ -0,0 +1,157 @@
+/** The burn report as one HTML file without anything loaded from elsewhere. */
+import type {
+  Budget,
+  BurnHour,
+  BurnReport,
+  ServiceBurn,
+} from '@ibisbeam/decision';
+import {describeCoverage, formatRate} from '../burn_text.js';
+import {formatInstant, formatPercent} from '../table.js';
+import {escapeHtml, tableCells} from './html.js';
+import {plotBudget, plotHours, plotReasons} from './plots.js';
+import {BURN_PAGE_STYLES} from './styles.js';
+
+export function renderBurnPage(report: BurnReport): string {
+  const articles = report.services.map(service =>
+    renderService(service, report.atMs),
+  );
+  return `<!doctype html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<meta name="viewport" content="width=device-width, initial-scale=1">
+<title>Service-level burn report</title>
+<style>${BURN_PAGE_STYLES}</style>
+</head>
+<body>
+<header>
+<h1>Service-level burn report</h1>
+<p class="soft">${formatInstant(report.atMs)}</p>
+${renderCoverage(report)}
+${renderOverview(report)}
+</header>
+<main>
+${articles.join('\n')}
+</main>
+</body>
+</html>
+`;
+}
+
+function renderCoverage(report: BurnReport): string {
+  const [from, ...missing] = describeCoverage(report);
+  if (missing.length === 0) {
+    return `<p class="soft">${escapeHtml(from!)}</p>`;
+  }
+  const items = missing.map(text => `<li>${escapeHtml(text)}</li>`);
+  return `<div class="notice"><p>${escapeHtml(from!)}</p><ul>${items.join('')}</ul></div>`;
+}
+
+function renderOverview(report: BurnReport): string {
+  const rows = report.services.map(burn =>
+    tableCells('td', [
+      `${burn.service} (${burn.workspace})`,
+      formatPercent(burn.availability.leftFraction),
+      formatPercent(burn.latency.leftFraction),
+      worstAlert(burn),
+    ]),
+  );
+  const header = tableCells('th', [
+    'Service',
+    'Availability left',
+    'Latency left',
+    'Alert',
+  ]);
+  return `<table><thead>${header}</thead><tbody>${rows.join('')}</tbody></table>`;
+}
+
+function worstAlert({availability, latency}: ServiceBurn): string {
+  const severities = [availability.alert?.severity, latency.alert?.severity];
+  if (severities.includes('page')) {
+    return 'page';
+  }
+  return severities.includes('ticket') ? 'ticket' : 'none';
+}
+
+function renderService(burn: ServiceBurn, nowMs: number): string {
+  const {objective, quantilesMs} = burn;
+  return `<article>
+<h2>${escapeHtml(burn.service)}</h2>
+<p class="soft">${escapeHtml(burn.workspace)}, over ${objective.windowDays} days</p>
+<div class="grid">
+${renderBudget(
+  `${formatPercent(objective.availability)} answered`,
+  burn.availability,
+  'not answered',
+)}
+${renderBudget(
+  `${formatPercent(objective.latencyFraction)} within ${objective.latencyThresholdMs} ms`,
+  burn.latency,
+  'late',
+)}
+<section>
+<h3>Availability budget left</h3>
+${plotBudget(burn.availability, burn.hours, (hour: BurnHour) => hour.bad, nowMs, 'Availability budget left by hour')}
+</section>
+<section>
+<h3>Latency budget left</h3>
+${plotBudget(burn.latency, burn.hours, (hour: BurnHour) => hour.late, nowMs, 'Latency budget left by hour')}
+</section>
+<section>
+<h3>Bad requests by hour</h3>
+${plotHours(burn.hours, nowMs, 'Bad requests by hour')}
+<p class="key"><span><i style="background:var(--bad)"></i>not answered</span><span><i style="background:var(--late)"></i>late</span></p>
+</section>
+${renderSpent(burn)}
+${renderWorstHours(burn)}
+</div>
+<p class="soft">Answers: p50 ${quantilesMs.p50} ms, p95 ${quantilesMs.p95} ms, p99 ${quantilesMs.p99} ms. Callers that went away: ${burn.callerGone}.</p>
+${renderCallerFaults(burn)}
+</article>`;
+}
+
+function renderBudget(goal: string, budget: Budget, badName: string): string {
+  const tone = budget.leftFraction < 0 ? 'bad' : 'good';
+  const windows = budget.rates.map(({window}) => window);
+  const rates = budget.rates.map(({rate}) => formatRate(rate));
+  const alert = budget.alert
+    ? `<p class="alert">${escapeHtml(`${budget.alert.severity}: ${budget.alert.cause}`)}</p>`
+    : '';
+  return `<section class="budget">
+<p>${escapeHtml(goal)}</p>
+<p><span class="left ${tone}">${formatPercent(budget.leftFraction)}</span> of the budget left</p>
+<p class="soft">${budget.bad} of ${budget.total} ${escapeHtml(badName)}</p>
+<table class="rates"><thead>${tableCells('th', ['Window', ...windows])}</thead>
+<tbody>${tableCells('td', ['Burn rate', ...rates])}</tbody></table>
+${alert}</section>`;
+}
+
+function renderSpent({spent}: ServiceBurn): string {
+  if (spent.length === 0) {
+    return '<section><h3>Spent on</h3><p class="soft">Nothing was spent.</p></section>';
+  }
+  return `<section><h3>Spent on</h3>${plotReasons(spent, 'Availability budget spent by reason')}</section>`;
+}
+
+function renderWorstHours({worstHours}: ServiceBurn): string {
+  if (worstHours.length === 0) {
+    return '';
+  }
+  const rows = worstHours.map(hour =>
+    tableCells('td', [
+      formatInstant(hour.startMs),
+      `${hour.bad} of ${hour.total}`,
+      String(hour.late),
+    ]),
+  );
+  const header = tableCells('th', ['Worst hours', 'Not answered', 'Late']);
+  return `<section><h3>Worst hours</h3><table><thead>${header}</thead><tbody>${rows.join('')}</tbody></table></section>`;
+}
+
+function renderCallerFaults({callerFaults}: ServiceBurn): string {
+  if (callerFaults.length === 0) {
+    return '';
+  }
+  const told = callerFaults.map(({reason, count}) => `${reason} ${count}`);
+  return `<p class="soft">Refused at no cost to the budget: ${escapeHtml(told.join(', '))}.</p>`;
+}
--- /dev/null
+++ b/packages/command_line/src/core/burn_page/html.ts
@@ -0,0 +1,14 @@
+/** Escapes text for HTML and SVG, in content and in quoted attributes. */
+export function escapeHtml(text: string): string {
+  return text
+    .replaceAll('&', '&amp;')
+    .replaceAll('<', '&lt;')
+    .replaceAll('>', '&gt;')
+    .replaceAll('"', '&quot;')
+    .replaceAll("'", '&#39;');
+}
+
+export function tableCells(tag: 'td' | 'th', cells: readonly string[]): string {
+  const built = cells.map(cell => `<${tag}>${escapeHtml(cell)}</${tag}>`);
+  return `<tr>${built.join('')}</tr>`;
+}
--- /dev/null
+++ b/packages/command_line/src/core/burn_page/plots.ts
@@ -0,0 +1,184 @@
+/** Inline SVG plots, drawn for a width of 360 so that text stays readable. */
+import type {Budget, BurnHour} from '@ibisbeam/decision';
+import {formatPercent} from '../table.js';
+import {escapeHtml} from './html.js';
+
+const WIDTH = 360;
+const HEIGHT = 150;
+const LEFT = 46;
+const RIGHT = 8;
+const TOP = 8;
+const BOTTOM = 22;
+const PLOT_WIDTH = WIDTH - LEFT - RIGHT;
+const PLOT_HEIGHT = HEIGHT - TOP - BOTTOM;
+const HOUR_MS = 3_600_000;
+/** Bars narrower than this run into each other on a telephone. */
+const MOST_BARS = 72;
+const SHORTEST_RANGE_HOURS = 12;
+
+interface Range {
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+/** Requests that were not answered, or late, in each of the newest hours. */
+export function plotHours(
+  hours: readonly BurnHour[],
+  nowMs: number,
+  title: string,
+): string {
+  const range = newestRange(hours, nowMs);
+  const shown = hours.filter(hour => hour.startMs >= range.fromMs);
+  const highest = Math.max(1, ...shown.map(hour => hour.bad + hour.late));
+  const hourWidth = PLOT_WIDTH / ((range.toMs - range.fromMs) / HOUR_MS);
+  const barWidth = Math.max(1, hourWidth - 1);
+  const bars = shown.map(hour => {
+    const x = scaleX(hour.startMs, range);
+    const badHeight = (hour.bad / highest) * PLOT_HEIGHT;
+    const lateHeight = (hour.late / highest) * PLOT_HEIGHT;
+    const base = TOP + PLOT_HEIGHT;
+    return [
+      rectangle(x, base - badHeight, barWidth, badHeight, 'var(--bad)'),
+      rectangle(
+        x,
+        base - badHeight - lateHeight,
+        barWidth,
+        lateHeight,
+        'var(--late)',
+      ),
+    ].join('');
+  });
+  const labels = [axisLabel(TOP, String(highest)), axisLabel(bottomY(), '0')];
+  return frame(title, [...bars, ...labels, ...timeLabels(range)]);
+}
+
+/** What was left of the budget after each hour of the window. */
+export function plotBudget(
+  budget: Budget,
+  hours: readonly BurnHour[],
+  badOf: (hour: BurnHour) => number,
+  nowMs: number,
+  title: string,
+): string {
+  const first = hours[0]?.startMs ?? nowMs;
+  const shortest = nowMs - SHORTEST_RANGE_HOURS * HOUR_MS;
+  const range = {fromMs: Math.min(first, shortest), toMs: nowMs};
+  const allowed = budget.total * budget.allowedFraction;
+  const lowest = Math.min(0, budget.leftFraction);
+  let bad = 0;
+  const points = [point(range.fromMs, 1, range, lowest)];
+  for (const hour of hours) {
+    const before = allowed === 0 ? 1 : 1 - bad / allowed;
+    points.push(point(hour.startMs, before, range, lowest));
+    bad += badOf(hour);
+    const left = allowed === 0 ? 1 : 1 - bad / allowed;
+    const endMs = Math.min(nowMs, hour.startMs + HOUR_MS);
+    points.push(point(endMs, left, range, lowest));
+  }
+  points.push(point(nowMs, budget.leftFraction, range, lowest));
+  const color = budget.leftFraction < 0 ? 'var(--bad)' : 'var(--good)';
+  const zeroY = scaleY(0, lowest);
+  const marks = [
+    `<line x1="${LEFT}" x2="${WIDTH - RIGHT}" y1="${zeroY}" y2="${zeroY}" stroke="var(--line)"/>`,
+    `<polyline points="${points.join(' ')}" fill="none" stroke="${color}" stroke-width="2"/>`,
+    axisLabel(TOP, '100 %'),
+    axisLabel(zeroY, '0 %'),
+    ...timeLabels(range),
+  ];
+  if (lowest < -0.25) {
+    marks.push(
+      axisLabel(bottomY(), formatPercent(Math.round(lowest * 100) / 100)),
+    );
+  }
+  return frame(title, marks);
+}
+
+/** How much each reason spent, as horizontal bars with their counts. */
+export function plotReasons(
+  reasons: readonly {readonly reason: string; readonly count: number}[],
+  title: string,
+): string {
+  const rowHeight = 34;
+  const highest = Math.max(1, ...reasons.map(({count}) => count));
+  const rows = reasons.map(({reason, count}, index) => {
+    const y = index * rowHeight;
+    const width = (count / highest) * WIDTH;
+    return [
+      `<text x="0" y="${y + 12}">${escapeHtml(reason)}</text>`,
+      `<text x="${WIDTH}" y="${y + 12}" text-anchor="end">${count}</text>`,
+      rectangle(0, y + 17, Math.max(2, width), 8, 'var(--bad)'),
+    ].join('');
+  });
+  const height = Math.max(1, reasons.length) * rowHeight;
+  return `<svg viewBox="0 0 ${WIDTH} ${height}" role="img" aria-label="${escapeHtml(title)}">${rows.join('')}</svg>`;
+}
+
+function newestRange(hours: readonly BurnHour[], nowMs: number): Range {
+  const toMs = Math.ceil(nowMs / HOUR_MS) * HOUR_MS;
+  const first = hours[0]?.startMs ?? toMs;
+  const longest = toMs - MOST_BARS * HOUR_MS;
+  const shortest = toMs - SHORTEST_RANGE_HOURS * HOUR_MS;
+  return {fromMs: Math.min(shortest, Math.max(longest, first)), toMs};
+}
+
+function frame(title: string, marks: readonly string[]): string {
+  const axis = `<path d="M${LEFT} ${TOP}V${bottomY()}H${WIDTH - RIGHT}" fill="none" stroke="var(--line)"/>`;
+  return `<svg viewBox="0 0 ${WIDTH} ${HEIGHT}" role="img" aria-label="${escapeHtml(title)}">${axis}${marks.join('')}</svg>`;
+}
+
+function timeLabels(range: Range): readonly string[] {
+  const y = HEIGHT - 6;
+  return [
+    `<text x="${LEFT}" y="${y}">${shortTime(range.fromMs)}</text>`,
+    `<text x="${WIDTH - RIGHT}" y="${y}" text-anchor="end">${shortTime(range.toMs)} UTC</text>`,
+  ];
+}
+
+/** Such as `12-03 22:00`. */
+function shortTime(wallMs: number): string {
+  return new Date(wallMs).toISOString().slice(5, 16).replace('T', ' ');
+}
+
+function axisLabel(y: number, text: string): string {
+  const baseline = Math.min(Math.max(y + 4, TOP + 8), bottomY());
+  return `<text x="${LEFT - 5}" y="${baseline}" text-anchor="end">${escapeHtml(text)}</text>`;
+}
+
+function rectangle(
+  x: number,
+  y: number,
+  width: number,
+  height: number,
+  color: string,
+): string {
+  if (height <= 0) {
+    return '';
+  }
+  return `<rect x="${round(x)}" y="${round(y)}" width="${round(width)}" height="${round(height)}" fill="${color}"/>`;
+}
+
+function point(
+  wallMs: number,
+  left: number,
+  range: Range,
+  lowest: number,
+): string {
+  return `${round(scaleX(wallMs, range))},${round(scaleY(left, lowest))}`;
+}
+
+function scaleX(wallMs: number, range: Range): number {
+  const part = (wallMs - range.fromMs) / (range.toMs - range.fromMs);
+  return LEFT + Math.min(1, Math.max(0, part)) * PLOT_WIDTH;
+}
+
+function scaleY(left: number, lowest: number): number {
+  return TOP + ((1 - left) / (1 - lowest)) * PLOT_HEIGHT;
+}
+
+function bottomY(): number {
+  return TOP + PLOT_HEIGHT;
+}
+
+function round(value: number): number {
+  return Number(value.toFixed(1));
+}
--- /dev/null
+++ b/packages/command_line/src/core/operator_client.ts
@@ -0,0 +1,184 @@
+/** Calls operator ports and checks what they answer. */
+import {
+  type Configuration,
+  type ServiceLoad,
+  type VmId,
+} from '@ibisbeam/decision';
+import {
+  type StatusAnswer,
+  operatorError,
+  problemSchema,
+  statusAnswerSchema,
+} from '@ibisbeam/library';
+import {EitherAsync, Left, Right, type Either} from 'purify-ts';
+import type {z} from 'zod';
+import type {Errors, OperatorReply} from './dependencies.js';
+import {mapLimited} from './map_limited.js';
+import type {Session} from './session.js';
+
+const PARALLEL_CALLS = 32;
+
+export interface PortRequest<Schema extends z.ZodType> {
+  readonly address: string;
+  readonly method?: 'GET' | 'DELETE';
+  readonly path: string;
+  readonly schema: Schema;
+  /** What a 404 means here. */
+  readonly what?: string;
+}
+
+export function callPort<Schema extends z.ZodType>(
+  session: Session,
+  request: PortRequest<Schema>,
+): EitherAsync<Errors, z.output<Schema>> {
+  return EitherAsync.liftEither(session.token()).chain(token =>
+    session.dependencies
+      .callOperatorPort({
+        address: request.address,
+        method: request.method ?? 'GET',
+        path: request.path,
+        token,
+        timeoutMs: session.timeoutMs,
+      })
+      .chain(reply => EitherAsync.liftEither(readReply(request, reply))),
+  );
+}
+
+function readReply<Schema extends z.ZodType>(
+  request: PortRequest<Schema>,
+  reply: OperatorReply,
+): Either<Errors, z.output<Schema>> {
+  const {address} = request;
+  if (reply.status === 200) {
+    const parsed = request.schema.safeParse(reply.body);
+    if (parsed.success) {
+      return Right(parsed.data);
+    }
+    const cause = `its answer has another shape: ${parsed.error.issues[0]?.path.join('.')}`;
+    return Left([operatorError('VmUnreachable', {address, cause})]);
+  }
+  if (reply.status === 401 || reply.status === 403) {
+    return Left([operatorError('TokenRefused', {where: address})]);
+  }
+  if (reply.status === 404 && request.what) {
+    const {what} = request;
+    return Left([operatorError('NotFound', {what, where: `VM ${address}`})]);
+  }
+  const title = problemSchema.safeParse(reply.body).data?.title ?? '';
+  const cause = `status ${reply.status} ${title}`.trim();
+  return Left([operatorError('VmUnreachable', {address, cause})]);
+}
+
+/** The ports of the profile or the flags; at least one. */
+export function knownPorts(
+  session: Session,
+): Either<Errors, readonly string[]> {
+  return session.profile().chain(({operatorPorts}) => {
+    if (operatorPorts.length > 0) {
+      return Right<readonly string[], Errors>(operatorPorts);
+    }
+    return Left([
+      operatorError('UsageInvalid', {
+        where: '--vm',
+        expected: 'the operator port of any VM, by flag or in the profile',
+        found: 'nothing',
+      }),
+    ]);
+  });
+}
+
+/** Tries the known ports in turn, until one answers. */
+export function callAnyPort<Schema extends z.ZodType>(
+  session: Session,
+  request: Omit<PortRequest<Schema>, 'address'>,
+): EitherAsync<Errors, z.output<Schema>> {
+  return EitherAsync(async ({liftEither}) => {
+    const ports = await liftEither(knownPorts(session));
+    let failures: Errors = [];
+    for (const address of ports) {
+      const result = await callPort(session, {...request, address}).run();
+      const errors = result.swap().toMaybe().extract();
+      if (!errors || errors[0]?.name !== 'VmUnreachable') {
+        return liftEither(result);
+      }
+      failures = [...failures, ...errors];
+    }
+    return liftEither(Left(failures));
+  });
+}
+
+export interface PortAddress {
+  readonly address: string;
+  readonly vm?: VmId;
+}
+
+/** One VM's answer, or why there is none. */
+export interface PortAnswer<Answer> extends PortAddress {
+  readonly result: Either<Errors, Answer>;
+}
+
+export function callPorts<Schema extends z.ZodType>(
+  session: Session,
+  ports: readonly PortAddress[],
+  request: Omit<PortRequest<Schema>, 'address'>,
+): Promise<readonly PortAnswer<z.output<Schema>>[]> {
+  return mapLimited(ports, PARALLEL_CALLS, async port => ({
+    ...port,
+    result: await callPort(session, {...request, address: port.address}).run(),
+  }));
+}
+
+export function portsOf(configuration: Configuration): readonly PortAddress[] {
+  const ports: PortAddress[] = [];
+  for (const vm of configuration.entryVms.values()) {
+    ports.push({address: vm.operatorAddress, vm: vm.id});
+  }
+  return ports;
+}
+
+export interface FleetLoad {
+  readonly load: readonly ServiceLoad[];
+  readonly statuses: readonly StatusAnswer[];
+  /** VMs whose part of the load is not known, with the reason. */
+  readonly unknown: readonly {
+    readonly vm: VmId | undefined;
+    readonly cause: string;
+  }[];
+}
+
+/** Asks every VM of the configuration for the use of its part of the slots. */
+export async function gatherLoad(
+  session: Session,
+  configuration: Configuration,
+): Promise<FleetLoad> {
+  const answers = await callPorts(session, portsOf(configuration), {
+    path: '/v1/status',
+    schema: statusAnswerSchema,
+  });
+  const load: ServiceLoad[] = [];
+  const statuses: StatusAnswer[] = [];
+  const unknown: {vm: VmId | undefined; cause: string}[] = [];
+  for (const {vm, result} of answers) {
+    result.caseOf({
+      Left: errors => {
+        unknown.push({vm, cause: errors[0]?.message ?? 'no answer'});
+      },
+      Right: status => {
+        statuses.push(status);
+        load.push(...loadOf(status));
+        if (status.inFlight === undefined) {
+          unknown.push({vm, cause: 'its forwarding task did not answer'});
+        }
+      },
+    });
+  }
+  return {load, statuses, unknown};
+}
+
+function loadOf(status: StatusAnswer): readonly ServiceLoad[] {
+  return status.pools.map(({service, region, inFlight, queued}) => ({
+    service,
+    region,
+    inUse: inFlight + queued,
+  }));
+}
--- /dev/null
+++ b/packages/command_line/src/core/parse_file.ts
@@ -0,0 +1,15 @@
+import {operatorError, parseJsonc} from '@ibisbeam/library';
+import type {Either} from 'purify-ts';
+import type {z} from 'zod';
+import type {Errors} from './dependencies.js';
+
+/** Reads JSON with comments that is not a VM's settings. */
+export function parseFile<Schema extends z.ZodType>(
+  text: string,
+  file: string,
+  schema: Schema,
+): Either<Errors, z.output<Schema>> {
+  return parseJsonc(text, file, schema).mapLeft(errors =>
+    errors.map(({details}) => operatorError('FileInvalid', details)),
+  );
+}
--- /dev/null
+++ b/packages/command_line/src/core/session.ts
@@ -0,0 +1,165 @@
+/** One run of a command: opens what the command asks for, and closes it. */
+import {
+  type PlatformStore,
+  type Principal,
+  type SecretReference,
+  createTokenVerifier,
+  operatorError,
+} from '@ibisbeam/library';
+import type {JSONWebKeySet} from 'jose';
+import {type Either, EitherAsync, Left, Right} from 'purify-ts';
+import type {Dependencies, Errors, OpenStore} from './dependencies.js';
+import {parseKeySet} from './key_files.js';
+import {type ConnectionFlags, type Profile, loadProfile} from './profile.js';
+
+export interface SessionFlags extends ConnectionFlags {
+  readonly dryRun: boolean;
+  readonly timeoutMs: number;
+}
+
+export interface Session {
+  readonly dependencies: Dependencies;
+  readonly dryRun: boolean;
+  readonly timeoutMs: number;
+  profile(): Either<Errors, Profile>;
+  store(): Either<Errors, PlatformStore>;
+  /** The operator's own token, unchecked. */
+  token(): Either<Errors, string>;
+  /** Who is asking; checked with the verification keys. */
+  principal(): EitherAsync<Errors, Principal>;
+  close(): void;
+}
+
+export function createSession(
+  flags: SessionFlags,
+  dependencies: Dependencies,
+): Session {
+  let open: OpenStore | undefined;
+
+  const profile = () => loadProfile(flags, dependencies);
+
+  function store(): Either<Errors, PlatformStore> {
+    if (open) {
+      return Right(open.store);
+    }
+    return profile().chain(found => {
+      if (!found.store) {
+        return Left(missing('--store-url', "the URL of the platform's store"));
+      }
+      const {url, token} = found.store;
+      const secret: Either<Errors, string | undefined> = token
+        ? readReference('store.token', token)
+        : Right(undefined);
+      return secret.map(text => {
+        const {timeoutMs} = flags;
+        open = dependencies.openStore({url, token: text, timeoutMs});
+        return open.store;
+      });
+    });
+  }
+
+  function token(): Either<Errors, string> {
+    return profile().chain(found => {
+      if (!found.token) {
+        return Left(missing('--token-file', 'a file with your token'));
+      }
+      return readReference('token', found.token);
+    });
+  }
+
+  function keys(): Either<Errors, JSONWebKeySet> {
+    return profile().chain(found => {
+      if (!found.verificationKeys) {
+        const expected = 'a file with the verification keys';
+        return Left(missing('--keys-file', expected));
+      }
+      return readReference('verificationKeys', found.verificationKeys).chain(
+        parseKeySet,
+      );
+    });
+  }
+
+  function principal(): EitherAsync<Errors, Principal> {
+    return EitherAsync(async ({liftEither}) => {
+      const keySet = await liftEither(keys());
+      const text = await liftEither(token());
+      const verifier = createTokenVerifier(keySet, dependencies.timers);
+      const verified = await verifier.verify(text, 'ibisbeam-operator').run();
+      return liftEither(
+        verified.mapLeft(() => [
+          operatorError('TokenRefused', {where: 'the command line'}),
+        ]),
+      );
+    });
+  }
+
+  function readReference(
+    key: string,
+    reference: SecretReference,
+  ): Either<Errors, string> {
+    if ('file' in reference) {
+      return dependencies.readText(reference.file).map(text => text.trim());
+    }
+    const value = dependencies.environment[reference.environmentVariable];
+    if (value) {
+      return Right(value.trim());
+    }
+    const told = `environment variable ${reference.environmentVariable}`;
+    return Left([operatorError('SecretMissing', {key, reference: told})]);
+  }
+
+  return {
+    dependencies,
+    dryRun: flags.dryRun,
+    timeoutMs: flags.timeoutMs,
+    profile,
+    store,
+    token,
+    principal,
+    close: () => open?.close(),
+  };
+}
+
+function missing(flag: string, expected: string): Errors {
+  return [
+    operatorError('UsageInvalid', {
+      where: flag,
+      expected: `${expected}, by flag or in the profile`,
+      found: 'nothing',
+    }),
+  ];
+}
+
+/** What a principal is called in messages. */
+export function describePrincipal(principal: Principal): string {
+  switch (principal.kind) {
+    case 'operator':
+      return `operator ${principal.name}`;
+    case 'target-owner':
+      return `target owner ${principal.name} of ${principal.team}`;
+    case 'calling-team':
+      return `calling team ${principal.team}`;
+    case 'vm':
+      return `VM ${principal.vm}`;
+  }
+}
+
+/** Operators change templates, workspaces, drains and the rest but approvals. */
+export function requireOperator(
+  session: Session,
+  action: string,
+): EitherAsync<Errors, Principal & {kind: 'operator'}> {
+  return session.principal().chain(principal =>
+    EitherAsync.liftEither(
+      principal.kind === 'operator'
+        ? Right(principal)
+        : Left([
+            operatorError('NotAllowed', {
+              action,
+              needed: 'an operator',
+              found: describePrincipal(principal),
+            }),
+          ]),
+    ),
+  );
+}
--- a/packages/command_line/src/index.ts
+++ b/packages/command_line/src/index.ts
@@ -1,2 +1,7 @@
 /** Front door of the package. */
-export {};
+export {commands} from './commands/index.js';
+export type {Dependencies} from './core/dependencies.js';
+export {EXIT_STATUS, type ExitStatus} from './core/exit_status.js';
+export {loadSections} from './core/section_file.js';
+export {createSystemDependencies} from './core/system_dependencies.js';
+export {runCommandLine} from './run_command_line.js';
--- /dev/null
+++ b/packages/command_line/src/run_command_line.ts
@@ -0,0 +1,165 @@
+/** Parses arguments, runs one command and returns the exit status. */
+import {operatorError} from '@ibisbeam/library';
+import yargs, {type Argv} from 'yargs';
+import {commands} from './commands/index.js';
+import {type OutputForm, renderAnswer, renderErrors} from './core/answer.js';
+import type {CommandRunner} from './core/command.js';
+import type {Dependencies, Errors} from './core/dependencies.js';
+import {EXIT_STATUS, type ExitStatus, statusOf} from './core/exit_status.js';
+import {createSession, type SessionFlags} from './core/session.js';
+
+const DEFAULT_TIMEOUT_MS = 5_000;
+
+/** Thrown out of yargs, which reports wrong usage by a callback only. */
+class UsageProblem extends Error {}
+
+export async function runCommandLine(
+  commandArguments: readonly string[],
+  dependencies: Dependencies,
+): Promise<ExitStatus> {
+  const form = outputForm(commandArguments);
+  let status: ExitStatus = EXIT_STATUS.done;
+
+  function reportErrors(errors: Errors): void {
+    status = statusOf(errors);
+    const rendered = renderErrors(errors, status, form);
+    dependencies.write(rendered.output);
+    dependencies.writeError(rendered.errors);
+  }
+
+  const runner: CommandRunner = async (options, run) => {
+    const session = createSession(sessionFlags(options), dependencies);
+    const result = await run(session).run();
+    session.close();
+    result.ifLeft(reportErrors).ifRight(answer => {
+      const rendered = renderAnswer(answer, form);
+      dependencies.writeError(rendered.errors);
+      dependencies.write(rendered.output);
+    });
+  };
+
+  try {
+    const parser = buildParser(runner);
+    await parser.parseAsync(
+      [...commandArguments],
+      {},
+      (_error, _options, output) => {
+        if (output) {
+          dependencies.write(`${output}\n`);
+        }
+      },
+    );
+  } catch (error) {
+    if (!(error instanceof UsageProblem)) {
+      throw error;
+    }
+    reportErrors([usageError(error.message)]);
+  }
+  return status;
+}
+
+function buildParser(runner: CommandRunner): Argv {
+  let parser: Argv = yargs()
+    .scriptName('ibisbeam')
+    .usage('$0 <command>')
+    .options(globalOptions)
+    .strict()
+    .demandCommand(1, 'name a command')
+    .recommendCommands()
+    .exitProcess(false)
+    .version(false)
+    .wrap(null)
+    .fail((message, error) => {
+      throw message ? new UsageProblem(message) : error;
+    });
+  for (const command of commands) {
+    parser = command(parser, runner);
+  }
+  return parser;
+}
+
+const globalOptions = {
+  output: {
+    choices: ['text', 'json'] as const,
+    default: 'text' as const,
+    describe: 'Form of the output',
+  },
+  'dry-run': {
+    type: 'boolean',
+    default: false,
+    describe: 'Check and show everything, change nothing',
+  },
+  profile: {
+    type: 'string',
+    requiresArg: true,
+    describe: 'Profile file; otherwise $IBISBEAM_PROFILE',
+  },
+  'store-url': {
+    type: 'string',
+    requiresArg: true,
+    describe: "URL of the platform's store",
+  },
+  'store-token-file': {
+    type: 'string',
+    requiresArg: true,
+    describe: "File with the store's bearer token",
+  },
+  'token-file': {
+    type: 'string',
+    requiresArg: true,
+    describe: 'File with your token',
+  },
+  'keys-file': {
+    type: 'string',
+    requiresArg: true,
+    describe: 'File with the verification keys',
+  },
+  vm: {
+    type: 'string',
+    array: true,
+    requiresArg: true,
+    describe: 'Operator port of a VM, such as 10.0.1.4:8082; may be repeated',
+  },
+  'timeout-ms': {
+    type: 'number',
+    requiresArg: true,
+    default: DEFAULT_TIMEOUT_MS,
+    describe: 'Longest wait for one call, in milliseconds',
+  },
+} as const;
+
+function sessionFlags(
+  options: Readonly<Record<string, unknown>>,
+): SessionFlags {
+  return {
+    profile: options['profile'] as string | undefined,
+    storeUrl: options['storeUrl'] as string | undefined,
+    storeTokenFile: options['storeTokenFile'] as string | undefined,
+    tokenFile: options['tokenFile'] as string | undefined,
+    keysFile: options['keysFile'] as string | undefined,
+    vm: options['vm'] as readonly string[] | undefined,
+    dryRun: options['dryRun'] === true,
+    timeoutMs: timeoutOf(options['timeoutMs']),
+  };
+}
+
+function timeoutOf(value: unknown): number {
+  if (typeof value === 'number' && value >= 1 && value <= 600_000) {
+    return value;
+  }
+  throw new UsageProblem('--timeout-ms: expected 1 to 600000 milliseconds');
+}
+
+/** Needed before yargs has parsed, so that its own errors take this form. */
+function outputForm(commandArguments: readonly string[]): OutputForm {
+  const joined = commandArguments.join(' ');
+  return /(^| )--output[ =]json( |$)/.test(joined) ? 'json' : 'text';
+}
+
+function usageError(message: string) {
+  return operatorError('UsageInvalid', {
+    where: 'arguments',
+    expected: 'a known command with its arguments',
+    found: message,
+  });
+}
--- /dev/null
+++ b/packages/command_line/test/support.ts
@@ -0,0 +1,200 @@
+/** Runs commands against a memory platform, without files or sockets. */
+import {
+  type Principal,
+  type PlatformStore,
+  type TokenAudience,
+  createManualTimerService,
+  createTokenSigner,
+  operatorError,
+  publishChange,
+  readDocument,
+} from '@ibisbeam/library';
+import {createRandomSource, teamName} from '@ibisbeam/decision';
+import {
+  type MemoryPlatform,
+  buildDeployment,
+  createMemoryPlatform,
+} from '@ibisbeam/stand-ins';
+import {type JWK, exportJWK, generateKeyPair} from 'jose';
+import {EitherAsync, Left, Right} from 'purify-ts';
+import {
+  type Dependencies,
+  type ExitStatus,
+  runCommandLine,
+} from '../src/index.js';
+import type {OperatorCall, OperatorReply} from '../src/core/dependencies.js';
+
+const START_WALL_MS = Date.parse('2026-12-03T20:00:00Z');
+export const WORKSPACE = 'daugava-scholars-lodging';
+export const OPERATOR: Principal = {kind: 'operator', name: 'janis'};
+export const OWNER: Principal = {
+  kind: 'target-owner',
+  name: 'ilze',
+  team: teamName('lodging-services'),
+};
+
+export interface Run {
+  readonly status: ExitStatus;
+  readonly output: string;
+  readonly errors: string;
+  /** The output as JSON. */
+  readonly json: () => {
+    readonly ok: boolean;
+    readonly data: Record<string, unknown>;
+    readonly errors: readonly {name: string; message: string; hint: string}[];
+  };
+}
+
+export interface Harness {
+  readonly platform: MemoryPlatform;
+  readonly files: Map<string, string>;
+  /** Answers of operator ports; VMs do not answer by default. */
+  reply: (call: OperatorCall) => OperatorReply | undefined;
+  /** Called before each write of the head, to let another operator race. */
+  beforeHeadWrite: (() => Promise<void>) | undefined;
+  readonly timers: ReturnType<typeof createManualTimerService>;
+  sign(principal: Principal, audience?: TokenAudience): Promise<string>;
+  run(...commandArguments: readonly string[]): Promise<Run>;
+  runAs(
+    principal: Principal,
+    ...commandArguments: readonly string[]
+  ): Promise<Run>;
+  generation(): Promise<number>;
+}
+
+export async function createHarness(): Promise<Harness> {
+  const timers = createManualTimerService(START_WALL_MS);
+  const platform = createMemoryPlatform(timers);
+  const key = await createKey('first');
+  const signer = await createTokenSigner(key.privateKey, timers);
+  const files = new Map([['keys', JSON.stringify({keys: [key.publicKey]})]]);
+  let identifiers = 0;
+
+  const harness: Harness = {
+    platform,
+    files,
+    timers,
+    reply: () => undefined,
+    beforeHeadWrite: undefined,
+    sign: (principal, audience = 'ibisbeam-operator') =>
+      signer.sign(principal, audience, 3_600_000),
+    run: (...commandArguments) => harness.runAs(OPERATOR, ...commandArguments),
+    runAs,
+    generation: async () => {
+      const stored = (await readDocument(platform.store)).unsafeCoerce();
+      return stored.head?.generation ?? 0;
+    },
+  };
+
+  async function runAs(
+    principal: Principal,
+    ...commandArguments: readonly string[]
+  ): Promise<Run> {
+    files.set('token', await harness.sign(principal));
+    return execute(commandArguments);
+  }
+
+  async function execute(commandArguments: readonly string[]): Promise<Run> {
+    let output = '';
+    let errors = '';
+    const dependencies: Dependencies = {
+      environment: {},
+      timers: {...timers, sleep: () => Promise.resolve()},
+      random: createRandomSource(1),
+      uniqueId: () => `id-${(identifiers += 1)}`,
+      write: text => {
+        output += text;
+      },
+      writeError: text => {
+        errors += text;
+      },
+      exists: file => files.has(file),
+      readText: file => {
+        const text = files.get(file);
+        return text === undefined
+          ? Left([operatorError('FileUnreadable', {file, cause: 'absent'})])
+          : Right(text);
+      },
+      listFiles: (folder, ending) =>
+        Right(
+          [...files.keys()].filter(
+            name => name.startsWith(`${folder}/`) && name.endsWith(ending),
+          ),
+        ),
+      writeFile: (file, text, {replace}) => {
+        if (!replace && files.has(file)) {
+          const cause = 'it exists';
+          return Left([operatorError('FileUnreadable', {file, cause})]);
+        }
+        files.set(file, text);
+        return Right(undefined);
+      },
+      openStore: () => ({store: racing(harness), close: () => {}}),
+      callOperatorPort: call => {
+        const reply = harness.reply(call);
+        const {address} = call;
+        const silent = operatorError('VmUnreachable', {address, cause: 'none'});
+        return EitherAsync.liftEither(reply ? Right(reply) : Left([silent]));
+      },
+    };
+    const connection = [
+      ...['--store-url', 'http://store.example'],
+      ...['--token-file', 'token', '--keys-file', 'keys'],
+    ];
+    const status = await runCommandLine(
+      [...commandArguments, ...connection],
+      dependencies,
+    );
+    return {status, output, errors, json: () => JSON.parse(output)};
+  }
+
+  await publishDeployment(platform.store);
+  return harness;
+}
+
+/** A store that lets another operator in just before the head is written. */
+function racing(harness: Harness): PlatformStore {
+  const {store} = harness.platform;
+  return {
+    ...store,
+    update: (key, expected, value, options) =>
+      EitherAsync(async ({fromPromise}) => {
+        const race = harness.beforeHeadWrite;
+        harness.beforeHeadWrite = undefined;
+        await race?.();
+        return fromPromise(store.update(key, expected, value, options).run());
+      }),
+  };
+}
+
+export async function publishDeployment(
+  platform: PlatformStore,
+): Promise<void> {
+  const document = buildDeployment({
+    name: 'daugava',
+    entryVmCount: 7,
+    workerDivisor: 1,
+    clientBlockCount: 9,
+  });
+  const published = await publishChange({
+    platform,
+    base: {document: new Map()},
+    sections: document,
+    author: 'seed',
+    summary: 'configuration: all',
+    writeId: 'seed',
+    wallMs: START_WALL_MS,
+  });
+  published.unsafeCoerce();
+}
+
+export async function createKey(
+  keyId: string,
+): Promise<{readonly privateKey: JWK; readonly publicKey: JWK}> {
+  const pair = await generateKeyPair('EdDSA', {extractable: true});
+  const labels = {kid: keyId, alg: 'EdDSA'};
+  return {
+    privateKey: {...(await exportJWK(pair.privateKey)), ...labels},
+    publicKey: {...(await exportJWK(pair.publicKey)), ...labels},
+  };
+}
--- a/packages/decision/src/core/drains/check_drain.ts
+++ b/packages/decision/src/core/drains/check_drain.ts
@@ -30,11 +30,17 @@
   readonly overflow: number;
 }
 
-export interface DrainCheck {
-  readonly rows: readonly DrainCheckRow[];
-  /** Why the drain is refused, with figures; empty when it may begin. */
-  readonly refusals: readonly string[];
-}
+/** Whether a drain may begin; each refusal states its figures. */
+export type DrainCheck =
+  | {readonly kind: 'fits'; readonly rows: readonly DrainCheckRow[]}
+  | {
+      readonly kind: 'too-large';
+      readonly rows: readonly DrainCheckRow[];
+      readonly refusals: readonly string[];
+    }
+  /** The scope names something that the configuration lacks. */
+  | {readonly kind: 'unknown-scope'; readonly problem: string}
+  | {readonly kind: 'already-drained'; readonly by: Drain['id']};
 
 /**
  * @param load Use of the services; a service and region that is absent counts
@@ -47,13 +53,18 @@
   load: readonly ServiceLoad[],
   wallMs: number,
 ): DrainCheck {
-  const wrong = planProblems(configuration, drain, wallMs);
-  if (wrong.length > 0) {
-    return {rows: [], refusals: wrong};
+  const problem = scopeProblem(drain.scope, configuration);
+  if (problem) {
+    return {kind: 'unknown-scope', problem};
   }
   const others = configuration.drains.filter(
     other => isDrainOpen(other, wallMs) && overlaps(other, drain),
   );
+  const scope = describeScope(drain.scope);
+  const same = others.find(other => describeScope(other.scope) === scope);
+  if (same) {
+    return {kind: 'already-drained', by: same.id};
+  }
   const rows: DrainCheckRow[] = [];
   const refusals: string[] = [];
   for (const service of configuration.services.keys()) {
@@ -71,38 +82,9 @@
     refusals.push(...headroomRefusals(ofService));
     refusals.push(...rateRefusals(configuration, drain, ofService));
   }
-  return {rows, refusals};
-}
-
-function planProblems(
-  configuration: Configuration,
-  drain: Drain,
-  wallMs: number,
-): readonly string[] {
-  const problems: string[] = [];
-  const unknown = scopeProblem(drain.scope, configuration);
-  if (unknown) {
-    problems.push(unknown);
-  }
-  if (
-    drain.endAtMs !== undefined &&
-    drain.endAtMs <= drain.startAtMs + drain.rampMs
-  ) {
-    problems.push(
-      `the end must come after the start and the ramp of ${drain.rampMs} ms`,
-    );
-  }
-  const scope = describeScope(drain.scope);
-  for (const other of configuration.drains) {
-    if (
-      isDrainOpen(other, wallMs) &&
-      overlaps(other, drain) &&
-      describeScope(other.scope) === scope
-    ) {
-      problems.push(`drain ${other.id} already covers ${scope}`);
-    }
-  }
-  return problems;
+  return refusals.length > 0
+    ? {kind: 'too-large', rows, refusals}
+    : {kind: 'fits', rows};
 }
 
 function checkPool(
@@ -211,7 +193,8 @@
   return refusals;
 }
 
-function usedSlots(
+/** Requests in progress, added up over the VMs that reported. */
+export function usedSlots(
   load: readonly ServiceLoad[],
   service: ServiceName,
   region: RegionName,
--- /dev/null
+++ b/packages/decision/src/core/templates/check_template.ts
@@ -0,0 +1,149 @@
+/** Checks a template alone, before any workspace uses it. */
+import {
+  type ParameterDefinition,
+  type ParameterValue,
+  type SteeringTemplate,
+  type WorkspaceInstance,
+  assertNever,
+  workspaceName,
+} from '../model/index.js';
+import {fillInTemplate, valueProblem} from './fill_in.js';
+import type {ConfigurationProblem} from './types.js';
+
+/**
+ * Finds parameters that contradict themselves, references to parameters that
+ * do not exist, parameters that nothing uses, and values within the bounds
+ * that would still give a policy that is not valid.
+ */
+export function checkTemplate(
+  template: SteeringTemplate,
+): readonly ConfigurationProblem[] {
+  const section = `template/${template.name}`;
+  const problems: ConfigurationProblem[] = [];
+  for (const [name, definition] of Object.entries(template.parameters)) {
+    const problem = definitionProblem(definition);
+    if (problem) {
+      problems.push({section, path: `parameters.${name}`, problem});
+    }
+  }
+  problems.push(...referenceProblems(template, section));
+  if (problems.length > 0) {
+    return problems;
+  }
+  return valueProblems(template, section);
+}
+
+function definitionProblem(
+  definition: ParameterDefinition,
+): string | undefined {
+  const isNumber =
+    definition.type === 'number' || definition.type === 'integer';
+  if (isNumber && definition.minimum > definition.maximum) {
+    return `the minimum ${definition.minimum} is over the maximum ${definition.maximum}`;
+  }
+  const problem = valueProblem(definition, definition.default);
+  return problem && `default: ${problem}`;
+}
+
+function referenceProblems(
+  template: SteeringTemplate,
+  section: string,
+): readonly ConfigurationProblem[] {
+  const problems: ConfigurationProblem[] = [];
+  const used = new Set<string>();
+  for (const reference of parameterReferences(template.policies, 'policies')) {
+    used.add(reference.parameter);
+    if (!template.parameters[reference.parameter]) {
+      problems.push({
+        section,
+        path: reference.path,
+        problem: `there is no parameter ${reference.parameter}`,
+      });
+    }
+  }
+  for (const name of Object.keys(template.parameters)) {
+    if (!used.has(name)) {
+      problems.push({
+        section,
+        path: `parameters.${name}`,
+        problem: 'no policy uses the parameter',
+      });
+    }
+  }
+  return problems;
+}
+
+/** Every `{"parameter": name}` below a value, with its path. */
+export function parameterReferences(
+  value: unknown,
+  path: string,
+): readonly {readonly parameter: string; readonly path: string}[] {
+  if (typeof value !== 'object' || value === null) {
+    return [];
+  }
+  const entries = Object.entries(value);
+  const [first] = entries;
+  if (entries.length === 1 && first?.[0] === 'parameter') {
+    return [{parameter: String(first[1]), path}];
+  }
+  return entries.flatMap(([key, child]) =>
+    parameterReferences(child, `${path}.${key}`),
+  );
+}
+
+/** Fills in the defaults, then each bound of each parameter in turn. */
+function valueProblems(
+  template: SteeringTemplate,
+  section: string,
+): readonly ConfigurationProblem[] {
+  const found = tryValues(template, {});
+  if (found.length > 0) {
+    return found;
+  }
+  const problems: ConfigurationProblem[] = [];
+  for (const [name, definition] of Object.entries(template.parameters)) {
+    for (const value of extremeValues(definition)) {
+      const [first] = tryValues(template, {[name]: value});
+      if (first) {
+        problems.push({
+          section,
+          path: `parameters.${name}`,
+          problem: `allows ${JSON.stringify(value)}, with which ${first.path} is not valid: ${first.problem}`,
+        });
+      }
+    }
+  }
+  return problems;
+}
+
+function tryValues(
+  template: SteeringTemplate,
+  values: Readonly<Record<string, ParameterValue>>,
+): readonly ConfigurationProblem[] {
+  const instance: WorkspaceInstance = {
+    name: workspaceName('check'),
+    template: template.name,
+    templateVersion: template.version,
+    values,
+  };
+  return fillInTemplate(template, instance).caseOf({
+    Left: problems => problems,
+    Right: () => [],
+  });
+}
+
+function extremeValues(
+  definition: ParameterDefinition,
+): readonly ParameterValue[] {
+  switch (definition.type) {
+    case 'number':
+    case 'integer':
+      return [definition.minimum, definition.maximum];
+    case 'choice':
+      return definition.choices;
+    case 'switch':
+      return [true, false];
+    default:
+      return assertNever(definition);
+  }
+}
--- /dev/null
+++ b/packages/decision/src/core/templates/impact.ts
@@ -0,0 +1,236 @@
+/**
+ * What a change alters, and whether a shift cap, a workspace's share or a
+ * region's capacity could no longer hold after it.
+ */
+import {
+  DRAIN_UTILIZATION_LIMIT,
+  type ServiceLoad,
+  usedSlots,
+} from '../drains/index.js';
+import type {
+  Configuration,
+  RegionName,
+  ServiceName,
+  WorkspaceName,
+  WorkspaceService,
+} from '../model/index.js';
+import {type PolicyChange, policyChanges} from './policy_changes.js';
+
+export interface ImpactFinding {
+  /** `refused` keeps the change from being accepted. */
+  readonly severity: 'refused' | 'warning';
+  readonly limit: 'shift-cap' | 'share' | 'capacity' | 'deadline';
+  readonly workspace?: WorkspaceName;
+  readonly service: ServiceName;
+  readonly region?: RegionName;
+  /** With the figures that led to it. */
+  readonly message: string;
+}
+
+export interface Impact {
+  readonly changes: readonly PolicyChange[];
+  readonly findings: readonly ImpactFinding[];
+}
+
+/**
+ * A finding that stood before the change as well is a warning only, so that
+ * an operator can still change other things.
+ *
+ * @param before The accepted configuration; absent for the first.
+ * @param load Present use, as far as VMs told it.
+ */
+export function analyzeImpact(
+  before: Configuration | undefined,
+  after: Configuration,
+  load: readonly ServiceLoad[],
+): Impact {
+  const standing = new Set<string>();
+  for (const finding of before ? findLimits(before, load) : []) {
+    standing.add(identityOf(finding));
+  }
+  const findings: ImpactFinding[] = [];
+  for (const finding of findLimits(after, load)) {
+    const stood = standing.has(identityOf(finding));
+    findings.push(stood ? {...finding, severity: 'warning'} : finding);
+  }
+  return {changes: policyChanges(before, after), findings};
+}
+
+/** A limit at a place; the figures may differ without it being a new one. */
+function identityOf(finding: ImpactFinding): string {
+  const {limit, workspace = '', service, region = ''} = finding;
+  return `${limit} ${workspace} ${service} ${region}`;
+}
+
+function findLimits(
+  configuration: Configuration,
+  load: readonly ServiceLoad[],
+): readonly ImpactFinding[] {
+  const findings: ImpactFinding[] = [];
+  for (const services of configuration.workspaces.values()) {
+    for (const use of services.values()) {
+      findings.push(...shiftCapFindings(configuration, use));
+      findings.push(...shareFindings(configuration, use));
+      findings.push(...deadlineFindings(use));
+    }
+  }
+  for (const service of configuration.services.keys()) {
+    findings.push(...sumOfShares(configuration, service));
+    findings.push(...capacityFindings(configuration, service, load));
+  }
+  return findings;
+}
+
+/** Slots of a service in each region that has any. */
+export function slotsByRegion(
+  configuration: Configuration,
+  service: ServiceName,
+): ReadonlyMap<RegionName, number> {
+  const slots = new Map<RegionName, number>();
+  for (const target of configuration.services.get(service)?.targets ?? []) {
+    slots.set(target.region, (slots.get(target.region) ?? 0) + target.slots);
+  }
+  return slots;
+}
+
+/** One step at the cap must fit the part that each other region keeps free. */
+function shiftCapFindings(
+  configuration: Configuration,
+  {workspace, service, policy}: WorkspaceService,
+): readonly ImpactFinding[] {
+  const findings: ImpactFinding[] = [];
+  const slots = slotsByRegion(configuration, service);
+  const largest = Math.max(0, ...slots.values());
+  const step = policy.shift.capFraction * largest;
+  for (const [region, own] of slots) {
+    const room = own * (1 - DRAIN_UTILIZATION_LIMIT);
+    if (slots.size < 2 || step <= room) {
+      continue;
+    }
+    findings.push({
+      severity: 'refused',
+      limit: 'shift-cap',
+      workspace,
+      service,
+      region,
+      message: `a shift of ${percent(policy.shift.capFraction)} of ${largest} slots moves ${round(step)} requests at once; ${region} keeps ${round(room)} of its ${own} slots free at ${percent(DRAIN_UTILIZATION_LIMIT)} use`,
+    });
+  }
+  return findings;
+}
+
+/** A share under one slot lets nothing through. */
+function shareFindings(
+  configuration: Configuration,
+  {workspace, service, policy}: WorkspaceService,
+): readonly ImpactFinding[] {
+  const findings: ImpactFinding[] = [];
+  for (const [region, slots] of slotsByRegion(configuration, service)) {
+    const share = policy.maximumPoolFraction * slots;
+    if (share < 1) {
+      findings.push({
+        severity: 'refused',
+        limit: 'share',
+        workspace,
+        service,
+        region,
+        message: `${percent(policy.maximumPoolFraction)} of ${slots} slots in ${region} is less than one request`,
+      });
+    }
+  }
+  return findings;
+}
+
+function sumOfShares(
+  configuration: Configuration,
+  service: ServiceName,
+): readonly ImpactFinding[] {
+  let sum = 0;
+  const users: WorkspaceName[] = [];
+  for (const [workspace, services] of configuration.workspaces) {
+    const policy = services.get(service)?.policy;
+    if (policy) {
+      sum += policy.maximumPoolFraction;
+      users.push(workspace);
+    }
+  }
+  if (users.length < 2 || sum <= 1) {
+    return [];
+  }
+  return [
+    {
+      severity: 'warning',
+      limit: 'share',
+      service,
+      message: `the shares of ${users.join(', ')} add up to ${percent(sum)}; at full use they displace each other by priority`,
+    },
+  ];
+}
+
+function capacityFindings(
+  configuration: Configuration,
+  service: ServiceName,
+  load: readonly ServiceLoad[],
+): readonly ImpactFinding[] {
+  const findings: ImpactFinding[] = [];
+  const slots = slotsByRegion(configuration, service);
+  for (const region of configuration.regions.keys()) {
+    const own = slots.get(region) ?? 0;
+    const inUse = usedSlots(load, service, region);
+    if (inUse <= own * DRAIN_UTILIZATION_LIMIT) {
+      continue;
+    }
+    findings.push({
+      severity: 'refused',
+      limit: 'capacity',
+      service,
+      region,
+      message: `${inUse} requests are in progress; ${region} would have ${own} slots, of which ${percent(DRAIN_UTILIZATION_LIMIT)} may be planned`,
+    });
+  }
+  if (slots.size === 0) {
+    findings.push({
+      severity: 'refused',
+      limit: 'capacity',
+      service,
+      message: 'the service would have no target in any region',
+    });
+  }
+  return findings;
+}
+
+function deadlineFindings({
+  workspace,
+  service,
+  policy,
+}: WorkspaceService): readonly ImpactFinding[] {
+  const {defaultDeadlineMs, maximumDeadlineMs, objective} = policy;
+  const findings: ImpactFinding[] = [];
+  if (defaultDeadlineMs > maximumDeadlineMs) {
+    findings.push({
+      severity: 'refused',
+      limit: 'deadline',
+      workspace,
+      service,
+      message: `the default deadline of ${defaultDeadlineMs} ms is over the maximum of ${maximumDeadlineMs} ms`,
+    });
+  }
+  if (objective.latencyThresholdMs > maximumDeadlineMs) {
+    findings.push({
+      severity: 'refused',
+      limit: 'deadline',
+      workspace,
+      service,
+      message: `no answer can be late: the latency threshold of ${objective.latencyThresholdMs} ms is over the maximum deadline of ${maximumDeadlineMs} ms`,
+    });
+  }
+  return findings;
+}
+
+function percent(fraction: number): string {
+  return `${Number((fraction * 100).toFixed(2))} %`;
+}
+
+function round(value: number): number {
+  return Number(value.toFixed(2));
+}
--- a/packages/library/src/core/access/index.ts
+++ b/packages/library/src/core/access/index.ts
@@ -1,2 +1,3 @@
+export * from './keys.js';
 export * from './tokens.js';
 export * from './types.js';
--- /dev/null
+++ b/packages/library/src/core/access/keys.ts
@@ -0,0 +1,64 @@
+/** Signing keys and the key set that VMs check tokens with. */
+import {type JSONWebKeySet, type JWK, exportJWK, generateKeyPair} from 'jose';
+import {type Either, Left, Right} from 'purify-ts';
+
+const ALGORITHM = 'EdDSA';
+/** The old and the new key, while they change over. */
+export const MAXIMUM_VALID_KEYS = 2;
+
+export interface SigningKey {
+  /** Private JSON Web Key, for `createTokenSigner`. */
+  readonly privateKey: JWK;
+  /** Its public part, for the key set. */
+  readonly publicKey: JWK;
+}
+
+export type KeySetProblem =
+  | {readonly kind: 'key-id-taken'; readonly keyId: string}
+  | {readonly kind: 'too-many-keys'; readonly keyIds: readonly string[]}
+  | {readonly kind: 'unknown-key'; readonly keyId: string}
+  | {readonly kind: 'last-key'; readonly keyId: string};
+
+export async function createSigningKey(keyId: string): Promise<SigningKey> {
+  const pair = await generateKeyPair(ALGORITHM, {extractable: true});
+  const labels = {kid: keyId, alg: ALGORITHM, use: 'sig'};
+  return {
+    privateKey: {...(await exportJWK(pair.privateKey)), ...labels},
+    publicKey: {...(await exportJWK(pair.publicKey)), ...labels},
+  };
+}
+
+export function keyIdsOf(keys: JSONWebKeySet): readonly string[] {
+  return keys.keys.map(key => key.kid ?? '(none)');
+}
+
+/** Both keys are valid until the older one is retired. */
+export function addVerificationKey(
+  keys: JSONWebKeySet,
+  publicKey: JWK,
+): Either<KeySetProblem, JSONWebKeySet> {
+  const keyIds = keyIdsOf(keys);
+  const keyId = publicKey.kid ?? '(none)';
+  if (keyIds.includes(keyId)) {
+    return Left({kind: 'key-id-taken', keyId});
+  }
+  if (keyIds.length >= MAXIMUM_VALID_KEYS) {
+    return Left({kind: 'too-many-keys', keyIds});
+  }
+  return Right({keys: [...keys.keys, publicKey]});
+}
+
+/** Tokens that the retired key signed are refused from then on. */
+export function retireVerificationKey(
+  keys: JSONWebKeySet,
+  keyId: string,
+): Either<KeySetProblem, JSONWebKeySet> {
+  const kept = keys.keys.filter(key => key.kid !== keyId);
+  if (kept.length === keys.keys.length) {
+    return Left({kind: 'unknown-key', keyId});
+  }
+  if (kept.length === 0) {
+    return Left({kind: 'last-key', keyId});
+  }
+  return Right({keys: kept});
+}
--- a/packages/library/src/core/errors/catalogue.ts
+++ b/packages/library/src/core/errors/catalogue.ts
@@ -29,6 +29,17 @@
       `${String(key)}: nothing at ${String(reference)}`,
     hint: 'Put the secret into the file or environment variable that the key names.',
   },
+  FileUnreadable: {
+    title: 'A file or folder cannot be used.',
+    message: ({file, cause}) => `${String(file)}: ${String(cause)}`,
+    hint: 'Nothing was changed. Check the path and the permissions.',
+  },
+  FileInvalid: {
+    title: 'A file is not valid.',
+    message: ({file, line, key, expected, found}) =>
+      `${String(file)}:${String(line)}: ${String(key)}: expected ${String(expected)}, found ${String(found)}`,
+    hint: 'Nothing was changed. Correct the key; `examples/` holds complete files with comments.',
+  },
   ConfigurationInvalid: {
     title: 'The configuration would not be valid.',
     message: ({section, path, problem}) =>
@@ -52,6 +63,70 @@
       `${String(operation)}: write ${String(writeId)}`,
     hint: 'Look at `ibisbeam configuration status` when the store is back; a change that took effect shows this write identifier.',
   },
+  ConfigurationContention: {
+    title: 'Other operators kept changing the configuration in between.',
+    message: ({attempts}) => `gave up after ${String(attempts)} tries`,
+    hint: 'Nothing of yours was changed. Try again in a few seconds.',
+  },
+  SectionTooLarge: {
+    title: "A section is larger than the platform's store takes.",
+    message: ({section, bytes}) =>
+      `${String(section)}: ${String(bytes)} bytes, at most 1 MB`,
+    hint: 'Nothing was changed. Split the section.',
+  },
+  StoreCorrupt: {
+    title: "The platform's store holds something that is no configuration.",
+    message: ({key, problem}) => `${String(key)}: ${String(problem)}`,
+    hint: 'Nothing was changed. VMs keep the configuration that they have; find out who wrote this key.',
+  },
+  UsageInvalid: {
+    title: 'The command line is not valid.',
+    message: ({where, expected, found}) =>
+      `${String(where)}: expected ${String(expected)}, found ${String(found)}`,
+    hint: 'Nothing was changed. `ibisbeam <command> --help` lists arguments and options.',
+  },
+  InputInvalid: {
+    title: 'The input is not valid.',
+    message: ({where, expected, found}) =>
+      `${String(where)}: expected ${String(expected)}, found ${String(found)}`,
+    hint: 'Nothing was changed. Correct the value and try again.',
+  },
+  NotFound: {
+    title: 'There is no such thing.',
+    message: ({what, where}) => `${String(what)}: not in ${String(where)}`,
+    hint: 'Nothing was changed. Check the name; the matching list command shows what there is.',
+  },
+  NotAllowed: {
+    title: 'Your token does not allow this.',
+    message: ({action, needed, found}) =>
+      `${String(action)}: needs ${String(needed)}, your token is of ${String(found)}`,
+    hint: 'Nothing was changed. Ask the principal that is named to do it.',
+  },
+  TokenRefused: {
+    title: 'The token is missing or not valid.',
+    message: ({where}) => `${String(where)}: refused the token`,
+    hint: 'Nothing was changed. `ibisbeam token inspect` shows audience and expiry of a token file.',
+  },
+  HeadroomMissing: {
+    title: 'The remaining capacity would not be enough.',
+    message: ({where, figures}) => `${String(where)}: ${String(figures)}`,
+    hint: 'Nothing was changed. Choose a smaller scope, a longer ramp or a quieter hour.',
+  },
+  LoadUnknown: {
+    title: 'The present load is not fully known.',
+    message: ({where, cause}) => `${String(where)}: ${String(cause)}`,
+    hint: 'Nothing was changed. Try again when the VM answers, or state --accept-unknown-load after looking at `ibisbeam status`.',
+  },
+  AlreadySo: {
+    title: 'This already stands so.',
+    message: ({what, state}) => `${String(what)}: ${String(state)}`,
+    hint: 'Nothing was changed, and nothing has to be.',
+  },
+  VmUnreachable: {
+    title: 'An entry VM did not answer.',
+    message: ({address, cause}) => `${String(address)}: ${String(cause)}`,
+    hint: 'Any other VM answers as well: name one with --vm.',
+  },
 });
 
 export type ErrorName = keyof typeof errorCatalogue;
