--- a/packages/library/src/plugins/index.ts
+++ b/packages/library/src/plugins/index.ts
@@ -1,13 +1,20 @@
 /** Every plug-in of an entry VM; each folder registers its own. */
 import type {PlugInRegistry} from '../core/kernel/index.js';
+import {registerBurnPlugIn} from './burn/index.js';
 import {registerClaimsPlugIn} from './claims/index.js';
 import {registerConfigurationPlugIn} from './configuration/index.js';
+import {registerJournalPlugIn} from './journal/index.js';
 import {registerMembershipPlugIn} from './membership/index.js';
+import {registerOperatorPortPlugIn} from './operator_port/index.js';
 import {registerPeerLinksPlugIn} from './peer_links/index.js';
 
+/** The journal and the burn counts come first, and so stop last. */
 export function registerPlugIns(registry: PlugInRegistry): void {
+  registerJournalPlugIn(registry);
+  registerBurnPlugIn(registry);
   registerPeerLinksPlugIn(registry);
   registerMembershipPlugIn(registry);
   registerConfigurationPlugIn(registry);
   registerClaimsPlugIn(registry);
+  registerOperatorPortPlugIn(registry);
 }
