Rank by rendezvous in one place

Cause: three parts had each written the same hash and ranking, and two exports clashed in the build. Conclusion: kept in core/hashing.

--- a/packages/decision/src/core/capacity/index.ts
+++ b/packages/decision/src/core/capacity/index.ts
@@ -1,4 +1,3 @@
-export * from './rendezvous.js';
 export * from './shares.js';
 export * from './holdings.js';
 export * from './share_growth.js';
--- a/packages/decision/src/core/capacity/shares.ts
+++ b/packages/decision/src/core/capacity/shares.ts
@@ -12,7 +12,7 @@
   TargetId,
   VmId,
 } from '../model/index.js';
-import {rendezvousOrder} from './rendezvous.js';
+import {rankByRendezvous} from '../hashing/index.js';
 
 /** Slots by target. */
 export type SlotShare = ReadonlyMap<TargetId, number>;
@@ -88,9 +88,9 @@
 function alternateZones(vms: readonly EntryVm[], key: string): readonly VmId[] {
   const byZone = new Map<string, VmId[]>();
   const zoneOf = new Map(vms.map(vm => [vm.id, vm.zone]));
-  const order = rendezvousOrder(
-    vms.map(vm => vm.id),
+  const order = rankByRendezvous(
     key,
+    vms.map(vm => vm.id),
   );
   for (const vm of order) {
     const zone = zoneOf.get(vm)!;
--- a/packages/decision/src/core/shifts/drained_targets.ts
+++ b/packages/decision/src/core/shifts/drained_targets.ts
@@ -16,14 +16,14 @@
   let fraction = 0;
   for (const drain of configuration.drains) {
     if (drainsTarget(drain, service, target)) {
-      fraction = Math.max(fraction, drainProgress(drain, wallMs));
+      fraction = Math.max(fraction, drainedFraction(drain, wallMs));
     }
   }
   return fraction;
 }
 
 /** Progress of a drain, 0 to 1; it falls as evenly as it rose. */
-export function drainProgress(drain: Drain, wallMs: number): number {
+export function drainedFraction(drain: Drain, wallMs: number): number {
   const stopMs = Math.min(
     drain.endAtMs ?? Infinity,
     drain.abortedAtMs ?? Infinity,
--- a/packages/decision/src/core/shifts/planned_moves.ts
+++ b/packages/decision/src/core/shifts/planned_moves.ts
@@ -4,7 +4,7 @@
  * just started, knows it. Moves of one workspace and service follow one
  * another, so that their sum stays under the cap.
  */
-import {hashToUnit, rendezvousOrder} from '../capacity/index.js';
+import {hash32, rankByRendezvous} from '../hashing/index.js';
 import type {
   Configuration,
   RegionName,
@@ -220,7 +220,7 @@
 
 /** Place of a cohort in the order in which a move takes cohorts, 0 to 1. */
 export function cohortPlace(cohort: number, move: string): number {
-  const offset = Math.floor(hashToUnit(move) * COHORTS);
+  const offset = hash32(move) % COHORTS;
   const place = (cohort * COHORT_STRIDE + offset) % COHORTS;
   return place / COHORTS;
 }
@@ -237,5 +237,5 @@
       others.push(region);
     }
   }
-  return rendezvousOrder(others, `${from}|${cohort}`)[0];
+  return rankByRendezvous(`${from}|${cohort}`, others)[0];
 }
--- a/packages/decision/src/core/steering/failover_watch.ts
+++ b/packages/decision/src/core/steering/failover_watch.ts
@@ -1,5 +1,5 @@
 /** Starts and ends failovers by the membership view and what peers know. */
-import {rendezvousOrder} from '../capacity/index.js';
+import {rankByRendezvous} from '../hashing/index.js';
 import type {MembershipView, RegionName, VmId} from '../model/index.js';
 import {type Failover, fullRampMs} from '../shifts/index.js';
 import {everyPeer} from './crash_reports.js';
@@ -94,7 +94,7 @@
   function informedPeers(): readonly VmId[] {
     const configuration = context.configuration();
     const byRegion = new Map<RegionName, VmId[]>();
-    for (const vm of rendezvousOrder(everyPeer(state), context.vm)) {
+    for (const vm of rankByRendezvous(context.vm, everyPeer(state))) {
       const region = configuration?.entryVms.get(vm)?.region;
       if (region === undefined) {
         continue;
--- a/packages/decision/src/core/steering/suspects.ts
+++ b/packages/decision/src/core/steering/suspects.ts
@@ -3,7 +3,7 @@
  * of the fleet only, and there one attempt at a time; while regions are cut
  * from each other it does not run at all.
  */
-import {rendezvousOrder} from '../capacity/index.js';
+import {rankByRendezvous} from '../hashing/index.js';
 import type {RequestFacts, VmId} from '../model/index.js';
 import type {Placement} from './placement.js';
 import type {SteeringState} from './state.js';
@@ -52,7 +52,7 @@
   const configuration = context.configuration();
   const view = context.view();
   const vms = [...(configuration?.entryVms.keys() ?? [])];
-  for (const vm of rendezvousOrder(vms, facts.fingerprint)) {
+  for (const vm of rankByRendezvous(facts.fingerprint, vms)) {
     const live = !view || view.vms.get(vm)?.state === 'live';
     if (live || vm === context.vm) {
       return vm;
--- a/packages/decision/src/core/steering/ticks.ts
+++ b/packages/decision/src/core/steering/ticks.ts
@@ -1,5 +1,5 @@
 /** What steering does as time passes without other events. */
-import {rendezvousOrder} from '../capacity/index.js';
+import {rankByRendezvous} from '../hashing/index.js';
 import type {RegionName, ServiceName, VmId} from '../model/index.js';
 import {serveQueue} from './admissions.js';
 import {attemptFinished} from './attempt_results.js';
@@ -88,7 +88,7 @@
     const configuration = context.configuration();
     const counts = new Map<RegionName, number>();
     const chosen: VmId[] = [];
-    for (const vm of rendezvousOrder(everyPeer(state), context.vm)) {
+    for (const vm of rankByRendezvous(context.vm, everyPeer(state))) {
       const region = configuration?.entryVms.get(vm)?.region;
       if (region === undefined) {
         continue;
