Steer look-ups by the same planned moves as forwarding

Cause: look-up had a schedule of its own that moved a whole interval's cap at once, while forwarding moves cohorts evenly; the two disagreed on where a cohort belongs. Conclusion: one schedule.

--- a/packages/decision/src/core/lookup/directory.ts
+++ b/packages/decision/src/core/lookup/directory.ts
@@ -12,7 +12,7 @@
   RegionName,
   VmId,
 } from '../model/index.js';
-import {steeredRegion} from './region_choice.js';
+import {type RegionChooser, createRegionChooser} from './region_choice.js';
 import type {
   LookupAnswer,
   LookupChoice,
@@ -36,6 +36,7 @@
 /** @param maximumVms Most entry VMs in one answer. */
 export function createEntryVmDirectory(maximumVms: number): EntryVmDirectory {
   let configuration: Configuration | undefined;
+  let regions: RegionChooser | undefined;
   let view: MembershipView | undefined;
   let remembered = new Map<string, readonly LookupChoice[]>();
 
@@ -104,7 +105,7 @@
     query: LookupQuery,
     wallMs: number,
   ): Either<LookupRefusal, LookupAnswer> {
-    if (!configuration || !view) {
+    if (!configuration || !regions || !view) {
       return Left('no-configuration');
     }
     const services = configuration.workspaces.get(query.workspace);
@@ -114,7 +115,7 @@
     if (!services.has(query.service)) {
       return Left('unknown-service');
     }
-    const region = steeredRegion(configuration, query, wallMs);
+    const region = regions.regionFor(query, wallMs);
     const choices = choicesFor(region, query.place.cohort, wallMs);
     if (choices.length === 0) {
       return Left('no-entry-vm');
@@ -125,6 +126,7 @@
   return {
     configurationAccepted: accepted => {
       configuration = accepted;
+      regions = createRegionChooser(accepted);
       forget();
     },
     membershipChanged: changed => {
--- a/packages/decision/src/core/lookup/region_choice.ts
+++ b/packages/decision/src/core/lookup/region_choice.ts
@@ -1,70 +1,64 @@
 /** Which region a caller's block is steered to at a moment. */
 import {rankByRendezvous} from '../hashing/index.js';
-import type {Configuration, RegionName, Shift} from '../model/index.js';
-import {COHORT_COUNT, type LookupQuery} from './types.js';
+import type {Configuration, RegionName} from '../model/index.js';
+import {
+  type PlannedMove,
+  plannedMoves,
+  regionAfterMoves,
+} from '../shifts/index.js';
+import {defaultSteeringParameters} from '../steering/parameters.js';
+import type {LookupQuery} from './types.js';
 
-/**
- * A planned shift moves cohorts one after another, so that a block moves once
- * and stays: cohort numbers below the moved fraction of all are in `to`.
- *
- * @param wallMs Unix time in milliseconds.
- */
-export function steeredRegion(
+/** Follows the planned moves that forwarding enforces, on the same clock. */
+export interface RegionChooser {
+  /** @param wallMs Unix time in milliseconds. */
+  regionFor(query: LookupQuery, wallMs: number): RegionName;
+}
+
+export function createRegionChooser(
   configuration: Configuration,
-  query: LookupQuery,
-  wallMs: number,
-): RegionName {
-  const home = query.place.homeRegion ?? regionOfUnknown(configuration, query);
-  for (const shift of configuration.shifts) {
-    if (
-      appliesTo(shift, query, home) &&
-      isMoved(configuration, shift, query, wallMs)
-    ) {
-      return shift.to;
+): RegionChooser {
+  const movesByService = new Map<string, readonly PlannedMove[]>();
+
+  function movesFor(query: LookupQuery): readonly PlannedMove[] {
+    const key = `${query.workspace}/${query.service}`;
+    const known = movesByService.get(key);
+    if (known) {
+      return known;
     }
+    const policy = configuration.workspaces
+      .get(query.workspace)
+      ?.get(query.service)?.policy;
+    const moves = policy
+      ? plannedMoves(
+          configuration,
+          query.workspace,
+          query.service,
+          policy.shift,
+          defaultSteeringParameters.capUse,
+        )
+      : [];
+    movesByService.set(key, moves);
+    return moves;
   }
-  return home;
+
+  function regionFor(query: LookupQuery, wallMs: number): RegionName {
+    const {homeRegion, cohort} = query.place;
+    const home = homeRegion ?? regionOfUnknown(configuration, cohort);
+    const moves = movesFor(query);
+    if (moves.length === 0) {
+      return home;
+    }
+    return regionAfterMoves(configuration, moves, home, cohort, wallMs);
+  }
+
+  return {regionFor};
 }
 
 function regionOfUnknown(
   configuration: Configuration,
-  query: LookupQuery,
+  cohort: number,
 ): RegionName {
-  const key = `cohort ${query.place.cohort}`;
+  const key = `cohort ${cohort}`;
   return rankByRendezvous(key, configuration.regions.keys())[0]!;
 }
-
-function appliesTo(
-  shift: Shift,
-  query: LookupQuery,
-  home: RegionName,
-): boolean {
-  if (shift.workspace !== query.workspace || shift.from !== home) {
-    return false;
-  }
-  return shift.service === undefined || shift.service === query.service;
-}
-
-function isMoved(
-  configuration: Configuration,
-  shift: Shift,
-  query: LookupQuery,
-  wallMs: number,
-): boolean {
-  const policy = configuration.workspaces
-    .get(query.workspace)
-    ?.get(query.service)?.policy;
-  if (!policy) {
-    return false;
-  }
-  const untilMs = shift.abortedAtMs ?? wallMs;
-  const steps = Math.floor(
-    (untilMs - shift.startAtMs) / policy.shift.intervalMs,
-  );
-  if (untilMs < shift.startAtMs) {
-    return false;
-  }
-  const allowed = (steps + 1) * policy.shift.capFraction;
-  const fraction = Math.min(shift.fraction, allowed);
-  return query.place.cohort < fraction * COHORT_COUNT;
-}
