--- a/packages/decision/src/core/claims/create_claims.ts
+++ b/packages/decision/src/core/claims/create_claims.ts
@@ -119,16 +119,16 @@
         answerBegin(from, message);
         return;
       case 'ticket-decision':
-        remote.takeDecision(message.ask, message.decision, now);
+        remote.takeDecision(message.nonce, message.decision);
         return;
       case 'ticket-end': {
-        const {ask, key, nonce, end: ended} = message;
+        const {key, nonce, end: ended} = message;
         const known = tickets.end(key, nonce, ended, now);
-        send(from, {kind: 'ticket-end-kept', ask, known});
+        send(from, {kind: 'ticket-end-kept', nonce, known});
         return;
       }
       case 'ticket-end-kept':
-        remote.takeEndKept(message.ask, message.known);
+        remote.takeEndKept(message.nonce, message.known);
         return;
       default:
         assertNever(message);
@@ -143,9 +143,9 @@
     from: Ticket['vm'],
     message: Extract<ClaimPeerMessage, {kind: 'ticket-begin'}>,
   ): void {
-    const {ask, key} = message;
+    const {nonce, key} = message;
     const reply = (decision: ClaimDecision) =>
-      send(from, {kind: 'ticket-decision', ask, decision});
+      send(from, {kind: 'ticket-decision', nonce, decision});
     const ticket = parseTicket(key.idempotencyKey);
     if (!ticket || !tickets.isOurs(ticket)) {
       remote.lookInStore(message, reply);
--- a/packages/decision/src/core/claims/peer_messages.ts
+++ b/packages/decision/src/core/claims/peer_messages.ts
@@ -3,7 +3,10 @@
 import {serviceNameSchema, workspaceNameSchema} from '../model/index.js';
 import {recordedAnswerSchema} from './claim_record.js';
 
-const askSchema = z.int().nonnegative();
+/**
+ * Names one attempt to claim over all lives of all VMs, so that a late answer
+ * to an earlier life is never taken for an answer to a later one.
+ */
 const nonceSchema = z.string().min(1).max(256);
 
 const claimKeySchema = z.strictObject({
@@ -38,7 +41,6 @@
   /** Asks the minter; with the same nonce it may be asked again. */
   z.strictObject({
     kind: z.literal('ticket-begin'),
-    ask: askSchema,
     key: claimKeySchema,
     fingerprint: z.string().min(1).max(128),
     nonce: nonceSchema,
@@ -46,19 +48,18 @@
   }),
   z.strictObject({
     kind: z.literal('ticket-decision'),
-    ask: askSchema,
+    nonce: nonceSchema,
     decision: claimDecisionSchema,
   }),
   z.strictObject({
     kind: z.literal('ticket-end'),
-    ask: askSchema,
     key: claimKeySchema,
     nonce: nonceSchema,
     end: claimEndSchema,
   }),
   z.strictObject({
     kind: z.literal('ticket-end-kept'),
-    ask: askSchema,
+    nonce: nonceSchema,
     known: z.boolean(),
   }),
 ]);
--- a/packages/decision/src/core/claims/remote_tickets.ts
+++ b/packages/decision/src/core/claims/remote_tickets.ts
@@ -55,8 +55,8 @@
   ): void;
   /** False when no such operation runs here. */
   end(question: number, token: string, end: ClaimEnd, time: StepTime): boolean;
-  takeDecision(ask: number, decision: ClaimDecision, time: StepTime): void;
-  takeEndKept(ask: number, known: boolean): void;
+  takeDecision(nonce: string, decision: ClaimDecision): void;
+  takeEndKept(nonce: string, known: boolean): void;
   /** Decides by the record in the store, and never lets run. */
   lookInStore(
     request: Pick<ClaimRequest, 'key' | 'fingerprint' | 'firstAttempt'>,
@@ -75,9 +75,9 @@
 
 export function createRemoteTickets(parts: RemoteTicketsParts): RemoteTickets {
   const {options, store, late, emit} = parts;
-  const begins = new Map<number, BeginAsk>();
+  const begins = new Map<string, BeginAsk>();
   const running = new Map<string, BeginAsk>();
-  const ends = new Map<number, EndAsk>();
+  const ends = new Map<string, EndAsk>();
   let lastAsk = 0;
 
   function send(to: Ticket['vm'], message: ClaimPeerMessage): void {
@@ -106,16 +106,15 @@
       tries: 0,
       nextMs: 0,
     };
-    begins.set(lastAsk, ask);
-    sendBegin(lastAsk, ask, time);
+    begins.set(ask.nonce, ask);
+    sendBegin(ask, time);
   }
 
-  function sendBegin(number: number, ask: BeginAsk, time: StepTime): void {
+  function sendBegin(ask: BeginAsk, time: StepTime): void {
     ask.tries += 1;
     ask.nextMs = time.nowMs + ASK_AGAIN_MS;
     send(ask.ticket.vm, {
       kind: 'ticket-begin',
-      ask: number,
       key: ask.request.key,
       fingerprint: ask.request.fingerprint,
       nonce: ask.nonce,
@@ -123,16 +122,12 @@
     });
   }
 
-  function takeDecision(
-    number: number,
-    decision: ClaimDecision,
-    _time: StepTime,
-  ): void {
-    const ask = begins.get(number);
+  function takeDecision(nonce: string, decision: ClaimDecision): void {
+    const ask = begins.get(nonce);
     if (!ask) {
       return;
     }
-    begins.delete(number);
+    begins.delete(nonce);
     if (decision.kind === 'run') {
       running.set(ask.nonce, ask);
       const {question} = ask;
@@ -147,8 +142,8 @@
   }
 
   /** The minter may have let it run: it is told that it did not. */
-  function giveUpBegin(number: number, ask: BeginAsk, time: StepTime): void {
-    begins.delete(number);
+  function giveUpBegin(ask: BeginAsk, time: StepTime): void {
+    begins.delete(ask.nonce);
     startEnd(ask, {kind: 'not-run'}, undefined, time);
     if (parts.isGone(ask.ticket)) {
       lookInStore(ask.request, decision =>
@@ -169,7 +164,6 @@
     question: number | undefined,
     time: StepTime,
   ): void {
-    lastAsk += 1;
     const kept = trimEnd(end, options.maximumRecordedBytes);
     const ending: EndAsk = {
       question,
@@ -181,8 +175,8 @@
       tries: 0,
       nextMs: 0,
     };
-    ends.set(lastAsk, ending);
-    sendEnd(lastAsk, ending, time);
+    ends.set(ask.nonce, ending);
+    sendEnd(ending, time);
   }
 
   function recordOf(ask: BeginAsk, end: ClaimEnd, time: StepTime): ClaimRecord {
@@ -197,19 +191,19 @@
     };
   }
 
-  function sendEnd(number: number, ending: EndAsk, time: StepTime): void {
+  function sendEnd(ending: EndAsk, time: StepTime): void {
     ending.tries += 1;
     ending.nextMs = time.nowMs + ASK_AGAIN_MS * ending.tries;
     const {key, nonce, end} = ending;
-    send(ending.to, {kind: 'ticket-end', ask: number, key, nonce, end});
+    send(ending.to, {kind: 'ticket-end', key, nonce, end});
   }
 
-  function takeEndKept(number: number, known: boolean): void {
-    const ending = ends.get(number);
+  function takeEndKept(nonce: string, known: boolean): void {
+    const ending = ends.get(nonce);
     if (!ending) {
       return;
     }
-    ends.delete(number);
+    ends.delete(nonce);
     reportEnd(ending, known);
   }
 
@@ -220,8 +214,8 @@
   }
 
   /** The minter does not answer: the record goes to the store from here. */
-  function giveUpEnd(number: number, ending: EndAsk, time: StepTime): void {
-    ends.delete(number);
+  function giveUpEnd(ending: EndAsk, time: StepTime): void {
+    ends.delete(ending.nonce);
     reportEnd(ending, false);
     if (ending.record) {
       const key = claimStoreKey(ending.key);
@@ -240,24 +234,24 @@
   }
 
   function tick(time: StepTime): void {
-    for (const [number, ask] of begins) {
+    for (const ask of [...begins.values()]) {
       if (time.nowMs < ask.nextMs) {
         continue;
       }
       if (ask.tries >= MAXIMUM_BEGIN_TRIES || time.nowMs >= ask.endsAtMs) {
-        giveUpBegin(number, ask, time);
+        giveUpBegin(ask, time);
       } else {
-        sendBegin(number, ask, time);
+        sendBegin(ask, time);
       }
     }
-    for (const [number, ending] of ends) {
+    for (const ending of [...ends.values()]) {
       if (time.nowMs < ending.nextMs) {
         continue;
       }
       if (ending.tries >= MAXIMUM_END_TRIES) {
-        giveUpEnd(number, ending, time);
+        giveUpEnd(ending, time);
       } else {
-        sendEnd(number, ending, time);
+        sendEnd(ending, time);
       }
     }
   }
--- /dev/null
+++ b/packages/decision/test/properties/claims_property.ts
@@ -0,0 +1,69 @@
+/** At most once, over generated schedules of steps. */
+import fc from 'fast-check';
+import {
+  type CreateClaims,
+  STEP_KINDS,
+  type Step,
+  type StepKind,
+  createClaimsWorld,
+} from './claims_world.js';
+
+const MAXIMUM_STEPS = 120;
+const MAXIMUM_CHOICE = 0xffff;
+
+/** Ordinary progress comes more often than faults, so that claims get far. */
+const WEIGHTS: Partial<Record<StepKind, number>> = {
+  request: 4,
+  'request-with-ticket': 2,
+  resend: 4,
+  'store-answers': 8,
+  'peer-delivers': 4,
+  'send-and-answer': 3,
+  tick: 4,
+};
+
+const kind = fc.oneof(
+  ...STEP_KINDS.map(name => ({
+    arbitrary: fc.constant(name),
+    weight: WEIGHTS[name] ?? 1,
+  })),
+);
+
+export const schedule: fc.Arbitrary<Step[]> = fc.array(
+  fc.tuple(kind, fc.nat(MAXIMUM_CHOICE)),
+  {minLength: 10, maxLength: MAXIMUM_STEPS, size: 'max'},
+);
+
+export interface PropertyRun {
+  readonly failed: boolean;
+  readonly report: string;
+  /** How often the schedules reached what they are meant to reach. */
+  readonly reached: ReadonlyMap<string, number>;
+}
+
+export function checkClaims(
+  seed: number,
+  numRuns: number,
+  createMachine?: CreateClaims,
+): PropertyRun {
+  const reached = new Map<string, number>();
+  const details = fc.check(
+    fc.property(schedule, steps => {
+      const world = createClaimsWorld(createMachine);
+      for (const step of steps) {
+        world.step(step);
+      }
+      for (const [name, count] of world.decisions) {
+        reached.set(name, (reached.get(name) ?? 0) + count);
+      }
+    }),
+    {seed, numRuns},
+  );
+  return {
+    failed: details.failed,
+    report: details.failed
+      ? `${String(details.errorInstance)}\n${fc.defaultReportMessage(details)}`
+      : '',
+    reached,
+  };
+}
--- /dev/null
+++ b/packages/decision/test/properties/rollout_world.ts
@@ -0,0 +1,349 @@
+/**
+ * VMs with the real roll-out machine around a fake store, moved by generated
+ * steps. Generations are accepted by a conditional update, as operators do.
+ */
+import {
+  type ConfigurationHead,
+  type ConfigurationPeerMessage,
+  type Generation,
+  type ManifestEntry,
+  type Rollout,
+  type RolloutAction,
+  type RolloutEvent,
+  type RolloutOptions,
+  type Section,
+  type VmId,
+  canonicalJson,
+  chunkDigest,
+  createRollout,
+  generation,
+  regionName,
+  vmId,
+  zoneName,
+} from '../../src/index.js';
+import {InvariantBroken} from './claims_world.js';
+
+const VM_IDS = ['a', 'b', 'c', 'd'].map(vmId);
+const STALE_AFTER_MS = 30_000;
+
+export const ROLLOUT_STEP_KINDS = [
+  'accept',
+  'store-answers',
+  'store-refuses',
+  'store-answers-old',
+  'peer-delivers',
+  'peer-loses',
+  'peer-repeats',
+  'link-opens',
+  'link-closes',
+  'tick',
+  'time-passes',
+  'vm-replaced',
+] as const;
+export type RolloutStepKind = (typeof ROLLOUT_STEP_KINDS)[number];
+export type RolloutStep = readonly [RolloutStepKind, number];
+export type CreateRollout = (options: RolloutOptions) => Rollout;
+
+interface Vm {
+  readonly id: VmId;
+  rollout: Rollout;
+  inForce: number;
+}
+
+interface StoreCall {
+  readonly vm: Vm;
+  readonly owner: Rollout;
+  readonly askedAtMs: number;
+  /** Absent for a read of the head. */
+  readonly digest?: string;
+}
+
+interface Message {
+  readonly from: VmId;
+  readonly to: VmId;
+  readonly message: ConfigurationPeerMessage;
+}
+
+export interface RolloutWorld {
+  step(step: RolloutStep): void;
+  /**
+   * Lets everything through until nothing more happens.
+   *
+   * @throws InvariantBroken when an accepted generation is not everywhere.
+   */
+  settle(): void;
+  readonly reached: ReadonlyMap<string, number>;
+}
+
+export function createRolloutWorld(
+  createMachine: CreateRollout = createRollout,
+): RolloutWorld {
+  const chunks = new Map<string, string>();
+  const heads: ConfigurationHead[] = [];
+  const calls: StoreCall[] = [];
+  const messages: Message[] = [];
+  const links = new Set<string>();
+  const reached = new Map<string, number>();
+  let nowMs = 1_000_000;
+  accept(0);
+  const vms: Vm[] = VM_IDS.map(id => ({
+    id,
+    rollout: machine(id),
+    inForce: -1,
+  }));
+  for (const vm of vms) {
+    feed(vm, {kind: 'started'});
+  }
+
+  function machine(id: VmId): Rollout {
+    return createMachine({
+      vm: id,
+      region: regionName('riga'),
+      zone: zoneName('a'),
+      staleAfterMs: STALE_AFTER_MS,
+      announceIntervalMs: 1_000,
+    });
+  }
+
+  function note(what: string): void {
+    reached.set(what, (reached.get(what) ?? 0) + 1);
+  }
+
+  function accept(choice: number): void {
+    const next = generation((heads.at(-1)?.generation ?? 0) + 1);
+    const sections: [string, Section][] = [
+      [
+        'topology',
+        {
+          kind: 'topology',
+          topology: {
+            regions: [{name: regionName('riga'), zones: [zoneName('a')]}],
+            links: [],
+            entryVms: [],
+          },
+        },
+      ],
+      [`client-blocks/${choice % 3}`, blocks(choice % 3, next)],
+    ];
+    const manifest = new Map<string, ManifestEntry>();
+    for (const entry of heads.at(-1)?.manifest ?? []) {
+      manifest.set(entry.section, entry);
+    }
+    for (const [section, content] of sections) {
+      const text = canonicalJson(content);
+      const digest = chunkDigest(text);
+      chunks.set(digest, text);
+      manifest.set(section, {section, digest, bytes: text.length});
+    }
+    heads.push({
+      generation: next,
+      manifest: [...manifest.values()],
+      writes: [],
+    });
+  }
+
+  function blocks(shard: number, next: Generation): Section {
+    return {
+      kind: 'client-blocks',
+      shard: String(shard),
+      blocks: {[regionName('riga')]: `10.0.${next % 250}.0/24`},
+    };
+  }
+
+  function feed(vm: Vm, event: RolloutEvent): void {
+    const {rollout} = vm;
+    for (const action of rollout.step(event, nowMs)) {
+      perform(vm, rollout, action);
+    }
+  }
+
+  function perform(vm: Vm, owner: Rollout, action: RolloutAction): void {
+    switch (action.kind) {
+      case 'read-head':
+        calls.push({vm, owner, askedAtMs: nowMs});
+        return;
+      case 'read-chunk':
+        calls.push({vm, owner, askedAtMs: nowMs, digest: action.digest});
+        return;
+      case 'send':
+        if (links.has(linkName(vm.id, action.to))) {
+          messages.push({from: vm.id, to: action.to, message: action.message});
+        }
+        return;
+      case 'in-force':
+        putInForce(vm, action.configuration.generation);
+        return;
+      case 'freshness':
+        note(`freshness ${action.cause}`);
+        return;
+      case 'note':
+        note(action.note.kind);
+        return;
+      case 'watch':
+        return;
+    }
+  }
+
+  function putInForce(vm: Vm, next: Generation): void {
+    if (next <= vm.inForce) {
+      throw new InvariantBroken(`${vm.id} fell from ${vm.inForce} to ${next}`);
+    }
+    const head = heads.find(accepted => accepted.generation === next);
+    if (!head) {
+      throw new InvariantBroken(`${next} was never accepted`);
+    }
+    vm.inForce = next;
+    note('in force');
+  }
+
+  function answer(call: StoreCall, head: ConfigurationHead): void {
+    calls.splice(calls.indexOf(call), 1);
+    if (call.vm.rollout !== call.owner) {
+      return;
+    }
+    const {askedAtMs, digest} = call;
+    feed(
+      call.vm,
+      digest === undefined
+        ? {kind: 'store-head', head, askedAtMs}
+        : {kind: 'chunk-read', digest, text: chunks.get(digest)},
+    );
+  }
+
+  function refuse(call: StoreCall): void {
+    calls.splice(calls.indexOf(call), 1);
+    if (call.vm.rollout !== call.owner) {
+      return;
+    }
+    const {digest} = call;
+    feed(
+      call.vm,
+      digest === undefined
+        ? {kind: 'store-failed'}
+        : {kind: 'chunk-read', digest, text: undefined},
+    );
+  }
+
+  function deliver(found: Message): void {
+    const vm = vms.find(({id}) => id === found.to)!;
+    const {from, message} = found;
+    feed(vm, {kind: 'peer-message', from, message});
+  }
+
+  function setLink(choice: number, open: boolean): void {
+    const one = pick(vms, choice)!;
+    const other = pick(vms, choice >> 2)!;
+    const name = linkName(one.id, other.id);
+    if (one === other || links.has(name) === open) {
+      return;
+    }
+    if (open) {
+      links.add(name);
+    } else {
+      links.delete(name);
+    }
+    const kind = open ? 'peer-connected' : 'peer-disconnected';
+    feed(one, {kind, peer: other.id});
+    feed(other, {kind, peer: one.id});
+  }
+
+  function replace(choice: number): void {
+    const vm = pick(vms, choice)!;
+    for (const other of vms) {
+      if (links.delete(linkName(vm.id, other.id))) {
+        feed(other, {kind: 'peer-disconnected', peer: vm.id});
+      }
+    }
+    vm.rollout = machine(vm.id);
+    vm.inForce = -1;
+    feed(vm, {kind: 'started'});
+  }
+
+  function step([kind, choice]: RolloutStep): void {
+    const call = pick(calls, choice);
+    const message = pick(messages, choice);
+    switch (kind) {
+      case 'accept':
+        accept(choice);
+        return;
+      case 'store-answers':
+        if (call) {
+          answer(call, heads.at(-1)!);
+        }
+        return;
+      case 'store-answers-old':
+        // A call that took long: the head is as it was somewhat earlier.
+        if (call) {
+          answer(call, heads[Math.max(0, heads.length - 1 - (choice % 3))]!);
+        }
+        return;
+      case 'store-refuses':
+        if (call) {
+          refuse(call);
+        }
+        return;
+      case 'peer-delivers':
+      case 'peer-repeats':
+        if (message) {
+          deliver(message);
+          if (kind === 'peer-delivers') {
+            messages.splice(messages.indexOf(message), 1);
+          }
+        }
+        return;
+      case 'peer-loses':
+        if (message) {
+          messages.splice(messages.indexOf(message), 1);
+        }
+        return;
+      case 'link-opens':
+        setLink(choice, true);
+        return;
+      case 'link-closes':
+        setLink(choice, false);
+        return;
+      case 'tick':
+        feed(pick(vms, choice)!, {kind: 'tick'});
+        return;
+      case 'time-passes':
+        nowMs += 1 + (choice % STALE_AFTER_MS);
+        return;
+      case 'vm-replaced':
+        replace(choice);
+        return;
+    }
+  }
+
+  function settle(): void {
+    for (let round = 0; round < 60; round += 1) {
+      nowMs += 2_500;
+      for (const vm of vms) {
+        feed(vm, {kind: 'tick'});
+      }
+      for (let turn = 0; turn < 20; turn += 1) {
+        for (const call of [...calls]) {
+          answer(call, heads.at(-1)!);
+        }
+        for (const message of messages.splice(0)) {
+          deliver(message);
+        }
+      }
+    }
+    const newest = heads.at(-1)!.generation;
+    for (const vm of vms) {
+      if (vm.inForce !== newest) {
+        throw new InvariantBroken(`${vm.id} stays at ${vm.inForce}`);
+      }
+    }
+  }
+
+  return {step, settle, reached};
+}
+
+function linkName(one: VmId, other: VmId): string {
+  return one < other ? `${one} ${other}` : `${other} ${one}`;
+}
+
+function pick<Item>(items: readonly Item[], choice: number): Item | undefined {
+  return items[choice % Math.max(1, items.length)];
+}
