--- a/packages/decision/src/core/claims/claim_sweep.ts
+++ b/packages/decision/src/core/claims/claim_sweep.ts
@@ -1,6 +1,6 @@
 /** Which shard of claims this VM looks through next, and what it deletes. */
 import {type MembershipView, type VmId} from '../model/index.js';
-import {hashText} from '../random/index.js';
+import {hash32} from '../hashing/index.js';
 import {
   CLAIM_SHARDS,
   claimRecordSchema,
@@ -22,7 +22,7 @@
  */
 export function createClaimSweep(vm: VmId, retentionMs: number): ClaimSweep {
   const roundMs = retentionMs / SWEEPS_PER_RETENTION;
-  const start = hashText(vm) % CLAIM_SHARDS;
+  const start = hash32(vm) % CLAIM_SHARDS;
   let position: number | undefined;
 
   return {
--- a/packages/decision/src/core/membership/overlay.ts
+++ b/packages/decision/src/core/membership/overlay.ts
@@ -1,6 +1,6 @@
 /** Which links a VM keeps: a few in its region, a few to other regions. */
 import type {RegionName, VmId} from '../model/index.js';
-import {hashText, rendezvousOrder} from '../random/index.js';
+import {hash32, rankByRendezvous} from '../hashing/index.js';
 import type {VmRecord} from './records.js';
 
 /** VMs of a region that keep links to other regions. */
@@ -49,7 +49,7 @@
     return others;
   }
   const ring = [...vms].sort(
-    (one, other) => hashText(one) - hashText(other) || (one < other ? -1 : 1),
+    (one, other) => hash32(one) - hash32(other) || (one < other ? -1 : 1),
   );
   const index = ring.indexOf(self);
   const chord = Math.max(2, Math.round(Math.sqrt(ring.length)));
@@ -80,7 +80,7 @@
   region: RegionName,
   vms: readonly VmId[],
 ): readonly VmId[] {
-  return rendezvousOrder(`delegates ${region}`, vms);
+  return rankByRendezvous(`delegates ${region}`, vms);
 }
 
 /**
--- a/packages/decision/src/core/membership/records.ts
+++ b/packages/decision/src/core/membership/records.ts
@@ -9,7 +9,7 @@
   type ZoneName,
   incarnation as toIncarnation,
 } from '../model/index.js';
-import {hashText} from '../random/index.js';
+import {hash32} from '../hashing/index.js';
 import type {VmUpdate} from './peer_messages.js';
 
 export interface VmRecord {
@@ -122,7 +122,7 @@
     for (const record of records.values()) {
       if (record.state !== 'live') {
         const text = `${record.vm} ${record.revision} ${record.state}`;
-        sum = (sum ^ hashText(text)) >>> 0;
+        sum = (sum ^ hash32(text)) >>> 0;
       }
     }
     return sum;
--- a/packages/decision/src/core/random/index.ts
+++ b/packages/decision/src/core/random/index.ts
@@ -1,2 +1,1 @@
 export * from './random_source.js';
-export * from './rendezvous.js';
--- a/packages/decision/src/core/rollout/create_rollout.ts
+++ b/packages/decision/src/core/rollout/create_rollout.ts
@@ -13,7 +13,7 @@
   assertNever,
   sectionSchema,
 } from '../model/index.js';
-import {rendezvousOrder} from '../random/index.js';
+import {rankByRendezvous} from '../hashing/index.js';
 import {createChunkFetches} from './chunk_fetches.js';
 import {HOP_DELAY_ALLOWANCE_MS, createFreshness} from './freshness.js';
 import {
@@ -418,7 +418,7 @@
         present.push(vm.vm);
       }
     }
-    const order = rendezvousOrder('configuration-watch', present);
+    const order = rankByRendezvous('configuration-watch', present);
     const mine = order.indexOf(options.vm) < WATCHERS_PER_REGION;
     if (mine !== watching) {
       watching = mine;
