--- a/packages/command_line/src/commands/token/inspect.ts
+++ b/packages/command_line/src/commands/token/inspect.ts
@@ -1,9 +1,13 @@
 import {createTokenVerifier, operatorError} from '@ibisbeam/library';
-import {type JWTPayload, decodeJwt, decodeProtectedHeader} from 'jose';
+import {
+  type JSONWebKeySet,
+  type JWTPayload,
+  decodeJwt,
+  decodeProtectedHeader,
+} from 'jose';
 import {type Either, EitherAsync, Left, Right} from 'purify-ts';
 import {defineCommand} from '../../core/command.js';
 import type {Errors} from '../../core/dependencies.js';
-import {parseKeySet} from '../../core/key_files.js';
 import {type Session, describePrincipal} from '../../core/session.js';
 import {formatInstant} from '../../core/table.js';
 
@@ -29,7 +33,8 @@
       const {payload, keyId} = await liftEither(decode(file, token));
       const expiresAtMs = (payload.exp ?? 0) * MILLISECONDS_PER_SECOND;
       const expired = expiresAtMs <= timers.wallMs();
-      const checked = await checkSignature(session, token, payload);
+      const keys = await liftEither(session.verificationKeys());
+      const checked = await checkSignature(session, keys, token, payload);
       const facts = {
         principal: payload['principal'],
         audience: payload.aud,
@@ -66,21 +71,12 @@
 
 async function checkSignature(
   session: Session,
+  keys: JSONWebKeySet | undefined,
   token: string,
   payload: JWTPayload,
 ): Promise<string> {
-  const profile = session.profile().toMaybe().extract();
-  const reference = profile?.verificationKeys;
-  if (!reference || !('file' in reference)) {
-    return 'not checked: give --keys-file';
-  }
-  const keys = session.dependencies
-    .readText(reference.file)
-    .chain(parseKeySet)
-    .toMaybe()
-    .extract();
   if (!keys) {
-    return `not checked: no key set in ${reference.file}`;
+    return 'not checked: give --keys-file';
   }
   const audience = payload.aud;
   if (
--- a/packages/command_line/src/core/session.ts
+++ b/packages/command_line/src/core/session.ts
@@ -25,6 +25,8 @@
   store(): Either<Errors, PlatformStore>;
   /** The operator's own token, unchecked. */
   token(): Either<Errors, string>;
+  /** Absent when neither flag nor profile names any. */
+  verificationKeys(): Either<Errors, JSONWebKeySet | undefined>;
   /** Who is asking; checked with the verification keys. */
   principal(): EitherAsync<Errors, Principal>;
   close(): void;
@@ -67,11 +69,10 @@
     });
   }
 
-  function keys(): Either<Errors, JSONWebKeySet> {
+  function verificationKeys(): Either<Errors, JSONWebKeySet | undefined> {
     return profile().chain(found => {
       if (!found.verificationKeys) {
-        const expected = 'a file with the verification keys';
-        return Left(missing('--keys-file', expected));
+        return Right<JSONWebKeySet | undefined, Errors>(undefined);
       }
       return readReference('verificationKeys', found.verificationKeys).chain(
         parseKeySet,
@@ -79,9 +80,17 @@
     });
   }
 
+  function requiredKeys(): Either<Errors, JSONWebKeySet> {
+    return verificationKeys().chain(keySet =>
+      keySet
+        ? Right(keySet)
+        : Left(missing('--keys-file', 'a file with the verification keys')),
+    );
+  }
+
   function principal(): EitherAsync<Errors, Principal> {
     return EitherAsync(async ({liftEither}) => {
-      const keySet = await liftEither(keys());
+      const keySet = await liftEither(requiredKeys());
       const text = await liftEither(token());
       const verifier = createTokenVerifier(keySet, dependencies.timers);
       const verified = await verifier.verify(text, 'ibisbeam-operator').run();
@@ -115,6 +124,7 @@
     profile,
     store,
     token,
+    verificationKeys,
     principal,
     close: () => open?.close(),
   };
--- a/packages/command_line/src/run_command_line.ts
+++ b/packages/command_line/src/run_command_line.ts
@@ -66,6 +66,7 @@
     .strict()
     .demandCommand(1, 'name a command')
     .recommendCommands()
+    .check(options => refuseRepeated(options))
     .exitProcess(false)
     .version(false)
     .wrap(null)
@@ -78,6 +79,19 @@
   return parser;
 }
 
+/** Options that take several values. */
+const LIST_OPTIONS = new Set(['_', 'vm', 'values', 'unset']);
+
+/** One option with two values is a contradiction, not a list. */
+function refuseRepeated(options: Readonly<Record<string, unknown>>): true {
+  for (const [name, value] of Object.entries(options)) {
+    if (Array.isArray(value) && !LIST_OPTIONS.has(name)) {
+      throw new UsageProblem(`--${name}: give it once`);
+    }
+  }
+  return true;
+}
+
 const globalOptions = {
   output: {
     choices: ['text', 'json'] as const,
--- /dev/null
+++ b/packages/command_line/test/drain_commands.test.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {EXIT_STATUS} from '../src/index.js';
+import {type Harness, OWNER, createHarness, statusReply} from './support.js';
+
+/** Every VM answers; together they use this many slots in riga. */
+async function withLoad(inUse: number): Promise<Harness> {
+  const harness = await createHarness();
+  harness.reply = call => statusReply(call, 'room-availability', 'riga', inUse);
+  return harness;
+}
+
+test('a drain that fits is planned, listed, shown and aborted', async () => {
+  const harness = await withLoad(2);
+  const planned = await harness.run('drain', 'plan', '--zone', 'riga/a');
+  assert.equal(planned.status, EXIT_STATUS.done, planned.errors);
+  const plan = await harness.run('drain', 'list', '--output', 'json');
+  const drains = plan.json().data['drains'] as {drain: {id: string}}[];
+  assert.equal(drains.length, 1);
+  const {id} = drains[0]!.drain;
+  await harness.timers.advance(150_000);
+  const shown = await harness.run('drain', 'show', id);
+  assert.match(
+    shown.output,
+    /zone riga\/a: ramping, 50 % drained, 150 s left|3 min left/,
+  );
+  assert.match(shown.output, /room-availability\s+riga\s+3\s+18\s+2/);
+  const aborted = await harness.run('drain', 'abort', id);
+  assert.equal(aborted.status, EXIT_STATUS.done, aborted.errors);
+  assert.match((await harness.run('drain', 'list')).output, /No drains/);
+  const again = await harness.run('drain', 'abort', id);
+  assert.equal(again.status, EXIT_STATUS.alreadySo);
+});
+
+test('a drain that would overload the rest is refused with figures', async () => {
+  const harness = await withLoad(90);
+  const run = await harness.run('drain', 'plan', '--region', 'riga');
+  assert.equal(run.status, EXIT_STATUS.headroom);
+  assert.match(run.errors, /riga keeps 0 of 36 slots for 90 requests/);
+  assert.match(run.errors, /other regions have room for 48/);
+  assert.equal(await harness.generation(), 1);
+});
+
+test('a drain faster than the shift cap is refused with the ramp it needs', async () => {
+  const harness = await withLoad(18);
+  const run = await harness.run(
+    ...['drain', 'plan', '--region', 'riga', '--ramp', '1m'],
+  );
+  assert.equal(run.status, EXIT_STATUS.headroom);
+  assert.match(run.errors, /needs a ramp of at least 300000 ms/);
+  const slower = await harness.run(
+    ...['drain', 'plan', '--region', 'riga', '--ramp', '5m'],
+  );
+  assert.equal(slower.status, EXIT_STATUS.done, slower.errors);
+});
+
+test('a second drain counts the first one as gone', async () => {
+  const harness = await withLoad(20);
+  const first = await harness.run('drain', 'plan', '--region', 'kurzeme');
+  assert.equal(first.status, EXIT_STATUS.done, first.errors);
+  const second = await harness.run(
+    ...['drain', 'plan', '--region', 'latgale', '--ramp', '30m'],
+  );
+  assert.equal(second.status, EXIT_STATUS.done, second.errors);
+  const third = await harness.run(
+    ...['drain', 'plan', '--region', 'riga', '--ramp', '30m'],
+  );
+  assert.equal(third.status, EXIT_STATUS.headroom);
+  assert.match(third.errors, /have room for 0/);
+});
+
+test('a drain is not planned while the load is not known', async () => {
+  const harness = await createHarness();
+  const run = await harness.run('drain', 'plan', '--zone', 'riga/a');
+  assert.equal(run.status, EXIT_STATUS.headroom);
+  assert.match(run.errors, /not fully known/);
+  const accepted = await harness.run(
+    ...['drain', 'plan', '--zone', 'riga/a', '--accept-unknown-load'],
+  );
+  assert.equal(accepted.status, EXIT_STATUS.done, accepted.errors);
+});
+
+test('an entry VM is drained when the others can carry its part', async () => {
+  const harness = await withLoad(20);
+  const run = await harness.run('drain', 'plan', '--entry-vm', 'riga-a-1');
+  assert.equal(run.status, EXIT_STATUS.done, run.errors);
+  assert.match(run.output, /room-availability\s+riga\s+36\s+24\s+20/);
+});
+
+const BAD_PLANS: readonly (readonly [
+  string,
+  readonly string[],
+  number,
+  RegExp,
+])[] = [
+  ['no scope', [], 3, /one of --target/],
+  ['two scopes', ['--region', 'riga', '--zone', 'riga/a'], 3, /one of --tar/],
+  ['a service without a zone', ['--service', 'x'], 3, /one of --target/],
+  ['a zone without its region', ['--zone', 'a'], 3, /REGION\/ZONE/],
+  ['a start in the past', ['--region', 'riga', '--start', 'now-1h'], 3, /past/],
+  [
+    'a start without an offset',
+    ['--region', 'riga', '--start', '22:00'],
+    3,
+    /instant/,
+  ],
+  [
+    'an end before the ramp ends',
+    ['--region', 'riga', '--end', 'now+1m'],
+    3,
+    /when the ramp ends/,
+  ],
+  ['a ramp without a unit', ['--region', 'riga', '--ramp', '5'], 3, /duration/],
+  ['an unknown region', ['--region', 'venta'], 10, /no region venta/],
+  ['an unknown zone', ['--zone', 'riga/z'], 10, /no zone z/],
+  ['an unknown target', ['--target', 'nobody'], 10, /no target nobody/],
+  ['an unknown entry VM', ['--entry-vm', 'nobody'], 10, /no entry VM/],
+];
+for (const [title, options, status, expected] of BAD_PLANS) {
+  test(`drain plan refuses ${title} and changes nothing`, async () => {
+    const harness = await withLoad(1);
+    const run = await harness.run('drain', 'plan', ...options);
+    assert.equal(run.status, status, run.errors);
+    assert.match(run.errors, expected);
+    assert.equal(await harness.generation(), 1);
+  });
+}
+
+test('a target owner may neither plan nor abort a drain', async () => {
+  const harness = await withLoad(1);
+  const plan = await harness.runAs(OWNER, 'drain', 'plan', '--region', 'riga');
+  assert.equal(plan.status, EXIT_STATUS.notAllowed);
+  const abort = await harness.runAs(OWNER, 'drain', 'abort', 'x');
+  assert.equal(abort.status, EXIT_STATUS.notAllowed);
+});
--- a/packages/command_line/test/support.ts
+++ b/packages/command_line/test/support.ts
@@ -59,6 +59,10 @@
     principal: Principal,
     ...commandArguments: readonly string[]
   ): Promise<Run>;
+  runWithToken(
+    token: string,
+    ...commandArguments: readonly string[]
+  ): Promise<Run>;
   generation(): Promise<number>;
 }
 
@@ -80,6 +84,7 @@
       signer.sign(principal, audience, 3_600_000),
     run: (...commandArguments) => harness.runAs(OPERATOR, ...commandArguments),
     runAs,
+    runWithToken,
     generation: async () => {
       const stored = (await readDocument(platform.store)).unsafeCoerce();
       return stored.head?.generation ?? 0;
@@ -90,7 +95,15 @@
     principal: Principal,
     ...commandArguments: readonly string[]
   ): Promise<Run> {
-    files.set('token', await harness.sign(principal));
+    const token = await harness.sign(principal);
+    return runWithToken(token, ...commandArguments);
+  }
+
+  function runWithToken(
+    token: string,
+    ...commandArguments: readonly string[]
+  ): Promise<Run> {
+    files.set('token', token);
     return execute(commandArguments);
   }
 
@@ -188,6 +201,49 @@
   published.unsafeCoerce();
 }
 
+/** An operator port that reports the load once, at the first VM of a region. */
+export function statusReply(
+  call: OperatorCall,
+  service: string,
+  region: string,
+  inUse: number,
+): OperatorReply {
+  const first = call.address === '10.0.0.0:8082';
+  const pool = {
+    service,
+    region,
+    usableSlots: 12,
+    ownedSlots: 12,
+    inFlight: first ? inUse : 0,
+    queued: 0,
+    inFlightByWorkspace: {},
+  };
+  return {
+    status: 200,
+    body: {
+      vm: 'riga-a-1',
+      region,
+      zone: 'a',
+      incarnation: 'life-1',
+      atMs: START_WALL_MS,
+      store: {},
+      vms: [],
+      silentRegions: [],
+      selfDoubt: false,
+      stopping: false,
+      inFlight: first ? inUse : 0,
+      pools: [pool],
+      drains: [],
+      shifts: [],
+      failovers: [],
+      leavingTargets: [],
+      ejectedTargets: [],
+      quarantines: [],
+      unknown: [],
+    },
+  };
+}
+
 export async function createKey(
   keyId: string,
 ): Promise<{readonly privateKey: JWK; readonly publicKey: JWK}> {
