Count refusal reasons of newer VMs in the burn report

A stored summary with a reason that this version does not know made the report fail; such a reason now spends the budget. The command line reports a defect as one instead of an operator's error.

--- a/packages/command_line/src/run_command_line.ts
+++ b/packages/command_line/src/run_command_line.ts
@@ -31,11 +31,14 @@
     const session = createSession(sessionFlags(options), dependencies);
     const result = await run(session).run();
     session.close();
-    result.ifLeft(reportErrors).ifRight(answer => {
-      const rendered = renderAnswer(answer, form);
-      dependencies.writeError(rendered.errors);
-      dependencies.write(rendered.output);
-    });
+    result
+      .ifLeft(rethrowDefect)
+      .ifLeft(reportErrors)
+      .ifRight(answer => {
+        const rendered = renderAnswer(answer, form);
+        dependencies.writeError(rendered.errors);
+        dependencies.write(rendered.output);
+      });
   };
 
   try {
@@ -58,6 +61,13 @@
   return status;
 }
 
+/** EitherAsync catches what is thrown; a defect is not an operator's error. */
+function rethrowDefect(errors: unknown): void {
+  if (!Array.isArray(errors)) {
+    throw errors;
+  }
+}
+
 function buildParser(runner: CommandRunner): Argv {
   let parser: Argv = yargs()
     .scriptName('ibisbeam')
--- a/packages/decision/src/core/objectives/counts.ts
+++ b/packages/decision/src/core/objectives/counts.ts
@@ -1,7 +1,6 @@
 /** Counts finished requests, and adds counts up. */
 import type {Histogram} from 'hdr-histogram-js';
 import {
-  type RefusalReason,
   type RequestRecord,
   type ServiceName,
   type WorkspaceName,
@@ -144,7 +143,7 @@
   addPositive(spent, 'target-error', counts.failed);
   addPositive(spent, 'unknown-outcome', counts.unknown);
   for (const [reason, count] of Object.entries(counts.refused)) {
-    if (spendsBudget(reason as RefusalReason)) {
+    if (spendsBudget(reason)) {
       addPositive(spent, reason, count);
     }
   }
--- a/packages/library/src/plugins/burn/index.ts
+++ b/packages/library/src/plugins/burn/index.ts
@@ -11,4 +11,4 @@
     create: createBurnTask,
   });
 }
-export {readSummary} from './summary_writer.js';
+export * from './summary_writer.js';
