--- a/packages/command_line/src/core/burn_page/burn_page.ts
+++ b/packages/command_line/src/core/burn_page/burn_page.ts
@@ -48,21 +48,19 @@
 }
 
 function renderOverview(report: BurnReport): string {
+  const workspaces = new Set(report.services.map(burn => burn.workspace));
   const rows = report.services.map(burn =>
     tableCells('td', [
-      `${burn.service} (${burn.workspace})`,
+      workspaces.size > 1
+        ? `${burn.service} (${burn.workspace})`
+        : burn.service,
       formatPercent(burn.availability.leftFraction),
       formatPercent(burn.latency.leftFraction),
       worstAlert(burn),
     ]),
   );
-  const header = tableCells('th', [
-    'Service',
-    'Availability left',
-    'Latency left',
-    'Alert',
-  ]);
-  return `<table><thead>${header}</thead><tbody>${rows.join('')}</tbody></table>`;
+  const header = tableCells('th', ['Service', 'Answered', 'In time', 'Alert']);
+  return `<h3>Budget left</h3><table><thead>${header}</thead><tbody>${rows.join('')}</tbody></table>`;
 }
 
 function worstAlert({availability, latency}: ServiceBurn): string {
@@ -121,8 +119,8 @@
 <p>${escapeHtml(goal)}</p>
 <p><span class="left ${tone}">${formatPercent(budget.leftFraction)}</span> of the budget left</p>
 <p class="soft">${budget.bad} of ${budget.total} ${escapeHtml(badName)}</p>
-<table class="rates"><thead>${tableCells('th', ['Window', ...windows])}</thead>
-<tbody>${tableCells('td', ['Burn rate', ...rates])}</tbody></table>
+<table class="rates"><thead>${tableCells('th', ['Over', ...windows])}</thead>
+<tbody>${tableCells('td', ['Rate', ...rates])}</tbody></table>
 ${alert}</section>`;
 }
 
@@ -139,13 +137,18 @@
   }
   const rows = worstHours.map(hour =>
     tableCells('td', [
-      formatInstant(hour.startMs),
+      shortHour(hour.startMs),
       `${hour.bad} of ${hour.total}`,
       String(hour.late),
     ]),
   );
-  const header = tableCells('th', ['Worst hours', 'Not answered', 'Late']);
-  return `<section><h3>Worst hours</h3><table><thead>${header}</thead><tbody>${rows.join('')}</tbody></table></section>`;
+  const header = tableCells('th', ['From (UTC)', 'Not answered', 'Late']);
+  return `<section><h3>Worst hours</h3><table class="hours"><thead>${header}</thead><tbody>${rows.join('')}</tbody></table></section>`;
+}
+
+/** Such as `2026-12-03 22:00`. */
+function shortHour(wallMs: number): string {
+  return formatInstant(wallMs).slice(0, 16).replace('T', ' ');
 }
 
 function renderCallerFaults({callerFaults}: ServiceBurn): string {
--- a/packages/command_line/src/core/burn_page/styles.ts
+++ b/packages/command_line/src/core/burn_page/styles.ts
@@ -22,10 +22,12 @@
 .left.good { color: var(--good); } .left.bad { color: var(--bad); }
 table { border-collapse: collapse; width: 100%; font-size: .9rem; }
 th, td { text-align: left; padding: .25rem .5rem .25rem 0;
-  border-bottom: 1px solid var(--line); overflow-wrap: anywhere; }
+  border-bottom: 1px solid var(--line); vertical-align: top; }
+td:first-child { overflow-wrap: anywhere; }
 th { color: var(--soft); font-weight: 600; }
-td:not(:first-child), th:not(:first-child) { text-align: right; }
-.rates { table-layout: fixed; }
+td:not(:first-child), th:not(:first-child) { text-align: right;
+  white-space: nowrap; }
+.rates td:first-child, .hours td:first-child { white-space: nowrap; }
 .alert { color: var(--bad); font-weight: 600; }
 svg { display: block; width: 100%; max-width: 34rem; height: auto; }
 svg text { font: 11px system-ui, sans-serif; fill: var(--soft); }
