Show drains as the VMs carry them out

A region's drain moves cohorts under the shift caps, and a drain that ends takes its work back over its ramp; list, show and status now say so. The ramp of a region's drain is no longer refused for being short, since VMs stretch it.

--- a/packages/command_line/src/commands/drain/list.ts
+++ b/packages/command_line/src/commands/drain/list.ts
@@ -1,7 +1,8 @@
 import {
   type Drain,
+  type DrainProgress,
   describeScope,
-  drainProgress,
+  drainProgressIn,
   isDrainOpen,
 } from '@ibisbeam/decision';
 import {EitherAsync} from 'purify-ts';
@@ -28,9 +29,15 @@
     EitherAsync(async ({fromPromise}) => {
       const accepted = await fromPromise(readAccepted(session).run());
       const nowMs = session.dependencies.timers.wallMs();
-      const drains = accepted.configuration.drains.filter(
-        drain => all || isDrainOpen(drain, nowMs),
-      );
+      const {configuration} = accepted;
+      const drains: DrainWithProgress[] = [];
+      for (const drain of configuration.drains) {
+        const progress = drainProgressIn(configuration, drain, nowMs);
+        const shown = isDrainOpen(drain, nowMs) || progress.fraction > 0;
+        if (all || shown) {
+          drains.push({drain, progress});
+        }
+      }
       const header = [
         'ID',
         'SCOPE',
@@ -40,19 +47,19 @@
         'START',
         'BY',
       ];
-      const rows = drains.map(drain => describeDrain(drain, nowMs));
+      const rows = drains.map(describeDrain);
       const text =
         drains.length === 0 ? 'No drains.' : formatTable(header, rows);
-      const data = drains.map(drain => ({
-        drain,
-        progress: drainProgress(drain, nowMs),
-      }));
-      return {text, data: {drains: data}};
+      return {text, data: {drains}};
     }),
 });
 
-export function describeDrain(drain: Drain, nowMs: number): string[] {
-  const progress = drainProgress(drain, nowMs);
+export interface DrainWithProgress {
+  readonly drain: Drain;
+  readonly progress: DrainProgress;
+}
+
+export function describeDrain({drain, progress}: DrainWithProgress): string[] {
   return [
     drain.id,
     describeScope(drain.scope),
--- a/packages/command_line/src/commands/drain/plan.ts
+++ b/packages/command_line/src/commands/drain/plan.ts
@@ -4,6 +4,7 @@
   type DrainCheck,
   checkDrain,
   describeScope,
+  regionDrainedAtMs,
 } from '@ibisbeam/decision';
 import {operatorError} from '@ibisbeam/library';
 import {type Either, EitherAsync, Left, Right} from 'purify-ts';
@@ -24,6 +25,7 @@
 /** Clocks of VMs may differ by about a second; a start in the past may not. */
 const LATEST_START_IN_PAST_MS = 60_000;
 const IDENTIFIER_LENGTH = 8;
+const ENDED_DRAIN_RETENTION_MS = 30 * 86_400_000;
 
 /** Plans a drain, unless the slots that remain could not carry the load. */
 export const drainPlanCommand = defineCommand({
@@ -81,7 +83,7 @@
       const check = await liftEither(
         runCheck(session, configuration, drain, fleet),
       );
-      const drains = [...configuration.drains, drain];
+      const drains = [...recentDrains(session, configuration), drain];
       const scope = describeScope(drain.scope);
       const summary = `drains: plan ${drain.id} of ${scope}`;
       const outcome = await fromPromise(
@@ -100,12 +102,25 @@
       );
       return {
         ...answer,
-        text: `${describeCheck(drain, check)}\n${answer.text}`,
+        text: `${describeCheck(configuration, drain, check)}\n${answer.text}`,
         data: {...(answer.data as object), drain, check},
       };
     }),
 });
 
+/** Ended drains are forgotten, so that the section does not grow for ever. */
+function recentDrains(
+  session: Session,
+  configuration: Configuration,
+): readonly Drain[] {
+  const oldestMs =
+    session.dependencies.timers.wallMs() - ENDED_DRAIN_RETENTION_MS;
+  return configuration.drains.filter(drain => {
+    const overAtMs = drain.abortedAtMs ?? drain.endAtMs;
+    return overAtMs === undefined || overAtMs >= oldestMs;
+  });
+}
+
 interface PlanOptions extends ScopeOptions {
   readonly start: string;
   readonly ramp: string;
@@ -195,7 +210,11 @@
   }
 }
 
-function describeCheck(drain: Drain, check: DrainCheck): string {
+function describeCheck(
+  configuration: Configuration,
+  drain: Drain,
+  check: DrainCheck,
+): string {
   const rows = check.kind === 'fits' ? check.rows : [];
   const header = ['SERVICE', 'REGION', 'SLOTS NOW', 'LEFT', 'IN USE', 'MOVE'];
   const table = formatTable(
@@ -209,10 +228,17 @@
       String(row.overflow),
     ]),
   );
-  const drainedAt = formatInstant(drain.startAtMs + drain.rampMs);
+  const drainedAt = formatInstant(drainedAtMs(configuration, drain));
   const end =
     drain.endAtMs === undefined
       ? 'until it is aborted'
       : `until ${formatInstant(drain.endAtMs)}`;
   return `${table}\nStarts ${formatInstant(drain.startAtMs)}, drained at ${drainedAt}, ${end}.`;
 }
+
+/** A region's drain lasts as long as the shift caps of its services ask. */
+function drainedAtMs(configuration: Configuration, drain: Drain): number {
+  return drain.scope.kind === 'region'
+    ? regionDrainedAtMs(configuration, drain)
+    : drain.startAtMs + drain.rampMs;
+}
--- a/packages/command_line/src/commands/drain/show.ts
+++ b/packages/command_line/src/commands/drain/show.ts
@@ -2,7 +2,7 @@
   type Configuration,
   type Drain,
   type ServiceLoad,
-  drainProgress,
+  drainProgressIn,
   scopeCoversTarget,
 } from '@ibisbeam/decision';
 import {EitherAsync} from 'purify-ts';
@@ -35,8 +35,11 @@
         String(row.slots),
         String(row.regionInUse),
       ]);
-      const progress = drainProgress(drain, nowMs);
-      const [, scope, state, part, left] = describeDrain(drain, nowMs);
+      const progress = drainProgressIn(configuration, drain, nowMs);
+      const [, scope, state, part, left] = describeDrain({
+        drain,
+        progress,
+      });
       const lines = [
         `Drain ${drain.id} of ${scope}: ${state}, ${part} drained${left ? `, ${left} left` : ''}`,
         `Start ${formatInstant(drain.startAtMs)}, planned by ${drain.plannedBy}`,
--- a/packages/decision/src/core/drains/check_drain.ts
+++ b/packages/decision/src/core/drains/check_drain.ts
@@ -163,12 +163,18 @@
   ];
 }
 
-/** Work that leaves a region moves no faster than the smallest cap allows. */
+/**
+ * Work that leaves a region moves no faster than the smallest cap allows. The
+ * VMs stretch a region's own drain to the cap, whatever its ramp.
+ */
 function rateRefusals(
   configuration: Configuration,
   drain: Drain,
   rows: readonly DrainCheckRow[],
 ): readonly string[] {
+  if (drain.scope.kind === 'region') {
+    return [];
+  }
   const refusals: string[] = [];
   for (const row of rows) {
     const moved = row.slotsNow === 0 ? 0 : row.overflow / row.slotsNow;
--- a/packages/decision/src/core/drains/drain_progress.ts
+++ b/packages/decision/src/core/drains/drain_progress.ts
@@ -1,8 +1,10 @@
 /** How far a planned drain is; a function of its fields and the time. */
 import type {Drain} from '../model/index.js';
+import {drainedFraction} from '../shifts/index.js';
 
+/** `returning`: ended or aborted, and the scope takes its work back evenly. */
 export type DrainState =
-  'planned' | 'ramping' | 'drained' | 'ended' | 'aborted';
+  'planned' | 'ramping' | 'drained' | 'returning' | 'ended' | 'aborted';
 
 export interface DrainProgress {
   readonly state: DrainState;
@@ -14,37 +16,39 @@
 
 /** @param wallMs Unix time in milliseconds. */
 export function drainProgress(drain: Drain, wallMs: number): DrainProgress {
-  if (drain.abortedAtMs !== undefined && wallMs >= drain.abortedAtMs) {
-    return {state: 'aborted', fraction: 0};
-  }
-  if (drain.endAtMs !== undefined && wallMs >= drain.endAtMs) {
-    return {state: 'ended', fraction: 0};
+  const fraction = drainedFraction(drain, wallMs);
+  const over = overState(drain, wallMs);
+  if (over) {
+    return fraction > 0
+      ? {state: 'returning', fraction, timeLeftMs: fraction * drain.rampMs}
+      : {state: over, fraction};
   }
   if (wallMs < drain.startAtMs) {
-    return {
-      state: 'planned',
-      fraction: 0,
-      timeLeftMs: drain.startAtMs - wallMs,
-    };
+    return {state: 'planned', fraction, timeLeftMs: drain.startAtMs - wallMs};
   }
-  const elapsedMs = wallMs - drain.startAtMs;
-  if (elapsedMs < drain.rampMs) {
-    return {
-      state: 'ramping',
-      fraction: elapsedMs / drain.rampMs,
-      timeLeftMs: drain.rampMs - elapsedMs,
-    };
+  if (fraction < 1) {
+    const timeLeftMs = drain.startAtMs + drain.rampMs - wallMs;
+    return {state: 'ramping', fraction, timeLeftMs};
+  }
+  const timeLeftMs =
+    drain.endAtMs === undefined ? undefined : drain.endAtMs - wallMs;
+  return {state: 'drained', fraction, timeLeftMs};
+}
+
+function overState(
+  drain: Drain,
+  wallMs: number,
+): 'ended' | 'aborted' | undefined {
+  if (drain.abortedAtMs !== undefined && wallMs >= drain.abortedAtMs) {
+    return 'aborted';
+  }
+  if (drain.endAtMs !== undefined && wallMs >= drain.endAtMs) {
+    return 'ended';
   }
-  return {
-    state: 'drained',
-    fraction: 1,
-    timeLeftMs:
-      drain.endAtMs === undefined ? undefined : drain.endAtMs - wallMs,
-  };
+  return undefined;
 }
 
-/** Whether the drain still has, or will have, an effect. */
+/** Whether the drain takes work away now or will, unless it is aborted. */
 export function isDrainOpen(drain: Drain, wallMs: number): boolean {
-  const {state} = drainProgress(drain, wallMs);
-  return state === 'planned' || state === 'ramping' || state === 'drained';
+  return overState(drain, wallMs) === undefined;
 }
--- a/packages/decision/src/core/drains/index.ts
+++ b/packages/decision/src/core/drains/index.ts
@@ -2,3 +2,4 @@
 export * from './check_drain.js';
 export * from './drain_progress.js';
 export * from './drain_scope.js';
+export * from './region_drain.js';
--- a/packages/library/src/core/operator_interface/types.ts
+++ b/packages/library/src/core/operator_interface/types.ts
@@ -76,7 +76,14 @@
   drains: z.array(
     z.object({
       drain: drainSchema,
-      state: z.enum(['planned', 'ramping', 'drained', 'ended', 'aborted']),
+      state: z.enum([
+        'planned',
+        'ramping',
+        'drained',
+        'returning',
+        'ended',
+        'aborted',
+      ]),
       fraction: z.number(),
       timeLeftMs: z.number().optional(),
     }),
--- a/packages/library/src/plugins/operator_port/build_status.ts
+++ b/packages/library/src/plugins/operator_port/build_status.ts
@@ -3,7 +3,7 @@
   type Configuration,
   type MembershipView,
   type PoolStatus,
-  drainProgress,
+  drainProgressIn,
   isDrainOpen,
 } from '@ibisbeam/decision';
 import type {TaskContext} from '../../core/kernel/index.js';
@@ -143,9 +143,13 @@
   wallMs: number,
 ): StatusAnswer['drains'] {
   const statuses: StatusAnswer['drains'] = [];
-  for (const drain of configuration?.drains ?? []) {
-    if (isDrainOpen(drain, wallMs)) {
-      statuses.push({drain, ...drainProgress(drain, wallMs)});
+  if (!configuration) {
+    return statuses;
+  }
+  for (const drain of configuration.drains) {
+    const progress = drainProgressIn(configuration, drain, wallMs);
+    if (isDrainOpen(drain, wallMs) || progress.fraction > 0) {
+      statuses.push({drain, ...progress});
     }
   }
   return statuses;
