--- a/packages/command_line/src/run_command_line.ts
+++ b/packages/command_line/src/run_command_line.ts
@@ -31,11 +31,14 @@
     const session = createSession(sessionFlags(options), dependencies);
     const result = await run(session).run();
     session.close();
-    result.ifLeft(reportErrors).ifRight(answer => {
-      const rendered = renderAnswer(answer, form);
-      dependencies.writeError(rendered.errors);
-      dependencies.write(rendered.output);
-    });
+    result
+      .ifLeft(rethrowDefect)
+      .ifLeft(reportErrors)
+      .ifRight(answer => {
+        const rendered = renderAnswer(answer, form);
+        dependencies.writeError(rendered.errors);
+        dependencies.write(rendered.output);
+      });
   };
 
   try {
@@ -58,6 +61,13 @@
   return status;
 }
 
+/** EitherAsync catches what is thrown; a defect is not an operator's error. */
+function rethrowDefect(errors: unknown): void {
+  if (!Array.isArray(errors)) {
+    throw errors;
+  }
+}
+
 function buildParser(runner: CommandRunner): Argv {
   let parser: Argv = yargs()
     .scriptName('ibisbeam')
@@ -66,6 +76,7 @@
     .strict()
     .demandCommand(1, 'name a command')
     .recommendCommands()
+    .check(options => refuseRepeated(options))
     .exitProcess(false)
     .version(false)
     .wrap(null)
@@ -78,6 +89,19 @@
   return parser;
 }
 
+/** Options that take several values. */
+const LIST_OPTIONS = new Set(['_', 'vm', 'values', 'unset']);
+
+/** One option with two values is a contradiction, not a list. */
+function refuseRepeated(options: Readonly<Record<string, unknown>>): true {
+  for (const [name, value] of Object.entries(options)) {
+    if (Array.isArray(value) && !LIST_OPTIONS.has(name)) {
+      throw new UsageProblem(`--${name}: give it once`);
+    }
+  }
+  return true;
+}
+
 const globalOptions = {
   output: {
     choices: ['text', 'json'] as const,
