--- a/packages/decision/src/core/model/requests.ts
+++ b/packages/decision/src/core/model/requests.ts
@@ -30,6 +30,8 @@
   | 'idempotency-key-in-use'
   | 'claim-unavailable'
   | 'outcome-unknown'
+  /** Ran before; its answer was too long to be recorded. */
+  | 'answer-not-kept'
   | 'deadline-expired'
   | 'deadline-too-short'
   | 'region-full'
--- /dev/null
+++ b/packages/library/src/core/http/index.ts
@@ -0,0 +1,4 @@
+export * from './body.js';
+export * from './caller_routes.js';
+export * from './headers.js';
+export * from './problem_details.js';
--- /dev/null
+++ b/packages/library/src/plugins/forwarding/agents.ts
@@ -0,0 +1,74 @@
+/** Connections to targets and peers: bounded, and kept alive where safe. */
+import {Agent} from 'node:http';
+
+/** Shorter than the idle timeout of common servers, which is 5 s. */
+const IDLE_CONNECTION_TIMEOUT_MS = 4_000;
+const FREE_CONNECTIONS = 32;
+
+/**
+ * `kept`: connections are reused. `fresh`: each request opens its own, so that
+ * a server which closes an idle connection at that moment cannot leave the
+ * outcome of a non-idempotent request unknown. `health`: reused, and apart
+ * from the requests, so that neither waits for the other.
+ */
+export type ConnectionUse = 'kept' | 'fresh' | 'health';
+
+export interface Agents {
+  /** @param maximum Connections at once; more requests wait unsent. */
+  get(address: string, use: ConnectionUse, maximum: number): Agent;
+  /**
+   * Lets go of the addresses that are not in the set; connections in use end
+   * with their request.
+   */
+  retain(addresses: ReadonlySet<string>): void;
+  close(): void;
+}
+
+export function createAgents(): Agents {
+  const agents = new Map<string, Agent>();
+
+  function get(address: string, use: ConnectionUse, maximum: number): Agent {
+    const key = `${use} ${address}`;
+    const known = agents.get(key);
+    if (known) {
+      known.maxSockets = maximum;
+      return known;
+    }
+    const agent = new Agent({
+      keepAlive: use !== 'fresh',
+      maxSockets: maximum,
+      maxFreeSockets: FREE_CONNECTIONS,
+      scheduling: 'lifo',
+      timeout: IDLE_CONNECTION_TIMEOUT_MS,
+    });
+    agents.set(key, agent);
+    return agent;
+  }
+
+  return {
+    get,
+    retain: addresses => {
+      for (const [key, agent] of agents) {
+        const address = key.slice(key.indexOf(' ') + 1);
+        if (!addresses.has(address)) {
+          closeIdle(agent);
+          agents.delete(key);
+        }
+      }
+    },
+    close: () => {
+      for (const agent of agents.values()) {
+        agent.destroy();
+      }
+      agents.clear();
+    },
+  };
+}
+
+function closeIdle(agent: Agent): void {
+  for (const sockets of Object.values(agent.freeSockets)) {
+    for (const socket of sockets ?? []) {
+      socket.destroy();
+    }
+  }
+}
--- /dev/null
+++ b/packages/library/src/plugins/forwarding/answer_writer.ts
@@ -0,0 +1,81 @@
+/** Writes one answer to one caller. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {RecordedAnswer, RequestId} from '@ibisbeam/decision';
+import {
+  type HeaderValue,
+  LEAVING_HEADER,
+  REPLAYED_HEADER,
+  REQUEST_ID_HEADER,
+  endToEndHeaders,
+} from '../../core/http/index.js';
+
+const DROPPED_ANSWER_HEADERS: ReadonlySet<string> = new Set([
+  LEAVING_HEADER,
+  REQUEST_ID_HEADER,
+]);
+
+const EMPTY_BODY = Buffer.alloc(0);
+
+/** Headers of a target's answer as the caller gets them. */
+export function answerHeaders(
+  head: IncomingMessage,
+  request: RequestId,
+): Record<string, HeaderValue> {
+  const headers = endToEndHeaders(head.headers, DROPPED_ANSWER_HEADERS);
+  headers[REQUEST_ID_HEADER] = request;
+  return headers;
+}
+
+/** A whole answer that was held and checked. */
+export function writeHeldAnswer(
+  response: ServerResponse,
+  head: IncomingMessage,
+  headers: Record<string, HeaderValue>,
+  body: Buffer,
+  withoutBody: boolean,
+): void {
+  const complete = {...headers};
+  if (!withoutBody) {
+    complete['content-length'] = String(body.length);
+  }
+  response.writeHead(head.statusCode ?? 502, complete);
+  response.end(withoutBody ? undefined : body);
+}
+
+/** The answer of the first run, given again to a resend. */
+export function writeRecordedAnswer(
+  response: ServerResponse,
+  answer: RecordedAnswer,
+  request: RequestId,
+): void {
+  const body =
+    answer.bodyBase64 === undefined
+      ? EMPTY_BODY
+      : Buffer.from(answer.bodyBase64, 'base64');
+  response.writeHead(answer.status, {
+    ...answer.headers,
+    'content-length': String(body.length),
+    [REQUEST_ID_HEADER]: request,
+    [REPLAYED_HEADER]: 'true',
+  });
+  response.end(body);
+}
+
+/** The answer as the claim keeps it. */
+export function recordedAnswer(
+  head: IncomingMessage,
+  headers: Record<string, HeaderValue>,
+  body: Buffer | undefined,
+): RecordedAnswer {
+  const kept: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (name !== REQUEST_ID_HEADER && name !== 'content-length') {
+      kept[name] = Array.isArray(value) ? value.join(', ') : value;
+    }
+  }
+  return {
+    status: head.statusCode ?? 502,
+    headers: kept,
+    bodyBase64: body?.toString('base64'),
+  };
+}
--- /dev/null
+++ b/packages/library/src/plugins/forwarding/attempt.ts
@@ -0,0 +1,254 @@
+/**
+ * One attempt of a request at one address, over got without its retries.
+ *
+ * A connection whose answer was abandoned, cut short or meant for another
+ * request is destroyed, so that no later request can read from it.
+ */
+import type {Agent, ClientRequest, IncomingMessage} from 'node:http';
+import type {AttemptResult} from '@ibisbeam/decision';
+import {type Request, got} from 'got';
+import {
+  type HeaderValue,
+  LEAVING_HEADER,
+  OUTCOME_HEADER,
+  REQUEST_ID_HEADER,
+} from '../../core/http/index.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+const NOT_FOUND = -1;
+
+export interface AttemptRequest {
+  readonly url: string;
+  readonly method: string;
+  readonly headers: Record<string, HeaderValue | undefined>;
+  readonly body: Buffer;
+  readonly agent: Agent;
+  readonly requestId: string;
+  readonly connectTimeoutMs: number;
+  /** Whether the address is another entry VM rather than a target. */
+  readonly relay: boolean;
+}
+
+/** What an attempt tells; `finished` comes exactly once, and last. */
+export interface AttemptListener {
+  /** Bytes may reach the other side from now on. */
+  sent(): void;
+  leaving(): void;
+  answering(answer: IncomingMessage): void;
+  data(chunk: Buffer): void;
+  finished(result: AttemptResult): void;
+}
+
+export interface Attempt {
+  /** Stops reading, for back-pressure. */
+  pause(): void;
+  resume(): void;
+  /** Ends the attempt with the given result and destroys its connection. */
+  abandon(result: AttemptResult): void;
+  readonly sent: () => boolean;
+}
+
+const client = got.extend({
+  retry: {limit: 0},
+  throwHttpErrors: false,
+  followRedirect: false,
+  decompress: false,
+  allowGetBody: true,
+  headers: {'user-agent': undefined},
+});
+
+export function startAttempt(
+  request: AttemptRequest,
+  listener: AttemptListener,
+): Attempt {
+  let sent = false;
+  let ended = false;
+  let answer: IncomingMessage | undefined;
+  let bytes = 0;
+  let paused = false;
+
+  const stream = client.stream(request.url, {
+    method: request.method as 'GET',
+    headers: request.headers,
+    body: hasBody(request) ? request.body : undefined,
+    agent: {http: request.agent},
+    timeout: {connect: request.connectTimeoutMs},
+  });
+
+  function finish(result: AttemptResult): void {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    listener.finished(result);
+  }
+
+  function abandon(result: AttemptResult): void {
+    if (ended) {
+      return;
+    }
+    destroy(stream, answer);
+    finish(result);
+  }
+
+  function noteSent(): void {
+    if (!sent && !ended) {
+      sent = true;
+      listener.sent();
+    }
+  }
+
+  function onRequest(outgoing: ClientRequest): void {
+    if (ended) {
+      outgoing.destroy();
+      return;
+    }
+    outgoing.once('socket', socket => {
+      if (socket.connecting) {
+        socket.once('connect', noteSent);
+        return;
+      }
+      noteSent();
+    });
+  }
+
+  function onAnswer(head: IncomingMessage): void {
+    if (ended) {
+      head.destroy();
+      return;
+    }
+    answer = head;
+    const {headers} = head;
+    const echoed = headers[REQUEST_ID_HEADER];
+    if (echoed !== undefined && echoed !== request.requestId) {
+      abandon({kind: 'broken', cause: 'the answer is of another request'});
+      return;
+    }
+    if (headers[LEAVING_HEADER] === 'true' && !request.relay) {
+      listener.leaving();
+    }
+    const refused = refusalOf(head, request.relay);
+    if (refused) {
+      stream.resume();
+      finish(refused);
+      return;
+    }
+    if (!statesItsEnd(head, request.method)) {
+      abandon({kind: 'broken', cause: 'the answer does not state its length'});
+      return;
+    }
+    listener.answering(head);
+    if (!ended) {
+      stream.on('data', onData);
+      if (paused) {
+        stream.pause();
+      }
+    }
+  }
+
+  function onData(chunk: Buffer): void {
+    if (ended) {
+      return;
+    }
+    bytes += chunk.length;
+    listener.data(chunk);
+  }
+
+  function onEnd(): void {
+    if (!answer || ended) {
+      return;
+    }
+    if (!answer.complete || isShort(answer, request.method, bytes)) {
+      abandon({kind: 'broken', cause: 'the answer was cut short'});
+      return;
+    }
+    finish({kind: 'answered', status: answer.statusCode ?? 0});
+  }
+
+  function onError(error: Error & {code?: string}): void {
+    const cause = error.code ?? error.message;
+    abandon(sent ? {kind: 'broken', cause} : {kind: 'not-sent', cause});
+  }
+
+  stream.once('request', onRequest);
+  stream.once('response', onAnswer);
+  stream.on('end', onEnd);
+  stream.on('error', onError);
+
+  return {
+    pause: () => {
+      paused = true;
+      stream.pause();
+    },
+    resume: () => {
+      paused = false;
+      stream.resume();
+    },
+    abandon,
+    sent: () => sent,
+  };
+}
+
+function hasBody(request: AttemptRequest): boolean {
+  return request.body.length > 0 || !isBodiless(request.method);
+}
+
+function isBodiless(method: string): boolean {
+  return method === 'GET' || method === 'HEAD' || method === 'OPTIONS';
+}
+
+function destroy(stream: Request, answer: IncomingMessage | undefined): void {
+  answer?.destroy();
+  stream.destroy();
+}
+
+/** A refusal by the other side that the steering must know of. */
+function refusalOf(
+  head: IncomingMessage,
+  relay: boolean,
+): AttemptResult | undefined {
+  const outcome = head.headers[OUTCOME_HEADER];
+  const status = head.statusCode ?? 0;
+  if (status === 503 && outcome === 'not-run') {
+    return {kind: 'shed', retryAfterMs: retryAfterMs(head)};
+  }
+  if (relay && outcome === 'unknown' && (status === 502 || status === 504)) {
+    return {kind: 'broken', cause: `the relay answered ${status}`};
+  }
+  return undefined;
+}
+
+function retryAfterMs(head: IncomingMessage): number | undefined {
+  const seconds = Number(head.headers['retry-after'] ?? Number.NaN);
+  return Number.isFinite(seconds) && seconds >= 0
+    ? seconds * MILLISECONDS_PER_SECOND
+    : undefined;
+}
+
+/** Whether a cut can be told from the end of the answer. */
+function statesItsEnd(head: IncomingMessage, method: string): boolean {
+  const encoding = head.headers['transfer-encoding'] ?? '';
+  return (
+    isWithoutBody(head, method) ||
+    head.headers['content-length'] !== undefined ||
+    encoding.indexOf('chunked') !== NOT_FOUND
+  );
+}
+
+function isShort(
+  head: IncomingMessage,
+  method: string,
+  bytes: number,
+): boolean {
+  const stated = head.headers['content-length'];
+  if (stated === undefined || isWithoutBody(head, method)) {
+    return false;
+  }
+  return bytes !== Number(stated);
+}
+
+/** Answers that have no body whatever their headers say. */
+export function isWithoutBody(head: IncomingMessage, method: string): boolean {
+  const status = head.statusCode ?? 0;
+  return method === 'HEAD' || status === 204 || status === 304;
+}
--- /dev/null
+++ b/packages/library/src/plugins/forwarding/caller_server.ts
@@ -0,0 +1,106 @@
+/** The HTTP server of the caller port. */
+import {type Server, createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import Koa from 'koa';
+import type {Middleware} from 'koa';
+import type {CallerRoutes} from '../../core/http/index.js';
+import type {TaskContext} from '../../core/kernel/index.js';
+
+/** Callers hold connections longer than the lifetime of a look-up. */
+const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+const HEADERS_TIMEOUT_MS = 10_000;
+
+export interface CallerServer {
+  /** @returns The address that the system gave. */
+  listen(): Promise<string>;
+  /** Takes no further connection and closes idle ones. */
+  close(): void;
+  /** Cuts what is left. */
+  cut(): void;
+}
+
+export function createCallerServer(
+  context: Pick<TaskContext, 'settings' | 'metrics' | 'logger'>,
+  routes: CallerRoutes,
+  forward: Middleware,
+): CallerServer {
+  const {settings, metrics, logger} = context;
+  const application = new Koa();
+  application.silent = true;
+  application.use(routes.middleware);
+  application.use(forward);
+
+  const server: Server = createServer(
+    {
+      maxHeaderSize: settings.requests.maximumHeaderBytes,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: 0,
+    },
+    application.callback(),
+  );
+
+  server.on('clientError', (error: Error & {code?: string}, socket) => {
+    metrics.emit({
+      kind: 'count',
+      name: 'request.refused',
+      tags: {reason: 'malformed-request'},
+    });
+    logger.log('info', 'input-refused', {port: 'caller', cause: error.code});
+    if (!socket.writable || socket.destroyed) {
+      socket.destroy();
+      return;
+    }
+    socket.end(malformedHead(error.code));
+  });
+
+  return {
+    listen: () => {
+      const [host, port] = splitAddress(settings.listen.caller);
+      return new Promise((resolve, reject) => {
+        server.once('error', reject);
+        server.listen(port, host, () => {
+          const {address, family, port: given} = server.address() as AddressInfo;
+          resolve(
+            family === 'IPv6' ? `[${address}]:${given}` : `${address}:${given}`,
+          );
+        });
+      });
+    },
+    close: () => {
+      server.close();
+      server.closeIdleConnections();
+    },
+    cut: () => server.closeAllConnections(),
+  };
+}
+
+/** Answers input that never became a request, before any handler saw it. */
+function malformedHead(code: string | undefined): string {
+  const tooLarge = code === 'HPE_HEADER_OVERFLOW';
+  const status = tooLarge
+    ? '431 Request Header Fields Too Large'
+    : '400 Bad Request';
+  const body = JSON.stringify({
+    type: 'https://ibisbeam.example/problems/malformed-request',
+    title: 'The request is malformed.',
+    status: tooLarge ? 431 : 400,
+    detail: tooLarge ? 'the headers are too long' : 'not a valid HTTP request',
+    outcome: 'not-run',
+  });
+  return [
+    `HTTP/1.1 ${status}`,
+    'Content-Type: application/problem+json',
+    `Content-Length: ${Buffer.byteLength(body)}`,
+    'Ibisbeam-Outcome: not-run',
+    'Connection: close',
+    '',
+    body,
+  ].join('\r\n');
+}
+
+function splitAddress(address: string): [string, number] {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
+  return [host, Number(address.slice(colon + 1))];
+}
--- /dev/null
+++ b/packages/library/src/plugins/forwarding/index.ts
@@ -0,0 +1,24 @@
+/** The forwarding plug-in: the caller port and the way to the targets. */
+import type {PlugInRegistry} from '../../core/kernel/index.js';
+import {type ForwardingDependencies, createForwarder} from './forwarder.js';
+
+export type {ForwardingDependencies} from './forwarder.js';
+
+export function registerForwardingPlugIn(
+  registry: PlugInRegistry,
+  dependencies: ForwardingDependencies,
+): void {
+  registry.register<'forwarding'>({
+    name: 'forwarding',
+    dependsOn: ['lookup'],
+    subscribesTo: [
+      'configuration-in-force',
+      'freshness-changed',
+      'membership-changed',
+      'peer-message',
+      'target-sign',
+    ],
+    onFailure: 'fatal',
+    create: context => createForwarder(context, dependencies),
+  });
+}
--- /dev/null
+++ b/packages/library/src/plugins/forwarding/relay_tokens.ts
@@ -0,0 +1,37 @@
+/** This VM's token for peers, signed again before it expires. */
+import type {TaskContext} from '../../core/kernel/index.js';
+
+const LIFETIME_MS = 300_000;
+/** Covers the longest wait in a peer and clocks that differ by a second. */
+const RENEWAL_MARGIN_MS = 60_000;
+
+export interface RelayTokens {
+  current(): Promise<string>;
+}
+
+export function createRelayTokens(
+  context: Pick<TaskContext, 'settings' | 'timers' | 'tokenSigner'>,
+): RelayTokens {
+  const {settings, timers, tokenSigner} = context;
+  let token: Promise<string> | undefined;
+  let renewAtWallMs = 0;
+
+  function sign(): Promise<string> {
+    const {id, region} = settings.vm;
+    return tokenSigner.sign(
+      {kind: 'vm', vm: id, region},
+      'ibisbeam-peer',
+      LIFETIME_MS,
+    );
+  }
+
+  return {
+    current: () => {
+      if (!token || timers.wallMs() >= renewAtWallMs) {
+        renewAtWallMs = timers.wallMs() + LIFETIME_MS - RENEWAL_MARGIN_MS;
+        token = sign();
+      }
+      return token;
+    },
+  };
+}
