--- /dev/null
+++ b/packages/library/src/core/vm/entry_vm.ts
@@ -0,0 +1,64 @@
+/** Puts an entry VM together from its parts. */
+import {
+  type Incarnation,
+  type RandomSource,
+  incarnation,
+} from '@ibisbeam/decision';
+import {type PlugInOptions, registerPlugIns} from '../../plugins/index.js';
+import type {TokenSigner, TokenVerifier} from '../access/index.js';
+import {
+  type Hooks,
+  type Kernel,
+  createKernel,
+  createPlugInRegistry,
+} from '../kernel/index.js';
+import type {Logger} from '../logs/index.js';
+import type {Metrics} from '../metrics/index.js';
+import type {PlatformStore} from '../platform/index.js';
+import type {Settings} from '../settings/index.js';
+import type {TimerService} from '../timers/index.js';
+
+const NO_HOOKS: Hooks = {
+  vmStarted: [],
+  requestFinished: [],
+  configurationInForce: [],
+};
+
+export interface EntryVmOptions extends PlugInOptions {
+  readonly settings: Settings;
+  readonly timers: TimerService;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly platform: PlatformStore;
+  readonly tokenVerifier: TokenVerifier;
+  readonly tokenSigner: TokenSigner;
+  /** Made up when neither this nor the settings give one. */
+  readonly incarnation?: Incarnation;
+  readonly hooks?: Partial<Hooks>;
+}
+
+/** An entry VM with all its plug-ins; nothing runs before `start`. */
+export function createEntryVm(options: EntryVmOptions): Kernel {
+  const {settings, timers, random} = options;
+  const registry = createPlugInRegistry();
+  registerPlugIns(registry, options);
+  return createKernel(registry.all(), {
+    ...options,
+    incarnation:
+      options.incarnation ??
+      settings.vm.incarnation ??
+      newIncarnation(timers, random),
+    hooks: {...NO_HOOKS, ...options.hooks},
+  });
+}
+
+/** Unique as long as two lives of a VM differ in start time or random bits. */
+function newIncarnation(
+  timers: TimerService,
+  random: RandomSource,
+): Incarnation {
+  const startedAt = Math.floor(timers.wallMs()).toString(36);
+  const suffix = random.below(2 ** 32).toString(36);
+  return incarnation(`${startedAt}-${suffix}`);
+}
--- /dev/null
+++ b/packages/library/src/core/vm/index.ts
@@ -0,0 +1,1 @@
+export * from './entry_vm.js';
--- a/packages/library/src/index.ts
+++ b/packages/library/src/index.ts
@@ -11,3 +11,5 @@
 export * from './core/timers/index.js';
 export * from './core/vm/index.js';
 export * from './plugins/index.js';
+export * from './plugins/forwarding/index.js';
+export * from './plugins/lookup/index.js';
--- a/packages/library/src/plugins/forwarding/attempt.ts
+++ b/packages/library/src/plugins/forwarding/attempt.ts
@@ -53,7 +53,6 @@
   throwHttpErrors: false,
   followRedirect: false,
   decompress: false,
-  allowGetBody: true,
   headers: {'user-agent': undefined},
 });
 
@@ -67,10 +66,13 @@
   let bytes = 0;
   let paused = false;
 
+  const withBody = hasBody(request);
+
   const stream = client.stream(request.url, {
     method: request.method as 'GET',
     headers: request.headers,
-    body: hasBody(request) ? request.body : undefined,
+    body: withBody ? request.body : undefined,
+    allowGetBody: withBody,
     agent: {http: request.agent},
     timeout: {connect: request.connectTimeoutMs},
   });
@@ -170,6 +172,9 @@
     abandon(sent ? {kind: 'broken', cause} : {kind: 'not-sent', cause});
   }
 
+  if (!withBody && request.method === 'OPTIONS') {
+    stream.end();
+  }
   stream.once('request', onRequest);
   stream.once('response', onAnswer);
   stream.on('end', onEnd);
--- a/packages/library/src/plugins/forwarding/caller_server.ts
+++ b/packages/library/src/plugins/forwarding/caller_server.ts
@@ -60,7 +60,11 @@
       return new Promise((resolve, reject) => {
         server.once('error', reject);
         server.listen(port, host, () => {
-          const {address, family, port: given} = server.address() as AddressInfo;
+          const {
+            address,
+            family,
+            port: given,
+          } = server.address() as AddressInfo;
           resolve(
             family === 'IPv6' ? `[${address}]:${given}` : `${address}:${given}`,
           );
--- a/packages/library/src/plugins/forwarding/exchange.ts
+++ b/packages/library/src/plugins/forwarding/exchange.ts
@@ -13,7 +13,11 @@
   SteeringEvent,
 } from '@ibisbeam/decision';
 import {assertNever} from '@ibisbeam/decision';
-import {type Refusal, refusalStatus, writeRefusal} from '../../core/http/index.js';
+import {
+  type Refusal,
+  refusalStatus,
+  writeRefusal,
+} from '../../core/http/index.js';
 import type {TaskContext} from '../../core/kernel/index.js';
 import {
   answerHeaders,
@@ -125,6 +129,10 @@
     if (settlement) {
       return;
     }
+    if (streaming) {
+      breakOff({kind: 'cancelled', sent: true});
+      return;
+    }
     const truthful: Refusal = {
       ...refusal,
       outcome: mayHaveRun > 0 ? 'unknown' : refusal.outcome,
@@ -135,7 +143,9 @@
       refusal: truthful.reason,
     });
     void claim?.end({kind: outcome()});
-    release(sent => (timedOut ? {kind: 'timed-out'} : {kind: 'cancelled', sent}));
+    release(sent =>
+      timedOut ? {kind: 'timed-out'} : {kind: 'cancelled', sent},
+    );
     if (callerGone) {
       record();
       return;
@@ -250,7 +260,9 @@
     }
   }
 
-  function answerByClaim(decision: Exclude<ClaimDecision, {kind: 'run'}>): void {
+  function answerByClaim(
+    decision: Exclude<ClaimDecision, {kind: 'run'}>,
+  ): void {
     switch (decision.kind) {
       case 'replay':
         replay(decision.answer);
@@ -344,7 +356,10 @@
       contentLength,
     });
     const withoutBody = isWithoutBody(head, intake.method);
-    if (!withoutBody && (contentLength ?? 0) > policy.maximumHeldResponseBytes) {
+    if (
+      !withoutBody &&
+      (contentLength ?? 0) > policy.maximumHeldResponseBytes
+    ) {
       stream(entry, head);
     }
   }
@@ -399,10 +414,11 @@
       result,
     } as const;
     if (streaming === entry && result.kind !== 'answered') {
-      step(event);
+      // Settles before steering hears of it and refuses or tries again.
       if (!settlement) {
         breakOff(result);
       }
+      step(event);
       return;
     }
     const wins = result.kind === 'answered' && !settlement && !writePending;
--- a/packages/library/src/plugins/forwarding/forwarder.ts
+++ b/packages/library/src/plugins/forwarding/forwarder.ts
@@ -5,6 +5,7 @@
  */
 import type {ServerResponse} from 'node:http';
 import {
+  type BlockTableBuilder,
   type Configuration,
   type RequestId,
   type RequestRecord,
@@ -46,9 +47,8 @@
 export interface ForwardingDependencies {
   readonly routes: CallerRoutes;
   createSteering(context: TaskContext): Steering;
-  findClient(
-    configuration: Configuration,
-  ): Parameters<typeof createConfigurationView>[1];
+  /** Shared with the look-up, so that sections are parsed once. */
+  readonly blockTables: BlockTableBuilder;
 }
 
 export function createForwarder(
@@ -117,9 +117,7 @@
         return;
       case 'refuse': {
         const {reason, outcome, retryAfterMs} = action;
-        exchanges
-          .get(action.request)
-          ?.refuse({reason, outcome, retryAfterMs});
+        exchanges.get(action.request)?.refuse({reason, outcome, retryAfterMs});
         return;
       }
       case 'send-to-peer':
@@ -246,10 +244,7 @@
     reporter.finished(record);
   }
 
-  function refuseEarly(
-    response: ServerResponse,
-    refused: IntakeRefusal,
-  ): void {
+  function refuseEarly(response: ServerResponse, refused: IntakeRefusal): void {
     reporter.refusedEarly(refused);
     if (response.destroyed) {
       return;
@@ -261,7 +256,7 @@
   function takeConfiguration(configuration: Configuration): void {
     view = createConfigurationView(
       configuration,
-      dependencies.findClient(configuration),
+      dependencies.blockTables.build(configuration.clientBlocks),
     );
     step({kind: 'configuration-accepted', configuration});
     agents.retain(addressesOf(configuration));
@@ -407,4 +402,3 @@
   }
   return addresses;
 }
-
--- a/packages/library/src/plugins/forwarding/intake.ts
+++ b/packages/library/src/plugins/forwarding/intake.ts
@@ -33,7 +33,6 @@
 const DOT_SEGMENT_PATTERN = /(?:^|\/)(?:\.|%2e){1,2}(?:[/?]|$)/i;
 const IDEMPOTENCY_KEY_PATTERN = /^[\x21-\x7e]{1,255}$/;
 const DEADLINE_PATTERN = /^-?\d{1,12}$/;
-const COHORTS = 1_000;
 const MAPPED_ADDRESS_PREFIX = '::ffff:';
 const NO_CONFIGURATION_RETRY_MS = 1_000;
 const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
@@ -174,7 +173,7 @@
     }
     const {workspace, service, policy} = known;
     const place = {request: id, workspace, service, callingTeam};
-    if (!view.isApproved(workspace, service, callingTeam)) {
+    if (!view.isApproved({workspace, service, callingTeam})) {
       return Left({
         ...place,
         refusal: {reason: 'not-approved', outcome: 'not-run'},
@@ -219,8 +218,8 @@
           `${method} ${workspace} ${service} ${path.rest}`,
           body,
         ),
-        homeRegion: client?.region,
-        cohort: client?.cohort ?? cohortOf(clientAddress),
+        homeRegion: client?.homeRegion,
+        cohort: client?.cohort ?? 0,
         deadlineMs: deadline.extract() as number,
         relayedFrom,
       },
@@ -304,13 +303,6 @@
   return hash.update(body).digest('base64url');
 }
 
-/** Spreads clients whose block is not known over the cohorts. */
-function cohortOf(address: string): number {
-  return (
-    createHash('sha256').update(address).digest().readUInt16BE() % COHORTS
-  );
-}
-
 /** Sixteen hexadecimal digits, so that identifiers of two VMs differ. */
 function randomText(context: Pick<TaskContext, 'random'>): string {
   let text = '';
--- /dev/null
+++ b/packages/library/src/plugins/lookup/lookup.ts
@@ -0,0 +1,265 @@
+/**
+ * The look-up task: which entry VMs a client should use, best first. Nothing
+ * but this VM's memory is asked.
+ */
+import {
+  type BlockTable,
+  type Configuration,
+  type LookupAnswer,
+  type LookupQuery,
+  type LookupRefusal,
+  type MembershipView,
+  type ServiceName,
+  type WorkspaceName,
+  assertNever,
+  createEntryVmDirectory,
+} from '@ibisbeam/decision';
+import {type Either, Left} from 'purify-ts';
+import type {Context, Middleware} from 'koa';
+import {
+  type Refusal,
+  bearerToken,
+  writeRefusal,
+} from '../../core/http/index.js';
+import type {Task, TaskContext} from '../../core/kernel/index.js';
+import type {VmEvent} from '../../core/messages/index.js';
+import type {LookupDependencies} from './index.js';
+
+const LOOKUP_PATH = '/v1/entry-vms';
+const ROUTE_OWNER = 'lookup';
+const RETRY_AFTER_MS = 1_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Body of an answer; the choices are best first. */
+interface LookupBody {
+  readonly generation: number;
+  readonly lifetimeSeconds: number;
+  readonly entryVms: readonly {
+    readonly id: string;
+    readonly region: string;
+    readonly zone: string;
+    readonly address: string;
+    readonly weight: number;
+  }[];
+}
+
+export function createLookup(
+  context: TaskContext,
+  dependencies: LookupDependencies,
+): Task<'lookup'> {
+  const {settings, timers, metrics, logger} = context;
+  const lifetimeSeconds = Math.floor(
+    settings.lookup.lifetimeMs / MILLISECONDS_PER_SECOND,
+  );
+  const cacheControl = `private, max-age=${lifetimeSeconds}`;
+  const directory = createEntryVmDirectory(settings.lookup.maximumVms);
+  let configuration: Configuration | undefined;
+  let blocks: BlockTable | undefined;
+  let view: MembershipView | undefined;
+  let stopping = false;
+  /** Texts of answers by the choices that they state. */
+  let texts = new WeakMap<
+    LookupAnswer['choices'],
+    {body: string; tag: string}
+  >();
+
+  const middleware: Middleware = async (koaContext, next) => {
+    if (koaContext.path !== LOOKUP_PATH) {
+      await next();
+      return;
+    }
+    koaContext.respond = false;
+    await answer(koaContext);
+  };
+
+  async function answer(koaContext: Context): Promise<void> {
+    const refusal = await check(koaContext);
+    if (refusal) {
+      refuse(koaContext, refusal);
+      return;
+    }
+    const found = find(koaContext);
+    found.caseOf({
+      Left: reason => refuse(koaContext, reason),
+      Right: lookedUp => write(koaContext, lookedUp),
+    });
+  }
+
+  async function check(koaContext: Context): Promise<Refusal | undefined> {
+    const {method, headers} = koaContext.req;
+    if (method !== 'GET' && method !== 'HEAD') {
+      return malformed('only GET and HEAD are answered here');
+    }
+    const caller = await context.tokenVerifier.verify(
+      bearerToken(headers),
+      'ibisbeam-caller',
+    );
+    if (caller.isLeft()) {
+      return {reason: 'unauthenticated', outcome: 'not-run'};
+    }
+    return undefined;
+  }
+
+  function find(koaContext: Context): Either<Refusal, LookupAnswer> {
+    const {workspace, service, client} = koaContext.query;
+    if (typeof workspace !== 'string' || typeof service !== 'string') {
+      return Left(malformed('workspace and service are needed, once each'));
+    }
+    if (client !== undefined && typeof client !== 'string') {
+      return Left(malformed('client stands twice'));
+    }
+    if (!blocks) {
+      return Left(refusalOf('no-configuration'));
+    }
+    const stated = client ?? koaContext.req.socket.remoteAddress ?? '';
+    const place = blocks.find(firstAddress(stated));
+    if (!place) {
+      return Left(malformed('client is no IP number and no block'));
+    }
+    const query: LookupQuery = {
+      workspace: workspace as WorkspaceName,
+      service: service as ServiceName,
+      place,
+    };
+    return directory.answer(query, timers.wallMs()).mapLeft(refusalOf);
+  }
+
+  function write(koaContext: Context, found: LookupAnswer): void {
+    const {res, req} = koaContext;
+    const {body, tag} = textOf(found);
+    metrics.emit({kind: 'count', name: 'lookup.answered'});
+    const headers = {
+      'cache-control': cacheControl,
+      etag: tag,
+      vary: 'Authorization',
+    };
+    if (req.headers['if-none-match'] === tag) {
+      res.writeHead(304, headers);
+      res.end();
+      return;
+    }
+    res.writeHead(200, {
+      ...headers,
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+    });
+    res.end(req.method === 'HEAD' ? undefined : body);
+  }
+
+  function textOf(found: LookupAnswer): {body: string; tag: string} {
+    const known = texts.get(found.choices);
+    if (known) {
+      return known;
+    }
+    const body: LookupBody = {
+      generation: found.generation,
+      lifetimeSeconds,
+      entryVms: found.choices.map(({vm, weight}) => ({
+        id: vm.id,
+        region: vm.region,
+        zone: vm.zone,
+        address: vm.callerAddress,
+        weight,
+      })),
+    };
+    const ids = body.entryVms.map(vm => `${vm.id}/${vm.weight}`).join(',');
+    const made = {
+      body: JSON.stringify(body),
+      tag: `"${found.generation}-${ids}"`,
+    };
+    texts.set(found.choices, made);
+    return made;
+  }
+
+  function refuse(koaContext: Context, refusal: Refusal): void {
+    metrics.emit({
+      kind: 'count',
+      name: 'request.refused',
+      tags: {reason: refusal.reason, port: 'lookup'},
+    });
+    logger.log('debug', 'lookup-refused', {
+      reason: refusal.reason,
+      detail: refusal.detail,
+    });
+    writeRefusal(koaContext.res, refusal);
+  }
+
+  /** A stopping VM is never in its own answers, whatever others still say. */
+  function updateMembership(): void {
+    if (!view) {
+      return;
+    }
+    directory.membershipChanged(stopping ? withoutSelf(view) : view);
+    texts = new WeakMap();
+  }
+
+  function withoutSelf(current: MembershipView): MembershipView {
+    const vms = new Map(current.vms);
+    const self = vms.get(settings.vm.id);
+    if (self) {
+      vms.set(settings.vm.id, {...self, state: 'leaving'});
+    }
+    return {...current, vms};
+  }
+
+  function observe(event: VmEvent): void {
+    switch (event.kind) {
+      case 'configuration-in-force':
+        configuration = event.configuration;
+        blocks = dependencies.blockTables.build(configuration.clientBlocks);
+        directory.configurationAccepted(configuration);
+        texts = new WeakMap();
+        return;
+      case 'membership-changed':
+        view = event.view;
+        updateMembership();
+        return;
+      case 'stop-began':
+        stopping = true;
+        updateMembership();
+        return;
+      default:
+        return;
+    }
+  }
+
+  return {
+    start: async () => dependencies.routes.mount(ROUTE_OWNER, middleware),
+    stop: async () => dependencies.routes.unmount(ROUTE_OWNER),
+    observe,
+    receive: message =>
+      message.reply({
+        generation: configuration?.generation,
+        blocks: blocks?.blockCount ?? 0,
+      }),
+  };
+}
+
+/** A block stands for its first address. */
+function firstAddress(client: string): string {
+  const slash = client.indexOf('/');
+  return slash < 0 ? client : client.slice(0, slash);
+}
+
+function malformed(detail: string): Refusal {
+  return {reason: 'malformed-request', outcome: 'not-run', detail};
+}
+
+function refusalOf(reason: LookupRefusal): Refusal {
+  switch (reason) {
+    case 'no-configuration':
+      return {reason, outcome: 'not-run', retryAfterMs: RETRY_AFTER_MS};
+    case 'unknown-workspace':
+    case 'unknown-service':
+      return {reason, outcome: 'not-run'};
+    case 'no-entry-vm':
+      return {
+        reason: 'no-healthy-target',
+        outcome: 'not-run',
+        retryAfterMs: RETRY_AFTER_MS,
+        detail: 'no entry VM is live',
+      };
+    default:
+      return assertNever(reason);
+  }
+}
--- /dev/null
+++ b/packages/stand_ins/src/core/keys/index.ts
@@ -0,0 +1,1 @@
+export * from './stand_in_keys.js';
--- /dev/null
+++ b/packages/stand_ins/src/core/targets/index.ts
@@ -0,0 +1,2 @@
+export * from './stand_in_target.js';
+export * from './types.js';
--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -1,3 +1,5 @@
 /** Stand-ins for the platform and for targets; for tests and benches only. */
 export * from './core/deployments/index.js';
 export * from './core/platform_store/index.js';
+export * from './core/targets/index.js';
+export * from './core/keys/index.js';
--- /dev/null
+++ b/packages/stand_ins/test/forwarding/answers.test.ts
@@ -0,0 +1,148 @@
+/** Answers of the forwarding path: whole, own, or clearly broken. */
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+import {BOOKINGS, PACKS, READS, createRunningBed, until} from './harness.js';
+
+describe('forwarding', () => {
+  let bed: Awaited<ReturnType<typeof createRunningBed>>;
+  afterEach(() => bed.close());
+
+  it('passes a read on and its answer back', async () => {
+    bed = await createRunningBed();
+    const answer = await fetch(`${bed.url}${READS}/rooms?night=2`, {
+      headers: bed.headers({'ibisbeam-request-id': 'r-1'}),
+    });
+    assert.equal(answer.status, 200);
+    assert.equal(answer.headers.get('ibisbeam-request-id'), 'r-1');
+    assert.deepEqual(await answer.json(), {
+      target: 'one',
+      path: '/rooms?night=2',
+    });
+  });
+
+  it('keeps the token and hop-by-hop headers from the target', async () => {
+    bed = await createRunningBed();
+    await fetch(`${bed.url}${READS}/rooms`, {
+      headers: bed.headers({te: 'trailers', 'ibisbeam-deadline-ms': '1500'}),
+    });
+    const {headers} = bed.targets[0]!.received()[0]!;
+    assert.equal(headers['authorization'], undefined);
+    assert.equal(headers['te'], undefined);
+    assert.equal(headers['ibisbeam-calling-team'], 'front-desk');
+    const remaining = Number(headers['ibisbeam-deadline-ms']);
+    assert.ok(remaining > 0 && remaining <= 1_500, `${remaining} ms`);
+  });
+
+  it('answers 502 unknown when the target dies in the middle of a held answer', async () => {
+    bed = await createRunningBed();
+    bed.targets[0]!.faults.dieMidBody = 1;
+    const answer = await fetch(`${bed.url}${READS}/rooms`, {
+      headers: bed.headers(),
+    });
+    const problem = (await answer.json()) as {outcome: string; type: string};
+    assert.equal(answer.status, 502);
+    assert.equal(problem.outcome, 'unknown');
+    assert.match(problem.type, /target-failed$/);
+  });
+
+  it('breaks the connection when the target dies in the middle of a streamed answer', async () => {
+    bed = await createRunningBed();
+    bed.targets[0]!.faults.dieMidBody = 1;
+    const answer = await fetch(`${bed.url}${PACKS}/packs/2000000`, {
+      headers: bed.headers(),
+    });
+    assert.equal(answer.status, 200);
+    await assert.rejects(answer.arrayBuffer());
+  });
+
+  it('streams a long answer whole', async () => {
+    bed = await createRunningBed();
+    const answer = await fetch(`${bed.url}${PACKS}/packs/3000000`, {
+      headers: bed.headers(),
+    });
+    assert.equal((await answer.arrayBuffer()).byteLength, 3_000_000);
+  });
+
+  it('never gives a late answer to the next request on the connection', async () => {
+    bed = await createRunningBed();
+    const [target] = bed.targets;
+    target!.faults.hold = true;
+    const late = await fetch(`${bed.url}${READS}/late`, {
+      headers: bed.headers({'ibisbeam-deadline-ms': '50'}),
+    });
+    assert.equal(late.status, 504);
+    assert.equal(((await late.json()) as {outcome: string}).outcome, 'unknown');
+    target!.release();
+    const next = await fetch(`${bed.url}${READS}/next`, {
+      headers: bed.headers(),
+    });
+    assert.equal(((await next.json()) as {path: string}).path, '/next');
+    await until(() => target!.cancelled() === 1);
+  });
+
+  it('refuses an answer that carries another request identifier', async () => {
+    bed = await createRunningBed();
+    bed.targets[0]!.faults.echoedRequestId = 'somebody-elses';
+    const answer = await fetch(`${bed.url}${READS}/rooms`, {
+      headers: bed.headers(),
+    });
+    assert.equal(answer.status, 502);
+    assert.doesNotMatch(await answer.text(), /"target":/);
+  });
+
+  it('cancels a read at the target when its caller goes away', async () => {
+    bed = await createRunningBed();
+    const [target] = bed.targets;
+    target!.faults.hold = true;
+    const gone = new AbortController();
+    const asked = fetch(`${bed.url}${READS}/rooms`, {
+      headers: bed.headers(),
+      signal: gone.signal,
+    });
+    await until(() => target!.inFlight() === 1);
+    gone.abort();
+    await assert.rejects(asked);
+    await until(() => target!.cancelled() === 1);
+    await until(() => bed.vm.records.length === 1);
+    assert.equal(bed.vm.records[0]!.result, 'caller-gone');
+  });
+
+  it('tries the next target after one that sheds', async () => {
+    bed = await createRunningBed();
+    bed.targets[0]!.faults.shed = true;
+    const answer = await fetch(`${bed.url}${READS}/rooms`, {
+      headers: bed.headers(),
+    });
+    assert.equal(((await answer.json()) as {target: string}).target, 'two');
+    assert.equal(bed.targets[0]!.runs(), 0);
+  });
+
+  it('says not run, and when to come back, when every target sheds', async () => {
+    bed = await createRunningBed();
+    for (const target of bed.targets) {
+      target.faults.shed = true;
+    }
+    const answer = await fetch(`${bed.url}${BOOKINGS}/book`, {
+      method: 'POST',
+      headers: bed.headers({'idempotency-key': 'k-1'}),
+      body: 'room 4',
+    });
+    assert.equal(answer.status, 503);
+    assert.equal(answer.headers.get('retry-after'), '1');
+    assert.equal(
+      ((await answer.json()) as {outcome: string}).outcome,
+      'not-run',
+    );
+    assert.deepEqual(bed.claims.endOf('k-1'), {kind: 'not-run'});
+  });
+
+  it('tells steering that a target leaves when its answer says so', async () => {
+    bed = await createRunningBed();
+    bed.targets[0]!.faults.leaving = true;
+    const read = () =>
+      fetch(`${bed.url}${READS}/rooms`, {headers: bed.headers()});
+    await (await read()).text();
+    const second = (await (await read()).json()) as {target: string};
+    assert.equal(second.target, 'two');
+  });
+});
