--- a/packages/library/src/core/http/headers.ts
+++ b/packages/library/src/core/http/headers.ts
@@ -13,6 +13,8 @@
 export const WORKSPACE_HEADER = 'ibisbeam-workspace';
 export const CALLING_TEAM_HEADER = 'ibisbeam-calling-team';
 export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
+/** `true`: the caller never sent this Idempotency-Key before. */
+export const FIRST_ATTEMPT_HEADER = 'ibisbeam-first-attempt';
 /** Marks an answer given again from the record of the first run. */
 export const REPLAYED_HEADER = 'ibisbeam-replayed';
 
--- a/packages/library/src/core/vm/entry_vm.ts
+++ b/packages/library/src/core/vm/entry_vm.ts
@@ -4,7 +4,7 @@
   type RandomSource,
   incarnation,
 } from '@ibisbeam/decision';
-import {type PlugInOptions, registerPlugIns} from '../../plugins/index.js';
+import {registerPlugIns} from '../../plugins/index.js';
 import type {TokenSigner, TokenVerifier} from '../access/index.js';
 import {
   type Hooks,
@@ -24,7 +24,7 @@
   configurationInForce: [],
 };
 
-export interface EntryVmOptions extends PlugInOptions {
+export interface EntryVmOptions {
   readonly settings: Settings;
   readonly timers: TimerService;
   readonly random: RandomSource;
@@ -42,7 +42,7 @@
 export function createEntryVm(options: EntryVmOptions): Kernel {
   const {settings, timers, random} = options;
   const registry = createPlugInRegistry();
-  registerPlugIns(registry, options);
+  registerPlugIns(registry);
   return createKernel(registry.all(), {
     ...options,
     incarnation:
--- a/packages/library/src/plugins/forwarding/claim_guard.ts
+++ b/packages/library/src/plugins/forwarding/claim_guard.ts
@@ -17,9 +17,10 @@
 }
 
 export function createClaimGuard(
-  context: Pick<TaskContext, 'post' | 'ask' | 'metrics'>,
+  context: Pick<TaskContext, 'post' | 'ask' | 'metrics' | 'timers'>,
   intake: Intake,
 ): ClaimGuard {
+  const {timers} = context;
   let token: string | undefined;
   let givenUp = false;
 
@@ -61,7 +62,8 @@
           },
           request: facts.id,
           fingerprint: facts.fingerprint,
-          deadlineMs: facts.deadlineMs,
+          deadlineMs: Math.max(0, facts.deadlineMs - timers.nowMs()),
+          firstAttempt: intake.firstAttempt,
         },
         reply: decision => {
           decided(decision);
--- a/packages/library/src/plugins/forwarding/exchange.ts
+++ b/packages/library/src/plugins/forwarding/exchange.ts
@@ -283,7 +283,7 @@
       case 'unavailable':
         refuse({
           reason: 'claim-unavailable',
-          outcome: 'not-run',
+          outcome: decision.outcome,
           retryAfterMs: decision.retryAfterMs,
         });
         return;
--- a/packages/library/src/plugins/forwarding/forwarder.ts
+++ b/packages/library/src/plugins/forwarding/forwarder.ts
@@ -15,6 +15,7 @@
   type SteeringNote,
   type Target,
   assertNever,
+  createSteering,
   steeringPeerMessageSchema,
 } from '@ibisbeam/decision';
 import type {Context} from 'koa';
@@ -39,6 +40,7 @@
 import {runPlannedStop} from './planned_stop.js';
 import {createRelayTokens} from './relay_tokens.js';
 import {createAttemptSender} from './sender.js';
+import {createTicketRoute} from './ticket_route.js';
 import {createRequestReporter} from './request_reporter.js';
 
 const OVERLOAD_RETRY_MS = 1_000;
@@ -46,7 +48,8 @@
 
 export interface ForwardingDependencies {
   readonly routes: CallerRoutes;
-  createSteering(context: TaskContext): Steering;
+  /** Another steering state machine, for tests of the parts around it. */
+  readonly createSteering?: (context: TaskContext) => Steering;
   /** Shared with the look-up, so that sections are parsed once. */
   readonly blockTables: BlockTableBuilder;
 }
@@ -56,7 +59,7 @@
   dependencies: ForwardingDependencies,
 ): Task<'forwarding'> {
   const {settings, timers, metrics, logger} = context;
-  const steering = dependencies.createSteering(context);
+  const steering = (dependencies.createSteering ?? ownSteering)(context);
   const agents = createAgents();
   const intake = createIntake(context);
   const reporter = createRequestReporter(context);
@@ -348,6 +351,7 @@
   }
 
   async function start(): Promise<void> {
+    dependencies.routes.mount('tickets', createTicketRoute(context));
     callerAddress = await server.listen();
     gauges = timers.every(GAUGE_INTERVAL_MS, () =>
       metrics.emit({
@@ -381,6 +385,12 @@
   return {start, stop, observe, receive};
 }
 
+function ownSteering(context: TaskContext): Steering {
+  const {id, region, zone} = context.settings.vm;
+  const {random, incarnation} = context;
+  return createSteering({vm: id, region, zone, random, incarnation});
+}
+
 function extraHeaders(refusal: Refusal): Record<string, string> {
   const headers: Record<string, string> = {};
   if (refusal.reason === 'unauthenticated') {
--- a/packages/library/src/plugins/forwarding/index.ts
+++ b/packages/library/src/plugins/forwarding/index.ts
@@ -10,7 +10,7 @@
 ): void {
   registry.register<'forwarding'>({
     name: 'forwarding',
-    dependsOn: ['lookup'],
+    dependsOn: ['lookup', 'claims'],
     subscribesTo: [
       'configuration-in-force',
       'freshness-changed',
--- a/packages/library/src/plugins/forwarding/intake.ts
+++ b/packages/library/src/plugins/forwarding/intake.ts
@@ -17,6 +17,7 @@
   type BodyError,
   CLIENT_HEADER,
   DEADLINE_HEADER,
+  FIRST_ATTEMPT_HEADER,
   IDEMPOTENCY_KEY_HEADER,
   RELAY_TOKEN_HEADER,
   REQUEST_ID_HEADER,
@@ -55,6 +56,8 @@
   readonly headers: IncomingMessage['headers'];
   readonly body: Buffer;
   readonly idempotencyKey?: string;
+  /** The caller states that it never sent the key before. */
+  readonly firstAttempt: boolean;
   readonly clientAddress: string;
 }
 
@@ -207,6 +210,8 @@
       headers: request.headers,
       body,
       idempotencyKey: idempotencyKey.extract() as string | undefined,
+      firstAttempt:
+        singleHeader(request.headers, FIRST_ATTEMPT_HEADER) === 'true',
       clientAddress,
       facts: {
         id,
--- a/packages/stand_ins/test/forwarding/memory_claims.ts
+++ b/packages/stand_ins/test/forwarding/memory_claims.ts
@@ -55,6 +55,9 @@
         message.reply(begin(message.request));
         return;
       }
+      if (message.kind !== 'end') {
+        return;
+      }
       const record = () => {
         claims.get(message.token)!.end = message.end;
         message.reply({recorded: true});
