--- /dev/null
+++ b/packages/stand_ins/src/core/local_deployment/index.ts
@@ -0,0 +1,2 @@
+export * from './local_deployment.js';
+export * from './reserve_addresses.js';
--- /dev/null
+++ b/packages/stand_ins/src/core/local_deployment/local_deployment.ts
@@ -0,0 +1,253 @@
+/**
+ * One user's deployment on loopback in this process: a platform over HTTP,
+ * targets and entry VMs with all their plug-ins.
+ */
+import {
+  type Configuration,
+  type ConfigurationDocument,
+  type EntryVm,
+  type Incarnation,
+  type Section,
+  type TargetId,
+  type VmId,
+  createRandomSource,
+  incarnation,
+  sectionNameOf,
+} from '@ibisbeam/decision';
+import {
+  type Hooks,
+  type Kernel,
+  type Logger,
+  type MetricEvent,
+  type SettingsInput,
+  type TimerService,
+  createEntryVm,
+  createHttpPlatformStore,
+  createMemoryMetrics,
+  publishChange,
+  readDocument,
+  settingsSchema,
+} from '@ibisbeam/library';
+import {type DeploymentName, buildDeployment} from '../deployments/index.js';
+import {type StandInKeys, createStandInKeys} from '../keys/index.js';
+import {
+  type MemoryPlatform,
+  createMemoryPlatform,
+  startPlatformServer,
+} from '../platform_store/index.js';
+import {
+  type StandInTarget,
+  type TargetObserver,
+  startStandInTarget,
+} from '../targets/index.js';
+import {reserveAddresses} from './reserve_addresses.js';
+
+const ADDRESSES_PER_VM = 3;
+const READY_CHECK_INTERVAL_MS = 20;
+
+export interface LocalDeploymentOptions {
+  readonly name: DeploymentName;
+  readonly entryVmCount: number;
+  readonly workerDivisor: number;
+  readonly clientBlockCount: number;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly seed: number;
+  /** Settings of every VM beyond its identity, addresses and keys. */
+  readonly settings?: Partial<SettingsInput>;
+  readonly observeTarget?: TargetObserver;
+  readonly observeMetric?: (event: MetricEvent) => void;
+  hooksOf?(vm: VmId): Partial<Hooks>;
+}
+
+export interface LocalVm {
+  readonly entryVm: EntryVm;
+  readonly incarnation: Incarnation;
+  readonly kernel: Kernel;
+  /** A planned stop, as on SIGTERM. */
+  stop(): Promise<void>;
+}
+
+export interface LocalDeployment {
+  readonly platform: MemoryPlatform;
+  readonly platformUrl: string;
+  readonly keys: StandInKeys;
+  readonly document: ConfigurationDocument;
+  readonly targets: ReadonlyMap<TargetId, StandInTarget>;
+  readonly vms: readonly LocalVm[];
+  /** Replaces sections of the accepted configuration. */
+  publish(summary: string, sections: readonly Section[]): Promise<number>;
+  /** Resolves when every VM runs this generation or a later one. */
+  inForce(generation: number): Promise<void>;
+  stop(): Promise<void>;
+}
+
+export async function startLocalDeployment(
+  options: LocalDeploymentOptions,
+): Promise<LocalDeployment> {
+  const {timers} = options;
+  const keys = await createStandInKeys(timers);
+  const platform = createMemoryPlatform(timers);
+  const platformServer = await startPlatformServer(platform.store);
+  const addresses = await reserveAddresses(
+    options.entryVmCount * ADDRESSES_PER_VM,
+  );
+  const targets = new Map<TargetId, StandInTarget>();
+  const document = await buildDocument(options, addresses, targets);
+  const entryVms = entryVmsOf(document);
+  await publish('first configuration', [...document.values()]);
+
+  const vms: LocalVm[] = [];
+  for (const [index, entryVm] of entryVms.entries()) {
+    vms.push(startVmParts(entryVm, index));
+  }
+  await Promise.all(vms.map(vm => vm.kernel.start()));
+
+  function startVmParts(entryVm: EntryVm, index: number): LocalVm {
+    const life = incarnation(`${entryVm.id}-${options.seed}`);
+    const random = createRandomSource(options.seed + index);
+    const metrics = createMemoryMetrics();
+    const store = createHttpPlatformStore({
+      url: platformServer.url,
+      callTimeoutMs: 2_000,
+      timers,
+      random,
+      metrics,
+    });
+    const kernel = createEntryVm({
+      settings: settingsSchema.parse({
+        vm: {id: entryVm.id, region: entryVm.region, zone: entryVm.zone},
+        listen: {
+          caller: entryVm.callerAddress,
+          peer: entryVm.peerAddress,
+          operator: entryVm.operatorAddress,
+        },
+        platform: {url: platformServer.url, vmListIntervalMs: 500},
+        keys: {
+          tokenVerification: {environmentVariable: 'UNUSED'},
+          vmSigning: {environmentVariable: 'UNUSED'},
+        },
+        ...options.settings,
+      }),
+      timers,
+      random,
+      logger: options.logger,
+      metrics: {
+        emit: event => {
+          metrics.emit(event);
+          options.observeMetric?.(event);
+        },
+        close: metrics.close,
+      },
+      platform: store,
+      tokenVerifier: keys.verifier,
+      tokenSigner: keys.signer,
+      incarnation: life,
+      hooks: options.hooksOf?.(entryVm.id),
+    });
+    platform.setVm({vm: entryVm.id, incarnation: life, state: 'live'});
+    return {
+      entryVm,
+      incarnation: life,
+      kernel,
+      stop: async () => {
+        platform.setVm({vm: entryVm.id, incarnation: life, state: 'leaving'});
+        await kernel.stop();
+        platform.removeVm(entryVm.id);
+        store.close();
+      },
+    };
+  }
+
+  async function publish(
+    summary: string,
+    sections: readonly Section[],
+  ): Promise<number> {
+    const base = (await readDocument(platform.store).run()).unsafeCoerce();
+    const accepted = await publishChange({
+      platform: platform.store,
+      base,
+      sections: new Map(
+        sections.map(section => [sectionNameOf(section), section]),
+      ),
+      author: 'demonstration',
+      summary,
+      writeId: `${summary} ${timers.wallMs()}`,
+      wallMs: timers.wallMs(),
+    }).run();
+    return accepted.unsafeCoerce().generation;
+  }
+
+  async function inForce(wanted: number): Promise<void> {
+    for (const {kernel} of vms) {
+      while ((await generationOf(kernel)) < wanted) {
+        await timers.sleep(READY_CHECK_INTERVAL_MS);
+      }
+    }
+  }
+
+  return {
+    platform,
+    platformUrl: platformServer.url,
+    keys,
+    document,
+    targets,
+    vms,
+    publish,
+    inForce,
+    stop: async () => {
+      await Promise.all(vms.map(vm => vm.stop()));
+      await Promise.all([...targets.values()].map(target => target.stop()));
+      await platformServer.close();
+    },
+  };
+}
+
+/** Infinity for a VM that has stopped, and so follows nothing. */
+async function generationOf(kernel: Kernel): Promise<number> {
+  const status = await kernel.ask<
+    'configuration',
+    {generation?: Configuration['generation']}
+  >('configuration', reply => ({kind: 'status', reply}));
+  return status ? (status.generation ?? -1) : Infinity;
+}
+
+/** Starts a target for each that the deployment names. */
+async function buildDocument(
+  options: LocalDeploymentOptions,
+  addresses: readonly string[],
+  targets: Map<TargetId, StandInTarget>,
+): Promise<ConfigurationDocument> {
+  const size = {
+    name: options.name,
+    entryVmCount: options.entryVmCount,
+    workerDivisor: options.workerDivisor,
+    clientBlockCount: options.clientBlockCount,
+  };
+  for (const section of buildDeployment(size).values()) {
+    if (section.kind !== 'service') {
+      continue;
+    }
+    for (const {id, slots} of section.service.targets) {
+      const {timers, observeTarget} = options;
+      targets.set(
+        id,
+        await startStandInTarget({id, slots, timers, observe: observeTarget}),
+      );
+    }
+  }
+  return buildDeployment({
+    ...size,
+    vmAddresses: index => ({
+      callerAddress: addresses[index * ADDRESSES_PER_VM]!,
+      peerAddress: addresses[index * ADDRESSES_PER_VM + 1]!,
+      operatorAddress: addresses[index * ADDRESSES_PER_VM + 2]!,
+    }),
+    targetAddress: id => targets.get(id)!.address,
+  });
+}
+
+function entryVmsOf(document: ConfigurationDocument): readonly EntryVm[] {
+  const section = document.get('topology');
+  return section?.kind === 'topology' ? section.topology.entryVms : [];
+}
--- a/packages/stand_ins/src/core/targets/stand_in_target.ts
+++ b/packages/stand_ins/src/core/targets/stand_in_target.ts
@@ -9,7 +9,13 @@
 import {pipeline} from 'node:stream/promises';
 import type {TimerService} from '@ibisbeam/library';
 import Koa, {type Context} from 'koa';
-import type {ReceivedRequest, StandInTarget, TargetFaults} from './types.js';
+import type {
+  ReceivedRequest,
+  StandInTarget,
+  TargetEvent,
+  TargetFaults,
+  TargetObserver,
+} from './types.js';
 
 const REMEMBERED_REQUESTS = 100;
 const PACK_PATTERN = /^\/packs\/(\d+)$/;
@@ -23,6 +29,7 @@
   readonly timers: Pick<TimerService, 'sleep'>;
   /** A free port by default. */
   readonly port?: number;
+  readonly observe?: TargetObserver;
 }
 
 export async function startStandInTarget(
@@ -67,8 +74,10 @@
     }
     context.respond = false;
     inFlight += 1;
+    tell('entered', context);
     context.res.once('close', () => {
       inFlight -= 1;
+      tell('left', context);
       if (!context.res.writableFinished) {
         cancelled += 1;
       }
@@ -112,6 +121,11 @@
     await answer(context, run, body);
   }
 
+  function tell(kind: TargetEvent['kind'], context: Context): void {
+    const request = context.get('ibisbeam-request-id');
+    options.observe?.({kind, target: id, request});
+  }
+
   function remember(context: Context): void {
     const {method, url, headers} = context;
     received.push({method, path: url, headers});
@@ -122,6 +136,7 @@
 
   /** @returns How often the operation has run now, or 0 for a read. */
   function count(context: Context): number {
+    tell('run-started', context);
     runs += 1;
     const key = context.get('idempotency-key');
     if (!key || context.method === 'GET' || context.method === 'HEAD') {
--- a/packages/stand_ins/src/core/targets/types.ts
+++ b/packages/stand_ins/src/core/targets/types.ts
@@ -24,6 +24,14 @@
   extraHeaders: Readonly<Record<string, string>>;
 }
 
+/** What happens to requests at a target, for traces. */
+export type TargetEvent = {
+  readonly kind: 'entered' | 'run-started' | 'left';
+  readonly target: string;
+  readonly request: string;
+};
+export type TargetObserver = (event: TargetEvent) => void;
+
 export interface ReceivedRequest {
   readonly method: string;
   readonly path: string;
--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -3,3 +3,4 @@
 export * from './core/platform_store/index.js';
 export * from './core/targets/index.js';
 export * from './core/keys/index.js';
+export * from './core/local_deployment/index.js';
