--- /dev/null
+++ b/packages/bench/src/decision/main.ts
@@ -0,0 +1,104 @@
+/** `npm run bench`: runs scenarios with all strategies and judges them. */
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {findKnownRed, readKnownRed} from './known_red.js';
+import {type Figures, measure} from './measure.js';
+import {formatScenario} from './report.js';
+import {type RunResult, type Scenario, runScenario} from './run_scenario.js';
+import {SCENARIOS} from './scenarios.js';
+import {STRATEGIES} from './strategies/index.js';
+import {type Breach, type Goal, findBreaches, judgeGoals} from './verdict.js';
+
+const DEFAULT_SEED = 1;
+
+interface Verdict {
+  readonly breaches: Breach[];
+  readonly goals: Goal[];
+}
+
+function main(): void {
+  const options = yargs(hideBin(process.argv))
+    .option('scenario', {
+      type: 'array',
+      string: true,
+      choices: SCENARIOS.map(scenario => scenario.name),
+      describe: 'Scenarios to run; all if absent',
+    })
+    .option('seed', {
+      type: 'array',
+      number: true,
+      default: [DEFAULT_SEED],
+      describe: 'Seeds to run each scenario with',
+    })
+    .option('strategy', {
+      type: 'array',
+      string: true,
+      describe: 'Strategies to run; all if absent',
+    })
+    .strict()
+    .parseSync();
+  const wanted = SCENARIOS.filter(
+    scenario => options.scenario?.includes(scenario.name) ?? true,
+  );
+  const verdict: Verdict = {breaches: [], goals: []};
+  for (const scenario of wanted) {
+    for (const seed of options.seed) {
+      runOne(scenario, seed, options.strategy, verdict);
+    }
+  }
+  process.exitCode = conclude(verdict);
+}
+
+function runOne(
+  scenario: Scenario,
+  seed: number,
+  only: readonly string[] | undefined,
+  verdict: Verdict,
+): void {
+  const figures = new Map<string, Figures>();
+  let last: RunResult | undefined;
+  for (const strategy of STRATEGIES) {
+    if (only && !only.includes(strategy.name)) {
+      continue;
+    }
+    last = runScenario(scenario, strategy, seed);
+    const measured = measure(last);
+    figures.set(strategy.name, measured);
+    if (strategy.judged) {
+      verdict.breaches.push(...findBreaches(scenario.name, seed, measured));
+    }
+  }
+  if (last) {
+    process.stdout.write(`${formatScenario(last, seed, figures)}\n\n`);
+  }
+  const judged = STRATEGIES.find(strategy => strategy.judged);
+  if (judged && figures.size === STRATEGIES.length) {
+    verdict.goals.push(...judgeGoals(scenario.name, judged.name, figures));
+  }
+}
+
+/** Prints the verdict; returns the exit code. */
+function conclude({breaches, goals}: Verdict): number {
+  for (const goal of goals) {
+    const word = goal.reached ? 'reached' : 'GAP';
+    print(`goal ${word}: ${goal.scenario}: ${goal.name}: ${goal.seen}`);
+  }
+  const knownRed = readKnownRed();
+  let unknown = 0;
+  for (const breach of breaches) {
+    const known = findKnownRed(knownRed, breach);
+    unknown += known ? 0 : 1;
+    const word = known ? 'KNOWN RED' : 'BROKEN';
+    print(
+      `bound ${word}: ${breach.scenario} seed ${breach.seed}: ${breach.bound}: ${breach.seen}`,
+    );
+  }
+  print(unknown === 0 ? 'bounds hold' : `${unknown} bounds are broken`);
+  return unknown === 0 ? 0 : 1;
+}
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+main();
--- /dev/null
+++ b/packages/bench/src/decision/observers.ts
@@ -0,0 +1,172 @@
+/** What VMs learn of targets and of each other, late and not always truly. */
+import type {
+  MembershipView,
+  RegionName,
+  TargetId,
+  VmId,
+  VmState,
+  VmView,
+} from '@ibisbeam/decision';
+import type {EntryVmHost, World} from './types.js';
+
+const REPORT_INTERVAL_MS = 1_000;
+const TARGET_LISTING_LAG_MS = 2_000;
+const MEMBERSHIP_INTERVAL_MS = 500;
+/** A peer not heard of for this long is suspect. */
+const SUSPECT_AFTER_MS = 3_000;
+/** The platform's list says so this long after a VM died. */
+const GONE_AFTER_MS = 10_000;
+
+/** Polls the targets for every VM; reports arrive behind by the lag. */
+export function startReports(world: World): void {
+  const {loop} = world;
+
+  function poll(): void {
+    for (const target of world.targets.values()) {
+      const report = target.report();
+      const {region} = target.specification;
+      if (!report || !world.regionUp(region)) {
+        continue;
+      }
+      loop.after(world.reportLagMs(), () => {
+        for (const host of hostsReaching(world, region)) {
+          if (report.leaving) {
+            world.record({
+              kind: 'leaving-signed',
+              atMs: loop.nowMs(),
+              target: report.target,
+            });
+          }
+          host.deliver({kind: 'target-reported', report});
+        }
+      });
+    }
+    loop.after(REPORT_INTERVAL_MS, poll);
+  }
+
+  poll();
+}
+
+/** The platform's list shows the leaving target to everybody, late. */
+export function listLeaving(world: World, target: TargetId): void {
+  world.loop.after(TARGET_LISTING_LAG_MS, () => {
+    if (!world.storeUp()) {
+      return;
+    }
+    world.record({
+      kind: 'leaving-signed',
+      atMs: world.loop.nowMs(),
+      target,
+    });
+    for (const host of world.hosts.values()) {
+      host.deliver({kind: 'target-leaving', target, source: 'platform-list'});
+    }
+  });
+}
+
+function hostsReaching(
+  world: World,
+  region: RegionName,
+): readonly EntryVmHost[] {
+  return [...world.hosts.values()].filter(
+    host =>
+      host.up() &&
+      world.regionUp(host.vm.region) &&
+      world.network.reachable(host.vm.region, region),
+  );
+}
+
+export interface MembershipObserver {
+  viewOf(host: EntryVmHost): MembershipView;
+}
+
+/** Gives each VM its view of the others whenever the view changes. */
+export function startMembership(world: World): MembershipObserver {
+  const {loop} = world;
+  const lastHeardMs = new Map<string, number>();
+  const diedMs = new Map<VmId, number>();
+  const lastShown = new Map<VmId, string>();
+
+  function observe(): void {
+    for (const host of world.hosts.values()) {
+      noteDeath(host);
+      for (const peer of world.hosts.values()) {
+        if (hears(world, host, peer)) {
+          lastHeardMs.set(`${host.vm.id}<${peer.vm.id}`, loop.nowMs());
+        }
+      }
+    }
+    for (const host of world.hosts.values()) {
+      show(host);
+    }
+    loop.after(MEMBERSHIP_INTERVAL_MS, observe);
+  }
+
+  function noteDeath(host: EntryVmHost): void {
+    if (host.up() && world.regionUp(host.vm.region)) {
+      diedMs.delete(host.vm.id);
+      return;
+    }
+    if (!diedMs.has(host.vm.id)) {
+      diedMs.set(host.vm.id, loop.nowMs());
+    }
+  }
+
+  function show(host: EntryVmHost): void {
+    if (!host.up() || host.paused()) {
+      lastShown.delete(host.vm.id);
+      return;
+    }
+    const view = viewOf(host);
+    const summary = [...view.vms.values()].map(vm => vm.state).join();
+    if (lastShown.get(host.vm.id) === summary) {
+      return;
+    }
+    lastShown.set(host.vm.id, summary);
+    host.deliver({kind: 'membership-changed', view});
+  }
+
+  function stateOf(host: EntryVmHost, peer: EntryVmHost): VmState {
+    if (host === peer) {
+      return 'live';
+    }
+    const died = diedMs.get(peer.vm.id) ?? Infinity;
+    if (world.storeUp() && loop.nowMs() - died > GONE_AFTER_MS) {
+      return 'gone';
+    }
+    const heard = lastHeardMs.get(`${host.vm.id}<${peer.vm.id}`) ?? 0;
+    return loop.nowMs() - heard > SUSPECT_AFTER_MS ? 'suspect' : 'live';
+  }
+
+  function viewOf(host: EntryVmHost): MembershipView {
+    const vms = new Map<VmId, VmView>();
+    const heardRegions = new Set<RegionName>();
+    for (const peer of world.hosts.values()) {
+      const state = stateOf(host, peer);
+      const {id, region, zone} = peer.vm;
+      vms.set(id, {vm: id, region, zone, state});
+      if (state === 'live') {
+        heardRegions.add(region);
+      }
+    }
+    const regions = [...world.configuration.regions.keys()];
+    return {
+      atMs: loop.nowMs(),
+      vms,
+      silentRegions: new Set(regions.filter(name => !heardRegions.has(name))),
+      selfDoubt: false,
+    };
+  }
+
+  observe();
+  return {viewOf};
+}
+
+function hears(world: World, host: EntryVmHost, peer: EntryVmHost): boolean {
+  return (
+    peer.up() &&
+    !peer.paused() &&
+    world.regionUp(peer.vm.region) &&
+    world.network.reachable(host.vm.region, peer.vm.region)
+  );
+}
--- /dev/null
+++ b/packages/bench/src/decision/scenarios.ts
@@ -0,0 +1,270 @@
+/** The loads and faults of the decision bench. */
+import {
+  type Configuration,
+  type RegionName,
+  type ServiceName,
+  type TargetId,
+  type VmId,
+  requestId,
+  teamName,
+} from '@ibisbeam/decision';
+import type {Fault, PlannedFault} from './faults.js';
+import type {Scenario} from './run_scenario.js';
+import type {Operation} from './types.js';
+import type {LoadShape} from './workload.js';
+
+const USUAL_LOAD = 0.7;
+const NIGHT_LOAD = 0.3;
+const DURATION_MS = 30_000;
+const MEASURE_FROM_MS = 5_000;
+const FAULT_AT_MS = 8_000;
+const SECOND_FAULT_AT_MS = 12_000;
+const UNTIL_THE_END_MS = 60_000;
+/** Ten intervals move a whole region, so that a run shows the whole ramp. */
+const SHORT_SHIFT_INTERVAL_MS = 4_000;
+const TEN_MINUTES_MS = 600_000;
+
+const steady =
+  (load: number): LoadShape =>
+  () =>
+    load;
+
+/** From a quiet start to more than the region has. */
+const rising: LoadShape = (_service, _home, atMs) =>
+  0.3 + 0.9 * Math.min(atMs / DURATION_MS, 1);
+
+/** Before a session all of one region wants packs and bookings at once. */
+const rush: LoadShape = (service, home, atMs) => {
+  const rushing = atMs > FAULT_AT_MS && home === 'leinster';
+  if (!rushing) {
+    return 0.5;
+  }
+  return service === 'measurement-sheets' ? 0.8 : 1.1;
+};
+
+const common = {
+  deployment: 'daugava',
+  durationMs: DURATION_MS,
+  measureFromMs: MEASURE_FROM_MS,
+  shape: steady(USUAL_LOAD),
+} as const;
+
+const SERVICE_OF_CONCERN = 'room-availability';
+
+function targetsOf(
+  configuration: Configuration,
+  service: string,
+): readonly TargetId[] {
+  const targets = configuration.services.get(service as ServiceName)?.targets;
+  return (targets ?? []).map(target => target.id);
+}
+
+function regionsOf(configuration: Configuration): readonly RegionName[] {
+  return [...configuration.regions.keys()];
+}
+
+function vmsOf(configuration: Configuration): readonly VmId[] {
+  return [...configuration.entryVms.keys()];
+}
+
+function at(atMs: number, fault: Fault): PlannedFault {
+  return {atMs, fault};
+}
+
+function crashingOperation(configuration: Configuration): Operation {
+  const [workspace] = [...configuration.workspaces.keys()];
+  return {
+    id: requestId('crashing-request'),
+    workspace: workspace!,
+    service: SERVICE_OF_CONCERN as ServiceName,
+    callingTeam: teamName('scholar-portal'),
+    homeRegion: regionsOf(configuration)[0]!,
+    cohort: 7,
+    idempotent: true,
+    serviceMs: 80,
+    responseBytes: 0,
+    crashesTarget: true,
+    startedMs: 0,
+    deadlineMs: UNTIL_THE_END_MS,
+  };
+}
+
+export const SCENARIOS: readonly Scenario[] = [
+  {...common, name: 'steady', faults: () => []},
+  {
+    ...common,
+    name: 'steady-ceoltoiri',
+    deployment: 'ceoltoiri',
+    faults: () => [],
+  },
+  {...common, name: 'rising', shape: rising, faults: () => []},
+  {
+    ...common,
+    name: 'rush',
+    deployment: 'ceoltoiri',
+    shape: rush,
+    shiftIntervalMs: SHORT_SHIFT_INTERVAL_MS,
+    faults: () => [],
+  },
+  {
+    ...common,
+    name: 'reports-lag',
+    faults: () => [
+      at(0, {kind: 'reports-lag', lagMs: 5_000, forMs: UNTIL_THE_END_MS}),
+    ],
+  },
+  {
+    ...common,
+    name: 'reports-lie',
+    secondFaultAtMs: SECOND_FAULT_AT_MS,
+    faults: () => [
+      at(0, {
+        kind: 'reports-lie',
+        service: SERVICE_OF_CONCERN as ServiceName,
+        forMs: UNTIL_THE_END_MS,
+      }),
+    ],
+  },
+  {
+    ...common,
+    name: 'slow-target',
+    faults: configuration => [
+      at(FAULT_AT_MS, {
+        kind: 'target-slow',
+        target: targetsOf(configuration, SERVICE_OF_CONCERN)[0]!,
+        factor: 8,
+        forMs: UNTIL_THE_END_MS,
+      }),
+    ],
+  },
+  {
+    ...common,
+    name: 'fail-fast-target',
+    secondFaultAtMs: SECOND_FAULT_AT_MS,
+    faults: configuration => [
+      at(FAULT_AT_MS, {
+        kind: 'target-fails-fast',
+        target: targetsOf(configuration, SERVICE_OF_CONCERN)[0]!,
+        forMs: UNTIL_THE_END_MS,
+      }),
+    ],
+  },
+  {
+    ...common,
+    name: 'cold-targets',
+    shape: steady(0.5),
+    faults: configuration => [
+      at(FAULT_AT_MS, {
+        kind: 'targets-cold',
+        region: regionsOf(configuration)[0]!,
+      }),
+    ],
+  },
+  {
+    ...common,
+    name: 'region-gone',
+    shape: steady(0.55),
+    durationMs: 70_000,
+    measureFromMs: FAULT_AT_MS,
+    shiftIntervalMs: SHORT_SHIFT_INTERVAL_MS,
+    faults: configuration => [
+      at(FAULT_AT_MS, {
+        kind: 'region-gone',
+        region: regionsOf(configuration)[1]!,
+        forMs: UNTIL_THE_END_MS,
+      }),
+    ],
+  },
+  {
+    ...common,
+    name: 'regions-cut',
+    secondFaultAtMs: SECOND_FAULT_AT_MS,
+    shiftIntervalMs: SHORT_SHIFT_INTERVAL_MS,
+    faults: configuration => [
+      at(FAULT_AT_MS, {
+        kind: 'regions-cut',
+        one: regionsOf(configuration)[0]!,
+        other: regionsOf(configuration)[1]!,
+        forMs: 15_000,
+      }),
+    ],
+  },
+  {
+    ...common,
+    name: 'store-away',
+    shape: steady(0.15),
+    durationMs: TEN_MINUTES_MS + 20_000,
+    secondFaultAtMs: TEN_MINUTES_MS / 2,
+    faults: () => [
+      at(FAULT_AT_MS, {kind: 'store-away', forMs: TEN_MINUTES_MS}),
+    ],
+  },
+  {
+    ...common,
+    name: 'vm-lost-in-shift',
+    shape: steady(0.4),
+    durationMs: 50_000,
+    shiftIntervalMs: SHORT_SHIFT_INTERVAL_MS,
+    faults: configuration => [
+      at(FAULT_AT_MS, {
+        kind: 'region-gone',
+        region: regionsOf(configuration)[1]!,
+        forMs: UNTIL_THE_END_MS,
+      }),
+      at(FAULT_AT_MS + 14_000, {
+        kind: 'vm-lost',
+        vm: vmsOf(configuration)[0]!,
+        replacedAfterMs: 4_000,
+      }),
+    ],
+  },
+  {
+    ...common,
+    name: 'vm-paused',
+    secondFaultAtMs: SECOND_FAULT_AT_MS,
+    faults: configuration => [
+      at(FAULT_AT_MS, {
+        kind: 'vm-paused',
+        vm: vmsOf(configuration)[3]!,
+        forMs: 6_000,
+      }),
+    ],
+  },
+  {
+    ...common,
+    name: 'crashing-request',
+    faults: configuration => [
+      at(FAULT_AT_MS, {
+        kind: 'crashing-request',
+        operation: crashingOperation(configuration),
+      }),
+    ],
+  },
+  {
+    ...common,
+    name: 'night-failover',
+    shape: steady(NIGHT_LOAD),
+    durationMs: 60_000,
+    measureFromMs: FAULT_AT_MS,
+    secondFaultAtMs: 30_000,
+    shiftIntervalMs: SHORT_SHIFT_INTERVAL_MS,
+    faults: configuration => [
+      at(FAULT_AT_MS, {
+        kind: 'region-gone',
+        region: regionsOf(configuration)[2]!,
+        forMs: 30_000,
+      }),
+    ],
+  },
+  {
+    ...common,
+    name: 'target-drain',
+    secondFaultAtMs: SECOND_FAULT_AT_MS,
+    faults: configuration => [
+      at(FAULT_AT_MS, {
+        kind: 'target-leaves',
+        target: targetsOf(configuration, SERVICE_OF_CONCERN)[1]!,
+      }),
+    ],
+  },
+];
--- /dev/null
+++ b/packages/bench/src/decision/strategies/index.ts
@@ -0,0 +1,6 @@
+/** All strategies that the bench compares. */
+import type {Strategy} from '../types.js';
+import {BASELINES} from './baselines.js';
+import {createOracle} from './oracle.js';
+
+export const STRATEGIES: readonly Strategy[] = [...BASELINES, createOracle()];
--- /dev/null
+++ b/packages/bench/src/decision/verdict.ts
@@ -0,0 +1,152 @@
+/** Bounds that the promises set, and goals against the other strategies. */
+import type {CheckName} from '@ibisbeam/invariants';
+import {type Figures, countOf} from './measure.js';
+
+export interface Breach {
+  readonly scenario: string;
+  readonly seed: number;
+  readonly bound: CheckName;
+  readonly seen: string;
+}
+
+/** Every promise that the judged strategy broke in the run. */
+export function findBreaches(
+  scenario: string,
+  seed: number,
+  figures: Figures,
+): readonly Breach[] {
+  const checks = new Set(figures.violations.map(one => one.check));
+  const breaches: Breach[] = [];
+  for (const bound of checks) {
+    const first = figures.violations.find(one => one.check === bound)!;
+    const count = countOf(figures, bound);
+    breaches.push({
+      scenario,
+      seed,
+      bound,
+      seen: `${count} times, first at ${first.atMs.toFixed(0)} ms: ${first.subject} ${first.detail}`,
+    });
+  }
+  return breaches;
+}
+
+export interface Goal {
+  readonly scenario: string;
+  readonly name: string;
+  readonly reached: boolean;
+  readonly seen: string;
+}
+
+export type FiguresByStrategy = ReadonlyMap<string, Figures>;
+
+const LATENCY_RATIO_GOAL = 1.1;
+const GOODPUT_RATIO_GOAL = 0.95;
+
+export function judgeGoals(
+  scenario: string,
+  judged: string,
+  figures: FiguresByStrategy,
+): readonly Goal[] {
+  switch (scenario) {
+    case 'steady':
+    case 'steady-ceoltoiri':
+      return [
+        latencyAgainstOracle(scenario, judged, figures),
+        latencyAgainstBaselines(scenario, judged, figures),
+      ];
+    case 'region-gone':
+      return [goodputAgainstOracle(scenario, judged, figures)];
+    case 'rush':
+      return [headroomAgainstBaselines(scenario, judged, figures)];
+    default:
+      return [];
+  }
+}
+
+function latencyAgainstOracle(
+  scenario: string,
+  judged: string,
+  figures: FiguresByStrategy,
+): Goal {
+  const own = interactiveP99(figures.get(judged)!);
+  const best = interactiveP99(figures.get('oracle')!);
+  return {
+    scenario,
+    name: `p99 at most ${LATENCY_RATIO_GOAL} of the oracle's`,
+    reached: own <= LATENCY_RATIO_GOAL * best,
+    seen: `${own.toFixed(1)} ms, ${(own / best).toFixed(3)} of ${best.toFixed(1)} ms`,
+  };
+}
+
+function latencyAgainstBaselines(
+  scenario: string,
+  judged: string,
+  figures: FiguresByStrategy,
+): Goal {
+  const own = interactiveP99(figures.get(judged)!);
+  const others = baselines(judged, figures).map(([name, one]) => ({
+    name,
+    value: interactiveP99(one),
+  }));
+  const best = others.reduce((a, b) => (b.value < a.value ? b : a));
+  return {
+    scenario,
+    name: 'p99 below every baseline',
+    reached: own < best.value,
+    seen: `${own.toFixed(1)} ms; best is ${best.name} with ${best.value.toFixed(1)} ms`,
+  };
+}
+
+function goodputAgainstOracle(
+  scenario: string,
+  judged: string,
+  figures: FiguresByStrategy,
+): Goal {
+  const own = figures.get(judged)!.goodputPerSecond;
+  const best = figures.get('oracle')!.goodputPerSecond;
+  return {
+    scenario,
+    name: `goodput at least ${GOODPUT_RATIO_GOAL} of the oracle's`,
+    reached: own >= GOODPUT_RATIO_GOAL * best,
+    seen: `${own.toFixed(1)}/s, ${(own / best).toFixed(3)} of ${best.toFixed(1)}/s`,
+  };
+}
+
+function headroomAgainstBaselines(
+  scenario: string,
+  judged: string,
+  figures: FiguresByStrategy,
+): Goal {
+  const own = smallestHeadroom(figures.get(judged)!);
+  const others = baselines(judged, figures).map(([name, one]) => ({
+    name,
+    value: smallestHeadroom(one),
+  }));
+  const best = others.reduce((a, b) => (b.value > a.value ? b : a));
+  return {
+    scenario,
+    name: 'smallest headroom above every baseline',
+    reached: own > best.value,
+    seen: `${own.toFixed(3)}; best is ${best.name} with ${best.value.toFixed(3)}`,
+  };
+}
+
+function baselines(
+  judged: string,
+  figures: FiguresByStrategy,
+): readonly (readonly [string, Figures])[] {
+  return [...figures].filter(([name]) => name !== judged && name !== 'oracle');
+}
+
+function interactiveP99(figures: Figures): number {
+  const service = figures.services.find(
+    one =>
+      one.service === 'room-availability' ||
+      one.service === 'measurement-sheets',
+  );
+  return service?.p99Ms ?? Infinity;
+}
+
+export function smallestHeadroom(figures: Figures): number {
+  return Math.min(...figures.smallestHeadroom.values());
+}
--- /dev/null
+++ b/packages/bench/src/decision/workload.ts
@@ -0,0 +1,155 @@
+/** What callers do: seeded arrivals whose times and sizes no strategy sways. */
+import {
+  type Configuration,
+  type RandomSource,
+  type RegionName,
+  type ServiceName,
+  type WorkspaceName,
+  teamName,
+} from '@ibisbeam/decision';
+import type {Operation} from './types.js';
+
+export interface ServiceLoad {
+  readonly meanServiceMs: number;
+  /** Spread of the logarithm of the service time. */
+  readonly sigma: number;
+  readonly idempotent: boolean;
+  /** Mean bytes of a streamed answer; 0 for answers that are held. */
+  readonly meanResponseBytes: number;
+  readonly slotMs: number;
+  readonly deadlineMs: number;
+}
+
+/** Head of a streamed answer; the rest of the slot time is sending. */
+const STREAM_HEAD_MS = 20;
+const PACK_BYTES = 40_000_000;
+const PACK_SLOT_MS = 2_700;
+/** Callers of one region; each is a cohort of its own. */
+export const CALLERS_PER_REGION = 1_000;
+
+const interactive = (meanServiceMs: number): ServiceLoad => ({
+  meanServiceMs,
+  sigma: 0.6,
+  idempotent: true,
+  meanResponseBytes: 0,
+  slotMs: meanServiceMs,
+  deadlineMs: 2_000,
+});
+
+const transactional = (meanServiceMs: number): ServiceLoad => ({
+  ...interactive(meanServiceMs),
+  sigma: 0.4,
+  idempotent: false,
+  deadlineMs: 10_000,
+});
+
+const packs: ServiceLoad = {
+  meanServiceMs: STREAM_HEAD_MS,
+  sigma: 0.2,
+  idempotent: true,
+  meanResponseBytes: PACK_BYTES,
+  slotMs: PACK_SLOT_MS,
+  deadlineMs: 60_000,
+};
+
+export const SERVICE_LOADS: Readonly<Record<string, ServiceLoad>> = {
+  'room-availability': interactive(80),
+  'booking-ledger': transactional(250),
+  'welcome-packs': packs,
+  'measurement-sheets': interactive(150),
+  bookings: transactional(300),
+  'pattern-library': packs,
+};
+
+/** Offered load as a fraction of the service's slots in the home region. */
+export type LoadShape = (
+  service: ServiceName,
+  home: RegionName,
+  atMs: number,
+) => number;
+
+/** One stream of arrivals: a service, asked for from one region. */
+export interface ArrivalStream {
+  /** The operation that starts after the moment; undefined past the end. */
+  next(afterMs: number): Operation | undefined;
+}
+
+export interface StreamOptions {
+  readonly configuration: Configuration;
+  readonly workspace: WorkspaceName;
+  readonly service: ServiceName;
+  readonly home: RegionName;
+  readonly shape: LoadShape;
+  readonly untilMs: number;
+  readonly random: RandomSource;
+}
+
+/** Highest load that a shape may ask for; arrivals are thinned from it. */
+const PEAK_LOAD = 3;
+
+export function createArrivalStream(options: StreamOptions): ArrivalStream {
+  const {service, home, random} = options;
+  const load = SERVICE_LOADS[service]!;
+  const slots = slotsIn(options.configuration, service, home);
+  const peakPerMs = (slots * PEAK_LOAD) / load.slotMs;
+  let count = 0;
+
+  function next(afterMs: number): Operation | undefined {
+    let atMs = afterMs;
+    for (;;) {
+      atMs += -Math.log(1 - random.next()) / peakPerMs;
+      if (atMs > options.untilMs) {
+        return undefined;
+      }
+      if (random.next() * PEAK_LOAD < options.shape(service, home, atMs)) {
+        return operationAt(atMs);
+      }
+    }
+  }
+
+  function operationAt(startedMs: number): Operation {
+    count += 1;
+    return {
+      id: `${service}.${home}.${count}`,
+      workspace: options.workspace,
+      service,
+      callingTeam: teamName(
+        options.configuration.approvals[0]?.callingTeam ?? 'none',
+      ),
+      homeRegion: home,
+      cohort: random.below(CALLERS_PER_REGION),
+      idempotent: load.idempotent,
+      serviceMs: logNormal(random, load.meanServiceMs, load.sigma),
+      responseBytes:
+        load.meanResponseBytes === 0
+          ? 0
+          : Math.round(logNormal(random, load.meanResponseBytes, load.sigma)),
+      crashesTarget: false,
+      startedMs,
+      deadlineMs: startedMs + load.deadlineMs,
+    };
+  }
+
+  return {next};
+}
+
+export function slotsIn(
+  configuration: Configuration,
+  service: ServiceName,
+  region: RegionName,
+): number {
+  let slots = 0;
+  for (const target of configuration.services.get(service)?.targets ?? []) {
+    if (target.region === region) {
+      slots += target.slots;
+    }
+  }
+  return slots;
+}
+
+/** Lognormal with the given mean, by the Box-Muller transform. */
+function logNormal(random: RandomSource, mean: number, sigma: number): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
+  const normal = radius * Math.cos(2 * Math.PI * random.next());
+  return mean * Math.exp(sigma * normal - (sigma * sigma) / 2);
+}
