--- /dev/null
+++ b/packages/decision/src/core/lookup/region_choice.ts
@@ -0,0 +1,64 @@
+/** Which region a caller's block is steered to at a moment. */
+import {rankByRendezvous} from '../hashing/index.js';
+import type {Configuration, RegionName} from '../model/index.js';
+import {
+  type PlannedMove,
+  plannedMoves,
+  regionAfterMoves,
+} from '../shifts/index.js';
+import {defaultSteeringParameters} from '../steering/parameters.js';
+import type {LookupQuery} from './types.js';
+
+/** Follows the planned moves that forwarding enforces, on the same clock. */
+export interface RegionChooser {
+  /** @param wallMs Unix time in milliseconds. */
+  regionFor(query: LookupQuery, wallMs: number): RegionName;
+}
+
+export function createRegionChooser(
+  configuration: Configuration,
+): RegionChooser {
+  const movesByService = new Map<string, readonly PlannedMove[]>();
+
+  function movesFor(query: LookupQuery): readonly PlannedMove[] {
+    const key = `${query.workspace}/${query.service}`;
+    const known = movesByService.get(key);
+    if (known) {
+      return known;
+    }
+    const policy = configuration.workspaces
+      .get(query.workspace)
+      ?.get(query.service)?.policy;
+    const moves = policy
+      ? plannedMoves(
+          configuration,
+          query.workspace,
+          query.service,
+          policy.shift,
+          defaultSteeringParameters.capUse,
+        )
+      : [];
+    movesByService.set(key, moves);
+    return moves;
+  }
+
+  function regionFor(query: LookupQuery, wallMs: number): RegionName {
+    const {homeRegion, cohort} = query.place;
+    const home = homeRegion ?? regionOfUnknown(configuration, cohort);
+    const moves = movesFor(query);
+    if (moves.length === 0) {
+      return home;
+    }
+    return regionAfterMoves(configuration, moves, home, cohort, wallMs);
+  }
+
+  return {regionFor};
+}
+
+function regionOfUnknown(
+  configuration: Configuration,
+  cohort: number,
+): RegionName {
+  const key = `cohort ${cohort}`;
+  return rankByRendezvous(key, configuration.regions.keys())[0]!;
+}
