--- a/packages/bench/src/decision/entry_vm_host.ts
+++ b/packages/bench/src/decision/entry_vm_host.ts
@@ -2,6 +2,7 @@
 import {
   type AttemptResult,
   type EntryVm,
+  type Incarnation,
   type MembershipView,
   type RequestId,
   type Steering,
@@ -330,11 +331,15 @@
     }
   }
 
+  function currentIncarnation(): Incarnation {
+    return incarnation(`${vm.id}-${lives}`);
+  }
+
   function boot(view: MembershipView | undefined): void {
     lives += 1;
     const steering = world.createSteering({
       vm,
-      incarnation: incarnation(`${vm.id}-${lives}`),
+      incarnation: currentIncarnation(),
       random: world.random(`${vm.id}-${lives}`),
       world,
     });
@@ -377,6 +382,7 @@
     vm,
     place,
     up: () => life !== undefined,
+    incarnation: currentIncarnation,
     paused: () => life !== undefined && loop.nowMs() < life.pausedUntilMs,
     accept,
     abandon,
--- a/packages/bench/src/decision/measure.ts
+++ b/packages/bench/src/decision/measure.ts
@@ -4,12 +4,14 @@
   type RegionName,
   type RequestId,
   type ServiceName,
+  type TargetId,
   regionName,
   serviceName,
 } from '@ibisbeam/decision';
 import {
   type CheckName,
   type Trace,
+  type TraceEvent,
   type Violation,
   amplification,
   checkTrace,
@@ -131,14 +133,17 @@
     slots.set(key, (slots.get(key) ?? 0) + own);
     usages.set(key, {held: 0, sinceMs: 0, buckets: new Map()});
   }
+  const held = new Map<TargetId, number>();
   for (const event of events) {
-    if (event.kind !== 'target-entered' && event.kind !== 'target-left') {
+    const change = heldChange(event, held);
+    if (!change) {
       continue;
     }
-    const target = facts.targets.get(event.target)!;
+    held.set(change.target, (held.get(change.target) ?? 0) + change.by);
+    const target = facts.targets.get(change.target)!;
     const usage = usages.get(`${target.region}/${target.service}`)!;
     account(usage, event.atMs);
-    usage.held += event.kind === 'target-entered' ? 1 : -1;
+    usage.held += change.by;
   }
   const smallest = new Map<RegionName, number>();
   const firstBucket = run.scenario.measureFromMs / HEADROOM_BUCKET_MS;
@@ -156,6 +161,22 @@
   return smallest;
 }
 
+function heldChange(
+  event: TraceEvent,
+  held: ReadonlyMap<TargetId, number>,
+): {readonly target: TargetId; readonly by: number} | undefined {
+  switch (event.kind) {
+    case 'target-entered':
+      return {target: event.target, by: 1};
+    case 'target-left':
+      return {target: event.target, by: -1};
+    case 'target-lost':
+      return {target: event.target, by: -(held.get(event.target) ?? 0)};
+    default:
+      return undefined;
+  }
+}
+
 function account(usage: Usage, atMs: number): void {
   let fromMs = usage.sinceMs;
   while (fromMs < atMs) {
--- a/packages/bench/src/decision/observers.ts
+++ b/packages/bench/src/decision/observers.ts
@@ -118,7 +118,9 @@
       return;
     }
     const view = viewOf(host);
-    const summary = [...view.vms.values()].map(vm => vm.state).join();
+    const summary = [...view.vms.values()]
+      .map(vm => `${vm.state}/${vm.incarnation}`)
+      .join();
     if (lastShown.get(host.vm.id) === summary) {
       return;
     }
@@ -144,7 +146,8 @@
     for (const peer of world.hosts.values()) {
       const state = stateOf(host, peer);
       const {id, region, zone} = peer.vm;
-      vms.set(id, {vm: id, region, zone, state});
+      const incarnation = peer.incarnation();
+      vms.set(id, {vm: id, incarnation, region, zone, state});
       if (state === 'live') {
         heardRegions.add(region);
       }
--- /dev/null
+++ b/packages/bench/src/decision/strategies/ibisbeam.ts
@@ -0,0 +1,18 @@
+/** The steering that the daemon runs. */
+import {createSteering} from '@ibisbeam/decision';
+import type {Strategy} from '../types.js';
+
+export const IBISBEAM: Strategy = {
+  name: 'ibisbeam',
+  judged: true,
+  prepare:
+    () =>
+    ({vm, random, incarnation}) =>
+      createSteering({
+        vm: vm.id,
+        region: vm.region,
+        zone: vm.zone,
+        random,
+        incarnation,
+      }),
+};
--- a/packages/bench/src/decision/strategies/oracle.ts
+++ b/packages/bench/src/decision/strategies/oracle.ts
@@ -27,6 +27,7 @@
   readonly facts: RequestFacts;
   readonly host: EntryVmHost;
   attempts: number;
+  mayHaveRun: boolean;
   target?: TargetId;
   link?: string;
 }
@@ -121,24 +122,23 @@
 
   /** Gives free slots to those who wait, first come first served. */
   function pump(service: ServiceName): void {
-    const queue = queues.get(service) ?? [];
+    const nowMs = world.loop.nowMs();
     const withoutTarget = new Set<string>();
-    for (const waiting of [...queue]) {
+    const left: Waiting[] = [];
+    for (const waiting of queues.get(service) ?? []) {
       const {facts, host} = waiting;
-      const free = moves.free(facts, world.loop.nowMs());
-      const alike = `${host.vm.id}/${facts.homeRegion}/${free}`;
+      const alike = `${host.vm.id}/${facts.homeRegion}/${moves.free(facts, nowMs)}`;
       const target = withoutTarget.has(alike) ? undefined : bestTarget(waiting);
-      if (!target) {
-        withoutTarget.add(alike);
-      }
       if (target) {
-        queue.splice(queue.indexOf(waiting), 1);
         dispatch(waiting, target);
-      } else if (waiting.facts.deadlineMs <= world.loop.nowMs()) {
-        queue.splice(queue.indexOf(waiting), 1);
-        refuse(waiting, 'not-run');
+      } else if (facts.deadlineMs <= nowMs) {
+        refuse(waiting, waiting.mayHaveRun ? 'unknown' : 'not-run');
+      } else {
+        withoutTarget.add(alike);
+        left.push(waiting);
       }
     }
+    queues.set(service, left);
   }
 
   function dispatch(waiting: Waiting, target: BenchTarget): void {
@@ -212,13 +212,14 @@
     if (result.kind === 'broken') {
       crashes.set(facts.fingerprint, (crashes.get(facts.fingerprint) ?? 0) + 1);
     }
+    waiting.mayHaveRun ||= !notRun;
     const suspected = (crashes.get(facts.fingerprint) ?? 0) > 1;
     const allowed = notRun || (facts.idempotent && !suspected);
     if (allowed && waiting.attempts < MAXIMUM_ATTEMPTS) {
       enqueue(waiting);
       return;
     }
-    refuse(waiting, notRun ? 'not-run' : 'unknown');
+    refuse(waiting, waiting.mayHaveRun ? 'unknown' : 'not-run');
   }
 
   function cancelled(id: RequestId): readonly SteeringAction[] {
@@ -244,7 +245,12 @@
         case 'request-arrived': {
           const host = world.hosts.get(context.vm.id)!;
           const facts = event.request;
-          const waiting: Waiting = {facts, host, attempts: 0};
+          const waiting: Waiting = {
+            facts,
+            host,
+            attempts: 0,
+            mayHaveRun: false,
+          };
           held.set(facts.id, waiting);
           if ((crashes.get(facts.fingerprint) ?? 0) > 1) {
             refuse(waiting, 'not-run');
--- a/packages/bench/src/decision/types.ts
+++ b/packages/bench/src/decision/types.ts
@@ -59,6 +59,8 @@
   readonly vm: EntryVm;
   readonly place: Place;
   up(): boolean;
+  /** Of the present life, or of the last one. */
+  incarnation(): Incarnation;
   paused(): boolean;
   accept(arrival: Arrival): void;
   /** The sender of the request no longer waits. */
