Add the caller's client library

Look-up with lifetimes, change of entry VM, deadlines as remaining time, and resends that never turn an operation that may have run into another one.

--- /dev/null
+++ b/packages/client/src/core/entry_vm_cache.ts
@@ -0,0 +1,182 @@
+/** Look-up answers with their lifetimes, and entry VMs to avoid for a while. */
+import {z} from 'zod';
+import type {
+  ClientTimers,
+  EntryVmChoice,
+  Transport,
+  TransportRequest,
+} from './types.js';
+
+const LOOKUP_TIMEOUT_MS = 1_000;
+const AVOID_MS = 5_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+/** After a failed look-up an old answer serves for this long before a retry. */
+const FAILED_LOOKUP_PAUSE_MS = 1_000;
+
+const lookupAnswerSchema = z.object({
+  lifetimeSeconds: z.number().nonnegative(),
+  entryVms: z
+    .array(
+      z.object({
+        id: z.string(),
+        address: z.string(),
+        weight: z.number().nonnegative(),
+      }),
+    )
+    .min(1),
+});
+
+interface CachedAnswer {
+  readonly choices: readonly EntryVmChoice[];
+  readonly validUntilMs: number;
+}
+
+export interface EntryVmCache {
+  choices(service: string): Promise<readonly EntryVmChoice[]>;
+  /**
+   * By weight among those that are not avoided; any one when all are. Without
+   * a look-up answer, a seed.
+   */
+  choose(service: string, except: string | undefined): Promise<string>;
+  avoid(address: string): void;
+}
+
+export interface EntryVmCacheOptions {
+  readonly seeds: readonly string[];
+  readonly timers: ClientTimers;
+  readonly transport: Transport;
+  readonly random: () => number;
+  /** Path with query, and headers, of a look-up for a service. */
+  readonly lookupRequest: (
+    service: string,
+  ) => Promise<Pick<TransportRequest, 'path' | 'headers'>>;
+}
+
+export function createEntryVmCache(options: EntryVmCacheOptions): EntryVmCache {
+  const {seeds, timers, transport, random} = options;
+  const answers = new Map<string, CachedAnswer>();
+  const pending = new Map<string, Promise<readonly EntryVmChoice[]>>();
+  const avoidedUntilMs = new Map<string, number>();
+
+  function choices(service: string): Promise<readonly EntryVmChoice[]> {
+    const cached = answers.get(service);
+    if (cached && timers.nowMs() < cached.validUntilMs) {
+      return Promise.resolve(cached.choices);
+    }
+    const running = pending.get(service);
+    if (running) {
+      return running;
+    }
+    const started = refresh(service, cached).finally(() => {
+      pending.delete(service);
+    });
+    pending.set(service, started);
+    return started;
+  }
+
+  /** Known entry VMs are asked first: seeds may be long gone. */
+  async function refresh(
+    service: string,
+    cached: CachedAnswer | undefined,
+  ): Promise<readonly EntryVmChoice[]> {
+    const known = (cached?.choices ?? []).map(({address}) => address);
+    const order = new Set([...usable(known), ...shuffled(seeds), ...known]);
+    for (const address of order) {
+      const found = await ask(service, address);
+      if (found) {
+        answers.set(service, found);
+        return found.choices;
+      }
+      avoid(address);
+    }
+    const kept = cached?.choices ?? [];
+    const validUntilMs = timers.nowMs() + FAILED_LOOKUP_PAUSE_MS;
+    answers.set(service, {choices: kept, validUntilMs});
+    return kept;
+  }
+
+  async function ask(
+    service: string,
+    address: string,
+  ): Promise<CachedAnswer | undefined> {
+    const {path, headers} = await options.lookupRequest(service);
+    const result = await transport({
+      address,
+      method: 'GET',
+      path,
+      headers,
+      timeoutMs: LOOKUP_TIMEOUT_MS,
+    });
+    if (result.kind !== 'answered' || result.status !== 200) {
+      return undefined;
+    }
+    const parsed = parseAnswer(result.body);
+    return (
+      parsed && {
+        choices: parsed.entryVms,
+        validUntilMs:
+          timers.nowMs() + parsed.lifetimeSeconds * MILLISECONDS_PER_SECOND,
+      }
+    );
+  }
+
+  async function choose(
+    service: string,
+    except: string | undefined,
+  ): Promise<string> {
+    const found = await choices(service);
+    const candidates = found.filter(
+      ({address}) => address !== except && isUsable(address),
+    );
+    const rest = found.filter(({address}) => address !== except);
+    const [first] = candidates.length > 0 ? candidates : rest;
+    if (!first) {
+      return found[0]?.address ?? shuffled(seeds)[0]!;
+    }
+    return byWeight(candidates.length > 0 ? candidates : rest);
+  }
+
+  function byWeight(candidates: readonly EntryVmChoice[]): string {
+    let total = 0;
+    for (const {weight} of candidates) {
+      total += weight;
+    }
+    let left = random() * total;
+    for (const {address, weight} of candidates) {
+      left -= weight;
+      if (left < 0) {
+        return address;
+      }
+    }
+    return candidates[0]!.address;
+  }
+
+  function avoid(address: string): void {
+    avoidedUntilMs.set(address, timers.nowMs() + AVOID_MS);
+  }
+
+  function isUsable(address: string): boolean {
+    return (avoidedUntilMs.get(address) ?? 0) <= timers.nowMs();
+  }
+
+  function usable(addresses: readonly string[]): readonly string[] {
+    return addresses.filter(isUsable);
+  }
+
+  /** Callers that start together ask different seeds. */
+  function shuffled(addresses: readonly string[]): readonly string[] {
+    const start = Math.floor(random() * addresses.length);
+    return [...addresses.slice(start), ...addresses.slice(0, start)];
+  }
+
+  return {choices, choose, avoid};
+}
+
+function parseAnswer(body: Uint8Array) {
+  try {
+    const text = Buffer.from(body).toString('utf8');
+    return lookupAnswerSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/client/src/core/resend_rules.ts
@@ -0,0 +1,163 @@
+/** What may be resent after one attempt, and where. Pure. */
+import type {Method, TransportResult} from './types.js';
+
+/** Attempts of one call, the first included. */
+export const MAXIMUM_ATTEMPTS = 4;
+/** A resend that would have less time than this is not made. */
+export const SHORTEST_ATTEMPT_MS = 50;
+const FIRST_PAUSE_MS = 50;
+
+export type AttemptOutcome =
+  | {readonly kind: 'answered'}
+  | {
+      readonly kind: 'not-run';
+      readonly reason: string;
+      readonly status?: number;
+      readonly detail?: string;
+      readonly retryAfterMs?: number;
+    }
+  | {
+      readonly kind: 'unknown';
+      readonly reason: string;
+      readonly retryAfterMs?: number;
+      /** Whether the entry VM gave this answer, or none came. */
+      readonly told: boolean;
+    };
+
+/** Refusals after which another try can end differently. */
+const PASSING_REASONS: ReadonlySet<string> = new Set([
+  'no-configuration',
+  'configuration-stale',
+  'claim-unavailable',
+  'region-full',
+  'workspace-share-used',
+  'shift-cap-reached',
+  'link-budget-used',
+  'no-healthy-target',
+  'retry-budget-used',
+  'vm-stopping',
+  'overloaded',
+  'not-connected',
+]);
+
+/** Refusals that another entry VM may not give, so that it is asked at once. */
+const OTHER_VM_REASONS: ReadonlySet<string> = new Set([
+  'no-configuration',
+  'configuration-stale',
+  'vm-stopping',
+  'overloaded',
+  'not-connected',
+]);
+
+/** Another attempt holds the key: this one did not run, that one may. */
+const KEY_IN_USE = 'idempotency-key-in-use';
+
+export type ResendDecision =
+  | {readonly kind: 'give-up'}
+  | {
+      readonly kind: 'resend';
+      readonly pauseMs: number;
+      readonly avoidSameVm: boolean;
+    };
+
+export function isIdempotentMethod(method: Method): boolean {
+  return method === 'GET' || method === 'HEAD' || method === 'OPTIONS';
+}
+
+/**
+ * An operation that may have run is resent under the same key only: then it
+ * runs at most once, and a resend brings its recorded answer.
+ *
+ * @param attempts Attempts made so far, 1 or more.
+ * @param random Uniform in [0, 1).
+ */
+export function decideResend(
+  outcome: AttemptOutcome,
+  method: Method,
+  attempts: number,
+  remainingMs: number,
+  random: number,
+): ResendDecision {
+  if (outcome.kind === 'answered' || attempts >= MAXIMUM_ATTEMPTS) {
+    return {kind: 'give-up'};
+  }
+  const backoffMs = FIRST_PAUSE_MS * 2 ** (attempts - 1) * (0.5 + random);
+  const pauseMs = Math.max(outcome.retryAfterMs ?? 0, backoffMs);
+  if (outcome.kind === 'not-run') {
+    if (!PASSING_REASONS.has(outcome.reason)) {
+      return {kind: 'give-up'};
+    }
+    const avoidSameVm = OTHER_VM_REASONS.has(outcome.reason);
+    return within(remainingMs, avoidSameVm ? backoffMs : pauseMs, avoidSameVm);
+  }
+  const stillRunning = outcome.reason === KEY_IN_USE;
+  if (outcome.told && !stillRunning && !isIdempotentMethod(method)) {
+    return {kind: 'give-up'};
+  }
+  return within(remainingMs, pauseMs, !outcome.told);
+}
+
+function within(
+  remainingMs: number,
+  pauseMs: number,
+  avoidSameVm: boolean,
+): ResendDecision {
+  if (pauseMs + SHORTEST_ATTEMPT_MS > remainingMs) {
+    return {kind: 'give-up'};
+  }
+  return {kind: 'resend', pauseMs, avoidSameVm};
+}
+
+const PROBLEM_MEDIA_TYPE = 'application/problem+json';
+const OUTCOME_HEADER = 'ibisbeam-outcome';
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Only an entry VM's own refusals carry the outcome header. */
+export function readAttempt(result: TransportResult): AttemptOutcome {
+  switch (result.kind) {
+    case 'not-sent':
+      return {kind: 'not-run', reason: 'not-connected', detail: result.cause};
+    case 'broken':
+      return {kind: 'unknown', reason: 'no-whole-answer', told: false};
+    case 'answered':
+      return readRefusal(result) ?? {kind: 'answered'};
+  }
+}
+
+function readRefusal(
+  result: Extract<TransportResult, {kind: 'answered'}>,
+): AttemptOutcome | undefined {
+  const outcome = result.headers[OUTCOME_HEADER];
+  const type = result.headers['content-type'] ?? '';
+  if (outcome === undefined || !type.startsWith(PROBLEM_MEDIA_TYPE)) {
+    return undefined;
+  }
+  const problem = parseProblem(result.body);
+  const reason = problem.type.split('/').at(-1) || 'unstated';
+  const seconds = Number(result.headers['retry-after']);
+  const retryAfterMs = Number.isFinite(seconds)
+    ? seconds * MILLISECONDS_PER_SECOND
+    : undefined;
+  if (outcome === 'not-run' && reason !== KEY_IN_USE) {
+    const {status} = result;
+    const {detail} = problem;
+    return {kind: 'not-run', reason, status, detail, retryAfterMs};
+  }
+  return {kind: 'unknown', reason, retryAfterMs, told: true};
+}
+
+function parseProblem(body: Uint8Array): {type: string; detail?: string} {
+  try {
+    const parsed = JSON.parse(Buffer.from(body).toString('utf8')) as unknown;
+    if (typeof parsed === 'object' && parsed !== null) {
+      const {type, detail} = parsed as {type?: unknown; detail?: unknown};
+      return {
+        type: typeof type === 'string' ? type : '',
+        detail: typeof detail === 'string' ? detail : undefined,
+      };
+    }
+  } catch {
+    // A refusal without a readable body is still a refusal.
+  }
+  return {type: ''};
+}
