--- a/packages/decision/src/core/objectives/budget_rules.ts
+++ b/packages/decision/src/core/objectives/budget_rules.ts
@@ -36,6 +36,11 @@
   overloaded: true,
 };
 
+/** Every reason; the type above makes the list complete. */
+export const REFUSAL_REASONS = Object.keys(
+  SPENDS_BUDGET,
+) as readonly RefusalReason[];
+
 /**
  * Refusals that the caller brought about (no approval, no key, a malformed
  * request) are shown, but spend no budget and do not count as requests. A
--- /dev/null
+++ b/packages/library/src/core/openapi/index.ts
@@ -0,0 +1,1 @@
+export * from './build_openapi.js';
--- /dev/null
+++ b/packages/library/src/core/openapi/operator_paths.ts
@@ -0,0 +1,150 @@
+/** Paths of the operator port. */
+import {z} from 'zod';
+import {
+  burnAnswerSchema,
+  configurationAnswerSchema,
+  journalAnswerSchema,
+  liftAnswerSchema,
+  problemSchema,
+  statusAnswerSchema,
+} from '../operator_interface/index.js';
+
+/** JSON Schema of what a reader must accept; unknown members are allowed. */
+export function jsonSchemaOf(schema: z.ZodType): object {
+  const {$schema: _dialect, ...rest} = z.toJSONSchema(schema, {io: 'input'});
+  return rest;
+}
+
+export function operatorSchemas() {
+  return {
+    Status: jsonSchemaOf(statusAnswerSchema),
+    ConfigurationStatus: jsonSchemaOf(configurationAnswerSchema),
+    Journal: jsonSchemaOf(journalAnswerSchema),
+    BurnSummary: jsonSchemaOf(burnAnswerSchema),
+    QuarantineLifted: jsonSchemaOf(liftAnswerSchema),
+    OperatorProblem: jsonSchemaOf(problemSchema),
+  };
+}
+
+type OperatorSchemaName = keyof ReturnType<typeof operatorSchemas>;
+
+interface OperatorRoute {
+  readonly id: string;
+  readonly summary: string;
+  readonly answer: OperatorSchemaName;
+  readonly parameters?: readonly object[];
+  /** Refusals besides 401, 403 and 500, which every route may give. */
+  readonly refusals: readonly number[];
+}
+
+const REFUSALS: Readonly<Record<number, string>> = {
+  400: 'A parameter is not well formed; `detail` names it',
+  401: 'No valid token of audience ibisbeam-operator; one answer for every cause',
+  403: 'The principal of the token may not do this',
+  404: 'There is no such thing at this VM',
+  500: 'The VM failed to answer',
+  503: 'The part of the VM that knows this did not answer',
+};
+const EVERY_REFUSAL = [401, 403, 500];
+
+function operation(route: OperatorRoute) {
+  const responses: Record<string, object> = {
+    200: {
+      description: 'Answer',
+      content: {'application/json': {schema: reference(route.answer)}},
+    },
+  };
+  for (const status of [...EVERY_REFUSAL, ...route.refusals]) {
+    responses[status] = {
+      description: REFUSALS[status],
+      content: {
+        'application/problem+json': {schema: reference('OperatorProblem')},
+      },
+    };
+  }
+  return {
+    tags: ['operator'],
+    operationId: route.id,
+    summary: route.summary,
+    security: [{operatorToken: []}],
+    parameters: route.parameters ?? [],
+    responses,
+  };
+}
+
+function reference(name: OperatorSchemaName) {
+  return {$ref: `#/components/schemas/${name}`};
+}
+
+function parameter(name: string, place: 'path' | 'query', schema: object) {
+  return {name, in: place, required: place === 'path', schema};
+}
+
+const requestIdSchema = {type: 'string', pattern: '^[A-Za-z0-9._:-]{1,128}$'};
+const fingerprintSchema = {type: 'string', pattern: '^[A-Za-z0-9._:-]{1,64}$'};
+
+export const operatorPaths = {
+  '/v1/status': {
+    get: operation({
+      id: 'readStatus',
+      summary: 'What this VM knows of the fleet, and what it cannot know',
+      answer: 'Status',
+      refusals: [],
+    }),
+  },
+  '/v1/configuration': {
+    get: operation({
+      id: 'readConfigurationStatus',
+      summary: 'Generation that this VM runs, since when, and how fresh it is',
+      answer: 'ConfigurationStatus',
+      refusals: [503],
+    }),
+  },
+  '/v1/explain/{requestId}': {
+    get: operation({
+      id: 'explainRequest',
+      summary: 'What this VM did with one request, and why',
+      answer: 'Journal',
+      parameters: [parameter('requestId', 'path', requestIdSchema)],
+      refusals: [400, 404, 503],
+    }),
+  },
+  '/v1/events': {
+    get: operation({
+      id: 'readEvents',
+      summary: 'What this VM did since a moment, oldest first',
+      answer: 'Journal',
+      parameters: [
+        parameter('since', 'query', {
+          type: 'integer',
+          minimum: 0,
+          description: 'Unix time in milliseconds',
+        }),
+        parameter('limit', 'query', {
+          type: 'integer',
+          minimum: 1,
+          maximum: 5_000,
+          description: 'The newest entries are kept',
+        }),
+      ],
+      refusals: [400, 503],
+    }),
+  },
+  '/v1/burn': {
+    get: operation({
+      id: 'readBurn',
+      summary: 'Counts and latency histograms of this life of this VM',
+      answer: 'BurnSummary',
+      refusals: [503],
+    }),
+  },
+  '/v1/quarantines/{fingerprint}': {
+    delete: operation({
+      id: 'liftQuarantine',
+      summary: 'Lets a request that crashed targets run again; operators only',
+      answer: 'QuarantineLifted',
+      parameters: [parameter('fingerprint', 'path', fingerprintSchema)],
+      refusals: [400, 404],
+    }),
+  },
+};
--- a/packages/library/src/index.ts
+++ b/packages/library/src/index.ts
@@ -6,6 +6,7 @@
 export * from './core/logs/index.js';
 export * from './core/messages/index.js';
 export * from './core/metrics/index.js';
+export * from './core/openapi/index.js';
 export * from './core/operator_interface/index.js';
 export * from './core/platform/index.js';
 export * from './core/settings/index.js';
