--- a/packages/decision/src/core/objectives/budget_rules.ts
+++ b/packages/decision/src/core/objectives/budget_rules.ts
@@ -18,6 +18,7 @@
   'idempotency-key-missing': false,
   'idempotency-key-reused': false,
   'idempotency-key-in-use': false,
+  'answer-not-kept': false,
   'deadline-too-short': false,
   'request-quarantined': false,
   'no-configuration': true,
