--- /dev/null
+++ b/packages/decision/src/core/objectives/budget_rules.ts
@@ -0,0 +1,73 @@
+/** Which requests count, and which of them spend the error budget. */
+import {
+  type RefusalReason,
+  type RequestRecord,
+  assertNever,
+} from '../model/index.js';
+
+/** Status from which an answer of a target counts as failed. */
+const FIRST_FAILED_STATUS = 500;
+
+const SPENDS_BUDGET: Readonly<Record<RefusalReason, boolean>> = {
+  'unknown-workspace': false,
+  'unknown-service': false,
+  unauthenticated: false,
+  'not-approved': false,
+  'malformed-request': false,
+  'request-too-large': false,
+  'idempotency-key-missing': false,
+  'idempotency-key-reused': false,
+  'idempotency-key-in-use': false,
+  'answer-not-kept': false,
+  'deadline-too-short': false,
+  'request-quarantined': false,
+  'no-configuration': true,
+  'configuration-stale': true,
+  'claim-unavailable': true,
+  'outcome-unknown': true,
+  'deadline-expired': true,
+  'region-full': true,
+  'workspace-share-used': true,
+  'shift-cap-reached': true,
+  'link-budget-used': true,
+  'no-healthy-target': true,
+  'retry-budget-used': true,
+  'target-failed': true,
+  'vm-stopping': true,
+  overloaded: true,
+};
+
+/** Every reason; the type above makes the list complete. */
+export const REFUSAL_REASONS = Object.keys(
+  SPENDS_BUDGET,
+) as readonly RefusalReason[];
+
+/**
+ * Refusals that the caller brought about (no approval, no key, a malformed
+ * request) are shown, but spend no budget and do not count as requests. A
+ * reason that this version does not know spends: a newer VM may have sent it.
+ */
+export function spendsBudget(reason: string): boolean {
+  return SPENDS_BUDGET[reason as RefusalReason] ?? true;
+}
+
+export type RecordClass =
+  | {readonly kind: 'answered' | 'failed' | 'unknown' | 'caller-gone'}
+  | {readonly kind: 'refused'; readonly reason: RefusalReason};
+
+export function classifyRecord(record: RequestRecord): RecordClass {
+  switch (record.result) {
+    case 'answered':
+      return {
+        kind: record.status >= FIRST_FAILED_STATUS ? 'failed' : 'answered',
+      };
+    case 'unknown':
+      return {kind: 'unknown'};
+    case 'caller-gone':
+      return {kind: 'caller-gone'};
+    case 'refused':
+      return {kind: 'refused', reason: record.refusal ?? 'overloaded'};
+    default:
+      return assertNever(record.result);
+  }
+}
