Leave a quarter of the shift cap unused

Cause: the cap counts cohorts when they are first served elsewhere; a cohort asks only every few seconds, so what is seen in a window scatters around what was allowed, and 0.95 of the cap was over it now and then. The wait told to refused callers is also spread by a second at most, not by half of it.

--- a/packages/decision/src/core/steering/parameters.ts
+++ b/packages/decision/src/core/steering/parameters.ts
@@ -66,5 +66,5 @@
   quarantineMs: 600_000,
   longQuarantineMs: 86_400_000,
   failoverAnswerBoundMs: 1_000,
-  capUse: 0.95,
+  capUse: 0.75,
 };
--- a/packages/decision/src/core/steering/refusals.ts
+++ b/packages/decision/src/core/steering/refusals.ts
@@ -6,6 +6,7 @@
 
 const LEAST_RETRY_AFTER_MS = 100;
 const MOST_RETRY_AFTER_MS = 30_000;
+const MOST_SPREAD_MS = 1_000;
 
 /** Refuses a request, says why, and cancels what still runs for it. */
 export function refuse(
@@ -45,7 +46,7 @@
   return 'not-run';
 }
 
-/** Spreads the callers' next tries over half of the time more. */
+/** Spreads the callers' next tries over a part of the time more. */
 function spreadRetry(
   state: SteeringState,
   retryAfterMs: number | undefined,
@@ -57,7 +58,8 @@
     MOST_RETRY_AFTER_MS,
     Math.max(LEAST_RETRY_AFTER_MS, retryAfterMs),
   );
-  return Math.ceil(bounded * (1 + state.context.random.next() / 2));
+  const spreadMs = Math.min(MOST_SPREAD_MS, bounded / 2);
+  return Math.ceil(bounded + state.context.random.next() * spreadMs);
 }
 
 /** Ends steering's part of a request; running attempts are cancelled. */
