--- a/packages/decision/src/core/steering/admissions.ts
+++ b/packages/decision/src/core/steering/admissions.ts
@@ -41,6 +41,9 @@
     return;
   }
   state.requests.set(facts.id, request);
+  for (const target of state.suspicions.targetsLost(facts.fingerprint)) {
+    request.triedTargets.add(target);
+  }
   if (facts.deadlineMs <= nowMs) {
     refuse(state, request, 'deadline-expired');
     return;
--- /dev/null
+++ b/packages/decision/test/quarantine/crashing_request.test.ts
@@ -0,0 +1,158 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  type SteeringAction,
+  type SteeringEvent,
+  type VmId,
+  createCrashSuspicions,
+} from '../../src/index.js';
+import {
+  REGIONS,
+  buildConfiguration,
+  targetName,
+  vmName,
+} from '../support/configuration_fixture.js';
+import {
+  type SteeringDriver,
+  buildView,
+  createDriver,
+  only,
+} from '../support/steering_driver.js';
+
+const OPTIONS = {quarantineMs: 600_000, longQuarantineMs: 86_400_000};
+const FINGERPRINT = 'crasher';
+
+/** All VMs of the fleet. News reach a VM late, but before a relay does. */
+function createFleet() {
+  const configuration = buildConfiguration({
+    slots: REGIONS.map(() => [6, 6, 6, 6]),
+  });
+  const drivers = new Map<VmId, SteeringDriver>();
+  for (const vm of configuration.entryVms.values()) {
+    const driver = createDriver({vm: vm.id, region: vm.region});
+    driver.step({kind: 'configuration-accepted', configuration});
+    driver.step({kind: 'membership-changed', view: buildView(configuration)});
+    drivers.set(vm.id, driver);
+  }
+  let losses = 0;
+  let news: {readonly to: VmId; readonly event: SteeringEvent}[] = [];
+
+  function tell(to: VmId): void {
+    for (const item of news.filter(one => one.to === to)) {
+      drivers.get(to)!.step(item.event);
+    }
+    news = news.filter(one => one.to !== to);
+  }
+
+  function perform(vm: VmId, actions: readonly SteeringAction[]): void {
+    const driver = drivers.get(vm)!;
+    for (const {to, message} of only(actions, 'send-to-peer')) {
+      if (message.kind === 'crash-suspected') {
+        news.push({to, event: {kind: 'peer-message', from: vm, message}});
+      }
+    }
+    for (const send of only(actions, 'send-attempt')) {
+      if (send.destination.kind === 'relay') {
+        const {destination} = send;
+        tell(destination.vm);
+        const region = driver.steering.status({nowMs: 0, wallMs: 0}).pools[0]!
+          .region;
+        resend(destination.vm, {relayedFrom: {vm, region}});
+        perform(vm, driver.finish(send, {kind: 'shed'}));
+        continue;
+      }
+      losses += 1;
+      perform(vm, driver.finish(send, {kind: 'broken', cause: 'reset'}));
+    }
+  }
+
+  function resend(vm: VmId, facts = {}): void {
+    const driver = drivers.get(vm)!;
+    perform(vm, driver.request({fingerprint: FINGERPRINT, ...facts}));
+  }
+
+  /** What earlier runs told arrives only after this one. */
+  function run(vm: VmId): void {
+    const old = new Set(news);
+    resend(vm);
+    for (const item of news.filter(one => old.has(one))) {
+      drivers.get(item.to)!.step(item.event);
+    }
+    news = news.filter(one => !old.has(one));
+  }
+
+  /** All news arrive before so much time passes. */
+  function pass(milliseconds: number): void {
+    for (const [vm, driver] of drivers) {
+      tell(vm);
+      driver.pass(milliseconds);
+    }
+  }
+
+  return {drivers, run, pass, losses: () => losses};
+}
+
+test('loses at most three targets to one request, wherever it is resent', () => {
+  const fleet = createFleet();
+  for (let round = 0; round < 5; round += 1) {
+    for (const vm of fleet.drivers.keys()) {
+      fleet.run(vm);
+    }
+  }
+  assert.ok(fleet.losses() <= 3, `${fleet.losses()} targets lost`);
+});
+
+test('loses no further target once the first quarantine has ended', () => {
+  const fleet = createFleet();
+  const vms = [...fleet.drivers.keys()];
+  for (let round = 0; round < 4; round += 1) {
+    vms.forEach(vm => fleet.run(vm));
+    fleet.pass(OPTIONS.quarantineMs + 1_000);
+  }
+  assert.ok(fleet.losses() <= 3, `${fleet.losses()} targets lost`);
+});
+
+test('serves other requests of the caller during a quarantine', () => {
+  const fleet = createFleet();
+  const vm = vmName(0, 0);
+  [1, 2, 3].forEach(() => fleet.run(vm));
+  const actions = fleet.drivers.get(vm)!.request({fingerprint: 'other'});
+  assert.equal(only(actions, 'send-attempt').length, 1);
+});
+
+test('refuses a quarantined request as not run', () => {
+  const driver = createDriver();
+  const configuration = buildConfiguration();
+  driver.step({kind: 'configuration-accepted', configuration});
+  driver.step({
+    kind: 'peer-message',
+    from: vmName(0, 1),
+    message: {
+      kind: 'crash-suspected',
+      fingerprint: FINGERPRINT,
+      targets: [targetName(0, 0), targetName(1, 0)],
+      ageMs: 0,
+    },
+  });
+  const [refusal] = only(driver.request({fingerprint: FINGERPRINT}), 'refuse');
+  assert.equal(refusal?.reason, 'request-quarantined');
+  assert.equal(refusal?.outcome, 'not-run');
+  driver.step({kind: 'quarantine-lifted', fingerprint: FINGERPRINT});
+  const after = driver.request({fingerprint: FINGERPRINT});
+  assert.equal(only(after, 'send-attempt').length, 1);
+});
+
+test('clears a request whose target answers what it had at the time', () => {
+  const suspicions = createCrashSuspicions(OPTIONS);
+  suspicions.targetLost(FINGERPRINT, targetName(0, 0), 100);
+  suspicions.targetSurvived(targetName(0, 0), 90);
+  assert.equal(suspicions.state(FINGERPRINT, 110), 'clear');
+});
+
+test('ends a quarantine by itself and then runs the request once', () => {
+  const suspicions = createCrashSuspicions(OPTIONS);
+  suspicions.targetLost(FINGERPRINT, targetName(0, 0), 0);
+  suspicions.targetLost(FINGERPRINT, targetName(0, 1), 0);
+  assert.equal(suspicions.state(FINGERPRINT, 1), 'quarantined');
+  assert.equal(suspicions.state(FINGERPRINT, OPTIONS.quarantineMs), 'suspect');
+});
--- /dev/null
+++ b/packages/decision/test/shifts/failover.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  type SteeringAction,
+  createFailovers,
+  failoverFraction,
+} from '../../src/index.js';
+import {
+  KURZEME,
+  POLICY,
+  RIGA,
+  buildConfiguration,
+  vmName,
+} from '../support/configuration_fixture.js';
+import {buildView, createDriver, only} from '../support/steering_driver.js';
+
+const {intervalMs} = POLICY.shift;
+
+function driverWithSilence(policy = {}) {
+  const driver = createDriver();
+  const configuration = buildConfiguration({policy});
+  driver.step({kind: 'configuration-accepted', configuration});
+  driver.step({
+    kind: 'membership-changed',
+    view: buildView(configuration, {silent: [KURZEME]}),
+  });
+  return driver;
+}
+
+function servedCohorts(driver: ReturnType<typeof createDriver>): number {
+  let served = 0;
+  for (let cohort = 0; cohort < 1_000; cohort += 10) {
+    const actions = driver.request({homeRegion: KURZEME, cohort});
+    const [send] = only(actions, 'send-attempt');
+    if (send) {
+      served += 1;
+      driver.finish(send, {kind: 'answered', status: 200});
+    }
+  }
+  return served;
+}
+
+const startsOf = (actions: readonly SteeringAction[]) =>
+  only(actions, 'note').filter(({note}) => note.kind === 'failover-started');
+
+test('starts a failover of its own only after peers had time to answer', () => {
+  const driver = driverWithSilence();
+  assert.equal(startsOf(driver.pass(900)).length, 0);
+  assert.equal(startsOf(driver.pass(200)).length, 1);
+});
+
+test('goes on with the recorded ramp after it was replaced', () => {
+  const driver = driverWithSilence();
+  const startedAtWallMs = driver.wallMs - 5 * intervalMs;
+  driver.step({
+    kind: 'peer-message',
+    from: vmName(0, 1),
+    message: {kind: 'failover-known', from: KURZEME, startedAtWallMs},
+  });
+  assert.equal(startsOf(driver.pass(2_000)).length, 0);
+  const served = servedCohorts(driver);
+  assert.ok(served > 30 && served <= 50, `${served} of 100 served`);
+});
+
+test('refuses cohorts beyond the ramp as not run and says when to come', () => {
+  const driver = driverWithSilence();
+  driver.pass(2_000);
+  let refused = 0;
+  for (let cohort = 0; cohort < 1_000; cohort += 50) {
+    const actions = driver.request({homeRegion: KURZEME, cohort});
+    for (const refusal of only(actions, 'refuse')) {
+      assert.equal(refusal.reason, 'shift-cap-reached');
+      assert.equal(refusal.outcome, 'not-run');
+      assert.ok(refusal.retryAfterMs! > 0);
+      refused += 1;
+    }
+  }
+  assert.ok(refused > 0);
+});
+
+test('keeps to the operator where failover is switched off', () => {
+  const driver = driverWithSilence({shift: {...POLICY.shift, failover: false}});
+  driver.pass(20 * intervalMs);
+  assert.equal(servedCohorts(driver), 0);
+});
+
+test('merges what two sides know by the later start', () => {
+  const failovers = createFailovers();
+  failovers.adopt({from: RIGA, startedAtWallMs: 100});
+  assert.equal(failovers.adopt({from: RIGA, startedAtWallMs: 50}), false);
+  assert.equal(failovers.adopt({from: RIGA, startedAtWallMs: 200}), true);
+  assert.equal(failovers.get(RIGA)?.startedAtWallMs, 200);
+});
+
+test('ramps back as evenly as it ramped up', () => {
+  const fraction = (wallMs: number) =>
+    failoverFraction(
+      {from: RIGA, startedAtWallMs: 0, endedAtWallMs: 3 * intervalMs},
+      POLICY.shift,
+      1,
+      wallMs,
+    );
+  assert.ok(Math.abs(fraction(3 * intervalMs) - 0.3) < 1e-9);
+  assert.ok(Math.abs(fraction(4 * intervalMs) - 0.2) < 1e-9);
+  assert.equal(fraction(7 * intervalMs), 0);
+});
+
+test('goes on from the moved fraction when the region is lost again', () => {
+  const failovers = createFailovers();
+  const rampMs = 10 * intervalMs;
+  failovers.start(RIGA, 0, rampMs);
+  failovers.end(RIGA, 3 * intervalMs);
+  const again = failovers.start(RIGA, 4 * intervalMs, rampMs);
+  const moved = failoverFraction(again, POLICY.shift, 1, 4 * intervalMs);
+  assert.ok(Math.abs(moved - 0.2) < 1e-9);
+});
--- /dev/null
+++ b/packages/decision/test/shifts/planned_moves.test.ts
@@ -0,0 +1,134 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {
+  type Drain,
+  type RegionName,
+  type Shift,
+  plannedMoves,
+  regionAfterMoves,
+} from '../../src/index.js';
+import {
+  KURZEME,
+  LATGALE,
+  POLICY,
+  REGIONS,
+  RIGA,
+  SERVICE,
+  WORKSPACE,
+  buildConfiguration,
+} from '../support/configuration_fixture.js';
+
+const START_MS = 1_000_000;
+const {intervalMs, capFraction} = POLICY.shift;
+const COHORTS = 1_000;
+
+const shift = (change: Partial<Shift> = {}): Shift => ({
+  id: 'one',
+  workspace: WORKSPACE,
+  from: RIGA,
+  to: KURZEME,
+  fraction: 1,
+  startAtMs: START_MS,
+  plannedBy: 'operator',
+  ...change,
+});
+
+function placesAt(
+  shifts: readonly Shift[],
+  drains: readonly Drain[],
+  wallMs: number,
+): readonly RegionName[] {
+  const configuration = buildConfiguration({shifts, drains});
+  const moves = plannedMoves(
+    configuration,
+    WORKSPACE,
+    SERVICE,
+    POLICY.shift,
+    1,
+  );
+  return Array.from({length: COHORTS}, (_, cohort) =>
+    regionAfterMoves(configuration, moves, RIGA, cohort, wallMs),
+  );
+}
+
+function movedBetween(
+  before: readonly RegionName[],
+  after: readonly RegionName[],
+): number {
+  return before.filter((region, cohort) => region !== after[cohort]).length;
+}
+
+const shifts = fc.array(
+  fc.record({
+    to: fc.constantFrom(KURZEME, LATGALE),
+    fraction: fc.double({min: 0, max: 1, noNaN: true}),
+    startAfterMs: fc.integer({min: 0, max: 10 * intervalMs}),
+    abortedAfterMs: fc.option(fc.integer({min: 0, max: 20 * intervalMs})),
+  }),
+  {minLength: 1, maxLength: 4},
+);
+
+test('moves at most the cap in any interval, over all moves together', () => {
+  fc.assert(
+    fc.property(shifts, fc.integer({min: 0, max: 500}), (drawn, step) => {
+      const planned = drawn.map((one, index) =>
+        shift({
+          id: `shift-${index}`,
+          to: one.to,
+          fraction: one.fraction,
+          startAtMs: START_MS + one.startAfterMs,
+          abortedAtMs:
+            one.abortedAfterMs === null
+              ? undefined
+              : START_MS + one.startAfterMs + one.abortedAfterMs,
+        }),
+      );
+      const atMs = START_MS + (step / 10) * intervalMs;
+      const moved = movedBetween(
+        placesAt(planned, [], atMs),
+        placesAt(planned, [], atMs + intervalMs),
+      );
+      assert.ok(moved <= COHORTS * capFraction + 1, `${moved} moved`);
+    }),
+    {numRuns: 60, seed: 5},
+  );
+});
+
+test('lets two moves that start together follow one another', () => {
+  const both = [shift(), shift({id: 'other', to: LATGALE})];
+  const moved = movedBetween(
+    placesAt(both, [], START_MS),
+    placesAt(both, [], START_MS + intervalMs),
+  );
+  assert.equal(moved, COHORTS * capFraction);
+});
+
+test('gives a VM that has just started the same places as the others', () => {
+  const atMs = START_MS + 3.5 * intervalMs;
+  assert.deepEqual(
+    placesAt([shift()], [], atMs),
+    placesAt([shift()], [], atMs),
+  );
+  assert.ok(
+    movedBetween(placesAt([], [], atMs), placesAt([shift()], [], atMs)),
+  );
+});
+
+test('moves all cohorts of a drained region within its ramp and cap', () => {
+  const drain: Drain = {
+    id: 'drain',
+    scope: {kind: 'region', region: RIGA},
+    startAtMs: START_MS,
+    rampMs: 1_000,
+    plannedBy: 'operator',
+  };
+  const early = placesAt([], [drain], START_MS + intervalMs);
+  const late = placesAt([], [drain], START_MS + 11 * intervalMs);
+  assert.equal(early.filter(region => region !== RIGA).length, 100);
+  assert.equal(late.filter(region => region === RIGA).length, 0);
+  assert.deepEqual(
+    new Set(late),
+    new Set(REGIONS.filter(region => region !== RIGA)),
+  );
+});
