Let crashed targets stay down in the crash tests

Ruled out: a fault of the quarantine; the losses were at three targets. After: crashed targets refuse connections until time passes, as they do; the test of the one VM that runs a suspect checks the lost targets too.

--- a/packages/decision/test/quarantine/crashing_request.test.ts
+++ b/packages/decision/test/quarantine/crashing_request.test.ts
@@ -3,6 +3,7 @@
 import {
   type SteeringAction,
   type SteeringEvent,
+  type TargetId,
   type VmId,
   createCrashSuspicions,
 } from '../../src/index.js';
@@ -35,6 +36,8 @@
     drivers.set(vm.id, driver);
   }
   let losses = 0;
+  /** Lost targets are up again only after a pass of time. */
+  const down = new Set<TargetId>();
   let news: {readonly to: VmId; readonly event: SteeringEvent}[] = [];
 
   function tell(to: VmId): void {
@@ -61,6 +64,13 @@
         perform(vm, driver.finish(send, {kind: 'shed'}));
         continue;
       }
+      const {target} = send.destination;
+      if (down.has(target)) {
+        const cause = 'refused';
+        perform(vm, driver.finish(send, {kind: 'not-sent', cause}));
+        continue;
+      }
+      down.add(target);
       losses += 1;
       perform(vm, driver.finish(send, {kind: 'broken', cause: 'reset'}));
     }
@@ -83,6 +93,7 @@
 
   /** All news arrive before so much time passes. */
   function pass(milliseconds: number): void {
+    down.clear();
     for (const [vm, driver] of drivers) {
       tell(vm);
       driver.pass(milliseconds);
@@ -156,3 +167,28 @@
   assert.equal(suspicions.state(FINGERPRINT, 1), 'quarantined');
   assert.equal(suspicions.state(FINGERPRINT, OPTIONS.quarantineMs), 'suspect');
 });
+
+test('runs a suspect at one VM of the fleet, at a target it did not lose', () => {
+  const fleet = createFleet();
+  const lost = targetName(0, 0);
+  const places = new Set<VmId>();
+  for (const [vm, driver] of fleet.drivers) {
+    driver.step({
+      kind: 'peer-message',
+      from: vmName(0, 1),
+      message: {
+        kind: 'crash-suspected',
+        fingerprint: FINGERPRINT,
+        targets: [lost],
+        ageMs: 0,
+      },
+    });
+    const actions = driver.request({fingerprint: FINGERPRINT});
+    const [send] = only(actions, 'send-attempt');
+    assert.ok(send);
+    const {destination} = send;
+    places.add(destination.kind === 'relay' ? destination.vm : vm);
+    assert.notDeepEqual(destination, {kind: 'target', target: lost});
+  }
+  assert.equal(places.size, 1);
+});
