--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,3 @@
 /** Front door of the package. */
-export {};
+export {type Daemon, type DaemonOptions, createDaemon} from './daemon.js';
+export {readKeys, type VmKeys} from './keys.js';
--- a/packages/stand_ins/src/demonstration/demonstrate.ts
+++ b/packages/stand_ins/src/demonstration/demonstrate.ts
@@ -1,6 +1,7 @@
 /** One user's part of the demonstration, step by step. */
 import {
   type Configuration,
+  type RequestRecord,
   compileConfiguration,
   generation,
   teamName,
@@ -384,9 +385,12 @@
     reply,
   }));
   for (const {fields} of entries ?? []) {
-    const lines = fields['explanation'];
-    if (Array.isArray(lines)) {
-      demonstration.narrator.because(lines.join('; '));
+    const {destination, explanation} = fields as Partial<RequestRecord>;
+    if (destination?.kind === 'target') {
+      const lines = explanation ?? [];
+      demonstration.narrator.because(
+        [`sent to ${destination.target}`, ...lines].join('; '),
+      );
     }
   }
 }
