--- a/packages/bench/src/decision/run_scenario.ts
+++ b/packages/bench/src/decision/run_scenario.ts
@@ -77,7 +77,11 @@
   }
   startReports(world);
   const callers = createCallers(world, world.random('callers'));
-  const faults = planFaults(scenario, configuration, world.random('faults'));
+  const faults = planFaults(
+    scenario,
+    configuration,
+    world.random(`faults/${scenario.name}`),
+  );
   for (const {atMs, fault} of faults) {
     world.loop.at(atMs, () => applyFault(fault, {world, callers, membership}));
   }
--- a/packages/invariants/src/check_trace.ts
+++ b/packages/invariants/src/check_trace.ts
@@ -10,6 +10,7 @@
   checkOverload,
   checkOwnWholeAnswers,
   checkShiftCap,
+  checkShiftProgress,
   checkTruthfulRefusals,
 } from './checks/index.js';
 import type {Check, CheckName, Trace, Violation} from './trace.js';
@@ -17,6 +18,7 @@
 export const CHECKS: Readonly<Record<CheckName, Check>> = {
   overload: checkOverload,
   'shift-cap': checkShiftCap,
+  'shift-progress': checkShiftProgress,
   'link-budget': checkLinkBudget,
   'truthful-refusal': checkTruthfulRefusals,
   'at-most-once': checkAtMostOnce,
--- a/packages/invariants/src/checks/index.ts
+++ b/packages/invariants/src/checks/index.ts
@@ -8,4 +8,5 @@
 export * from './check_overload.js';
 export * from './check_own_whole_answers.js';
 export * from './check_shift_cap.js';
+export * from './check_shift_progress.js';
 export * from './check_truthful_refusals.js';
--- a/packages/invariants/src/trace.ts
+++ b/packages/invariants/src/trace.ts
@@ -164,6 +164,7 @@
 export type CheckName =
   | 'overload'
   | 'shift-cap'
+  | 'shift-progress'
   | 'link-budget'
   | 'truthful-refusal'
   | 'at-most-once'
