--- /dev/null
+++ b/packages/bench/test/decision_bounds.test.ts
@@ -0,0 +1,125 @@
+/** The bounds of the decision bench fail when a mechanism is broken. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {
+  Configuration,
+  RegionName,
+  Service,
+  ServiceName,
+  Steering,
+  SteeringAction,
+  SteeringEvent,
+  Target,
+} from '@ibisbeam/decision';
+import {type Figures, countOf, measure} from '../src/decision/measure.js';
+import {type Scenario, runScenario} from '../src/decision/run_scenario.js';
+import {SCENARIOS} from '../src/decision/scenarios.js';
+import {IBISBEAM} from '../src/decision/strategies/ibisbeam.js';
+import type {Strategy} from '../src/decision/types.js';
+
+const SEED = 1;
+
+function scenarioNamed(name: string, changes: Partial<Scenario>): Scenario {
+  const scenario = SCENARIOS.find(one => one.name === name);
+  assert.ok(scenario);
+  return {...scenario, ...changes};
+}
+
+function run(scenario: Scenario, strategy: Strategy): Figures {
+  return measure(runScenario(scenario, strategy, SEED));
+}
+
+/** The steering of the daemon with its events and actions passed through. */
+function mutant(wrap: (steering: Steering) => Steering): Strategy {
+  return {
+    name: 'mutant',
+    judged: true,
+    prepare: () => {
+      const create = IBISBEAM.prepare();
+      return context => wrap(create(context));
+    },
+  };
+}
+
+/** Each VM takes its share of every target rounded up. */
+const sharesRoundedUp = mutant(steering => ({
+  ...steering,
+  step: (event, time) => steering.step(roundSharesUp(event), time),
+}));
+
+function roundSharesUp(event: SteeringEvent): SteeringEvent {
+  if (event.kind !== 'configuration-accepted') {
+    return event;
+  }
+  const {configuration} = event;
+  const services = new Map<ServiceName, Service>();
+  const targets: [Target['id'], {service: ServiceName; target: Target}][] = [];
+  for (const [name, service] of configuration.services) {
+    const rounded = service.targets.map(target => {
+      const vms = vmCount(configuration, target.region);
+      return {...target, slots: Math.ceil(target.slots / vms) * vms};
+    });
+    services.set(name, {...service, targets: rounded});
+    for (const target of rounded) {
+      targets.push([target.id, {service: name, target}]);
+    }
+  }
+  return {
+    ...event,
+    configuration: {...configuration, services, targets: new Map(targets)},
+  };
+}
+
+function vmCount(configuration: Configuration, region: RegionName): number {
+  const vms = [...configuration.entryVms.values()];
+  return vms.filter(vm => vm.region === region).length;
+}
+
+/** Each life of a VM knows only the failovers that it saw begin. */
+const rampKeptInMemory = mutant(steering => ({
+  ...steering,
+  step: (event, time) => {
+    if (event.kind === 'peer-message' && isFailoverNews(event.message.kind)) {
+      return [];
+    }
+    return steering.step(event, time).filter(isNotFailoverNews);
+  },
+}));
+
+function isNotFailoverNews(action: SteeringAction): boolean {
+  return !(
+    action.kind === 'send-to-peer' && isFailoverNews(action.message.kind)
+  );
+}
+
+function isFailoverNews(kind: string): boolean {
+  return kind === 'failover-known' || kind === 'failovers-wanted';
+}
+
+describe('bench bounds', () => {
+  const steady = scenarioNamed('steady', {
+    durationMs: 6_000,
+    measureFromMs: 1_000,
+  });
+
+  it('hold for the steering of the daemon at steady load', () => {
+    assert.deepEqual(run(steady, IBISBEAM).violations, []);
+  });
+
+  it('find overload when shares are rounded up', () => {
+    const figures = run(steady, sharesRoundedUp);
+    assert.ok(figures.overloadMs > 0);
+  });
+
+  it('find a shift that begins again when a ramp is kept in memory', () => {
+    const scenario = scenarioNamed('vm-lost-in-shift', {});
+    const kept = run(scenario, IBISBEAM);
+    const lost = run(scenario, rampKeptInMemory);
+    assert.equal(countOf(kept, 'shift-progress'), 0);
+    assert.ok(countOf(lost, 'shift-progress') > 0);
+  });
+
+  it('give the same figures for the same seed', () => {
+    assert.deepEqual(run(steady, IBISBEAM), run(steady, IBISBEAM));
+  });
+});
