--- a/packages/decision/src/core/membership/create_membership.ts
+++ b/packages/decision/src/core/membership/create_membership.ts
@@ -16,23 +16,14 @@
   type VmView,
   assertNever,
 } from '../model/index.js';
-import {
-  DELEGATES_PER_REGION,
-  delegatesOf,
-  linkedRegions,
-  usableByRegion,
-  wantedLinks,
-} from './overlay.js';
-import {
-  type Beat,
-  MAXIMUM_UPDATES_PER_BEAT,
-  type VmUpdate,
-} from './peer_messages.js';
-import {type VmRecord, createVmRecords} from './records.js';
-import {createRegionAges, regionNewsGrainMs} from './region_ages.js';
+import {createLinkPlanner} from './link_planner.js';
+import type {Beat, VmUpdate} from './peer_messages.js';
+import {type PeerState, createPeerTable} from './peer_table.js';
+import {createVmRecords} from './records.js';
+import {createRegionAges, silentAfterMs} from './region_ages.js';
 import {createSelfWatch} from './self_watch.js';
+import {listUpdates} from './platform_list.js';
 import type {
-  ListedVm,
   Membership,
   MembershipAction,
   MembershipEvent,
@@ -41,87 +32,54 @@
 
 /** News does not wait for the next heartbeat, but goes no faster than this. */
 const NEWS_INTERVAL_MS = 200;
-/** A suspect of the own region is dialled again this often. */
-const SUSPECT_PROBE_INTERVAL_MS = 5_000;
-
-interface PeerState {
-  linked: boolean;
-  lastHeardMs: number;
-  lastSentMs: number;
-  /** VMs of which this peer has to be told. */
-  readonly pending: Set<VmId>;
-  /** Whether the peer's digest differed when it was last heard. */
-  differs: boolean;
-}
+/** How long a VM may be behind before that is told to others. */
+const BEHIND_AFTER_MS = 5_000;
 
 export function createMembership(options: MembershipOptions): Membership {
   const {vm: self, heartbeatIntervalMs, suspectAfterMs} = options;
   const records = createVmRecords();
+  const peers = createPeerTable(records, updateOf);
+  const planner = createLinkPlanner(
+    {vm: self, region: options.region, retryAfterMs: suspectAfterMs},
+    records,
+  );
   const regionAges = createRegionAges(heartbeatIntervalMs);
   const selfWatch = createSelfWatch(
     heartbeatIntervalMs / 2,
     suspectAfterMs / 2,
   );
-  const peers = new Map<VmId, PeerState>();
-  const attempts = new Map<RegionName, {count: number; sinceMs: number}>();
-  let wanted: readonly VmId[] = [];
-  let wantedSinceMs = new Map<VmId, number>();
+  let regionSilentAfterMs = suspectAfterMs;
   let regions: readonly RegionName[] = [];
   let revision = options.startedAtSeconds;
   let leaving = false;
   let generation: Generation | undefined;
+  let generationTold: Generation | undefined;
+  let newestHeard = -1;
+  let behindSinceMs: number | undefined;
   let doubtUntilMs = 0;
   let doubting = false;
   let everHeard = false;
   let startedAtMs = 0;
   let nextListMs = 0;
-  let nextProbeMs = 0;
-  let probeIndex = 0;
-  let exceptionIndex = 0;
   let signature = '';
   let actions: MembershipAction[] = [];
 
-  function peerOf(vm: VmId, nowMs: number): PeerState {
-    let peer = peers.get(vm);
-    if (!peer) {
-      peer = {
-        linked: false,
-        lastHeardMs: nowMs,
-        lastSentMs: Number.NEGATIVE_INFINITY,
-        pending: new Set(),
-        differs: false,
-      };
-      peers.set(vm, peer);
-    }
-    return peer;
-  }
-
-  function spread(vm: VmId, except?: VmId): void {
-    for (const [id, peer] of peers) {
-      if (id !== except && peer.linked) {
-        peer.pending.add(vm);
-      }
-    }
-  }
-
-  function ownUpdate(): VmUpdate {
-    const state = leaving ? 'leaving' : 'live';
-    return [self, options.incarnation, revision, state, generation ?? null];
+  function ownState(): VmState {
+    return leaving ? 'leaving' : 'live';
   }
 
   function updateOf(vm: VmId): VmUpdate | undefined {
-    return vm === self ? ownUpdate() : records.updateOf(vm);
+    if (vm !== self) {
+      return records.updateOf(vm);
+    }
+    const {incarnation} = options;
+    return [self, incarnation, revision, ownState(), generation ?? null];
   }
 
-  function noteState(vm: VmId): void {
-    const record = records.get(vm);
-    if (record) {
-      const {state, incarnation} = record;
-      actions.push({
-        kind: 'note',
-        note: {kind: 'vm-state-changed', vm, state, incarnation},
-      });
-    }
+  /** Says something of this VM anew, so that it counts over what was said. */
+  function raiseRevision(to = revision + 1): void {
+    revision = to;
+    peers.spread(self);
   }
 
   function mergeUpdate(update: VmUpdate, from?: VmId): void {
@@ -131,54 +89,47 @@
       return;
     }
     const before = records.get(vm)?.state;
-    switch (records.merge(update)) {
-      case 'news':
-        spread(vm, from);
-        if (records.get(vm)?.state !== before) {
-          noteState(vm);
-        }
-        return;
-      case 'outdated':
-        if (from !== undefined) {
-          peers.get(from)?.pending.add(vm);
-        }
-        return;
-      case 'known':
-        return;
+    const result = records.merge(update);
+    if (result === 'outdated' && from !== undefined) {
+      peers.get(from)?.pending.add(vm);
+    }
+    if (result !== 'news') {
+      return;
+    }
+    peers.spread(vm, from);
+    const record = records.get(vm)!;
+    if (record.state !== before) {
+      const {state, incarnation} = record;
+      actions.push({
+        kind: 'note',
+        note: {kind: 'vm-state-changed', vm, state, incarnation},
+      });
     }
   }
 
   /** Outbids what others say of this VM when it is not so. */
   function contradict(update: VmUpdate): void {
     const [, incarnation, theirs, state] = update;
-    const ourState: VmState = leaving ? 'leaving' : 'live';
-    const ours = incarnation === options.incarnation && state === ourState;
+    const ours = incarnation === options.incarnation && state === ownState();
     if (theirs < revision || (theirs === revision && ours)) {
       return;
     }
-    revision = theirs + 1;
-    spread(self);
+    raiseRevision(theirs + 1);
   }
 
   function takeBeat(from: VmId, beat: Beat, nowMs: number): void {
-    const peer = peerOf(from, nowMs);
+    const peer = peers.of(from, nowMs);
     peer.lastHeardMs = nowMs;
     peer.linked = true;
     everHeard = true;
+    newestHeard = Math.max(newestHeard, beat.generation ?? -1);
     const record = records.get(from);
     if (record) {
       regionAges.heard(record.region, nowMs);
     }
-    mergeUpdate(
-      [
-        from,
-        beat.incarnation,
-        beat.revision,
-        beat.leaving ? 'leaving' : 'live',
-        beat.generation ?? null,
-      ],
-      from,
-    );
+    const state = beat.leaving ? 'leaving' : 'live';
+    const {incarnation, generation: theirs = null} = beat;
+    mergeUpdate([from, incarnation, beat.revision, state, theirs], from);
     regionAges.take(beat.regions ?? [], nowMs);
     for (const update of beat.updates ?? []) {
       mergeUpdate(update, from);
@@ -186,40 +137,11 @@
     peer.differs = beat.digest !== records.digest();
   }
 
-  /** Updates for one beat: news first, then what the digests differ by. */
-  function takeUpdates(peer: PeerState): readonly VmUpdate[] {
-    const updates: VmUpdate[] = [];
-    for (const vm of peer.pending) {
-      if (updates.length >= MAXIMUM_UPDATES_PER_BEAT) {
-        return updates;
-      }
-      peer.pending.delete(vm);
-      const update = updateOf(vm);
-      if (update) {
-        updates.push(update);
-      }
-    }
-    if (peer.differs) {
-      addExceptions(updates);
-    }
-    return updates;
-  }
-
-  function addExceptions(updates: VmUpdate[]): void {
-    const exceptions = records.exceptions();
-    const room = MAXIMUM_UPDATES_PER_BEAT - updates.length;
-    const count = Math.min(room, exceptions.length);
-    for (let step = 0; step < count; step += 1) {
-      exceptionIndex = (exceptionIndex + 1) % exceptions.length;
-      updates.push(records.updateOf(exceptions[exceptionIndex]!)!);
-    }
-  }
-
   function sendBeat(to: VmId, peer: PeerState, nowMs: number): void {
     peer.lastSentMs = nowMs;
     regionAges.heard(options.region, nowMs);
     const ages = regionAges.agesFor(to, regions.length, nowMs);
-    const updates = takeUpdates(peer);
+    const updates = peers.takeUpdates(peer);
     const beat: Beat = {
       kind: 'beat',
       incarnation: options.incarnation,
@@ -235,18 +157,15 @@
 
   /** Beats go to peers that this VM wants, or that beat to it. */
   function sendBeats(nowMs: number): void {
-    const wantedSet = new Set(wanted);
-    for (const [vm, peer] of peers) {
+    for (const [vm, peer] of peers.entries()) {
       const heard = nowMs - peer.lastHeardMs <= suspectAfterMs;
-      if (!peer.linked || !(wantedSet.has(vm) || heard)) {
+      if (!peer.linked || !(heard || planner.wanted().has(vm))) {
         continue;
       }
       const sinceMs = nowMs - peer.lastSentMs;
-      const hasNews = peer.pending.size > 0;
-      if (
-        sinceMs >= heartbeatIntervalMs ||
-        (hasNews && sinceMs >= NEWS_INTERVAL_MS)
-      ) {
+      const intervalMs =
+        peer.pending.size > 0 ? NEWS_INTERVAL_MS : heartbeatIntervalMs;
+      if (sinceMs >= Math.min(intervalMs, heartbeatIntervalMs)) {
         sendBeat(vm, peer, nowMs);
       }
     }
@@ -255,10 +174,8 @@
   function checkSelf(nowMs: number): void {
     if (selfWatch.tick(nowMs)) {
       doubtUntilMs = nowMs + suspectAfterMs;
-      for (const peer of peers.values()) {
-        peer.lastHeardMs = nowMs;
-      }
-      wantedSinceMs = new Map(wanted.map(vm => [vm, nowMs]));
+      peers.forgiveSilence(nowMs);
+      planner.restartTerms(nowMs);
     }
     const paused = nowMs < doubtUntilMs;
     const alone = isAlone(nowMs);
@@ -272,18 +189,12 @@
 
   /** Whether all the peers that should be heard are silent. */
   function isAlone(nowMs: number): boolean {
-    if (wanted.length === 0) {
+    const sinceMs = nowMs - suspectAfterMs;
+    const starting = !everHeard && startedAtMs >= sinceMs;
+    if (planner.wanted().size === 0 || starting) {
       return false;
     }
-    if (!everHeard && nowMs - startedAtMs <= suspectAfterMs) {
-      return false;
-    }
-    for (const peer of peers.values()) {
-      if (peer.linked && nowMs - peer.lastHeardMs <= suspectAfterMs) {
-        return false;
-      }
-    }
-    return true;
+    return !peers.heardSince(sinceMs);
   }
 
   /** A VM that doubts itself accuses nobody. */
@@ -291,204 +202,99 @@
     if (doubting) {
       return;
     }
-    for (const vm of wanted) {
+    for (const [vm, wantedSinceMs] of planner.wanted()) {
       const record = records.get(vm);
-      const sinceMs = Math.max(
-        peers.get(vm)?.lastHeardMs ?? 0,
-        wantedSinceMs.get(vm) ?? nowMs,
-      );
-      if (
-        record?.region !== options.region ||
-        (record.state !== 'live' && record.state !== 'leaving') ||
-        nowMs - sinceMs <= suspectAfterMs
-      ) {
-        continue;
-      }
-      mergeUpdate([
-        vm,
-        record.incarnation ?? null,
-        record.revision,
-        'suspect',
-        record.generation ?? null,
-      ]);
-    }
-  }
-
-  function takeList(listed: readonly ListedVm[]): void {
-    const byVm = new Map(listed.map(entry => [entry.vm, entry]));
-    for (const record of [...records.all()]) {
-      if (record.vm === self) {
-        continue;
-      }
-      const entry = byVm.get(record.vm);
-      if (entry?.state === 'leaving') {
-        markLeaving(record, entry);
+      const heardMs = peers.get(vm)?.lastHeardMs ?? wantedSinceMs;
+      const silentMs = nowMs - Math.max(heardMs, wantedSinceMs);
+      const accusable =
+        record?.region === options.region &&
+        (record.state === 'live' || record.state === 'leaving');
+      if (accusable && silentMs > suspectAfterMs) {
+        const [, incarnation, known, , theirs] = records.updateOf(vm)!;
+        mergeUpdate([vm, incarnation, known, 'suspect', theirs]);
       }
-      // The list lags: it ends a suspicion, but contradicts no heartbeat.
-      const replaced =
-        entry !== undefined &&
-        record.incarnation !== undefined &&
-        entry.incarnation !== record.incarnation;
-      if (record.state === 'suspect' && (!entry || replaced)) {
-        mergeUpdate([
-          record.vm,
-          record.incarnation ?? null,
-          record.revision,
-          'gone',
-          record.generation ?? null,
-        ]);
-      }
-    }
-  }
-
-  function markLeaving(record: VmRecord, entry: ListedVm): void {
-    const same =
-      record.incarnation === undefined ||
-      record.incarnation === entry.incarnation;
-    if (record.state === 'live' && same) {
-      mergeUpdate([
-        record.vm,
-        entry.incarnation,
-        record.revision,
-        'leaving',
-        record.generation ?? null,
-      ]);
     }
   }
 
-  function configure(entryVms: Iterable<EntryVm>): void {
+  function configure(entryVms: Iterable<EntryVm>, nowMs: number): void {
     records.configure(entryVms);
-    const found = new Set<RegionName>();
-    for (const record of records.all()) {
-      found.add(record.region);
-    }
-    regions = [...found];
-  }
-
-  /** Tries the next VM of a region when the one wanted does not answer. */
-  function attemptFor(region: RegionName): number {
-    return attempts.get(region)?.count ?? 0;
-  }
-
-  function reviewAttempts(nowMs: number): void {
-    for (const region of linkedRegions(regions, options.region)) {
-      const linked = wanted.some(
-        vm =>
-          records.get(vm)?.region === region && peers.get(vm)?.linked === true,
-      );
-      const attempt = attempts.get(region);
-      if (!attempt || linked) {
-        const count = attempt?.count ?? 0;
-        attempts.set(region, {count, sinceMs: nowMs});
-      } else if (nowMs - attempt.sinceMs > suspectAfterMs) {
-        attempts.set(region, {count: attempt.count + 1, sinceMs: nowMs});
-      }
-    }
-  }
-
-  function reviewLinks(nowMs: number): void {
-    reviewAttempts(nowMs);
-    const links = new Set(
-      wantedLinks(
-        {vm: self, region: options.region},
-        records.all(),
-        attemptFor,
-      ),
+    planner.review(nowMs, peers.isLinked);
+    regions = planner.regions();
+    regionSilentAfterMs = silentAfterMs(
+      records.size(),
+      regions.length,
+      heartbeatIntervalMs,
+      suspectAfterMs,
     );
-    const probe = suspectToProbe(nowMs);
-    if (probe !== undefined) {
-      links.add(probe);
-    }
-    const before = wantedSinceMs;
-    wanted = [...links].sort();
-    wantedSinceMs = new Map(wanted.map(vm => [vm, before.get(vm) ?? nowMs]));
-    actions.push({kind: 'links-wanted', peers: wanted});
+    tick(nowMs);
   }
 
-  function suspectToProbe(nowMs: number): VmId | undefined {
-    const suspects: VmId[] = [];
-    for (const record of records.all()) {
-      if (record.region === options.region && record.state === 'suspect') {
-        suspects.push(record.vm);
-      }
+  /** Tells all when this VM has been behind for a while, and when no more. */
+  function tellIfBehind(nowMs: number): void {
+    const ours = generation ?? -1;
+    if (ours >= newestHeard) {
+      behindSinceMs = undefined;
+    } else {
+      behindSinceMs ??= nowMs;
     }
-    if (nowMs >= nextProbeMs) {
-      nextProbeMs = nowMs + SUSPECT_PROBE_INTERVAL_MS;
-      probeIndex += 1;
+    const longBehind =
+      behindSinceMs !== undefined && nowMs - behindSinceMs > BEHIND_AFTER_MS;
+    const caughtUp = generationTold !== undefined && ours >= newestHeard;
+    if (longBehind && generationTold !== generation) {
+      generationTold = generation;
+      raiseRevision();
+    } else if (caughtUp) {
+      generationTold = undefined;
+      raiseRevision();
     }
-    return suspects[probeIndex % Math.max(1, suspects.length)];
-  }
-
-  function isDelegate(): boolean {
-    const usable = usableByRegion(records.all(), self).get(options.region);
-    const place = delegatesOf(options.region, usable ?? []).indexOf(self);
-    return place >= 0 && place < DELEGATES_PER_REGION;
   }
 
   /** Only a region's delegates read the platform's list. */
   function listIfDue(nowMs: number): void {
-    if (nowMs < nextListMs || !isDelegate()) {
+    if (nowMs < nextListMs || !planner.isDelegate()) {
       return;
     }
     nextListMs = nowMs + options.listIntervalMs;
     actions.push({kind: 'list-vms'});
   }
 
-  /** How long a region may be unheard of: news of it comes over many hops. */
-  function silentAfterMs(): number {
-    const perRegion =
-      Math.ceil([...records.all()].length / Math.max(1, regions.length)) || 1;
-    const hops =
-      Math.ceil(Math.log(Math.max(2, regions.length)) / Math.log(3)) +
-      Math.ceil(Math.sqrt(perRegion) / 2);
-    const grainMs = regionNewsGrainMs(regions.length, heartbeatIntervalMs);
-    return suspectAfterMs + hops * (heartbeatIntervalMs + grainMs);
-  }
-
   function silentRegions(nowMs: number): ReadonlySet<RegionName> {
     const silent = new Set<RegionName>();
-    const afterMs = silentAfterMs();
     for (const region of regions) {
       const heardMs = regionAges.lastHeardMs(region) ?? startedAtMs;
-      if (region !== options.region && nowMs - heardMs > afterMs) {
+      if (region !== options.region && nowMs - heardMs > regionSilentAfterMs) {
         silent.add(region);
       }
     }
     return silent;
   }
 
-  function viewOf(record: VmRecord, silent: ReadonlySet<RegionName>): VmView {
-    const {vm, region, zone} = record;
-    if (vm === self) {
-      const state = leaving ? 'leaving' : 'live';
-      const {incarnation} = options;
-      return {vm, region, zone, incarnation, state, generation};
-    }
-    const state =
-      silent.has(region) && record.state !== 'gone' ? 'suspect' : record.state;
-    return {
-      vm,
-      region,
-      zone,
-      incarnation: record.incarnation,
-      state,
-      generation: record.generation,
-      lastHeardMs: peers.get(vm)?.lastHeardMs,
-    };
-  }
-
   function view(nowMs: number): MembershipView {
     const silent = silentRegions(nowMs);
     const vms = new Map<VmId, VmView>();
     for (const record of records.all()) {
-      vms.set(record.vm, viewOf(record, silent));
+      const {vm, region, zone} = record;
+      const place = {vm, region, zone};
+      if (vm === self) {
+        const {incarnation} = options;
+        vms.set(vm, {...place, incarnation, state: ownState(), generation});
+        continue;
+      }
+      const unheard = silent.has(region) && record.state !== 'gone';
+      vms.set(vm, {
+        ...place,
+        incarnation: record.incarnation,
+        state: unheard ? 'suspect' : record.state,
+        generation: record.generation,
+        lastHeardMs: peers.get(vm)?.lastHeardMs,
+      });
     }
     return {atMs: nowMs, vms, silentRegions: silent, selfDoubt: doubting};
   }
 
   function publishIfChanged(nowMs: number): void {
     const silent = [...silentRegions(nowMs)].join(' ');
-    const next = `${records.changes()} ${leaving} ${doubting} ${silent} ${regions.length}`;
+    const next = `${records.changes()} ${leaving} ${doubting} ${silent}`;
     if (next !== signature) {
       signature = next;
       actions.push({kind: 'view-changed', view: view(nowMs)});
@@ -498,7 +304,10 @@
   function tick(nowMs: number): void {
     checkSelf(nowMs);
     accuseSilentNeighbours(nowMs);
-    reviewLinks(nowMs);
+    planner.review(nowMs, peers.isLinked);
+    const wanted = [...planner.wanted().keys()];
+    actions.push({kind: 'links-wanted', peers: wanted});
+    tellIfBehind(nowMs);
     listIfDue(nowMs);
     publishIfChanged(nowMs);
   }
@@ -509,18 +318,16 @@
         startedAtMs = nowMs;
         return;
       case 'configured':
-        configure(event.entryVms);
-        signature = '';
-        tick(nowMs);
+        configure(event.entryVms, nowMs);
         return;
       case 'peer-connected': {
-        const peer = peerOf(event.peer, nowMs);
+        const peer = peers.of(event.peer, nowMs);
         peer.linked = true;
         peer.lastSentMs = Number.NEGATIVE_INFINITY;
         return;
       }
       case 'peer-disconnected': {
-        const peer = peerOf(event.peer, nowMs);
+        const peer = peers.of(event.peer, nowMs);
         peer.linked = false;
         peer.pending.clear();
         regionAges.forgetPeer(event.peer);
@@ -531,16 +338,18 @@
         publishIfChanged(nowMs);
         return;
       case 'platform-list':
-        takeList(event.vms);
+        for (const update of listUpdates(records, event.vms, self)) {
+          mergeUpdate(update);
+        }
         publishIfChanged(nowMs);
         return;
       case 'generation':
         generation = event.generation;
+        newestHeard = Math.max(newestHeard, generation);
         return;
       case 'stop-began':
         leaving = true;
-        revision += 1;
-        spread(self);
+        raiseRevision();
         publishIfChanged(nowMs);
         return;
       case 'tick':
--- a/packages/decision/src/core/membership/overlay.ts
+++ b/packages/decision/src/core/membership/overlay.ts
@@ -10,11 +10,6 @@
 /** Distances on the ring of regions grow by this factor. */
 const REGION_OFFSET_FACTOR = 3;
 
-export interface OverlayOptions {
-  readonly vm: VmId;
-  readonly region: RegionName;
-}
-
 function isUsable(record: VmRecord): boolean {
   return record.state === 'live' || record.state === 'leaving';
 }
@@ -82,29 +77,3 @@
 ): readonly VmId[] {
   return rankByRendezvous(`delegates ${region}`, vms);
 }
-
-/**
- * @param attempt Counts up while a delegate's link to a region does not open,
- *   to try the next of that region's VMs.
- */
-export function wantedLinks(
-  options: OverlayOptions,
-  records: Iterable<VmRecord>,
-  attempt: (region: RegionName) => number,
-): readonly VmId[] {
-  const usable = usableByRegion(records, options.vm);
-  const own = usable.get(options.region) ?? [];
-  const wanted = [...regionNeighbours(own, options.vm)];
-  const delegates = delegatesOf(options.region, own);
-  const place = delegates.indexOf(options.vm);
-  if (place < 0 || place >= DELEGATES_PER_REGION) {
-    return wanted;
-  }
-  for (const region of linkedRegions([...usable.keys()], options.region)) {
-    const theirs = delegatesOf(region, usable.get(region)!);
-    if (theirs.length > 0) {
-      wanted.push(theirs[(place + attempt(region)) % theirs.length]!);
-    }
-  }
-  return wanted;
-}
--- a/packages/decision/src/core/membership/records.ts
+++ b/packages/decision/src/core/membership/records.ts
@@ -36,6 +36,7 @@
   configure(entryVms: Iterable<EntryVm>): void;
   get(vm: VmId): VmRecord | undefined;
   all(): Iterable<VmRecord>;
+  size(): number;
   merge(update: VmUpdate): MergeResult;
   updateOf(vm: VmId): VmUpdate | undefined;
   /** VMs that are other than live. */
@@ -132,6 +133,7 @@
     configure,
     get: vm => records.get(vm),
     all: () => records.values(),
+    size: () => records.size,
     merge,
     updateOf: vm => {
       const record = records.get(vm);
--- a/packages/decision/src/core/membership/region_ages.ts
+++ b/packages/decision/src/core/membership/region_ages.ts
@@ -27,6 +27,24 @@
   return regionCount <= REGIONS_SENT_ALWAYS ? 0 : 2 * heartbeatIntervalMs;
 }
 
+/**
+ * How long a region may be unheard of before it counts as silent: news of it
+ * comes over the delegates' ring of regions and then through this region.
+ */
+export function silentAfterMs(
+  vmCount: number,
+  regionCount: number,
+  heartbeatIntervalMs: number,
+  suspectAfterMs: number,
+): number {
+  const vmsPerRegion = Math.max(1, Math.ceil(vmCount / regionCount));
+  const hops =
+    Math.ceil(Math.log(Math.max(2, regionCount)) / Math.log(3)) +
+    Math.ceil(Math.sqrt(vmsPerRegion) / 2);
+  const grainMs = regionNewsGrainMs(regionCount, heartbeatIntervalMs);
+  return suspectAfterMs + hops * (heartbeatIntervalMs + grainMs);
+}
+
 export function createRegionAges(heartbeatIntervalMs: number): RegionAges {
   const heardMs = new Map<RegionName, number>();
   const sent = new Map<VmId, Map<RegionName, number>>();
--- a/packages/decision/src/core/rollout/chunk_fetches.ts
+++ b/packages/decision/src/core/rollout/chunk_fetches.ts
@@ -26,7 +26,8 @@
 export interface ChunkFetches {
   /** Starts over for a new set; fetches of digests still wanted go on. */
   want(digests: ReadonlySet<string>, nowMs: number): void;
-  arrived(digest: string): boolean;
+  isWanted(digest: string): boolean;
+  arrived(digest: string): void;
   failed(digest: string, source: ChunkSource, nowMs: number): void;
   sourceLost(source: ChunkSource): void;
   /** What to ask now; `peers` that have the chunks, nearest first. */
@@ -121,7 +122,10 @@
   return {
     want,
     next,
-    arrived: digest => fetches.delete(digest),
+    isWanted: digest => fetches.has(digest),
+    arrived: digest => {
+      fetches.delete(digest);
+    },
     failed: (digest, source, nowMs) => {
       const fetch = fetches.get(digest);
       if (fetch?.active && fetch.source === source) {
--- a/packages/decision/src/core/rollout/create_rollout.ts
+++ b/packages/decision/src/core/rollout/create_rollout.ts
@@ -3,34 +3,30 @@
  * is missing from the nearest source, and passes both on. Pure: the
  * configuration plug-in and the benches drive it.
  */
-import {compileConfiguration} from '../templates/index.js';
+import {rankByRendezvous} from '../hashing/index.js';
 import {
   type ConfigurationDocument,
   type Generation,
   type MembershipView,
-  type Section,
   type VmId,
   assertNever,
-  sectionSchema,
 } from '../model/index.js';
-import {rankByRendezvous} from '../hashing/index.js';
+import {compileConfiguration} from '../templates/index.js';
 import {createChunkFetches} from './chunk_fetches.js';
 import {HOP_DELAY_ALLOWANCE_MS, createFreshness} from './freshness.js';
-import {
-  type Manifest,
-  applyDifference,
-  chunkDigest,
-  manifestDifference,
-  manifestDigest,
-} from './manifest.js';
+import type {Manifest} from './manifest.js';
+import {createManifestHistory} from './manifest_history.js';
+import {createPeerGenerations} from './peer_generations.js';
 import type {ConfigurationPeerMessage} from './peer_messages.js';
 import type {
   FreshnessCause,
   Rollout,
   RolloutAction,
   RolloutEvent,
+  RolloutNote,
   RolloutOptions,
 } from './rollout_types.js';
+import {createSectionStore} from './section_store.js';
 import type {ConfigurationHead} from './types.js';
 
 /** Watchers of the store's head in each region. */
@@ -40,26 +36,21 @@
 /** Reads of the head while no configuration is in force. */
 const BOOT_READ_INTERVAL_MS = 2_000;
 const MANIFEST_TIMEOUT_MS = 1_500;
-/** Manifests kept, to answer with differences. */
-const REMEMBERED_MANIFESTS = 16;
 const LONGEST_READ_INTERVAL_MS = 60_000;
 
-interface Chunk {
-  readonly text: string;
-  readonly section: Section;
-}
-
 interface Candidate {
   readonly generation: Generation;
   readonly manifest: Manifest;
 }
 
+type MessageOf<Kind> = Extract<ConfigurationPeerMessage, {kind: Kind}>;
+
 export function createRollout(options: RolloutOptions): Rollout {
   const freshness = createFreshness(options.staleAfterMs);
   const fetches = createChunkFetches();
-  const chunks = new Map<string, Chunk>();
-  const manifests = new Map<Generation, Manifest>();
-  const announced = new Map<VmId, Generation | undefined>();
+  const sections = createSectionStore();
+  const history = createManifestHistory();
+  const peers = createPeerGenerations(options);
   let inForce: Candidate | undefined;
   let document: ConfigurationDocument | undefined;
   let candidate: Candidate | undefined;
@@ -81,6 +72,11 @@
     actions.push({kind: 'send', to, message});
   }
 
+  function note(found: RolloutNote): void {
+    actions.push({kind: 'note', note: found});
+  }
+
+  /** Only a generation above this is news. */
   function knownGeneration(): number {
     return Math.max(
       inForce?.generation ?? -1,
@@ -92,20 +88,22 @@
 
   function announcement(nowMs: number): ConfigurationPeerMessage {
     const confirmedAtMs = freshness.confirmedAtMs();
+    const ageMs =
+      confirmedAtMs === undefined
+        ? undefined
+        : Math.max(0, Math.ceil(nowMs - confirmedAtMs));
     return {
       kind: 'announcement',
-      generation: inForce?.generation,
-      ageMs:
-        confirmedAtMs === undefined
-          ? undefined
-          : Math.max(0, Math.ceil(nowMs - confirmedAtMs)),
+      ...(inForce ? {generation: inForce.generation} : {}),
+      ...(ageMs === undefined ? {} : {ageMs}),
     };
   }
 
   function announceToAll(nowMs: number): void {
     nextAnnounceMs = nowMs + options.announceIntervalMs;
-    for (const peer of announced.keys()) {
-      send(peer, announcement(nowMs));
+    const message = announcement(nowMs);
+    for (const peer of peers.linked()) {
+      send(peer, message);
     }
   }
 
@@ -118,41 +116,25 @@
     if (!head) {
       return;
     }
-    if (inForce && head.generation < inForce.generation) {
-      actions.push({
-        kind: 'note',
-        note: {kind: 'store-behind', generation: head.generation},
-      });
+    const {generation, manifest} = head;
+    if (inForce && generation < inForce.generation) {
+      note({kind: 'store-behind', generation});
       return;
     }
-    freshness.confirm(head.generation, askedAtMs);
-    if (head.generation > knownGeneration()) {
-      setCandidate({generation: head.generation, manifest: head.manifest});
-    }
-  }
-
-  function setCandidate(found: Candidate): void {
-    candidate = found;
-  }
-
-  function missingDigests(manifest: Manifest): ReadonlySet<string> {
-    const missing = new Set<string>();
-    for (const {digest} of manifest) {
-      if (!chunks.has(digest)) {
-        missing.add(digest);
-      }
+    freshness.confirm(generation, askedAtMs);
+    if (generation > knownGeneration()) {
+      candidate = {generation, manifest};
     }
-    return missing;
   }
 
   function takeAnnouncement(
     from: VmId,
-    message: Extract<ConfigurationPeerMessage, {kind: 'announcement'}>,
+    message: MessageOf<'announcement'>,
     nowMs: number,
   ): void {
     peerAnswered = true;
-    announced.set(from, message.generation);
     const {generation, ageMs} = message;
+    peers.said(from, generation);
     if (generation === undefined) {
       return;
     }
@@ -160,77 +142,35 @@
       ageMs === undefined
         ? Number.NEGATIVE_INFINITY
         : nowMs - ageMs - HOP_DELAY_ALLOWANCE_MS;
-    if (generation >= (inForce?.generation ?? 0)) {
-      freshness.confirm(generation, atMs);
-    }
-    if (generation > knownGeneration()) {
-      askManifest(from, generation, nowMs);
-    }
-  }
-
-  function askManifest(from: VmId, generation: Generation, nowMs: number) {
-    if (nowMs - manifestAskedAtMs < MANIFEST_TIMEOUT_MS) {
+    freshness.confirm(generation, atMs);
+    const askedLately = nowMs - manifestAskedAtMs < MANIFEST_TIMEOUT_MS;
+    if (generation <= knownGeneration() || askedLately) {
       return;
     }
     manifestAskedAtMs = nowMs;
-    send(from, {
-      kind: 'manifest-wanted',
-      generation,
-      have: inForce?.generation,
-    });
+    const have = inForce ? {have: inForce.generation} : {};
+    send(from, {kind: 'manifest-wanted', generation, ...have});
   }
 
-  function answerManifest(
-    to: VmId,
-    message: Extract<ConfigurationPeerMessage, {kind: 'manifest-wanted'}>,
-  ): void {
-    if (!inForce) {
-      return;
-    }
-    const {generation, manifest} = inForce;
-    const base =
-      message.have === undefined ? undefined : manifests.get(message.have);
-    const difference = base
-      ? manifestDifference(base, manifest)
-      : {entries: manifest, removed: []};
-    send(to, {
-      kind: 'manifest',
-      generation,
-      digest: manifestDigest(manifest),
-      base: base ? message.have : undefined,
-      ...difference,
-    });
-  }
-
-  function takeManifest(
-    message: Extract<ConfigurationPeerMessage, {kind: 'manifest'}>,
-  ): void {
+  function takeManifest(message: MessageOf<'manifest'>): void {
     manifestAskedAtMs = Number.NEGATIVE_INFINITY;
     if (message.generation <= knownGeneration()) {
       return;
     }
-    const base = message.base === undefined ? [] : manifests.get(message.base);
-    if (!base) {
-      return;
-    }
-    const manifest = applyDifference(base, message);
-    if (manifestDigest(manifest) !== message.digest) {
-      return;
+    const manifest = history.manifestOf(message);
+    if (manifest) {
+      candidate = {generation: message.generation, manifest};
     }
-    setCandidate({generation: message.generation, manifest});
   }
 
   function takeChunk(digest: string, text: string): void {
-    if (!candidate || chunks.has(digest)) {
+    if (!candidate || sections.has(digest) || !fetches.isWanted(digest)) {
       return;
     }
-    const section = parseSection(digest, text);
-    if (!section) {
-      actions.push({kind: 'note', note: {kind: 'bad-chunk', digest}});
-      return;
-    }
-    if (fetches.arrived(digest)) {
-      chunks.set(digest, {text, section});
+    if (sections.take(digest, text)) {
+      fetches.arrived(digest);
+    } else {
+      note({kind: 'bad-chunk', digest});
     }
   }
 
@@ -245,7 +185,10 @@
         takeAnnouncement(from, message, nowMs);
         return;
       case 'manifest-wanted':
-        answerManifest(from, message);
+        if (inForce) {
+          const {generation, manifest} = inForce;
+          send(from, history.message(generation, manifest, message.have));
+        }
         return;
       case 'manifest':
         takeManifest(message);
@@ -266,17 +209,18 @@
   }
 
   function answerChunk(to: VmId, digest: string): void {
-    const chunk = chunks.get(digest);
-    send(
-      to,
-      chunk
-        ? {kind: 'chunk', digest, text: chunk.text}
-        : {kind: 'chunk-missing', digest},
-    );
+    const text = sections.textOf(digest);
+    if (text === undefined) {
+      send(to, {kind: 'chunk-missing', digest});
+    } else {
+      send(to, {kind: 'chunk', digest, text});
+    }
   }
 
-  /** Nothing is believed at boot before the store or, without it, peers had
-   * their say. */
+  /**
+   * Nothing is believed at boot before the store or, without it, the peers
+   * have had their say.
+   */
   function bootReady(nowMs: number): boolean {
     if (inForce || storeAnswered) {
       return true;
@@ -284,26 +228,10 @@
     return peerAnswered && nowMs - startedAtMs >= BOOT_PEER_WAIT_MS;
   }
 
-  /** Peers that run the candidate or a later generation, nearest first. */
-  function sourcesOf(generation: Generation): readonly VmId[] {
-    const near: VmId[] = [];
-    const far: VmId[] = [];
-    for (const [peer, theirs] of announced) {
-      if (theirs === undefined || theirs < generation) {
-        continue;
-      }
-      const place = view?.vms.get(peer);
-      (place?.region === options.region ? near : far).push(peer);
-    }
-    const inZone = (peer: VmId) => view?.vms.get(peer)?.zone === options.zone;
-    near.sort((one, other) => Number(inZone(other)) - Number(inZone(one)));
-    return [...near, ...far];
-  }
-
   function advance(nowMs: number): void {
     if (candidate) {
-      fetches.want(missingDigests(candidate.manifest), nowMs);
-      requestChunks(candidate, nowMs);
+      fetches.want(sections.missing(candidate.manifest), nowMs);
+      requestChunks(candidate.generation, nowMs);
       if (fetches.missing() === 0 && bootReady(nowMs)) {
         accept(candidate, nowMs);
       }
@@ -311,76 +239,40 @@
     judgeFreshness(nowMs);
   }
 
-  function requestChunks(wanted: Candidate, nowMs: number): void {
-    const sources = sourcesOf(wanted.generation);
-    for (const request of fetches.next(sources, watching, nowMs)) {
-      if (request.source === 'store') {
-        actions.push({kind: 'read-chunk', digest: request.digest});
+  function requestChunks(generation: Generation, nowMs: number): void {
+    const sources = peers.sourcesOf(generation, view);
+    for (const {digest, source} of fetches.next(sources, watching, nowMs)) {
+      if (source === 'store') {
+        actions.push({kind: 'read-chunk', digest});
       } else {
-        send(request.source, {kind: 'chunk-wanted', digest: request.digest});
+        send(source, {kind: 'chunk-wanted', digest});
       }
     }
   }
 
   function accept(complete: Candidate, nowMs: number): void {
+    const {generation, manifest} = complete;
     candidate = undefined;
-    if (complete.generation <= (inForce?.generation ?? -1)) {
+    if (generation <= (inForce?.generation ?? -1)) {
       return;
     }
-    const sections = new Map<string, Section>();
-    for (const {section, digest} of complete.manifest) {
-      sections.set(section, chunks.get(digest)!.section);
-    }
-    compileConfiguration(sections, complete.generation).caseOf({
-      Left: problems => {
-        rejected = complete.generation;
-        const first = problems[0];
+    const assembled = sections.assemble(manifest);
+    compileConfiguration(assembled, generation).caseOf({
+      Left: ([first]) => {
+        rejected = generation;
         const problem = `${first?.section}: ${first?.path}: ${first?.problem}`;
-        actions.push({
-          kind: 'note',
-          note: {kind: 'rejected', generation: complete.generation, problem},
-        });
+        note({kind: 'rejected', generation, problem});
       },
       Right: configuration => {
         inForce = complete;
-        document = sections;
-        freshness.accepted(complete.generation);
-        remember(complete);
-        actions.push({kind: 'in-force', configuration, document: sections});
+        document = assembled;
+        freshness.accepted(generation);
+        history.remember(generation, manifest);
+        actions.push({kind: 'in-force', configuration, document: assembled});
         announceToAll(nowMs);
       },
     });
-    dropUnusedChunks();
-  }
-
-  function remember(accepted: Candidate): void {
-    manifests.set(accepted.generation, accepted.manifest);
-    for (const oldest of manifests.keys()) {
-      if (manifests.size <= REMEMBERED_MANIFESTS) {
-        break;
-      }
-      manifests.delete(oldest);
-    }
-  }
-
-  function dropUnusedChunks(): void {
-    const used = new Set(inForce?.manifest.map(entry => entry.digest));
-    for (const digest of [...chunks.keys()]) {
-      if (!used.has(digest)) {
-        chunks.delete(digest);
-      }
-    }
-  }
-
-  /** Whether a peer runs a generation that this VM could and does not run. */
-  function outrun(): boolean {
-    const ours = Math.max(inForce?.generation ?? -1, rejected ?? -1);
-    for (const theirs of announced.values()) {
-      if (theirs !== undefined && theirs > ours) {
-        return true;
-      }
-    }
-    return false;
+    sections.retain(inForce?.manifest ?? []);
   }
 
   function judgeFreshness(nowMs: number): void {
@@ -401,7 +293,10 @@
       case 'store-away':
         return true;
       case 'behind':
-        return !outrun();
+        // Others can take the work only if one of them runs the newer one.
+        return !peers.anyAbove(
+          Math.max(inForce?.generation ?? -1, rejected ?? -1),
+        );
       case 'cut-off':
         return false;
       default:
@@ -412,10 +307,10 @@
   function takeView(next: MembershipView): void {
     view = next;
     const present: VmId[] = [options.vm];
-    for (const vm of next.vms.values()) {
-      const usable = vm.state === 'live' || vm.state === 'leaving';
-      if (usable && vm.region === options.region && vm.vm !== options.vm) {
-        present.push(vm.vm);
+    for (const {vm, state, region} of next.vms.values()) {
+      const usable = state === 'live' || state === 'leaving';
+      if (usable && region === options.region && vm !== options.vm) {
+        present.push(vm);
       }
     }
     const order = rankByRendezvous('configuration-watch', present);
@@ -429,16 +324,13 @@
   /** Others than watchers read the head when no confirmation comes in. */
   function readIfUnconfirmed(nowMs: number): void {
     const confirmedAtMs = freshness.confirmedAtMs();
-    const halfMs = options.staleAfterMs / 2;
     const confirmed =
-      confirmedAtMs !== undefined && nowMs - confirmedAtMs <= halfMs;
+      confirmedAtMs !== undefined &&
+      nowMs - confirmedAtMs <= options.staleAfterMs / 2;
     if (watching || confirmed || nowMs < nextReadMs) {
       return;
     }
-    nextReadMs = nowMs + readIntervalMs;
-    if (!inForce) {
-      nextReadMs = nowMs + BOOT_READ_INTERVAL_MS;
-    }
+    nextReadMs = nowMs + (inForce ? readIntervalMs : BOOT_READ_INTERVAL_MS);
     actions.push({kind: 'read-head'});
   }
 
@@ -449,10 +341,6 @@
     }
   }
 
-  function storeFailed(): void {
-    readIntervalMs = Math.min(readIntervalMs * 2, LONGEST_READ_INTERVAL_MS);
-  }
-
   function handle(event: RolloutEvent, nowMs: number): void {
     switch (event.kind) {
       case 'started':
@@ -461,11 +349,11 @@
         actions.push({kind: 'read-head'});
         return;
       case 'peer-connected':
-        announced.set(event.peer, undefined);
+        peers.connected(event.peer);
         send(event.peer, announcement(nowMs));
         return;
       case 'peer-disconnected':
-        announced.delete(event.peer);
+        peers.disconnected(event.peer);
         fetches.sourceLost(event.peer);
         return;
       case 'membership-changed':
@@ -475,10 +363,13 @@
         takeHead(event.head, event.askedAtMs);
         return;
       case 'store-failed':
-        storeFailed();
+        readIntervalMs = Math.min(readIntervalMs * 2, LONGEST_READ_INTERVAL_MS);
         return;
       case 'chunk-read':
-        takeStoreChunk(event.digest, event.text, nowMs);
+        if (event.text !== undefined) {
+          takeChunk(event.digest, event.text);
+        }
+        fetches.failed(event.digest, 'store', nowMs);
         return;
       case 'peer-message':
         takePeerMessage(event.from, event.message, nowMs);
@@ -491,17 +382,6 @@
     }
   }
 
-  function takeStoreChunk(
-    digest: string,
-    text: string | undefined,
-    nowMs: number,
-  ): void {
-    if (text !== undefined) {
-      takeChunk(digest, text);
-    }
-    fetches.failed(digest, 'store', nowMs);
-  }
-
   return {
     step: (event, nowMs) => {
       actions = [];
@@ -524,15 +404,3 @@
     },
   };
 }
-
-function parseSection(digest: string, text: string): Section | undefined {
-  if (chunkDigest(text) !== digest) {
-    return undefined;
-  }
-  try {
-    const parsed = sectionSchema.safeParse(JSON.parse(text));
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- /dev/null
+++ b/packages/decision/src/core/rollout/manifest_history.ts
@@ -0,0 +1,63 @@
+/** The last manifests, to tell peers only what changed since theirs. */
+import type {Generation} from '../model/index.js';
+import {
+  type Manifest,
+  applyDifference,
+  manifestDifference,
+  manifestDigest,
+} from './manifest.js';
+import type {ConfigurationPeerMessage} from './peer_messages.js';
+
+const REMEMBERED_MANIFESTS = 16;
+
+type ManifestMessage = Extract<ConfigurationPeerMessage, {kind: 'manifest'}>;
+
+export interface ManifestHistory {
+  remember(generation: Generation, manifest: Manifest): void;
+  /** The difference to what the asker has, or the whole manifest. */
+  message(
+    generation: Generation,
+    manifest: Manifest,
+    have: Generation | undefined,
+  ): ManifestMessage;
+  /** Nothing when the base is unknown here or the digest does not hold. */
+  manifestOf(message: ManifestMessage): Manifest | undefined;
+}
+
+export function createManifestHistory(): ManifestHistory {
+  const manifests = new Map<Generation, Manifest>();
+
+  return {
+    remember: (generation, manifest) => {
+      manifests.set(generation, manifest);
+      for (const oldest of manifests.keys()) {
+        if (manifests.size <= REMEMBERED_MANIFESTS) {
+          break;
+        }
+        manifests.delete(oldest);
+      }
+    },
+    message: (generation, manifest, have) => {
+      const base = have === undefined ? undefined : manifests.get(have);
+      const difference = base
+        ? manifestDifference(base, manifest)
+        : {entries: manifest, removed: []};
+      return {
+        kind: 'manifest',
+        generation,
+        digest: manifestDigest(manifest),
+        ...(base ? {base: have} : {}),
+        ...difference,
+      };
+    },
+    manifestOf: message => {
+      const base =
+        message.base === undefined ? [] : manifests.get(message.base);
+      if (!base) {
+        return undefined;
+      }
+      const manifest = applyDifference(base, message);
+      return manifestDigest(manifest) === message.digest ? manifest : undefined;
+    },
+  };
+}
