--- a/packages/decision/src/core/membership/create_membership.ts
+++ b/packages/decision/src/core/membership/create_membership.ts
@@ -20,7 +20,11 @@
 import type {Beat, VmUpdate} from './peer_messages.js';
 import {type PeerState, createPeerTable} from './peer_table.js';
 import {createVmRecords} from './records.js';
-import {createRegionAges, silentAfterMs} from './region_ages.js';
+import {
+  FAR_BEAT_FACTOR,
+  createRegionAges,
+  silentAfterMs,
+} from './region_ages.js';
 import {createSelfWatch} from './self_watch.js';
 import {listUpdates} from './platform_list.js';
 import type {
@@ -163,14 +167,20 @@
         continue;
       }
       const sinceMs = nowMs - peer.lastSentMs;
-      const intervalMs =
-        peer.pending.size > 0 ? NEWS_INTERVAL_MS : heartbeatIntervalMs;
-      if (sinceMs >= Math.min(intervalMs, heartbeatIntervalMs)) {
+      if (sinceMs >= beatIntervalMs(vm, peer)) {
         sendBeat(vm, peer, nowMs);
       }
     }
   }
 
+  function beatIntervalMs(vm: VmId, peer: PeerState): number {
+    if (peer.pending.size > 0) {
+      return Math.min(NEWS_INTERVAL_MS, heartbeatIntervalMs);
+    }
+    const near = records.get(vm)?.region === options.region;
+    return near ? heartbeatIntervalMs : heartbeatIntervalMs * FAR_BEAT_FACTOR;
+  }
+
   function checkSelf(nowMs: number): void {
     if (selfWatch.tick(nowMs)) {
       doubtUntilMs = nowMs + suspectAfterMs;
--- a/packages/decision/src/core/membership/records.ts
+++ b/packages/decision/src/core/membership/records.ts
@@ -78,6 +78,13 @@
     if (revision < record.revision) {
       return 'outdated';
     }
+    if (record.revision === 0 && record.state === state) {
+      // First heard of, and as assumed: a fleet that starts tells nobody.
+      record.revision = revision;
+      learnDetails(record, incarnation, generation);
+      digest = undefined;
+      return 'known';
+    }
     if (revision === record.revision) {
       if (RANK[state] < RANK[record.state]) {
         return 'outdated';
--- a/packages/decision/src/core/membership/region_ages.ts
+++ b/packages/decision/src/core/membership/region_ages.ts
@@ -1,6 +1,8 @@
 /** When each region was last heard of, by this VM or by those it hears. */
 import type {RegionName, VmId} from '../model/index.js';
 
+/** Beats between regions are this much rarer than within one. */
+export const FAR_BEAT_FACTOR = 2;
 /** Added to an age for each hop: queues and the way. */
 const HOP_ALLOWANCE_MS = 250;
 /** With more regions than this, a beat holds only those with news. */
@@ -38,11 +40,12 @@
   suspectAfterMs: number,
 ): number {
   const vmsPerRegion = Math.max(1, Math.ceil(vmCount / regionCount));
-  const hops =
-    Math.ceil(Math.log(Math.max(2, regionCount)) / Math.log(3)) +
-    Math.ceil(Math.sqrt(vmsPerRegion) / 2);
+  const farHops = Math.ceil(Math.log(Math.max(2, regionCount)) / Math.log(3));
+  const nearHops = Math.ceil(Math.sqrt(vmsPerRegion) / 2);
   const grainMs = regionNewsGrainMs(regionCount, heartbeatIntervalMs);
-  return suspectAfterMs + hops * (heartbeatIntervalMs + grainMs);
+  const nearMs = nearHops * (heartbeatIntervalMs + grainMs);
+  const farMs = farHops * (FAR_BEAT_FACTOR * heartbeatIntervalMs + grainMs);
+  return suspectAfterMs + nearMs + farMs;
 }
 
 export function createRegionAges(heartbeatIntervalMs: number): RegionAges {
--- a/packages/library/src/plugins/configuration/configuration_task.ts
+++ b/packages/library/src/plugins/configuration/configuration_task.ts
@@ -39,7 +39,8 @@
     region: settings.vm.region,
     zone: settings.vm.zone,
     staleAfterMs,
-    announceIntervalMs: settings.membership.heartbeatIntervalMs,
+    // Changes are announced at once; this repeats them.
+    announceIntervalMs: 2 * settings.membership.heartbeatIntervalMs,
     floorGeneration: floor.generation,
   });
   const headWatch = createHeadWatch({
