--- a/packages/decision/src/core/drains/drain_progress.ts
+++ b/packages/decision/src/core/drains/drain_progress.ts
@@ -1,8 +1,9 @@
 /** How far a planned drain is; a function of its fields and the time. */
 import type {Drain} from '../model/index.js';
 
+/** `returning`: ended or aborted, and the scope takes its work back evenly. */
 export type DrainState =
-  'planned' | 'ramping' | 'drained' | 'ended' | 'aborted';
+  'planned' | 'ramping' | 'drained' | 'returning' | 'ended' | 'aborted';
 
 export interface DrainProgress {
   readonly state: DrainState;
@@ -14,37 +15,63 @@
 
 /** @param wallMs Unix time in milliseconds. */
 export function drainProgress(drain: Drain, wallMs: number): DrainProgress {
+  const fraction = drainedFraction(drain, wallMs);
+  const over = overState(drain, wallMs);
+  if (over) {
+    return fraction > 0
+      ? {state: 'returning', fraction, timeLeftMs: fraction * drain.rampMs}
+      : {state: over, fraction};
+  }
+  if (wallMs < drain.startAtMs) {
+    return {state: 'planned', fraction, timeLeftMs: drain.startAtMs - wallMs};
+  }
+  if (fraction < 1) {
+    const timeLeftMs = drain.startAtMs + drain.rampMs - wallMs;
+    return {state: 'ramping', fraction, timeLeftMs};
+  }
+  const timeLeftMs =
+    drain.endAtMs === undefined ? undefined : drain.endAtMs - wallMs;
+  return {state: 'drained', fraction, timeLeftMs};
+}
+
+function overState(
+  drain: Drain,
+  wallMs: number,
+): 'ended' | 'aborted' | undefined {
   if (drain.abortedAtMs !== undefined && wallMs >= drain.abortedAtMs) {
-    return {state: 'aborted', fraction: 0};
+    return 'aborted';
   }
   if (drain.endAtMs !== undefined && wallMs >= drain.endAtMs) {
-    return {state: 'ended', fraction: 0};
+    return 'ended';
   }
-  if (wallMs < drain.startAtMs) {
-    return {
-      state: 'planned',
-      fraction: 0,
-      timeLeftMs: drain.startAtMs - wallMs,
-    };
-  }
-  const elapsedMs = wallMs - drain.startAtMs;
-  if (elapsedMs < drain.rampMs) {
-    return {
-      state: 'ramping',
-      fraction: elapsedMs / drain.rampMs,
-      timeLeftMs: drain.rampMs - elapsedMs,
-    };
-  }
-  return {
-    state: 'drained',
-    fraction: 1,
-    timeLeftMs:
-      drain.endAtMs === undefined ? undefined : drain.endAtMs - wallMs,
-  };
+  return undefined;
 }
 
-/** Whether the drain still has, or will have, an effect. */
+/** Whether the drain takes work away now or will, unless it is aborted. */
 export function isDrainOpen(drain: Drain, wallMs: number): boolean {
-  const {state} = drainProgress(drain, wallMs);
-  return state === 'planned' || state === 'ramping' || state === 'drained';
+  return overState(drain, wallMs) === undefined;
+}
+
+/** Fraction of the scope that is drained, 0 to 1; falls as evenly as it rose. */
+export function drainedFraction(drain: Drain, wallMs: number): number {
+  const stopMs = Math.min(
+    drain.endAtMs ?? Infinity,
+    drain.abortedAtMs ?? Infinity,
+  );
+  const risen = rise(drain, Math.min(wallMs, stopMs));
+  if (wallMs <= stopMs) {
+    return risen;
+  }
+  if (drain.rampMs === 0) {
+    return 0;
+  }
+  return Math.max(0, risen - (wallMs - stopMs) / drain.rampMs);
+}
+
+function rise(drain: Drain, wallMs: number): number {
+  const sinceMs = wallMs - drain.startAtMs;
+  if (sinceMs < 0) {
+    return 0;
+  }
+  return drain.rampMs === 0 ? 1 : Math.min(1, sinceMs / drain.rampMs);
 }
