--- a/packages/command_line/src/commands/events.ts
+++ b/packages/command_line/src/commands/events.ts
@@ -1,7 +1,7 @@
 import {EitherAsync, Left, Right} from 'purify-ts';
 import {askJournals} from '../core/ask_journals.js';
 import {defineCommand} from '../core/command.js';
-import {describeEntry, mergeEntries} from '../core/journal_text.js';
+import {describeEntries, mergeEntries} from '../core/journal_text.js';
 import {invalidInput, parseInstant} from '../core/parse_inputs.js';
 import type {Errors} from '../core/dependencies.js';
 
@@ -36,9 +36,7 @@
       );
       const entries = mergeEntries(answers);
       const text =
-        entries.length === 0
-          ? 'No events.'
-          : entries.map(describeEntry).join('\n');
+        entries.length === 0 ? 'No events.' : describeEntries(entries);
       return {
         text,
         data: {entries, silent},
--- a/packages/command_line/src/commands/explain.ts
+++ b/packages/command_line/src/commands/explain.ts
@@ -3,7 +3,7 @@
 import {EitherAsync, Left} from 'purify-ts';
 import {askJournals} from '../core/ask_journals.js';
 import {defineCommand} from '../core/command.js';
-import {describeEntry, mergeEntries} from '../core/journal_text.js';
+import {describeEntries, mergeEntries} from '../core/journal_text.js';
 import {parseName} from '../core/parse_inputs.js';
 
 /** Tells what the fleet did with one request, and why. */
@@ -33,7 +33,7 @@
       }
       const entries = mergeEntries(answers);
       return {
-        text: entries.map(describeEntry).join('\n'),
+        text: describeEntries(entries),
         data: {request, entries, silent},
         warnings: silent.map(told => `no answer from ${told}`),
       };
--- a/packages/command_line/src/commands/status.ts
+++ b/packages/command_line/src/commands/status.ts
@@ -118,14 +118,16 @@
 
 function describePool(pool: PoolStatusAnswer): string[] {
   const headroom =
-    pool.usableSlots === 0 ? 0 : 1 - pool.inFlight / pool.usableSlots;
+    pool.usableSlots === 0
+      ? 'none held'
+      : formatPercent(1 - pool.inFlight / pool.usableSlots);
   return [
     pool.region,
     pool.service,
     String(pool.usableSlots),
     String(pool.inFlight),
     String(pool.queued),
-    formatPercent(headroom),
+    headroom,
   ];
 }
 
--- a/packages/command_line/src/core/describe_change.ts
+++ b/packages/command_line/src/core/describe_change.ts
@@ -1,5 +1,5 @@
 /** Text of a change: what it alters, what to watch, and whether it was made. */
-import type {Impact} from '@ibisbeam/decision';
+import type {Impact, SectionName} from '@ibisbeam/decision';
 import type {CommandAnswer} from './answer.js';
 import type {ChangeOutcome} from './configuration_access.js';
 import type {FleetLoad} from './operator_client.js';
@@ -45,7 +45,10 @@
       "The store's answer was lost; the change was found by read-back.",
     );
   }
-  const text = [describeImpact(impact), ...notes, done].join('\n');
+  const shown = sections.some(isSteeringSection)
+    ? [describeImpact(impact)]
+    : [];
+  const text = [...shown, ...notes, done].join('\n');
   return {
     text,
     data: {accepted: accepted ?? null, dryRun: !accepted, sections, impact},
@@ -53,6 +56,11 @@
   };
 }
 
+/** Approvals, drains and shifts change no policy, so that nothing is said. */
+function isSteeringSection(section: SectionName): boolean {
+  return !['approvals', 'drains', 'shifts'].includes(section);
+}
+
 function impactWarnings(impact: Impact): readonly string[] {
   return impact.findings.map(({limit, message}) => `${limit}: ${message}`);
 }
--- /dev/null
+++ b/packages/command_line/test/end_to_end.test.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync, readFileSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {after, before, test} from 'node:test';
+import {createSilentLogger, createSystemTimerService} from '@ibisbeam/library';
+import {
+  type LocalDeployment,
+  startLocalDeployment,
+  writeOperatorFolder,
+} from '@ibisbeam/stand-ins';
+import {
+  EXIT_STATUS,
+  createSystemDependencies,
+  runCommandLine,
+} from '../src/index.js';
+
+const WORKSPACE = 'daugava-scholars-lodging';
+const SERVICE = 'room-availability';
+/** The longest that a revocation may take to be in force everywhere. */
+const IN_FORCE_BOUND_MS = 11_000;
+
+const timers = createSystemTimerService();
+const folder = mkdtempSync(join(tmpdir(), 'ibisbeam-'));
+let deployment: LocalDeployment;
+
+before(async () => {
+  deployment = await startLocalDeployment({
+    name: 'daugava',
+    entryVmCount: 3,
+    workerDivisor: 4,
+    clientBlockCount: 9,
+    timers,
+    logger: createSilentLogger(),
+    seed: 5,
+  });
+  await writeOperatorFolder({
+    folder,
+    keys: deployment.keys,
+    platformUrl: deployment.platformUrl,
+    operatorPorts: deployment.vms.map(({entryVm}) => entryVm.operatorAddress),
+    callerAddress: deployment.vms[0]!.entryVm.callerAddress,
+    workspace: WORKSPACE,
+    owner: 'lodging-services',
+    callingTeam: 'front-desk',
+    newTeam: 'night-desk',
+  });
+  await deployment.inForce(1);
+});
+after(async () => {
+  await deployment.stop();
+  rmSync(folder, {recursive: true});
+});
+
+async function run(who: string, ...commandArguments: readonly string[]) {
+  let output = '';
+  const status = await runCommandLine(
+    [...commandArguments, '--profile', join(folder, `${who}.jsonc`)],
+    {
+      ...createSystemDependencies(),
+      write: text => {
+        output += text;
+      },
+      writeError: text => {
+        output += text;
+      },
+    },
+  );
+  return {status, output};
+}
+
+async function send(vm: number, requestId: string) {
+  const {callerAddress} = deployment.vms[vm]!.entryVm;
+  const text = readFileSync(join(folder, 'environment.sh'), 'utf8');
+  const token = /NEW_TEAM_TOKEN='([^']+)'/.exec(text)![1]!;
+  const response = await fetch(
+    `http://${callerAddress}/v1/workspaces/${WORKSPACE}/services/${SERVICE}/x`,
+    {
+      headers: {
+        authorization: `Bearer ${token}`,
+        'ibisbeam-request-id': requestId,
+      },
+    },
+  );
+  return {status: response.status, body: await response.text()};
+}
+
+async function untilEverywhere(status: number, id: string): Promise<void> {
+  const endMs = timers.nowMs() + IN_FORCE_BOUND_MS;
+  for (const vm of deployment.vms.keys()) {
+    while ((await send(vm, `${id}-${vm}`)).status !== status) {
+      assert.ok(timers.nowMs() < endMs, `VM ${vm} does not answer ${status}`);
+      await timers.sleep(20);
+    }
+  }
+}
+
+test('a granted team may send and a revoked one may not, at every VM', async () => {
+  const team = ['--workspace', WORKSPACE, '--service', SERVICE];
+  team.push('--team', 'night-desk');
+  const asked = await run('team', 'approval', 'request', ...team);
+  assert.equal(asked.status, EXIT_STATUS.done, asked.output);
+  assert.equal((await send(0, 'unapproved')).status, 403);
+  const granted = await run('owner', 'approval', 'grant', ...team);
+  assert.equal(granted.status, EXIT_STATUS.done, granted.output);
+  await untilEverywhere(200, 'granted');
+  const revoked = await run('owner', 'approval', 'revoke', ...team);
+  assert.equal(revoked.status, EXIT_STATUS.done, revoked.output);
+  await untilEverywhere(403, 'revoked');
+  const {body} = await send(0, 'revoked');
+  assert.match(body, /"outcome":"not-run"/);
+  const explained = await run('operator', 'explain', 'revoked');
+  assert.equal(explained.status, EXIT_STATUS.done, explained.output);
+  assert.match(explained.output, /refusal=not-approved/);
+});
+
+test('status of all VMs and the burn report come from running VMs', async () => {
+  const status = await run('operator', 'status', '--all');
+  assert.equal(status.status, EXIT_STATUS.done, status.output);
+  assert.match(status.output, /riga\s+room-availability\s+\d+/);
+  const burn = await run('operator', 'report', 'burn');
+  assert.equal(burn.status, EXIT_STATUS.done, burn.output);
+  assert.match(burn.output, /at no cost to the budget: not-approved/);
+});
+
+test('with the store away status works and changes say so', async () => {
+  deployment.platform.faults.down = true;
+  const status = await run('operator', 'status');
+  const set = await run(
+    ...(['operator', 'workspace', 'set', WORKSPACE, 'shiftCap=0.05'] as const),
+  );
+  deployment.platform.faults.down = false;
+  assert.equal(status.status, EXIT_STATUS.done, status.output);
+  assert.equal(set.status, EXIT_STATUS.storeUnavailable, set.output);
+});
--- a/packages/command_line/test/operator_port.test.ts
+++ b/packages/command_line/test/operator_port.test.ts
@@ -122,6 +122,23 @@
   assert.ok(entries.some(entry => entry.event === 'configuration-in-force'));
 });
 
+test('a flood of unapproved requests does not push out a real refusal', async () => {
+  const real = {result: 'refused', refusal: 'region-full'} as const;
+  const fault = {result: 'refused', refusal: 'not-approved'} as const;
+  const publish = (id: string, changes: object) =>
+    vm.kernel.publish({
+      kind: 'request-finished',
+      record: sampleRecord(id, changes),
+    });
+  publish('real', real);
+  for (let count = 0; count < 6_000; count += 1) {
+    publish(`fault-${count}`, fault);
+  }
+  const token = await operatorToken();
+  assert.equal((await call('GET /v1/explain/real', token)).status, 200);
+  assert.equal((await call('GET /v1/explain/fault-0', token)).status, 404);
+});
+
 test('burn counts answers, lateness and refusals of known services only', async () => {
   const configuration = sampleConfiguration();
   vm.kernel.publish({kind: 'configuration-in-force', configuration});
--- a/packages/decision/src/core/drains/check_drain.ts
+++ b/packages/decision/src/core/drains/check_drain.ts
@@ -155,6 +155,9 @@
       );
     }
   }
+  if (!rows.some(row => row.slotsLeft > 0)) {
+    return [`${rows[0]!.service}: no slot would be left in any region`];
+  }
   if (overflow <= free) {
     return [];
   }
--- a/packages/library/src/core/errors/catalogue.ts
+++ b/packages/library/src/core/errors/catalogue.ts
@@ -110,7 +110,7 @@
   HeadroomMissing: {
     title: 'The remaining capacity would not be enough.',
     message: ({where, figures}) => `${String(where)}: ${String(figures)}`,
-    hint: 'Nothing was changed. Choose a smaller scope, a longer ramp or a quieter hour.',
+    hint: 'Nothing was changed. Take a smaller step; for a drain also a longer ramp or a quieter hour.',
   },
   LoadUnknown: {
     title: 'The present load is not fully known.',
--- /dev/null
+++ b/packages/library/src/plugins/forwarding/early_refusal.ts
@@ -0,0 +1,28 @@
+/** The record of a request that was refused before it was steered. */
+import type {RequestRecord} from '@ibisbeam/decision';
+import {refusalStatus} from '../../core/http/index.js';
+import type {IntakeRefusal} from './intake.js';
+
+/** @returns Nothing when it is not known whose request it was. */
+export function earlyRecord(
+  refused: IntakeRefusal,
+  nowMs: number,
+): RequestRecord | undefined {
+  const {request, workspace, service, callingTeam, refusal} = refused;
+  if (!request || !workspace || !service || !callingTeam) {
+    return undefined;
+  }
+  return {
+    request,
+    workspace,
+    service,
+    callingTeam,
+    startedAtMs: nowMs,
+    durationMs: 0,
+    result: 'refused',
+    status: refusalStatus(refusal),
+    refusal: refusal.reason,
+    attempts: 0,
+    explanation: refusal.detail === undefined ? undefined : [refusal.detail],
+  };
+}
--- a/packages/library/src/plugins/forwarding/forwarder.ts
+++ b/packages/library/src/plugins/forwarding/forwarder.ts
@@ -34,6 +34,7 @@
   type ConfigurationView,
   createConfigurationView,
 } from './configuration_view.js';
+import {earlyRecord} from './early_refusal.js';
 import {type Exchange, createExchange} from './exchange.js';
 import {createHealthPoller} from './health_poller.js';
 import {type Intake, type IntakeRefusal, createIntake} from './intake.js';
@@ -249,6 +250,10 @@
 
   function refuseEarly(response: ServerResponse, refused: IntakeRefusal): void {
     reporter.refusedEarly(refused);
+    const record = earlyRecord(refused, timers.wallMs());
+    if (record) {
+      context.publish({kind: 'request-finished', record});
+    }
     if (response.destroyed) {
       return;
     }
--- a/packages/library/src/plugins/journal/journal_task.ts
+++ b/packages/library/src/plugins/journal/journal_task.ts
@@ -1,4 +1,8 @@
-import type {MembershipView, RequestRecord} from '@ibisbeam/decision';
+import {
+  type MembershipView,
+  type RequestRecord,
+  spendsBudget,
+} from '@ibisbeam/decision';
 import type {Task, TaskContext} from '../../core/kernel/index.js';
 import type {
   JournalEntry,
@@ -8,12 +12,14 @@
 import type {TimerHandle} from '../../core/timers/index.js';
 import {describeEvent, describeMembershipChange} from './describe_event.js';
 import {createRefusalTally} from './refusal_tally.js';
-import {createRing} from './ring.js';
+import {type Ring, createRing} from './ring.js';
 
 /** Events of the VM itself; a night's worth. */
 const EVENT_CAPACITY = 5_000;
 /** Requests that were refused, broken off or of unknown outcome. */
 const NOTABLE_REQUEST_CAPACITY = 5_000;
+/** Refusals that callers brought about, such as a missing approval. */
+const CALLER_FAULT_CAPACITY = 1_000;
 /** Answered requests and decisions; a busy VM fills it in seconds. */
 const ORDINARY_REQUEST_CAPACITY = 4_000;
 const TALLY_INTERVAL_MS = 60_000;
@@ -23,6 +29,7 @@
   const {timers} = context;
   const events = createRing<JournalEntry>(EVENT_CAPACITY);
   const notable = createRing<JournalEntry>(NOTABLE_REQUEST_CAPACITY);
+  const callerFaults = createRing<JournalEntry>(CALLER_FAULT_CAPACITY);
   const ordinary = createRing<JournalEntry>(ORDINARY_REQUEST_CAPACITY);
   const tally = createRefusalTally();
   let lastView: MembershipView | undefined;
@@ -37,8 +44,16 @@
       request,
       fields,
     };
-    const ring = record.result === 'answered' ? ordinary : notable;
-    ring.add(entry);
+    ringOf(record).add(entry);
+  }
+
+  /** A flood of wrong requests must not push out those that went wrong. */
+  function ringOf({result, refusal}: RequestRecord): Ring<JournalEntry> {
+    if (result === 'answered') {
+      return ordinary;
+    }
+    const ownFault = refusal === undefined || spendsBudget(refusal);
+    return ownFault ? notable : callerFaults;
   }
 
   function observe(event: VmEvent): void {
@@ -72,7 +87,11 @@
   function receive(message: TaskMessages['journal']): void {
     const {request, sinceWallMs = 0, limit} = message;
     if (request !== undefined) {
-      const all = [...ordinary.items(), ...notable.items()];
+      const all = [
+        ...ordinary.items(),
+        ...callerFaults.items(),
+        ...notable.items(),
+      ];
       const found = all.filter(entry => entry.request === request);
       message.reply(found.slice(-limit));
       return;
--- /dev/null
+++ b/packages/stand_ins/src/core/operator_folder/index.ts
@@ -0,0 +1,1 @@
+export * from './operator_folder.js';
--- a/packages/stand_ins/src/demonstration/main.ts
+++ b/packages/stand_ins/src/demonstration/main.ts
@@ -1,9 +1,11 @@
 /** `npm start`: the whole system in one process, for a newcomer to watch. */
+import {join, relative} from 'node:path';
 import {
   createKeyValueLogger,
   createSilentLogger,
   createSystemTimerService,
 } from '@ibisbeam/library';
+import {writeOperatorFolder} from '../core/operator_folder/index.js';
 import {
   type Demonstration,
   runDemonstration,
@@ -34,6 +36,7 @@
   });
   if (keep) {
     printAddresses(demonstration);
+    await printOperatorFolder(demonstration);
     continue;
   }
   await runDemonstration(demonstration);
@@ -60,3 +63,25 @@
   );
   narrator.happened(`platform: ${deployment.platformUrl}`);
 }
+
+/** How to act as operator, target owner and calling team. */
+async function printOperatorFolder(
+  demonstration: Demonstration,
+): Promise<void> {
+  const {deployment, facts} = demonstration;
+  const owners = [...demonstration.configuration.services.values()];
+  const file = await writeOperatorFolder({
+    folder: join('.ibisbeam', facts.name),
+    keys: deployment.keys,
+    platformUrl: deployment.platformUrl,
+    operatorPorts: deployment.vms.map(({entryVm}) => entryVm.operatorAddress),
+    callerAddress: deployment.vms[0]!.entryVm.callerAddress,
+    workspace: facts.workspace,
+    owner: owners[0]!.owner,
+    callingTeam: facts.team,
+    newTeam: 'night-desk',
+  });
+  narrator.happened(
+    `operators: . ${relative('.', file)} && npm run --silent ibisbeam -- status`,
+  );
+}
--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -1,5 +1,6 @@
 /** Stand-ins for the platform and for targets; for tests and benches only. */
 export * from './core/deployments/index.js';
+export * from './core/operator_folder/index.js';
 export * from './core/platform_store/index.js';
 export * from './core/targets/index.js';
 export * from './core/keys/index.js';
