--- a/packages/decision/src/core/drains/drain_progress.ts
+++ b/packages/decision/src/core/drains/drain_progress.ts
@@ -1,6 +1,5 @@
 /** How far a planned drain is; a function of its fields and the time. */
 import type {Drain} from '../model/index.js';
-import {drainedFraction} from '../shifts/index.js';
 
 /** `returning`: ended or aborted, and the scope takes its work back evenly. */
 export type DrainState =
@@ -52,3 +51,27 @@
 export function isDrainOpen(drain: Drain, wallMs: number): boolean {
   return overState(drain, wallMs) === undefined;
 }
+
+/** Fraction of the scope that is drained, 0 to 1; falls as evenly as it rose. */
+export function drainedFraction(drain: Drain, wallMs: number): number {
+  const stopMs = Math.min(
+    drain.endAtMs ?? Infinity,
+    drain.abortedAtMs ?? Infinity,
+  );
+  const risen = rise(drain, Math.min(wallMs, stopMs));
+  if (wallMs <= stopMs) {
+    return risen;
+  }
+  if (drain.rampMs === 0) {
+    return 0;
+  }
+  return Math.max(0, risen - (wallMs - stopMs) / drain.rampMs);
+}
+
+function rise(drain: Drain, wallMs: number): number {
+  const sinceMs = wallMs - drain.startAtMs;
+  if (sinceMs < 0) {
+    return 0;
+  }
+  return drain.rampMs === 0 ? 1 : Math.min(1, sinceMs / drain.rampMs);
+}
--- a/packages/decision/src/core/shifts/drained_targets.ts
+++ b/packages/decision/src/core/shifts/drained_targets.ts
@@ -1,5 +1,5 @@
 /** Drains of targets and zones, as functions of the configuration and time. */
-import {drainProgress, scopeCoversTarget} from '../drains/index.js';
+import {drainedFraction, scopeCoversTarget} from '../drains/index.js';
 import type {Configuration, ServiceName, Target} from '../model/index.js';
 
 /**
@@ -16,7 +16,7 @@
   for (const drain of configuration.drains) {
     const {scope} = drain;
     if (scope.kind !== 'region' && scopeCoversTarget(scope, service, target)) {
-      fraction = Math.max(fraction, drainProgress(drain, wallMs).fraction);
+      fraction = Math.max(fraction, drainedFraction(drain, wallMs));
     }
   }
   return fraction;
