--- a/packages/invariants/test/checks.test.ts
+++ b/packages/invariants/test/checks.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
+  type Outcome,
+  type RefusalReason,
   generation,
   regionName,
   requestId,
@@ -77,6 +79,44 @@
   end: {kind: 'answered', answerTo: requestId(answerTo), whole},
 });
 
+function refusedAs(
+  name: string,
+  atMs: number,
+  reason: RefusalReason,
+  outcome: Outcome,
+): TraceEvent {
+  return {
+    kind: 'request-ended',
+    atMs,
+    request: requestId(name),
+    end: {kind: 'refused', reason, outcome},
+  };
+}
+
+const cohortAtHome = (name: string, cohort: number, atMs: number) => [
+  sent(name, atMs, cohort),
+  atTarget('run-started', name, atMs, first),
+];
+
+const cohortAway = (name: string, cohort: number, atMs: number) => [
+  sent(name, atMs, cohort),
+  atTarget('run-started', name, atMs, away),
+];
+
+/** A cohort moves; after the time to agree, it is served and held back. */
+function movedCohorts(served: number, heldBack: number): TraceEvent[] {
+  const events: TraceEvent[] = [...cohortAway('first', 1, 0)];
+  for (let index = 0; index < served; index += 1) {
+    events.push(...cohortAway(`served-${index}`, 1, 3_001));
+  }
+  for (let index = 0; index < heldBack; index += 1) {
+    const name = `held-back-${index}`;
+    events.push(sent(name, 3_002));
+    events.push(refusedAs(name, 3_002, 'shift-cap-reached', 'not-run'));
+  }
+  return events;
+}
+
 const accepted = (atMs: number, number: number): TraceEvent => ({
   kind: 'configuration-accepted',
   atMs,
@@ -136,18 +176,38 @@
     check: 'shift-cap',
     name: 'two cohorts move within an interval that allows one',
     broken: [
-      sent('a', 0, 1),
-      sent('b', 0, 2),
-      atTarget('run-started', 'a', 1, away),
-      atTarget('run-started', 'b', 1_000, away),
+      ...cohortAtHome('a', 1, 10),
+      ...cohortAtHome('b', 2, 11),
+      ...cohortAway('c', 1, 12),
+      ...cohortAway('d', 2, 1_009),
+    ],
+    kept: [
+      ...cohortAtHome('a', 1, 10),
+      ...cohortAtHome('b', 2, 11),
+      ...cohortAway('c', 1, 12),
+      ...cohortAway('d', 2, 1_012),
+    ],
+  },
+  {
+    check: 'shift-cap',
+    name: 'three cohorts have moved when two intervals have begun',
+    broken: [
+      ...cohortAway('a', 1, 0),
+      ...cohortAway('b', 2, 500),
+      ...cohortAway('c', 3, 999),
     ],
     kept: [
-      sent('a', 0, 1),
-      sent('b', 0, 2),
-      atTarget('run-started', 'a', 1, away),
-      atTarget('run-started', 'b', 1_001, away),
+      ...cohortAway('a', 1, 0),
+      ...cohortAway('b', 2, 500),
+      ...cohortAway('c', 3, 1_001),
     ],
   },
+  {
+    check: 'shift-progress',
+    name: 'three in fifty requests of moved cohorts are held back',
+    broken: movedCohorts(47, 3),
+    kept: movedCohorts(48, 2),
+  },
   {
     check: 'link-budget',
     name: 'flows take more than the usable part of a link',
@@ -170,22 +230,28 @@
     broken: [
       sent('a', 0),
       atTarget('run-started', 'a', 1),
-      {
-        kind: 'request-ended',
-        atMs: 2,
-        request: requestId('a'),
-        end: {kind: 'refused', reason: 'target-failed', outcome: 'not-run'},
-      },
+      refusedAs('a', 2, 'target-failed', 'not-run'),
     ],
     kept: [
       sent('a', 0),
       atTarget('run-started', 'a', 1),
-      {
-        kind: 'request-ended',
-        atMs: 2,
-        request: requestId('a'),
-        end: {kind: 'refused', reason: 'target-failed', outcome: 'unknown'},
-      },
+      refusedAs('a', 2, 'target-failed', 'unknown'),
+    ],
+  },
+  {
+    check: 'truthful-refusal',
+    name: 'a resend of a deposit that ran is refused as not run',
+    broken: [
+      sent('a', 0),
+      atTarget('run-started', 'a', 1),
+      sent('b', 2),
+      refusedAs('b', 3, 'region-full', 'not-run'),
+    ],
+    kept: [
+      sent('a', 0),
+      sent('b', 2),
+      refusedAs('b', 3, 'region-full', 'not-run'),
+      atTarget('run-started', 'a', 4),
     ],
   },
   {
