Follow target latency faster

Cause: with a smoothing of 0.1 a target that became slow or cold kept its old figure for some ten answers of each VM.

--- a/packages/decision/src/core/routing/target_record.ts
+++ b/packages/decision/src/core/routing/target_record.ts
@@ -34,7 +34,7 @@
 }
 
 const FIRST_LIMIT_FRACTION = 0.5;
-const SMOOTHING = 0.1;
+const SMOOTHING = 0.3;
 const FAILURE_SMOOTHING = 0.2;
 const WARMING_STEP = 0.1;
 const STEADY_STEP = 0.02;
