Return borrowed slots after 60 ms without use

Cause: a borrowed slot that lay idle at the borrower was missing at its lender, which then had to ask for one itself.

--- a/packages/decision/src/core/steering/slot_lending.ts
+++ b/packages/decision/src/core/steering/slot_lending.ts
@@ -36,7 +36,7 @@
 
 /** The part of its free slots that a lender gives. */
 const LENT_FREE_FRACTION = 0.5;
-const UNUSED_RETURN_MS = 250;
+const UNUSED_RETURN_MS = 60;
 /** An ask without an answer counts as refused after this. */
 const ANSWER_TIMEOUT_MS = 25;
 /** An answer that comes later than this is not used. */
