--- a/packages/decision/src/core/membership/create_membership.ts
+++ b/packages/decision/src/core/membership/create_membership.ts
@@ -132,7 +132,7 @@
       regionAges.heard(record.region, nowMs);
     }
     const state = beat.leaving ? 'leaving' : 'live';
-    const {incarnation, generation: theirs = null} = beat;
+    const {incarnation = null, generation: theirs = null} = beat;
     mergeUpdate([from, incarnation, beat.revision, state, theirs], from);
     regionAges.take(beat.regions ?? [], nowMs);
     for (const update of beat.updates ?? []) {
@@ -142,13 +142,14 @@
   }
 
   function sendBeat(to: VmId, peer: PeerState, nowMs: number): void {
+    const isFirst = peer.lastSentMs === Number.NEGATIVE_INFINITY;
     peer.lastSentMs = nowMs;
     regionAges.heard(options.region, nowMs);
     const ages = regionAges.agesFor(to, regions.length, nowMs);
     const updates = peers.takeUpdates(peer);
     const beat: Beat = {
       kind: 'beat',
-      incarnation: options.incarnation,
+      ...(isFirst ? {incarnation: options.incarnation} : {}),
       revision,
       ...(leaving ? {leaving} : {}),
       ...(generation === undefined ? {} : {generation}),
@@ -230,6 +231,7 @@
     records.configure(entryVms);
     planner.review(nowMs, peers.isLinked);
     regions = planner.regions();
+    regionAges.configure(regions);
     regionSilentAfterMs = silentAfterMs(
       records.size(),
       regions.length,
--- a/packages/decision/src/core/membership/peer_messages.ts
+++ b/packages/decision/src/core/membership/peer_messages.ts
@@ -3,7 +3,6 @@
 import {
   generationSchema,
   incarnationSchema,
-  regionNameSchema,
   vmIdSchema,
 } from '../model/index.js';
 
@@ -24,14 +23,18 @@
 
 export const beatSchema = z.strictObject({
   kind: z.literal('beat'),
-  incarnation: incarnationSchema,
+  /** In the first beat on a link. */
+  incarnation: incarnationSchema.optional(),
   /** The sender's own; it raises it to contradict what is said of it. */
   revision: z.int().nonnegative(),
   leaving: z.boolean().optional(),
   generation: generationSchema.optional(),
-  /** Regions with the time since any VM of them was heard of, in ms. */
+  /**
+   * Regions, by the hash of their names, with the time since any VM of them
+   * was heard of, in tenths of a second.
+   */
   regions: z
-    .array(z.tuple([regionNameSchema, z.int().nonnegative()]))
+    .array(z.tuple([z.int().nonnegative(), z.int().nonnegative()]))
     .max(MAXIMUM_REGIONS)
     .readonly()
     .optional(),
--- a/packages/decision/src/core/membership/region_ages.ts
+++ b/packages/decision/src/core/membership/region_ages.ts
@@ -1,4 +1,5 @@
 /** When each region was last heard of, by this VM or by those it hears. */
+import {hash32} from '../hashing/index.js';
 import type {RegionName, VmId} from '../model/index.js';
 
 /** Beats between regions are this much rarer than within one. */
@@ -8,16 +9,21 @@
 /** With more regions than this, a beat holds only those with news. */
 const REGIONS_SENT_ALWAYS = 8;
 
+/** Unit of the ages in a beat. */
+const AGE_UNIT_MS = 100;
+
 export interface RegionAges {
+  /** The regions there are; ages of others are passed over. */
+  configure(regions: readonly RegionName[]): void;
   heard(region: RegionName, atMs: number): void;
-  take(ages: readonly (readonly [RegionName, number])[], nowMs: number): void;
+  take(ages: readonly (readonly [number, number])[], nowMs: number): void;
   lastHeardMs(region: RegionName): number | undefined;
   /** Ages for a beat to one peer, leaving out those with little news. */
   agesFor(
     peer: VmId,
     regionCount: number,
     nowMs: number,
-  ): readonly [RegionName, number][];
+  ): readonly [number, number][];
   forgetPeer(peer: VmId): void;
 }
 
@@ -26,7 +32,7 @@
   regionCount: number,
   heartbeatIntervalMs: number,
 ): number {
-  return regionCount <= REGIONS_SENT_ALWAYS ? 0 : 2 * heartbeatIntervalMs;
+  return regionCount <= REGIONS_SENT_ALWAYS ? 0 : 3 * heartbeatIntervalMs;
 }
 
 /**
@@ -51,6 +57,7 @@
 export function createRegionAges(heartbeatIntervalMs: number): RegionAges {
   const heardMs = new Map<RegionName, number>();
   const sent = new Map<VmId, Map<RegionName, number>>();
+  let byHash = new Map<number, RegionName>();
 
   function heard(region: RegionName, atMs: number): void {
     const known = heardMs.get(region) ?? Number.NEGATIVE_INFINITY;
@@ -58,10 +65,16 @@
   }
 
   return {
+    configure: regions => {
+      byHash = new Map(regions.map(region => [hash32(region), region]));
+    },
     heard,
     take: (ages, nowMs) => {
-      for (const [region, ageMs] of ages) {
-        heard(region, nowMs - ageMs - HOP_ALLOWANCE_MS);
+      for (const [hash, age] of ages) {
+        const region = byHash.get(hash);
+        if (region !== undefined) {
+          heard(region, nowMs - age * AGE_UNIT_MS - HOP_ALLOWANCE_MS);
+        }
       }
     },
     lastHeardMs: region => heardMs.get(region),
@@ -69,12 +82,13 @@
       const grainMs = regionNewsGrainMs(regionCount, heartbeatIntervalMs);
       const sentTo = sent.get(peer) ?? new Map<RegionName, number>();
       sent.set(peer, sentTo);
-      const ages: [RegionName, number][] = [];
+      const ages: [number, number][] = [];
       for (const [region, atMs] of heardMs) {
         const before = sentTo.get(region) ?? Number.NEGATIVE_INFINITY;
         if (atMs > before && atMs - before >= grainMs) {
           sentTo.set(region, atMs);
-          ages.push([region, Math.max(0, Math.ceil(nowMs - atMs))]);
+          const age = Math.ceil((nowMs - atMs) / AGE_UNIT_MS);
+          ages.push([hash32(region), Math.max(0, age)]);
         }
       }
       return ages;
