--- a/packages/decision/src/core/membership/create_membership.ts
+++ b/packages/decision/src/core/membership/create_membership.ts
@@ -36,6 +36,8 @@
 
 /** News does not wait for the next heartbeat, but goes no faster than this. */
 const NEWS_INTERVAL_MS = 200;
+/** Of longer lists the readers take as many bytes a second, so read rarer. */
+const FULL_RATE_LIST_VMS = 100;
 /** How long a VM may be behind before that is told to others. */
 const BEHIND_AFTER_MS = 5_000;
 
@@ -266,7 +268,8 @@
     if (nowMs < nextListMs || !planner.isDelegate()) {
       return;
     }
-    nextListMs = nowMs + options.listIntervalMs;
+    const scale = Math.max(1, records.size() / FULL_RATE_LIST_VMS);
+    nextListMs = nowMs + options.listIntervalMs * scale;
     actions.push({kind: 'list-vms'});
   }
 
--- a/packages/library/src/plugins/peer_links/peer_server.ts
+++ b/packages/library/src/plugins/peer_links/peer_server.ts
@@ -7,6 +7,10 @@
 import {parseSocketAddress} from './addresses.js';
 import {MAXIMUM_FRAME_BYTES} from './wire.js';
 
+/** Far above the links of any VM; bounds what strangers can hold open. */
+const MAXIMUM_SOCKETS = 256;
+const UNAVAILABLE =
+  'HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n\r\n';
 const BEARER_PREFIX = 'Bearer ';
 const UNAUTHORIZED = 'HTTP/1.1 401 Unauthorized\r\nConnection: close\r\n\r\n';
 
@@ -42,6 +46,11 @@
     head: Buffer,
   ): Promise<void> {
     socket.on('error', () => socket.destroy());
+    if (sockets.clients.size >= MAXIMUM_SOCKETS) {
+      options.onRefused('too-many');
+      socket.end(UNAVAILABLE);
+      return;
+    }
     const verified = await options.tokenVerifier.verify(
       bearerToken(request),
       'ibisbeam-peer',
