--- a/packages/decision/src/core/steering/parameters.ts
+++ b/packages/decision/src/core/steering/parameters.ts
@@ -13,6 +13,8 @@
   readonly poolLoadLifetimeMs: number;
   /** VMs of each other region that get this VM's pool load. */
   readonly poolLoadPeersPerRegion: number;
+  /** Pool loads sent in one interval, to peers in turn. */
+  readonly poolLoadMessages: number;
   readonly maximumAttempts: number;
   /** Tokens that a retry budget may hold. */
   readonly retryBurst: number;
@@ -51,6 +53,7 @@
   poolLoadIntervalMs: 1_000,
   poolLoadLifetimeMs: 4_000,
   poolLoadPeersPerRegion: 2,
+  poolLoadMessages: 12,
   maximumAttempts: 3,
   retryBurst: 5,
   startAnswerBoundMs: 2_000,
--- a/packages/decision/src/core/steering/ticks.ts
+++ b/packages/decision/src/core/steering/ticks.ts
@@ -1,5 +1,5 @@
 /** What steering does as time passes without other events. */
-import type {ServiceName} from '../model/index.js';
+import type {ServiceName, VmId} from '../model/index.js';
 import {serveQueue} from './admissions.js';
 import {attemptFinished} from './attempt_results.js';
 import type {EarlierLives} from './earlier_lives.js';
@@ -27,6 +27,7 @@
   const {context} = state;
   const {lending, failoverWatch, earlierLives} = parts;
   let loadSentMs = -Infinity;
+  let loadTurn = 0;
 
   function tick(): void {
     if (!context.configuration()) {
@@ -77,12 +78,24 @@
       const free = Math.max(0, freeSlots(pool, context) - waiting);
       pools.push([pool.service, free, workingSlots(pool, context)]);
     }
-    const {poolLoadPeersPerRegion} = context.parameters;
-    for (const peer of informedPeers(context, poolLoadPeersPerRegion)) {
+    for (const peer of nextLoadPeers()) {
       context.send(peer, {kind: 'pool-load', pools});
     }
   }
 
+  /** So many peers in turn that the messages stay few in a large fleet. */
+  function nextLoadPeers(): readonly VmId[] {
+    const {poolLoadPeersPerRegion, poolLoadMessages} = context.parameters;
+    const peers = informedPeers(context, poolLoadPeersPerRegion);
+    const count = Math.min(peers.length, poolLoadMessages);
+    const chosen: VmId[] = [];
+    for (let index = 0; index < count; index += 1) {
+      chosen.push(peers[(loadTurn + index) % peers.length]!);
+    }
+    loadTurn = peers.length === 0 ? 0 : (loadTurn + count) % peers.length;
+    return chosen;
+  }
+
   /** Keeps slots from being lost if the driver never reports an end. */
   function dropLostAttempts(): void {
     const {nowMs} = context.time();
