--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -1,4 +1,4 @@
-/** Events that may stand in the log; `docs/operators/logs.md` describes each. */
+/** Events that may stand in the log; `docs/operators/night.md` describes each. */
 export type LogEvent =
   | 'vm-started'
   | 'vm-stopping'
