--- a/packages/command_line/test/burn_summaries.test.ts
+++ b/packages/command_line/test/burn_summaries.test.ts
@@ -8,7 +8,11 @@
   regionName,
   vmId,
 } from '@ibisbeam/decision';
-import {createManualTimerService, createSummaryWriter} from '@ibisbeam/library';
+import {
+  collectOldSummaries,
+  createManualTimerService,
+  createSummaryWriter,
+} from '@ibisbeam/library';
 import {createMemoryPlatform} from '@ibisbeam/stand-ins';
 
 const MIDNIGHT = Date.parse('2026-12-04T00:00:00Z');
@@ -89,3 +93,22 @@
   assert.equal(await writer.write(summaryAt(MIDNIGHT + 1, hours)), undefined);
   assert.equal((await read()).length, 2);
 });
+
+test('summaries that no report reads are deleted, others are kept', async () => {
+  const {platform, writer, read} = createWriter();
+  await writer.write(summaryAt(MIDNIGHT + 1, [MIDNIGHT]));
+  const vm = vmId('riga-a-1');
+  const collectAfter = (days: number) =>
+    collectOldSummaries(
+      platform.store,
+      vm,
+      MIDNIGHT + days * 24 * BURN_HOUR_MS,
+    );
+  assert.equal(await collectAfter(90), 0);
+  assert.equal((await read()).length, 1);
+  const otherVm = vmId('riga-a-10');
+  const later = MIDNIGHT + 93 * 24 * BURN_HOUR_MS;
+  assert.equal(await collectOldSummaries(platform.store, otherVm, later), 0);
+  assert.equal(await collectAfter(93), 1);
+  assert.equal((await read()).length, 0);
+});
--- a/packages/decision/src/core/objectives/burn_types.ts
+++ b/packages/decision/src/core/objectives/burn_types.ts
@@ -73,6 +73,9 @@
   return `${BURN_KEY_PREFIX}${burnDay(wallMs)}/`;
 }
 
+/** The longest window of an objective, and what the store keeps. */
+export const BURN_RETENTION_DAYS = 91;
+
 /** The prefixes of all days from one Unix time to another, oldest first. */
 export function burnDayPrefixes(
   fromMs: number,
--- a/packages/library/src/plugins/burn/burn_task.ts
+++ b/packages/library/src/plugins/burn/burn_task.ts
@@ -3,11 +3,13 @@
   type BurnSummary,
   type Configuration,
   type RequestRecord,
+  burnDay,
 } from '@ibisbeam/decision';
 import type {Task, TaskContext} from '../../core/kernel/index.js';
 import type {TaskMessages, VmEvent} from '../../core/messages/index.js';
 import type {TimerHandle} from '../../core/timers/index.js';
 import {createBurnMemory} from './burn_memory.js';
+import {collectOldSummaries} from './summary_collection.js';
 import {createSummaryWriter} from './summary_writer.js';
 
 /** The last write of a stopping VM may take this long. */
@@ -21,6 +23,7 @@
   const countedFromMs = timers.wallMs();
   let configuration: Configuration | undefined;
   let writing: TimerHandle | undefined;
+  let collectedOn: string | undefined;
 
   function summary(final: boolean): BurnSummary {
     return {
@@ -35,6 +38,17 @@
     };
   }
 
+  /** Once a day of the Unix clock, and once after a start. */
+  async function collectOncePerDay(): Promise<void> {
+    const today = burnDay(timers.wallMs());
+    if (today === collectedOn) {
+      return;
+    }
+    collectedOn = today;
+    const {platform} = context;
+    await collectOldSummaries(platform, settings.vm.id, timers.wallMs());
+  }
+
   async function write(final: boolean): Promise<void> {
     const error = await writer.write(summary(final));
     metrics.emit({
@@ -47,6 +61,9 @@
       return;
     }
     logger.log('debug', 'burn-summary-written', {final});
+    if (!final) {
+      await collectOncePerDay();
+    }
   }
 
   function record(finished: RequestRecord): void {
--- a/packages/library/src/plugins/burn/index.ts
+++ b/packages/library/src/plugins/burn/index.ts
@@ -12,3 +12,4 @@
   });
 }
 export * from './summary_writer.js';
+export * from './summary_collection.js';
