--- a/packages/stand_ins/src/core/local_deployment/local_deployment.ts
+++ b/packages/stand_ins/src/core/local_deployment/local_deployment.ts
@@ -43,6 +43,7 @@
 import {reserveAddresses} from './reserve_addresses.js';
 
 const ADDRESSES_PER_VM = 3;
+const START_ATTEMPTS = 5;
 const READY_CHECK_INTERVAL_MS = 20;
 
 export interface LocalDeploymentOptions {
@@ -82,8 +83,27 @@
   stop(): Promise<void>;
 }
 
+/**
+ * Starts again with other ports when another socket took one between its
+ * reservation and its use, as any outgoing connection may.
+ */
 export async function startLocalDeployment(
   options: LocalDeploymentOptions,
+): Promise<LocalDeployment> {
+  for (let left = START_ATTEMPTS - 1; ; left -= 1) {
+    try {
+      return await startOnce(options);
+    } catch (error) {
+      const {code} = error as {readonly code?: unknown};
+      if (code !== 'EADDRINUSE' || left === 0) {
+        throw error;
+      }
+    }
+  }
+}
+
+async function startOnce(
+  options: LocalDeploymentOptions,
 ): Promise<LocalDeployment> {
   const {timers} = options;
   const keys = await createStandInKeys(timers);
@@ -101,7 +121,18 @@
   for (const [index, entryVm] of entryVms.entries()) {
     vms.push(startVmParts(entryVm, index));
   }
-  await Promise.all(vms.map(vm => vm.kernel.start()));
+  try {
+    await Promise.all(vms.map(vm => vm.kernel.start()));
+  } catch (error) {
+    await Promise.allSettled(vms.map(vm => vm.kernel.stop()));
+    await stopSurroundings();
+    throw error;
+  }
+
+  async function stopSurroundings(): Promise<void> {
+    await Promise.all([...targets.values()].map(target => target.stop()));
+    await platformServer.close();
+  }
 
   function startVmParts(entryVm: EntryVm, index: number): LocalVm {
     const life = incarnation(`${entryVm.id}-${options.seed}`);
@@ -197,8 +228,7 @@
     inForce,
     stop: async () => {
       await Promise.all(vms.map(vm => vm.stop()));
-      await Promise.all([...targets.values()].map(target => target.stop()));
-      await platformServer.close();
+      await stopSurroundings();
     },
   };
 }
