--- a/packages/command_line/test/operator_port.test.ts
+++ b/packages/command_line/test/operator_port.test.ts
@@ -139,6 +139,18 @@
   assert.equal((await call('GET /v1/explain/fault-0', token)).status, 404);
 });
 
+test('slots that VMs lend all the time leave the events alone', async () => {
+  const to = vmId('riga-b-4');
+  const service = sampleRecord('x').service;
+  const note = {kind: 'slots-lent', to, service, slots: 1} as const;
+  vm.kernel.publish({kind: 'steering-note', note});
+  const left = {kind: 'failover-ended', from: regionName('riga')} as const;
+  vm.kernel.publish({kind: 'steering-note', note: left});
+  const {body} = await call('GET /v1/events', await operatorToken());
+  assert.match(body, /failover-ended/);
+  assert.doesNotMatch(body, /slots-lent/);
+});
+
 test('burn counts answers, lateness and refusals of known services only', async () => {
   const configuration = sampleConfiguration();
   vm.kernel.publish({kind: 'configuration-in-force', configuration});
--- a/packages/library/src/plugins/journal/describe_event.ts
+++ b/packages/library/src/plugins/journal/describe_event.ts
@@ -1,5 +1,9 @@
 /** Turns published events into journal entries. */
-import {type MembershipView, assertNever} from '@ibisbeam/decision';
+import {
+  type Incarnation,
+  type MembershipView,
+  assertNever,
+} from '@ibisbeam/decision';
 import type {JournalEntry, VmEvent} from '../../core/messages/index.js';
 
 type EntryContent = Omit<JournalEntry, 'atWallMs'>;
@@ -39,9 +43,16 @@
   }
 }
 
+/**
+ * Slots are lent all the time under load; they are counted by metrics and left
+ * out here, so that they do not push out the events of the night.
+ */
 function describeNote(
   note: Extract<VmEvent, {kind: 'steering-note'}>['note'],
-): EntryContent {
+): EntryContent | undefined {
+  if (note.kind === 'slots-lent' || note.kind === 'slots-borrowed') {
+    return undefined;
+  }
   const {kind, ...fields} = note;
   if (note.kind === 'decision') {
     return {event: kind, request: note.request, fields};
@@ -49,6 +60,14 @@
   return {event: kind, fields};
 }
 
+/** An incarnation that becomes known is no replacement. */
+function isReplaced(
+  before: Incarnation | undefined,
+  after: Incarnation | undefined,
+): boolean {
+  return before !== undefined && after !== undefined && before !== after;
+}
+
 /** One entry for each VM whose state changed, and for self-doubt. */
 export function describeMembershipChange(
   before: MembershipView | undefined,
@@ -57,7 +76,7 @@
   const entries: EntryContent[] = [];
   for (const view of after.vms.values()) {
     const earlier = before?.vms.get(view.vm);
-    const replaced = earlier?.incarnation !== view.incarnation;
+    const replaced = isReplaced(earlier?.incarnation, view.incarnation);
     if (earlier && earlier.state === view.state && !replaced) {
       continue;
     }
