--- a/packages/library/src/plugins/operator_port/operator_port_task.ts
+++ b/packages/library/src/plugins/operator_port/operator_port_task.ts
@@ -78,6 +78,13 @@
           answerProblem(http, 'not-allowed');
           return;
         }
+        if (http.method !== 'GET') {
+          logger.log('info', 'operator-call', {
+            method: http.method,
+            path: http.path,
+            principal: principal.kind === 'operator' ? principal.name : '',
+          });
+        }
         await next();
       },
     });
