--- a/packages/command_line/test/burn_summaries.test.ts
+++ b/packages/command_line/test/burn_summaries.test.ts
@@ -4,8 +4,10 @@
   BURN_HOUR_MS,
   type BurnSummary,
   burnSummarySchema,
+  createCountRecorder,
   incarnation,
   regionName,
+  serviceName,
   vmId,
 } from '@ibisbeam/decision';
 import {
@@ -14,6 +16,7 @@
   createSummaryWriter,
 } from '@ibisbeam/library';
 import {createMemoryPlatform} from '@ibisbeam/stand-ins';
+import {sampleRecord} from './vm_harness.js';
 
 const MIDNIGHT = Date.parse('2026-12-04T00:00:00Z');
 
@@ -46,7 +49,7 @@
   return {platform, writer, read};
 }
 
-test('a summary is one write, and again one write later', async () => {
+test('a summary is one write, and again one write later in the hour', async () => {
   const {platform, writer} = createWriter();
   const hour = MIDNIGHT - BURN_HOUR_MS;
   assert.equal(await writer.write(summaryAt(MIDNIGHT - 2, [hour])), undefined);
@@ -54,19 +57,57 @@
   assert.equal(platform.writeCount(), 2);
 });
 
-test('hours go to the object of their day, and an old day is left alone', async () => {
+test('each hour has its object, and hours that ended are left alone', async () => {
   const {platform, writer, read} = createWriter();
-  const hours = [MIDNIGHT - BURN_HOUR_MS, MIDNIGHT];
+  const hours = [
+    MIDNIGHT - 2 * BURN_HOUR_MS,
+    MIDNIGHT - BURN_HOUR_MS,
+    MIDNIGHT,
+  ];
   await writer.write(summaryAt(MIDNIGHT + 1, hours));
   assert.deepEqual(
-    (await read()).map(({hours: kept}) => kept.length),
-    [1, 1],
+    (await read()).map(({hours: kept}) => kept.map(({startMs}) => startMs)),
+    hours.map(hour => [hour]),
   );
   const before = platform.writeCount();
   await writer.write(summaryAt(MIDNIGHT + 2, hours));
   assert.equal(platform.writeCount() - before, 1);
 });
 
+test('the hour that ended between two writes is written once more', async () => {
+  const {platform, writer, read} = createWriter();
+  const [ended, next] = [MIDNIGHT - BURN_HOUR_MS, MIDNIGHT] as const;
+  await writer.write(summaryAt(MIDNIGHT - 600_000, [ended]));
+  await writer.write(summaryAt(MIDNIGHT + 300_000, [ended, next]));
+  assert.equal(platform.writeCount(), 3);
+  const [first] = await read();
+  assert.equal(first!.countedToMs, MIDNIGHT + 300_000);
+});
+
+test('an hour without requests still tells up to when was counted', async () => {
+  const {writer, read} = createWriter();
+  await writer.write(summaryAt(MIDNIGHT + 5, []));
+  assert.equal((await read())[0]!.countedToMs, MIDNIGHT + 5);
+});
+
+test('a busy VM of many services stays under the limit of the store', async () => {
+  const {writer} = createWriter();
+  const recorder = createCountRecorder();
+  for (let count = 0; count < 30_000; count += 1) {
+    const service = serviceName(`service-${count % 300}`);
+    const durationMs = (count * 37) % 5_000;
+    recorder.record({...sampleRecord('r'), service, durationMs}, 250);
+  }
+  const services = recorder.counts();
+  const summary = summaryAt(MIDNIGHT + 1, []);
+  const hours = [];
+  for (let hour = 0; hour < 24; hour += 1) {
+    const startMs = MIDNIGHT - hour * BURN_HOUR_MS;
+    hours.push({startMs, spanMs: BURN_HOUR_MS, services});
+  }
+  assert.equal(await writer.write({...summary, hours}), undefined);
+});
+
 test('a summary whose answer was lost is overwritten by the next', async () => {
   const {platform, writer, read} = createWriter();
   const hour = MIDNIGHT;
--- a/packages/decision/src/core/objectives/burn_types.ts
+++ b/packages/decision/src/core/objectives/burn_types.ts
@@ -60,7 +60,7 @@
 export const BURN_HOUR_MS = 3_600_000;
 export const BURN_SLICE_MS = 300_000;
 
-/** Prefix of the objects `burn/<day>/<vm>/<incarnation>/<counted from>`. */
+/** Prefix of the objects `burn/<day>/<vm>/<incarnation>/<counted from>/<hour>`. */
 export const BURN_KEY_PREFIX = 'burn/';
 const DAY_MS = 86_400_000;
 
--- a/packages/library/src/plugins/burn/summary_writer.ts
+++ b/packages/library/src/plugins/burn/summary_writer.ts
@@ -1,5 +1,9 @@
-/** Writes a VM's hourly counts to the store, one object for each day. */
+/**
+ * Writes a VM's counts to the store, one object for each hour: a day of many
+ * services would be over the store's megabyte, and would be rewritten often.
+ */
 import {
+  BURN_HOUR_MS,
   type BurnSummary,
   burnDayPrefix,
   burnSummarySchema,
@@ -20,30 +24,42 @@
 }
 
 export function createSummaryWriter(platform: PlatformStore): SummaryWriter {
-  /** Version of each day's object, where it is known. */
+  /** Version of each hour's object, where it is known. */
   const versions = new Map<string, ObjectVersion>();
-  /** Days up to which everything is stored, so that they are left alone. */
-  let doneBefore = '';
+  /** Hours before this one are stored as they will stay. */
+  let doneBeforeMs = 0;
 
   async function write(
     summary: BurnSummary,
   ): Promise<PlatformError | undefined> {
-    for (const [prefix, ofDay] of splitByDay(summary)) {
-      if (prefix < doneBefore) {
+    for (const [hourMs, ofHour] of splitByHour(summary)) {
+      if (hourMs < doneBeforeMs) {
         continue;
       }
-      const key = `${prefix}${lifeOf(summary)}`;
-      const written = await put(key, ofDay).run();
+      const key = keyOf(summary, hourMs);
+      const written = await put(key, ofHour).run();
       if (written.isLeft()) {
         versions.delete(key);
         return written.extract() as PlatformError;
       }
       versions.set(key, (written.extract() as PlatformObject).version);
     }
-    doneBefore = burnDayPrefix(summary.countedToMs);
+    const currentMs = hourOf(summary.countedToMs);
+    if (currentMs > doneBeforeMs) {
+      doneBeforeMs = currentMs;
+      forgetOthers(keyOf(summary, currentMs));
+    }
     return undefined;
   }
 
+  function forgetOthers(kept: string): void {
+    for (const key of versions.keys()) {
+      if (key !== kept) {
+        versions.delete(key);
+      }
+    }
+  }
+
   function put(
     key: string,
     value: BurnSummary,
@@ -66,20 +82,30 @@
 }
 
 /** A counting task that was restarted is a life of its own. */
-function lifeOf({vm, incarnation, countedFromMs}: BurnSummary): string {
-  return `${vm}/${incarnation}/${countedFromMs}`;
+function keyOf(
+  {vm, incarnation, countedFromMs}: BurnSummary,
+  hourMs: number,
+): string {
+  const hour = new Date(hourMs).toISOString().slice(11, 13);
+  return `${burnDayPrefix(hourMs)}${vm}/${incarnation}/${countedFromMs}/${hour}`;
+}
+
+function hourOf(wallMs: number): number {
+  return Math.floor(wallMs / BURN_HOUR_MS) * BURN_HOUR_MS;
 }
 
-function splitByDay(summary: BurnSummary): ReadonlyMap<string, BurnSummary> {
-  const days = new Map<string, BurnSummary>();
-  const today = burnDayPrefix(summary.countedToMs);
-  days.set(today, {...summary, hours: [], slices: []});
+/** The current hour is always there: it tells up to when was counted. */
+function splitByHour(summary: BurnSummary): ReadonlyMap<number, BurnSummary> {
+  const hours = new Map<number, BurnSummary>();
+  const empty = {...summary, hours: [], slices: []};
   for (const hour of summary.hours) {
-    const prefix = burnDayPrefix(hour.startMs);
-    const known = days.get(prefix) ?? {...summary, hours: [], slices: []};
-    days.set(prefix, {...known, hours: [...known.hours, hour]});
+    hours.set(hour.startMs, {...empty, hours: [hour]});
+  }
+  const currentMs = hourOf(summary.countedToMs);
+  if (!hours.has(currentMs)) {
+    hours.set(currentMs, empty);
   }
-  return new Map([...days].sort());
+  return new Map([...hours].sort(([one], [other]) => one - other));
 }
 
 /** Reads a stored summary; undefined when the object is not one. */
