--- a/packages/bench/src/decision/entry_vm_host.ts
+++ b/packages/bench/src/decision/entry_vm_host.ts
@@ -19,6 +19,8 @@
 const STORE_CALL_MS = 4;
 /** Retry-after given with an operation that is in progress elsewhere. */
 const IN_PROGRESS_RETRY_MS = 1_000;
+/** A timer never fires in the moment in which it is set. */
+const TIMER_GRAIN_MS = 0.125;
 
 interface Held {
   readonly arrival: Arrival;
@@ -174,7 +176,7 @@
     current.wake?.cancel();
     current.wakeAtMs = atMs;
     current.wake = loop.at(
-      atMs,
+      Math.max(atMs, loop.nowMs() + TIMER_GRAIN_MS),
       whenRunning(() => {
         current.wakeAtMs = Infinity;
         deliver({kind: 'tick'});
--- /dev/null
+++ b/packages/bench/src/slopes/control_fleet.ts
@@ -0,0 +1,232 @@
+/** A fleet of control nodes with links, a store and counters. */
+import {
+  type ConfigurationDocument,
+  type EntryVm,
+  type Generation,
+  type ListedVm,
+  type Section,
+  type VmId,
+  incarnation,
+} from '@ibisbeam/decision';
+import {type EventLoop, createEventLoop} from '../decision/event_loop.js';
+import {
+  type ControlMessage,
+  type ControlNode,
+  createControlNode,
+} from './control_node.js';
+import {type ControlStore, createControlStore} from './control_store.js';
+import {frameBytes} from './wire_bytes.js';
+
+const LINK_OPENING_MS = 50;
+const WITHIN_REGION_MS = 1.5;
+const BETWEEN_REGIONS_MS = 20;
+/** Nodes start spread over this time, as their timers would be. */
+const START_SPREAD_MS = 1_000;
+
+export interface NodeCounters {
+  messages: number;
+  /** Both ways, with headers and acknowledgements. */
+  bytes: number;
+  /** Bytes by channel. */
+  readonly channels: Record<ControlMessage['channel'], number>;
+}
+
+export interface ControlFleet {
+  readonly loop: EventLoop;
+  readonly store: ControlStore;
+  readonly nodes: ReadonlyMap<VmId, ControlNode>;
+  readonly counters: ReadonlyMap<VmId, NodeCounters>;
+  readonly inForceMs: ReadonlyMap<VmId, {generation: Generation; atMs: number}>;
+  linkCount(node: VmId): number;
+  start(): void;
+  publish(section: Section): void;
+  /** Nodes die at once; their peers see the links close. */
+  kill(nodes: readonly VmId[]): void;
+  resetCounters(): void;
+}
+
+export function createControlFleet(
+  document: ConfigurationDocument,
+): ControlFleet {
+  const loop = createEventLoop();
+  const nodes = new Map<VmId, ControlNode>();
+  const counters = new Map<VmId, NodeCounters>();
+  const wanted = new Map<VmId, ReadonlySet<VmId>>();
+  const links = new Map<VmId, Set<VmId>>();
+  const dead = new Set<VmId>();
+  const inForceMs = new Map<VmId, {generation: Generation; atMs: number}>();
+  const store = createControlStore({
+    loop,
+    document,
+    onHead: (node, head) =>
+      nodes.get(node)?.rollout({
+        kind: 'store-head',
+        head,
+        askedAtMs: loop.nowMs(),
+      }),
+    onFailed: node => nodes.get(node)?.rollout({kind: 'store-failed'}),
+    listed: () => listedVms(nodes.keys(), dead),
+  });
+
+  function delayMs(from: VmId, to: VmId): number {
+    const one = nodes.get(from)!.vm.region;
+    const other = nodes.get(to)!.vm.region;
+    return one === other ? WITHIN_REGION_MS : BETWEEN_REGIONS_MS;
+  }
+
+  function count(
+    node: VmId,
+    channel: ControlMessage['channel'],
+    bytes: number,
+  ) {
+    const counter = counters.get(node)!;
+    counter.messages += 1;
+    counter.bytes += bytes;
+    counter.channels[channel] += bytes;
+  }
+
+  function send(from: VmId, to: VmId, message: ControlMessage): void {
+    if (!nodes.has(to) || dead.has(to) || dead.has(from)) {
+      return;
+    }
+    const {forth, back} = frameBytes(message.channel, message.body);
+    count(from, message.channel, forth + back);
+    count(to, message.channel, forth + back);
+    loop.after(delayMs(from, to), () => nodes.get(to)!.receive(from, message));
+  }
+
+  function wantLinks(from: VmId, peers: readonly VmId[]): void {
+    const before = wanted.get(from) ?? new Set();
+    wanted.set(from, new Set(peers));
+    for (const peer of peers) {
+      loop.after(LINK_OPENING_MS, () => open(from, peer));
+    }
+    for (const peer of before) {
+      if (!isWanted(from, peer)) {
+        close(from, peer);
+      }
+    }
+  }
+
+  function isWanted(one: VmId, other: VmId): boolean {
+    return Boolean(wanted.get(one)?.has(other) || wanted.get(other)?.has(one));
+  }
+
+  function open(one: VmId, other: VmId): void {
+    const possible = nodes.has(other) && !dead.has(one) && !dead.has(other);
+    if (!possible || linksOf(one).has(other) || !isWanted(one, other)) {
+      return;
+    }
+    linksOf(one).add(other);
+    linksOf(other).add(one);
+    nodes.get(one)!.connected(other);
+    nodes.get(other)!.connected(one);
+  }
+
+  function close(one: VmId, other: VmId): void {
+    if (!linksOf(one).delete(other)) {
+      return;
+    }
+    linksOf(other).delete(one);
+    nodes.get(one)!.disconnected(other);
+    nodes.get(other)!.disconnected(one);
+  }
+
+  function linksOf(node: VmId): Set<VmId> {
+    const known = links.get(node) ?? new Set<VmId>();
+    links.set(node, known);
+    return known;
+  }
+
+  const surroundings = {
+    loop,
+    send,
+    wantLinks,
+    setWatching: (node: VmId, enabled: boolean) =>
+      store.setWatching(node, enabled),
+    readHead: (node: VmId) => {
+      const askedAtMs = loop.nowMs();
+      store.readHead(head =>
+        nodes.get(node)!.rollout({kind: 'store-head', head, askedAtMs}),
+      );
+    },
+    readChunk: (node: VmId, digest: string) =>
+      store.readChunk(digest, text =>
+        nodes.get(node)!.rollout({kind: 'chunk-read', digest, text}),
+      ),
+    listVms: (node: VmId) =>
+      store.listVms(vms =>
+        nodes.get(node)!.membership({kind: 'platform-list', vms}),
+      ),
+    inForce: (node: VmId, generation: Generation) => {
+      inForceMs.set(node, {generation, atMs: loop.nowMs()});
+    },
+  };
+
+  for (const [index, vm] of entryVmsOf(document).entries()) {
+    nodes.set(vm.id, createControlNode(vm, index, surroundings));
+    counters.set(vm.id, emptyCounters());
+  }
+
+  return {
+    loop,
+    store,
+    nodes,
+    counters,
+    inForceMs,
+    linkCount: node => linksOf(node).size,
+    start: () => {
+      let index = 0;
+      for (const node of nodes.values()) {
+        const atMs = (index * START_SPREAD_MS) / nodes.size;
+        loop.at(atMs, () => node.start());
+        index += 1;
+      }
+    },
+    publish: section => store.publish([section]),
+    kill: lost => {
+      for (const node of lost) {
+        dead.add(node);
+        nodes.get(node)!.stop();
+        store.setWatching(node, false);
+      }
+      for (const node of lost) {
+        for (const peer of [...linksOf(node)]) {
+          close(node, peer);
+        }
+      }
+    },
+    resetCounters: () => {
+      for (const node of counters.keys()) {
+        counters.set(node, emptyCounters());
+      }
+      store.resetCalls();
+    },
+  };
+}
+
+function entryVmsOf(document: ConfigurationDocument): readonly EntryVm[] {
+  const section = document.get('topology');
+  return section?.kind === 'topology' ? section.topology.entryVms : [];
+}
+
+function listedVms(
+  nodes: Iterable<VmId>,
+  dead: ReadonlySet<VmId>,
+): readonly ListedVm[] {
+  const listed: ListedVm[] = [];
+  for (const vm of nodes) {
+    if (!dead.has(vm)) {
+      listed.push({vm, incarnation: incarnation(`${vm}-1`), state: 'live'});
+    }
+  }
+  return listed;
+}
+
+function emptyCounters(): NodeCounters {
+  return {
+    messages: 0,
+    bytes: 0,
+    channels: {membership: 0, configuration: 0, steering: 0},
+  };
+}
--- /dev/null
+++ b/packages/bench/src/slopes/measure_control.ts
@@ -0,0 +1,194 @@
+/** Control traffic, store calls and roll-out time of fleets of one size. */
+import type {Generation, VmId} from '@ibisbeam/decision';
+import {type ControlFleet, createControlFleet} from './control_fleet.js';
+import {
+  type FleetSize,
+  drainsSection,
+  scaledDocument,
+} from './scaled_configuration.js';
+
+const WARM_UP_MS = 20_000;
+const STEADY_MS = 10_000;
+const CHANGES = 3;
+const CHANGE_SPACING_MS = 12_000;
+const SETTLING_MS = 15_000;
+
+export interface ControlFigures {
+  readonly size: FleetSize;
+  /** Bytes a second both ways with headers: mean and busiest node. */
+  readonly meanBytesPerSecond: number;
+  readonly busiestBytesPerSecond: number;
+  readonly membershipBytesPerSecond: number;
+  readonly configurationBytesPerSecond: number;
+  readonly steeringBytesPerSecond: number;
+  readonly meanMessagesPerSecond: number;
+  readonly mostLinks: number;
+  /** Watches that wait at any moment; each counts as a call. */
+  readonly waitingWatches: number;
+  readonly storeReadsPerSecond: number;
+  /** Slowest node of all changes, milliseconds from the write. */
+  readonly inForceMs: number;
+  /** Bytes of the busiest node for one change, above the steady rate. */
+  readonly bytesPerChange: number;
+  readonly storeReadsPerChange: number;
+  /** Store reads while the whole fleet starts at once. */
+  readonly storeReadsAtStart: number;
+  readonly inForceAtStartMs: number;
+  /** Busiest node's mean bytes a second for 15 s after a zone is lost. */
+  readonly zoneLossBytesPerSecond: number;
+  /** Until every other node sees no lost node as live. */
+  readonly zoneLossSeenMs: number;
+  /** Processor milliseconds per node and virtual second, in steady state. */
+  readonly processorMsPerSecond: number;
+}
+
+export function measureControl(size: FleetSize): ControlFigures {
+  const fleet = createControlFleet(scaledDocument(size));
+  fleet.start();
+  fleet.loop.runUntil(WARM_UP_MS);
+  const storeReadsAtStart = readsOf(fleet);
+  const inForceAtStartMs = slowestInForce(fleet, 1) ?? Infinity;
+  const steady = measureSteady(fleet);
+  const changes = measureChanges(fleet, steady.busiestBytesPerSecond);
+  const loss = measureZoneLoss(fleet);
+  return {
+    size,
+    ...steady,
+    ...changes,
+    ...loss,
+    storeReadsAtStart,
+    inForceAtStartMs,
+  };
+}
+
+function measureSteady(fleet: ControlFleet) {
+  fleet.resetCounters();
+  const before = process.cpuUsage();
+  fleet.loop.runUntil(fleet.loop.nowMs() + STEADY_MS);
+  const used = process.cpuUsage(before);
+  const seconds = STEADY_MS / 1_000;
+  const nodes = fleet.nodes.size;
+  const totals = totalsOf(fleet);
+  const perNode = (value: number) => value / nodes / seconds;
+  return {
+    meanBytesPerSecond: perNode(totals.bytes),
+    busiestBytesPerSecond: totals.busiestBytes / seconds,
+    membershipBytesPerSecond: perNode(totals.membership),
+    configurationBytesPerSecond: perNode(totals.configuration),
+    steeringBytesPerSecond: perNode(totals.steering),
+    meanMessagesPerSecond: perNode(totals.messages),
+    mostLinks: Math.max(
+      ...[...fleet.nodes.keys()].map(node => fleet.linkCount(node)),
+    ),
+    waitingWatches: fleet.store.watching(),
+    storeReadsPerSecond: readsOf(fleet) / seconds,
+    processorMsPerSecond: perNode((used.user + used.system) / 1_000),
+  };
+}
+
+function totalsOf(fleet: ControlFleet) {
+  const totals = {
+    bytes: 0,
+    busiestBytes: 0,
+    messages: 0,
+    membership: 0,
+    configuration: 0,
+    steering: 0,
+  };
+  for (const counter of fleet.counters.values()) {
+    totals.bytes += counter.bytes;
+    totals.messages += counter.messages;
+    totals.busiestBytes = Math.max(totals.busiestBytes, counter.bytes);
+    totals.membership += counter.channels.membership;
+    totals.configuration += counter.channels.configuration;
+    totals.steering += counter.channels.steering;
+  }
+  return totals;
+}
+
+function measureChanges(fleet: ControlFleet, steadyBytesPerSecond: number) {
+  fleet.resetCounters();
+  let slowestMs = 0;
+  for (let change = 1; change <= CHANGES; change += 1) {
+    const publishedMs = fleet.loop.nowMs();
+    fleet.publish(drainsSection(change));
+    fleet.loop.runUntil(publishedMs + CHANGE_SPACING_MS);
+    const atMs = slowestInForce(fleet, change + 1) ?? Infinity;
+    slowestMs = Math.max(slowestMs, atMs - publishedMs);
+  }
+  const seconds = (CHANGES * CHANGE_SPACING_MS) / 1_000;
+  const {busiestBytes} = totalsOf(fleet);
+  const {headReads, chunkReads} = fleet.store.calls;
+  return {
+    inForceMs: slowestMs,
+    bytesPerChange: Math.max(
+      0,
+      (busiestBytes - steadyBytesPerSecond * seconds) / CHANGES,
+    ),
+    storeReadsPerChange:
+      (headReads + chunkReads) / CHANGES + fleet.store.watching(),
+  };
+}
+
+/** When the last node took the generation; undefined if one has not. */
+function slowestInForce(
+  fleet: ControlFleet,
+  generation: number,
+): number | undefined {
+  let slowest = 0;
+  for (const node of fleet.nodes.keys()) {
+    const taken = fleet.inForceMs.get(node);
+    if (!taken || taken.generation < (generation as Generation)) {
+      return undefined;
+    }
+    slowest = Math.max(slowest, taken.atMs);
+  }
+  return slowest;
+}
+
+function measureZoneLoss(fleet: ControlFleet) {
+  const first = fleet.nodes.values().next().value!.vm;
+  const lost: VmId[] = [];
+  for (const [id, {vm}] of fleet.nodes) {
+    if (vm.region === first.region && vm.zone === first.zone) {
+      lost.push(id);
+    }
+  }
+  fleet.resetCounters();
+  const lostAtMs = fleet.loop.nowMs();
+  fleet.kill(lost);
+  let seenMs = Infinity;
+  const endMs = lostAtMs + SETTLING_MS;
+  while (fleet.loop.nowMs() < endMs) {
+    fleet.loop.runUntil(fleet.loop.nowMs() + 500);
+    if (seenMs === Infinity && allSee(fleet, lost)) {
+      seenMs = fleet.loop.nowMs() - lostAtMs;
+    }
+  }
+  const {busiestBytes} = totalsOf(fleet);
+  return {
+    zoneLossBytesPerSecond: busiestBytes / (SETTLING_MS / 1_000),
+    zoneLossSeenMs: seenMs,
+  };
+}
+
+function allSee(fleet: ControlFleet, lost: readonly VmId[]): boolean {
+  const gone = new Set(lost);
+  for (const [id, node] of fleet.nodes) {
+    if (gone.has(id)) {
+      continue;
+    }
+    const {vms} = node.view();
+    for (const vm of lost) {
+      if (vms.get(vm)?.state === 'live') {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+function readsOf(fleet: ControlFleet): number {
+  const {watches, headReads, chunkReads, lists} = fleet.store.calls;
+  return watches + headReads + chunkReads + lists;
+}
