--- a/packages/command_line/src/core/burn_page/burn_page.ts
+++ b/packages/command_line/src/core/burn_page/burn_page.ts
@@ -6,7 +6,7 @@
   ServiceBurn,
 } from '@ibisbeam/decision';
 import {describeCoverage, formatRate} from '../burn_text.js';
-import {formatInstant, formatPercent} from '../table.js';
+import {formatBudgetLeft, formatInstant, formatPercent} from '../table.js';
 import {escapeHtml, tableCells} from './html.js';
 import {plotBudget, plotHours, plotReasons} from './plots.js';
 import {BURN_PAGE_STYLES} from './styles.js';
@@ -54,8 +54,8 @@
       workspaces.size > 1
         ? `${burn.service} (${burn.workspace})`
         : burn.service,
-      formatPercent(burn.availability.leftFraction),
-      formatPercent(burn.latency.leftFraction),
+      formatBudgetLeft(burn.availability.leftFraction),
+      formatBudgetLeft(burn.latency.leftFraction),
       worstAlert(burn),
     ]),
   );
@@ -117,7 +117,7 @@
     : '';
   return `<section class="budget">
 <p>${escapeHtml(goal)}</p>
-<p><span class="left ${tone}">${formatPercent(budget.leftFraction)}</span> of the budget left</p>
+<p><span class="left ${tone}">${formatBudgetLeft(budget.leftFraction)}</span> ${budget.leftFraction < -1 ? 'of the budget' : 'of the budget left'}</p>
 <p class="soft">${budget.bad} of ${budget.total} ${escapeHtml(badName)}</p>
 <table class="rates"><thead>${tableCells('th', ['Over', ...windows])}</thead>
 <tbody>${tableCells('td', ['Rate', ...rates])}</tbody></table>
--- a/packages/command_line/src/core/burn_text.ts
+++ b/packages/command_line/src/core/burn_text.ts
@@ -5,7 +5,12 @@
   CoverageGap,
   ServiceBurn,
 } from '@ibisbeam/decision';
-import {formatInstant, formatPercent, formatTable} from './table.js';
+import {
+  formatBudgetLeft,
+  formatInstant,
+  formatPercent,
+  formatTable,
+} from './table.js';
 
 export function describeBurnReport(report: BurnReport): string {
   const parts = [`Burn report at ${formatInstant(report.atMs)}`];
@@ -77,7 +82,7 @@
 function budgetRow(name: string, budget: Budget): string[] {
   return [
     name,
-    formatPercent(budget.leftFraction),
+    formatBudgetLeft(budget.leftFraction),
     String(budget.bad),
     String(budget.total),
     ...budget.rates.map(({rate}) => formatRate(rate)),
--- a/packages/command_line/src/core/table.ts
+++ b/packages/command_line/src/core/table.ts
@@ -48,3 +48,11 @@
 export function formatPercent(fraction: number): string {
   return `${Number((fraction * 100).toFixed(2))} %`;
 }
+
+/** What is left of a budget; far overspent, how many budgets were spent. */
+export function formatBudgetLeft(leftFraction: number): string {
+  if (leftFraction >= -1) {
+    return formatPercent(leftFraction);
+  }
+  return `spent ${Number((1 - leftFraction).toFixed(1))}x`;
+}
--- a/packages/command_line/test/burn_report.test.ts
+++ b/packages/command_line/test/burn_report.test.ts
@@ -51,7 +51,7 @@
     ...['--html', 'page.html'],
   );
   assert.equal(run.status, EXIT_STATUS.done, run.errors);
-  assert.match(run.output, /availability\s+\S+ %\s+2\s+6\s/);
+  assert.match(run.output, /availability\s+spent 333\.3x\s+2\s+6\s/);
   assert.match(run.output, /spent on: region-full 2/);
   assert.match(run.output, /Missing: VM riga-a-1: incarnation life gave no/);
   assert.match(run.output, /Missing: VM latgale-a-3: did not answer/);
