--- /dev/null
+++ b/packages/bench/src/forwarding/entry_main.ts
@@ -0,0 +1,172 @@
+/** An entry VM in a process of its own: `entry_main FILE TARGET_FILE`. */
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {
+  type Section,
+  compileConfiguration,
+  createRandomSource,
+  generation,
+  incarnation,
+  sectionNameOf,
+  teamName,
+} from '@ibisbeam/decision';
+import {
+  createEntryVm,
+  createKeyValueLogger,
+  createMemoryMetrics,
+  createSystemTimerService,
+  publishChange,
+  readDocument,
+  settingsSchema,
+} from '@ibisbeam/library';
+import {
+  buildDeployment,
+  createMemoryPlatform,
+  createStandInKeys,
+  deploymentFacts,
+  reserveAddresses,
+} from '@ibisbeam/stand-ins';
+import {
+  type TargetAnnouncement,
+  type Usage,
+  announce,
+  readAnnouncement,
+} from './announce.js';
+
+const SERVICE = 'room-availability';
+/** So many that admission never holds a request back. */
+const SLOTS = 2_000;
+const CLIENT_BLOCKS = 60_000;
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+
+const [, , file, targetFile] = process.argv;
+const target = readAnnouncement<TargetAnnouncement>(targetFile!);
+const timers = createSystemTimerService();
+const keys = await createStandInKeys(timers);
+const platform = createMemoryPlatform(timers);
+const [caller, peer, operator] = await reserveAddresses(3);
+
+const document = buildDeployment({
+  name: 'daugava',
+  entryVmCount: 1,
+  workerDivisor: 16,
+  clientBlockCount: CLIENT_BLOCKS,
+  vmAddresses: () => ({
+    callerAddress: caller!,
+    peerAddress: peer!,
+    operatorAddress: operator!,
+  }),
+  targetAddress: () => target.address,
+});
+const sections = [...document.values()].map(prepare);
+const changes = new Map(
+  sections.map(section => [sectionNameOf(section), section]),
+);
+compileConfiguration(changes, generation(1)).unsafeCoerce();
+const base = (await readDocument(platform.store).run()).unsafeCoerce();
+const published = await publishChange({
+  platform: platform.store,
+  base,
+  sections: changes,
+  author: 'bench',
+  summary: 'bench',
+  writeId: 'bench',
+  wallMs: timers.wallMs(),
+}).run();
+published.unsafeCoerce();
+
+const life = incarnation('bench-1');
+const [entryVm] = topologyOf(sections).entryVms;
+platform.setVm({vm: entryVm!.id, incarnation: life, state: 'live'});
+const kernel = createEntryVm({
+  settings: settingsSchema.parse({
+    vm: {id: entryVm!.id, region: entryVm!.region, zone: entryVm!.zone},
+    listen: {caller, peer, operator},
+    platform: {url: 'http://127.0.0.1:1'},
+    keys: {
+      tokenVerification: {environmentVariable: 'UNUSED'},
+      vmSigning: {environmentVariable: 'UNUSED'},
+    },
+    lookup: {lifetimeMs: 1_000},
+  }),
+  timers,
+  random: createRandomSource(1),
+  logger: createKeyValueLogger({
+    level: 'info',
+    fields: {},
+    write: line => process.stderr.write(line),
+  }),
+  metrics: createMemoryMetrics(),
+  platform: platform.store,
+  tokenVerifier: keys.verifier,
+  tokenSigner: keys.signer,
+  incarnation: life,
+});
+await kernel.start();
+
+const usageServer = createServer((_request, response) => {
+  const {user, system} = process.cpuUsage();
+  const usage: Usage = {
+    processorMs: (user + system) / MICROSECONDS_PER_MILLISECOND,
+    residentBytes: process.memoryUsage().rss,
+  };
+  response.end(JSON.stringify(usage));
+});
+usageServer.listen(0, '127.0.0.1', () => {
+  void tell();
+});
+process.once('SIGTERM', () => {
+  usageServer.close();
+  void kernel.stop();
+});
+
+async function tell(): Promise<void> {
+  const {port} = usageServer.address() as AddressInfo;
+  announce(file!, {
+    callerAddress: caller,
+    usageAddress: `127.0.0.1:${port}`,
+    token: await keys.token(
+      {kind: 'calling-team', team: teamName('front-desk')},
+      'ibisbeam-caller',
+    ),
+    workspace: deploymentFacts.daugava.workspace,
+    service: SERVICE,
+  });
+}
+
+/** Hedges would send more requests than the direct calls that are compared. */
+function prepare(section: Section): Section {
+  switch (section.kind) {
+    case 'service':
+      return {
+        kind: 'service',
+        service: {
+          ...section.service,
+          targets: section.service.targets.map(each => ({
+            ...each,
+            slots: SLOTS,
+          })),
+        },
+      };
+    case 'template': {
+      const {template} = section;
+      const policies: Record<string, Record<string, unknown>> = {};
+      for (const [service, policy] of Object.entries(template.policies)) {
+        const hedging = {...(policy!['hedging'] as object), enabled: false};
+        policies[service] = {...policy, hedging};
+      }
+      return {kind: 'template', template: {...template, policies}};
+    }
+    default:
+      return section;
+  }
+}
+
+function topologyOf(all: readonly Section[]) {
+  for (const section of all) {
+    if (section.kind === 'topology') {
+      return section.topology;
+    }
+  }
+  throw new Error('the deployment has no topology');
+}
