--- a/packages/library/src/core/kernel/kernel.ts
+++ b/packages/library/src/core/kernel/kernel.ts
@@ -1,4 +1,9 @@
-import type {TaskMessages, TaskName, VmEvent} from '../messages/index.js';
+import type {
+  TaskMessages,
+  TaskName,
+  VmEvent,
+  VmEventKind,
+} from '../messages/index.js';
 import {createMailbox, type Mailbox} from './mailbox.js';
 import {startOrder} from './start_order.js';
 import type {Kernel, PlugIn, Task, TaskContext} from './types.js';
@@ -8,6 +13,12 @@
 const LONGEST_RESTART_DELAY_MS = 10_000;
 /** A task that ran this long without failure begins again at the first delay. */
 const RESTART_FORGIVEN_AFTER_MS = 60_000;
+/** Events that tell a state; the latest of each is given to restarted tasks. */
+const RETAINED_EVENTS: ReadonlySet<VmEventKind> = new Set([
+  'configuration-in-force',
+  'freshness-changed',
+  'membership-changed',
+] as const);
 const DEFAULT_ASK_TIMEOUT_MS = 5_000;
 
 type MailboxItem =
@@ -21,6 +32,8 @@
   restartDelayMs: number;
   startedAtMs: number;
   restarting: boolean;
+  /** What came before the task had started, in order; bounded. */
+  early: MailboxItem[] | undefined;
 }
 
 export type KernelDependencies = Omit<TaskContext, 'publish' | 'post' | 'ask'>;
@@ -33,6 +46,7 @@
   const {timers, logger, metrics} = dependencies;
   const ordered = startOrder(plugIns);
   const running = new Map<TaskName, RunningTask>();
+  const retained = new Map<VmEventKind, VmEvent>();
   let stopping: Promise<void> | undefined;
   let fatal: unknown;
   let reportEnded: (end: {readonly fatal?: unknown}) => void = () => {};
@@ -43,7 +57,14 @@
   const context: TaskContext = {...dependencies, publish, post, ask};
 
   function offer(entry: RunningTask, item: MailboxItem): void {
-    if (entry.restarting || entry.mailbox.offer(item)) {
+    if (entry.restarting) {
+      return;
+    }
+    if (entry.early && entry.early.length < MAILBOX_CAPACITY) {
+      entry.early.push(item);
+      return;
+    }
+    if (!entry.early && entry.mailbox.offer(item)) {
       return;
     }
     metrics.emit({
@@ -55,6 +76,9 @@
   }
 
   function publish(event: VmEvent): void {
+    if (RETAINED_EVENTS.has(event.kind)) {
+      retained.set(event.kind, event);
+    }
     for (const entry of running.values()) {
       if (entry.plugIn.subscribesTo.includes(event.kind)) {
         offer(entry, {kind: 'event', event});
@@ -141,29 +165,61 @@
     entry.restarting = false;
     try {
       await entry.task.start();
+      offerRetained(entry);
       logger.log('warn', 'task-restarted', {task: name});
     } catch (error) {
       taskFailed(entry, error);
     }
   }
 
+  /** A restarted task has forgotten what it knew of the state. */
+  function offerRetained(entry: RunningTask): void {
+    for (const event of retained.values()) {
+      if (entry.plugIn.subscribesTo.includes(event.kind)) {
+        offer(entry, {kind: 'event', event});
+      }
+    }
+  }
+
+  function createEntry(plugIn: PlugIn): RunningTask {
+    const entry: RunningTask = {
+      plugIn,
+      task: plugIn.create(context) as Task<TaskName>,
+      mailbox: createMailbox<MailboxItem>(
+        MAILBOX_CAPACITY,
+        item => consume(entry, item),
+        error => taskFailed(entry, error),
+      ),
+      restartDelayMs: FIRST_RESTART_DELAY_MS,
+      startedAtMs: timers.nowMs(),
+      restarting: false,
+      early: [],
+    };
+    return entry;
+  }
+
+  function openMailbox(entry: RunningTask): void {
+    const {early} = entry;
+    entry.early = undefined;
+    for (const item of early ?? []) {
+      offer(entry, item);
+    }
+  }
+
   async function start(): Promise<void> {
+    // All mailboxes exist before the first task starts, so that no task
+    // misses what an earlier one publishes meanwhile.
     for (const plugIn of ordered) {
-      const entry: RunningTask = {
-        plugIn,
-        task: plugIn.create(context) as Task<TaskName>,
-        mailbox: createMailbox<MailboxItem>(
-          MAILBOX_CAPACITY,
-          item => consume(entry, item),
-          error => taskFailed(entry, error),
-        ),
-        restartDelayMs: FIRST_RESTART_DELAY_MS,
-        startedAtMs: timers.nowMs(),
-        restarting: false,
-      };
-      running.set(plugIn.name, entry);
+      running.set(plugIn.name, createEntry(plugIn));
+    }
+    for (const entry of running.values()) {
+      if (stopping) {
+        return;
+      }
       await entry.task.start();
-      logger.log('debug', 'task-started', {task: plugIn.name});
+      entry.startedAtMs = timers.nowMs();
+      openMailbox(entry);
+      logger.log('debug', 'task-started', {task: entry.plugIn.name});
     }
     for (const hook of dependencies.hooks.vmStarted) {
       hook();
@@ -176,7 +232,8 @@
   }
 
   async function stopAll(): Promise<void> {
-    for (const entry of [...running.values()].reverse()) {
+    const started = [...running.values()].filter(entry => !entry.early);
+    for (const entry of started.reverse()) {
       await entry.task.stop().catch(error =>
         logger.log('error', 'task-failed', {
           task: entry.plugIn.name,
