--- a/packages/library/test/core/kernel/kernel.test.ts
+++ b/packages/library/test/core/kernel/kernel.test.ts
@@ -36,7 +36,7 @@
   return {
     name,
     dependsOn: options.dependsOn ?? [],
-    subscribesTo: ['store-reachability'],
+    subscribesTo: ['store-reachability', 'freshness-changed'],
     onFailure: options.onFailure ?? 'restart',
     create: () => ({
       start: () => Promise.resolve(),
@@ -161,3 +161,48 @@
   await timers.advance(20);
   assert.deepEqual(handled, [true, false]);
 });
+
+test('a task gets what was published before it had started', async () => {
+  const heard: string[] = [];
+  const {built} = dependencies();
+  const early = plugIn('configuration', {
+    start: async () =>
+      kernel.publish({kind: 'store-reachability', reachable: true}),
+  });
+  const late = plugIn(
+    'forwarding',
+    {
+      start: async () => void heard.push('start'),
+      observe: event => void heard.push(event.kind),
+    },
+    {dependsOn: ['configuration']},
+  );
+  const kernel = createKernel([late, early], built);
+  await kernel.start();
+  assert.deepEqual(heard, ['start', 'store-reachability']);
+});
+
+test('a restarted task is told the latest state again', async () => {
+  const {timers, built} = dependencies();
+  const heard: string[] = [];
+  let lives = 0;
+  const failing = plugIn('lookup', {
+    start: async () => void (lives += 1),
+    observe: event => {
+      heard.push(`${lives} ${event.kind}`);
+      if (event.kind === 'store-reachability') {
+        throw new Error('defect');
+      }
+    },
+  });
+  const kernel = createKernel([failing], built);
+  await kernel.start();
+  kernel.publish({kind: 'freshness-changed', fresh: true, why: 'test'});
+  kernel.publish({kind: 'store-reachability', reachable: true});
+  await timers.advance(100);
+  assert.deepEqual(heard, [
+    '1 freshness-changed',
+    '1 store-reachability',
+    '2 freshness-changed',
+  ]);
+});
