--- a/packages/bench/src/forwarding/load_main.ts
+++ b/packages/bench/src/forwarding/load_main.ts
@@ -17,7 +17,8 @@
   openLoop,
 } from './load.js';
 
-const WARM_UP_MS = 2_000;
+/** Longer than a target's slow start. */
+const WARM_UP_MS = 12_000;
 const ROUNDS = 3;
 
 const [, , entryFile, targetFile, seconds, concurrencies, lookups] =
@@ -52,7 +53,7 @@
 
 async function compare(inFlight: number): Promise<void> {
   await closedLoop(timers, forwarded, inFlight, WARM_UP_MS);
-  await closedLoop(timers, direct, inFlight, WARM_UP_MS / 2);
+  await closedLoop(timers, direct, inFlight, 1_000);
   const directs: LoadResult[] = [];
   const forwards: LoadResult[] = [];
   let processorMs = 0;
@@ -82,7 +83,7 @@
 }
 
 async function measureLookups(perSecond: number): Promise<void> {
-  await openLoop(timers, lookup, perSecond, WARM_UP_MS);
+  await openLoop(timers, lookup, perSecond, 2_000);
   const before = await usage();
   const result = await openLoop(timers, lookup, perSecond, spanMs * ROUNDS);
   const after = await usage();
--- a/packages/library/src/plugins/forwarding/agents.ts
+++ b/packages/library/src/plugins/forwarding/agents.ts
@@ -3,7 +3,7 @@
 
 /** Shorter than the idle timeout of common servers, which is 5 s. */
 const IDLE_CONNECTION_TIMEOUT_MS = 4_000;
-const FREE_CONNECTIONS = 32;
+const FREE_CONNECTIONS = 256;
 
 /**
  * `kept`: connections are reused. `fresh`: each request opens its own, so that
@@ -37,7 +37,7 @@
     const agent = new Agent({
       keepAlive: use !== 'fresh',
       maxSockets: maximum,
-      maxFreeSockets: FREE_CONNECTIONS,
+      maxFreeSockets: Math.min(maximum, FREE_CONNECTIONS),
       scheduling: 'lifo',
       timeout: IDLE_CONNECTION_TIMEOUT_MS,
     });
--- a/packages/library/src/plugins/forwarding/attempt.ts
+++ b/packages/library/src/plugins/forwarding/attempt.ts
@@ -4,7 +4,13 @@
  * A connection whose answer was abandoned, cut short or meant for another
  * request is destroyed, so that no later request can read from it.
  */
-import type {Agent, ClientRequest, IncomingMessage} from 'node:http';
+import {
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  type RequestOptions,
+  request as httpRequest,
+} from 'node:http';
 import type {AttemptResult} from '@ibisbeam/decision';
 import {type Request, got} from 'got';
 import {
@@ -13,6 +19,7 @@
   OUTCOME_HEADER,
   REQUEST_ID_HEADER,
 } from '../../core/http/index.js';
+import type {TimerService} from '../../core/timers/index.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const NOT_FOUND = -1;
@@ -25,6 +32,7 @@
   readonly agent: Agent;
   readonly requestId: string;
   readonly connectTimeoutMs: number;
+  readonly timers: Pick<TimerService, 'after'>;
   /** Whether the address is another entry VM rather than a target. */
   readonly relay: boolean;
 }
@@ -48,7 +56,18 @@
   readonly sent: () => boolean;
 }
 
+/** Leaves out the TLS options, which plain HTTP would copy several times. */
+function plainRequest(
+  url: URL,
+  options: RequestOptions,
+  callback?: (answer: IncomingMessage) => void,
+): ClientRequest {
+  const {method, headers, agent} = options;
+  return httpRequest(url, {method, headers, agent}, callback);
+}
+
 const client = got.extend({
+  request: plainRequest as never,
   retry: {limit: 0},
   throwHttpErrors: false,
   followRedirect: false,
@@ -74,7 +93,6 @@
     body: withBody ? request.body : undefined,
     allowGetBody: withBody,
     agent: {http: request.agent},
-    timeout: {connect: request.connectTimeoutMs},
   });
 
   function finish(result: AttemptResult): void {
@@ -106,11 +124,18 @@
       return;
     }
     outgoing.once('socket', socket => {
-      if (socket.connecting) {
-        socket.once('connect', noteSent);
+      if (!socket.connecting) {
+        noteSent();
         return;
       }
-      noteSent();
+      const timeout = request.timers.after(request.connectTimeoutMs, () =>
+        abandon({kind: 'not-sent', cause: 'the connection took too long'}),
+      );
+      socket.once('connect', () => {
+        timeout.cancel();
+        noteSent();
+      });
+      socket.once('close', () => timeout.cancel());
     });
   }
 
--- a/packages/library/src/plugins/forwarding/configuration_view.ts
+++ b/packages/library/src/plugins/forwarding/configuration_view.ts
@@ -10,6 +10,9 @@
   indexApprovals,
 } from '@ibisbeam/decision';
 
+/** Clients whose place is remembered; the oldest go first. */
+const REMEMBERED_CLIENTS = 10_000;
+
 export interface ConfigurationView {
   readonly configuration: Configuration;
   workspaceService(
@@ -26,6 +29,20 @@
   blocks: BlockTable,
 ): ConfigurationView {
   const approvals = indexApprovals(configuration.approvals);
+  const places = new Map<string, ClientPlace | undefined>();
+
+  function clientPlace(address: string): ClientPlace | undefined {
+    const known = places.get(address);
+    if (known) {
+      return known;
+    }
+    const place = blocks.find(address);
+    if (places.size >= REMEMBERED_CLIENTS) {
+      places.delete(places.keys().next().value!);
+    }
+    places.set(address, place);
+    return place;
+  }
 
   return {
     configuration,
@@ -34,6 +51,6 @@
         .get(workspace as WorkspaceName)
         ?.get(service as ServiceName),
     isApproved: key => approvals.standing(key) === 'approved',
-    clientPlace: blocks.find,
+    clientPlace,
   };
 }
--- a/packages/library/src/plugins/forwarding/sender.ts
+++ b/packages/library/src/plugins/forwarding/sender.ts
@@ -100,6 +100,7 @@
         agent: agents.get(address, use, maximumConnections),
         requestId: intake.requestId,
         connectTimeoutMs: settings.requests.connectTimeoutMs,
+        timers,
         relay,
       },
       {
