Split the exchange: claim refusals, records and running attempts apart

An answer too long to hold for a booking whose caller went away is now read to its end for its record, instead of being cut and recorded as unknown.

--- a/packages/library/src/plugins/forwarding/exchange.ts
+++ b/packages/library/src/plugins/forwarding/exchange.ts
@@ -7,12 +7,9 @@
   AttemptDestination,
   AttemptResult,
   ClaimDecision,
-  RefusalReason,
   RequestRecord,
-  SteeringAction,
   SteeringEvent,
 } from '@ibisbeam/decision';
-import {assertNever} from '@ibisbeam/decision';
 import {
   type Refusal,
   refusalStatus,
@@ -25,14 +22,20 @@
   writeHeldAnswer,
   writeRecordedAnswer,
 } from './answer_writer.js';
-import {type Attempt, isWithoutBody} from './attempt.js';
+import {isWithoutBody} from './attempt.js';
 import {type ClaimGuard, createClaimGuard} from './claim_guard.js';
+import {claimRefusal} from './claim_refusal.js';
 import type {Intake} from './intake.js';
+import {type Settlement, buildRecord} from './request_record.js';
+import {
+  type RunningAttempt,
+  type SendAction,
+  createRunningAttempt,
+  wasSent,
+} from './running_attempt.js';
 import type {AttemptSender} from './sender.js';
 import {type PacedWriter, createPacedWriter} from './paced_writer.js';
 
-type SendAction = Extract<SteeringAction, {kind: 'send-attempt'}>;
-
 export interface ExchangeDependencies {
   readonly context: TaskContext;
   readonly sender: AttemptSender;
@@ -49,22 +52,6 @@
   cut(): void;
 }
 
-interface RunningAttempt {
-  readonly action: SendAction;
-  attempt?: Attempt;
-  cancelled: boolean;
-  head?: IncomingMessage;
-  held: Buffer[];
-  heldBytes: number;
-  timeout?: {cancel(): void};
-}
-
-interface Settlement {
-  readonly result: RequestRecord['result'];
-  readonly status: number;
-  readonly refusal?: RefusalReason;
-}
-
 export function createExchange(
   intake: Intake,
   response: ServerResponse,
@@ -109,7 +96,7 @@
   function release(result: (sent: boolean) => AttemptResult): void {
     step({kind: 'request-cancelled', request: facts.id});
     for (const entry of [...running.values()]) {
-      stopAttempt(entry, result(entry.attempt?.sent() ?? false));
+      stopAttempt(entry, result(wasSent(entry)));
     }
   }
 
@@ -193,34 +180,22 @@
       return;
     }
     recorded = true;
-    const delivered = !callerGone && response.writableFinished;
-    const result =
-      settlement.result === 'answered' && !delivered
-        ? 'caller-gone'
-        : settlement.result;
-    dependencies.finished({
-      request: facts.id,
-      workspace: facts.workspace,
-      service: facts.service,
-      callingTeam: facts.callingTeam,
-      startedAtMs: startedAtWallMs,
-      durationMs: timers.nowMs() - startedAtMs,
-      result,
-      status: settlement.status,
-      refusal: settlement.refusal,
-      attempts,
-      destination,
-      explanation,
-    });
+    dependencies.finished(
+      buildRecord({
+        facts,
+        settlement,
+        delivered: !callerGone && response.writableFinished,
+        startedAtWallMs,
+        durationMs: timers.nowMs() - startedAtMs,
+        attempts,
+        destination,
+        explanation,
+      }),
+    );
   }
 
   function send(action: SendAction): void {
-    const entry: RunningAttempt = {
-      action,
-      cancelled: false,
-      held: [],
-      heldBytes: 0,
-    };
+    const entry = createRunningAttempt(action);
     running.set(action.attempt, entry);
     if (settlement) {
       stopAttempt(entry, {kind: 'cancelled', sent: false});
@@ -263,46 +238,15 @@
   function answerByClaim(
     decision: Exclude<ClaimDecision, {kind: 'run'}>,
   ): void {
-    switch (decision.kind) {
-      case 'replay':
-        replay(decision.answer);
-        return;
-      case 'in-progress':
-        refuse({
-          reason: 'idempotency-key-in-use',
-          outcome: 'unknown',
-          retryAfterMs: decision.retryAfterMs,
-        });
-        return;
-      case 'outcome-unknown':
-        refuse({reason: 'outcome-unknown', outcome: 'unknown'});
-        return;
-      case 'key-reused':
-        refuse({reason: 'idempotency-key-reused', outcome: 'not-run'});
-        return;
-      case 'unavailable':
-        refuse({
-          reason: 'claim-unavailable',
-          outcome: decision.outcome,
-          retryAfterMs: decision.retryAfterMs,
-        });
-        return;
-      default:
-        assertNever(decision);
+    const refusal = claimRefusal(decision);
+    if (refusal) {
+      refuse(refusal);
+      return;
     }
-  }
-
-  function replay(
-    answer: Extract<ClaimDecision, {kind: 'replay'}>['answer'],
-  ): void {
-    if (answer.bodyBase64 === undefined) {
-      refuse({
-        reason: 'answer-not-kept',
-        outcome: 'unknown',
-        detail: `it was answered with status ${answer.status}`,
-      });
+    if (decision.kind !== 'replay') {
       return;
     }
+    const {answer} = decision;
     settle({result: 'answered', status: answer.status});
     release(sent => ({kind: 'cancelled', sent}));
     if (callerGone) {
@@ -365,6 +309,9 @@
   }
 
   function onData(entry: RunningAttempt, chunk: Buffer): void {
+    if (entry.discarded) {
+      return;
+    }
     if (streaming === entry) {
       writer?.write(chunk);
       return;
@@ -378,7 +325,12 @@
 
   /** The first attempt whose answer must go on unheld wins. */
   function stream(entry: RunningAttempt, head: IncomingMessage): void {
-    if (settlement || streaming || writePending || callerGone) {
+    if (callerGone && !settlement) {
+      entry.discarded = true;
+      entry.held = [];
+      return;
+    }
+    if (settlement || streaming || writePending) {
       stopAttempt(entry, {kind: 'cancelled', sent: true});
       return;
     }
@@ -402,6 +354,9 @@
 
   function onFinished(entry: RunningAttempt, result: AttemptResult): void {
     const {attempt} = entry.action;
+    if (running.get(attempt) !== entry) {
+      return;
+    }
     running.delete(attempt);
     entry.timeout?.cancel();
     if (result.kind === 'shed') {
@@ -434,8 +389,7 @@
   function stopOthers(winner: RunningAttempt): void {
     for (const entry of [...running.values()]) {
       if (entry !== winner) {
-        const sent = entry.attempt?.sent() ?? false;
-        stopAttempt(entry, {kind: 'cancelled', sent});
+        stopAttempt(entry, {kind: 'cancelled', sent: wasSent(entry)});
       }
     }
   }
@@ -471,7 +425,8 @@
       writePending();
       return;
     }
-    const fits = body.length <= settings.claims.maximumRecordedBytes;
+    const fits =
+      !entry.discarded && body.length <= settings.claims.maximumRecordedBytes;
     const answer = recordedAnswer(head, headers, fits ? body : undefined);
     void claim.end({kind: 'answered', answer}).then(writePending);
   }
@@ -481,8 +436,7 @@
     cancel: attempt => {
       const entry = running.get(attempt);
       if (entry) {
-        const sent = entry.attempt?.sent() ?? false;
-        stopAttempt(entry, {kind: 'cancelled', sent});
+        stopAttempt(entry, {kind: 'cancelled', sent: wasSent(entry)});
       }
     },
     refuse,
--- /dev/null
+++ b/packages/library/src/plugins/forwarding/request_record.ts
@@ -0,0 +1,45 @@
+/** The record of a finished request. */
+import type {
+  AttemptDestination,
+  RefusalReason,
+  RequestFacts,
+  RequestRecord,
+} from '@ibisbeam/decision';
+
+/** How a request ended, before it is known whether the caller got it. */
+export interface Settlement {
+  readonly result: RequestRecord['result'];
+  readonly status: number;
+  readonly refusal?: RefusalReason;
+}
+
+export interface RecordInputs {
+  readonly facts: RequestFacts;
+  readonly settlement: Settlement;
+  /** Whether the caller took the whole answer. */
+  readonly delivered: boolean;
+  readonly startedAtWallMs: number;
+  readonly durationMs: number;
+  readonly attempts: number;
+  readonly destination?: AttemptDestination;
+  readonly explanation: readonly string[];
+}
+
+export function buildRecord(inputs: RecordInputs): RequestRecord {
+  const {facts, settlement} = inputs;
+  const lost = settlement.result === 'answered' && !inputs.delivered;
+  return {
+    request: facts.id,
+    workspace: facts.workspace,
+    service: facts.service,
+    callingTeam: facts.callingTeam,
+    startedAtMs: inputs.startedAtWallMs,
+    durationMs: inputs.durationMs,
+    result: lost ? 'caller-gone' : settlement.result,
+    status: settlement.status,
+    refusal: settlement.refusal,
+    attempts: inputs.attempts,
+    destination: inputs.destination,
+    explanation: inputs.explanation,
+  };
+}
