--- a/packages/library/src/plugins/lookup/lookup.ts
+++ b/packages/library/src/plugins/lookup/lookup.ts
@@ -14,7 +14,7 @@
   assertNever,
   createEntryVmDirectory,
 } from '@ibisbeam/decision';
-import {type Either, Left} from 'purify-ts';
+import {type Either, Left, Right} from 'purify-ts';
 import type {Context, Middleware} from 'koa';
 import {
   type Refusal,
@@ -28,6 +28,8 @@
 const LOOKUP_PATH = '/v1/entry-vms';
 const ROUTE_OWNER = 'lookup';
 const RETRY_AFTER_MS = 1_000;
+/** Queries whose parsing is remembered; the oldest go first. */
+const REMEMBERED_QUERIES = 10_000;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Body of an answer; the choices are best first. */
@@ -57,6 +59,8 @@
   let blocks: BlockTable | undefined;
   let view: MembershipView | undefined;
   let stopping = false;
+  /** Parsed queries by URL and sender, for one configuration. */
+  const queries = new Map<string, LookupQuery>();
   /** Texts of answers by the choices that they state. */
   let texts = new WeakMap<
     LookupAnswer['choices'],
@@ -101,6 +105,26 @@
   }
 
   function find(koaContext: Context): Either<Refusal, LookupAnswer> {
+    const {url = '', socket} = koaContext.req;
+    const key = `${url} ${socket.remoteAddress}`;
+    const known = queries.get(key);
+    if (known) {
+      return directory.answer(known, timers.wallMs()).mapLeft(refusalOf);
+    }
+    return readQuery(koaContext).chain(query => {
+      remember(key, query);
+      return directory.answer(query, timers.wallMs()).mapLeft(refusalOf);
+    });
+  }
+
+  function remember(key: string, query: LookupQuery): void {
+    if (queries.size >= REMEMBERED_QUERIES) {
+      queries.delete(queries.keys().next().value!);
+    }
+    queries.set(key, query);
+  }
+
+  function readQuery(koaContext: Context): Either<Refusal, LookupQuery> {
     const {workspace, service, client} = koaContext.query;
     if (typeof workspace !== 'string' || typeof service !== 'string') {
       return Left(malformed('workspace and service are needed, once each'));
@@ -116,12 +140,11 @@
     if (!place) {
       return Left(malformed('client is no IP number and no block'));
     }
-    const query: LookupQuery = {
+    return Right({
       workspace: workspace as WorkspaceName,
       service: service as ServiceName,
       place,
-    };
-    return directory.answer(query, timers.wallMs()).mapLeft(refusalOf);
+    });
   }
 
   function write(koaContext: Context, found: LookupAnswer): void {
@@ -206,6 +229,7 @@
     switch (event.kind) {
       case 'configuration-in-force':
         configuration = event.configuration;
+        queries.clear();
         blocks = dependencies.blockTables.build(configuration.clientBlocks);
         directory.configurationAccepted(configuration);
         texts = new WeakMap();
