--- a/packages/decision/src/core/membership/create_membership.ts
+++ b/packages/decision/src/core/membership/create_membership.ts
@@ -36,6 +36,8 @@
 
 /** News does not wait for the next heartbeat, but goes no faster than this. */
 const NEWS_INTERVAL_MS = 200;
+/** Of longer lists the readers take as many bytes a second, so read rarer. */
+const FULL_RATE_LIST_VMS = 100;
 /** How long a VM may be behind before that is told to others. */
 const BEHIND_AFTER_MS = 5_000;
 
@@ -132,7 +134,7 @@
       regionAges.heard(record.region, nowMs);
     }
     const state = beat.leaving ? 'leaving' : 'live';
-    const {incarnation, generation: theirs = null} = beat;
+    const {incarnation = null, generation: theirs = null} = beat;
     mergeUpdate([from, incarnation, beat.revision, state, theirs], from);
     regionAges.take(beat.regions ?? [], nowMs);
     for (const update of beat.updates ?? []) {
@@ -142,13 +144,14 @@
   }
 
   function sendBeat(to: VmId, peer: PeerState, nowMs: number): void {
+    const isFirst = peer.lastSentMs === Number.NEGATIVE_INFINITY;
     peer.lastSentMs = nowMs;
     regionAges.heard(options.region, nowMs);
     const ages = regionAges.agesFor(to, regions.length, nowMs);
     const updates = peers.takeUpdates(peer);
     const beat: Beat = {
       kind: 'beat',
-      incarnation: options.incarnation,
+      ...(isFirst ? {incarnation: options.incarnation} : {}),
       revision,
       ...(leaving ? {leaving} : {}),
       ...(generation === undefined ? {} : {generation}),
@@ -230,6 +233,7 @@
     records.configure(entryVms);
     planner.review(nowMs, peers.isLinked);
     regions = planner.regions();
+    regionAges.configure(regions);
     regionSilentAfterMs = silentAfterMs(
       records.size(),
       regions.length,
@@ -264,7 +268,8 @@
     if (nowMs < nextListMs || !planner.isDelegate()) {
       return;
     }
-    nextListMs = nowMs + options.listIntervalMs;
+    const scale = Math.max(1, records.size() / FULL_RATE_LIST_VMS);
+    nextListMs = nowMs + options.listIntervalMs * scale;
     actions.push({kind: 'list-vms'});
   }
 
