Drive the deadlines of the forwarding tests by hand

On a machine with a load average of 18 the deadline of 50 ms passed before the request was sent, so that the answer was a truthful 503 instead of the 504 that the test asks for. The tests now wait for the target and move the time.

--- a/packages/stand_ins/test/forwarding/answers.test.ts
+++ b/packages/stand_ins/test/forwarding/answers.test.ts
@@ -1,6 +1,7 @@
 /** Answers of the forwarding path: whole, own, or clearly broken. */
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
+import {createManualTimerService} from '@ibisbeam/library';
 import {BOOKINGS, PACKS, READS, createRunningBed, until} from './harness.js';
 
 describe('forwarding', () => {
@@ -64,12 +65,16 @@
   });
 
   it('never gives a late answer to the next request on the connection', async () => {
-    bed = await createRunningBed();
+    const timers = createManualTimerService();
+    bed = await createRunningBed({timers});
     const [target] = bed.targets;
     target!.faults.hold = true;
-    const late = await fetch(`${bed.url}${READS}/late`, {
+    const asked = fetch(`${bed.url}${READS}/late`, {
       headers: bed.headers({'ibisbeam-deadline-ms': '50'}),
     });
+    await until(() => target!.inFlight() === 1);
+    await timers.advance(50);
+    const late = await asked;
     assert.equal(late.status, 504);
     assert.equal(((await late.json()) as {outcome: string}).outcome, 'unknown');
     target!.release();
--- a/packages/stand_ins/test/forwarding/bookings.test.ts
+++ b/packages/stand_ins/test/forwarding/bookings.test.ts
@@ -1,6 +1,7 @@
 /** Non-idempotent requests: claimed before they are sent, at most one run. */
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
+import {createManualTimerService} from '@ibisbeam/library';
 import {BOOKINGS, createRunningBed, until} from './harness.js';
 import {ask} from './support.js';
 
@@ -89,10 +90,18 @@
   });
 
   it('gets its answer by the deadline even if the record takes longer', async () => {
-    bed = await createRunningBed();
+    const timers = createManualTimerService();
+    bed = await createRunningBed({timers});
     bed.claims.holdEnds = true;
-    const answer = await book('k-1', {}, 200);
-    assert.equal(answer.status, 201);
+    const booked = book('k-1', {}, 200);
+    await until(() =>
+      bed.vm.steering.events.some(
+        event =>
+          event.kind === 'attempt-finished' && event.result.kind === 'answered',
+      ),
+    );
+    await timers.advance(200);
+    assert.equal((await booked).status, 201);
   });
 
   it('that cannot be claimed is refused and never sent', async () => {
--- a/packages/stand_ins/test/forwarding/harness.ts
+++ b/packages/stand_ins/test/forwarding/harness.ts
@@ -15,8 +15,8 @@
 import {
   type Kernel,
   type LogEvent,
+  type ManualTimerService,
   type SettingsInput,
-  type TimerService,
   createCallerRoutes,
   createKernel,
   createMemoryMetrics,
@@ -46,6 +46,9 @@
 export const BOOKINGS = `/v1/workspaces/${WORKSPACE}/services/booking-ledger`;
 export const PACKS = `/v1/workspaces/${WORKSPACE}/services/welcome-packs`;
 
+/** Longer than any planned stop of these tests. */
+const STOP_SPAN_MS = 10_000;
+
 export interface TestVm {
   readonly kernel: Kernel;
   readonly steering: FixedSteering;
@@ -71,7 +74,7 @@
 
 export interface TestVmOptions extends FixedSteeringOptions {
   readonly settings?: Partial<SettingsInput>;
-  readonly timers?: TimerService;
+  readonly timers?: ManualTimerService;
 }
 
 /** Two targets stand behind each service. */
@@ -83,7 +86,7 @@
     await startStandInTarget({id: 'one', slots: 8, timers}),
     await startStandInTarget({id: 'two', slots: 8, timers}),
   ];
-  const started: Kernel[] = [];
+  const started: {kernel: Kernel; manual?: ManualTimerService}[] = [];
   const token = await keys.token(
     {kind: 'calling-team', team: 'front-desk' as never},
     'ibisbeam-caller',
@@ -141,7 +144,7 @@
       },
     });
     await kernel.start();
-    started.push(kernel);
+    started.push({kernel, manual: options.timers});
     const status = await kernel.ask<'forwarding', {callerAddress: string}>(
       'forwarding',
       reply => ({kind: 'status', reply}),
@@ -173,7 +176,11 @@
       for (const target of targets) {
         await target.stop();
       }
-      await Promise.all(started.map(kernel => kernel.stop()));
+      for (const {kernel, manual} of started) {
+        const stopped = kernel.stop();
+        await manual?.advance(STOP_SPAN_MS);
+        await stopped;
+      }
     },
   };
 }
