--- a/packages/stand_ins/src/core/local_deployment/local_deployment.ts
+++ b/packages/stand_ins/src/core/local_deployment/local_deployment.ts
@@ -58,6 +58,8 @@
   readonly settings?: Partial<SettingsInput>;
   readonly observeTarget?: TargetObserver;
   readonly observeMetric?: (event: MetricEvent) => void;
+  /** The store goes away before the VMs start. */
+  readonly storeDownAtStart?: boolean;
   hooksOf?(vm: VmId): Partial<Hooks>;
 }
 
@@ -117,6 +119,8 @@
   const entryVms = entryVmsOf(document);
   await publish('first configuration', [...document.values()]);
 
+  platform.faults.down = options.storeDownAtStart ?? false;
+
   const vms: LocalVm[] = [];
   for (const [index, entryVm] of entryVms.entries()) {
     vms.push(startVmParts(entryVm, index));
