--- a/packages/decision/src/core/rollout/create_rollout.ts
+++ b/packages/decision/src/core/rollout/create_rollout.ts
@@ -163,11 +163,11 @@
     }
   }
 
-  function takeChunk(digest: string, text: string): void {
+  function takeChunk(digest: string, take: () => boolean): void {
     if (!candidate || sections.has(digest) || !fetches.isWanted(digest)) {
       return;
     }
-    if (sections.take(digest, text)) {
+    if (take()) {
       fetches.arrived(digest);
     } else {
       note({kind: 'bad-chunk', digest});
@@ -197,8 +197,7 @@
         answerChunk(from, message.digest);
         return;
       case 'chunk':
-        takeChunk(message.digest, message.text);
-        fetches.failed(message.digest, from, nowMs);
+        takePackedChunk(from, message, nowMs);
         return;
       case 'chunk-missing':
         fetches.failed(message.digest, from, nowMs);
@@ -208,12 +207,27 @@
     }
   }
 
+  function takeStoreChunk(digest: string, text: string | undefined): void {
+    if (text !== undefined) {
+      takeChunk(digest, () => sections.take(digest, text));
+    }
+  }
+
+  function takePackedChunk(
+    from: VmId,
+    {digest, packed}: MessageOf<'chunk'>,
+    nowMs: number,
+  ): void {
+    takeChunk(digest, () => sections.takePacked(digest, packed));
+    fetches.failed(digest, from, nowMs);
+  }
+
   function answerChunk(to: VmId, digest: string): void {
-    const text = sections.textOf(digest);
-    if (text === undefined) {
-      send(to, {kind: 'chunk-missing', digest});
+    const packed = sections.packedOf(digest);
+    if (packed) {
+      send(to, {kind: 'chunk', digest, packed});
     } else {
-      send(to, {kind: 'chunk', digest, text});
+      send(to, {kind: 'chunk-missing', digest});
     }
   }
 
@@ -366,9 +380,7 @@
         readIntervalMs = Math.min(readIntervalMs * 2, LONGEST_READ_INTERVAL_MS);
         return;
       case 'chunk-read':
-        if (event.text !== undefined) {
-          takeChunk(event.digest, event.text);
-        }
+        takeStoreChunk(event.digest, event.text);
         fetches.failed(event.digest, 'store', nowMs);
         return;
       case 'peer-message':
--- a/packages/decision/src/core/rollout/peer_messages.ts
+++ b/packages/decision/src/core/rollout/peer_messages.ts
@@ -5,7 +5,7 @@
 
 const digestSchema = z.string().min(1).max(128);
 const MAXIMUM_MANIFEST_ENTRIES = 4_096;
-const MAXIMUM_CHUNK_CHARACTERS = 1_048_576;
+const MAXIMUM_PACKED_BYTES = 1_048_576;
 
 export const configurationPeerMessageSchema = z.discriminatedUnion('kind', [
   /** What the sender runs; repeated, so that a lost one does not matter. */
@@ -41,10 +41,17 @@
   z.strictObject({
     kind: z.literal('chunk'),
     digest: digestSchema,
-    text: z.string().max(MAXIMUM_CHUNK_CHARACTERS),
+    /** The text, deflated (RFC 1951). */
+    packed: z.custom<Uint8Array>(isPackedText),
   }),
   z.strictObject({kind: z.literal('chunk-missing'), digest: digestSchema}),
 ]);
 export type ConfigurationPeerMessage = z.infer<
   typeof configurationPeerMessageSchema
 >;
+
+function isPackedText(value: unknown): boolean {
+  return (
+    value instanceof Uint8Array && value.byteLength <= MAXIMUM_PACKED_BYTES
+  );
+}
--- a/packages/decision/src/core/rollout/section_store.ts
+++ b/packages/decision/src/core/rollout/section_store.ts
@@ -1,9 +1,14 @@
 /** Sections by the digest of their text; the texts are kept for peers. */
+import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {type Section, type SectionName, sectionSchema} from '../model/index.js';
 import {type Manifest, chunkDigest} from './manifest.js';
 
+const MAXIMUM_TEXT_BYTES = 1_048_576;
+
 interface StoredSection {
   readonly text: string;
+  /** Deflated when the first peer asks for it. */
+  packed?: Uint8Array;
   readonly section: Section;
 }
 
@@ -13,7 +18,9 @@
   has(digest: string): boolean;
   /** False when the text is not what the digest says, or is no section. */
   take(digest: string, text: string): boolean;
-  textOf(digest: string): string | undefined;
+  /** Like `take`, of a text that a peer has deflated. */
+  takePacked(digest: string, packed: Uint8Array): boolean;
+  packedOf(digest: string): Uint8Array | undefined;
   /** All digests of the manifest must be here. */
   assemble(manifest: Manifest): ReadonlyMap<SectionName, Section>;
   /** Forgets what the manifest does not need. */
@@ -23,6 +30,23 @@
 export function createSectionStore(): SectionStore {
   const stored = new Map<string, StoredSection>();
 
+  function take(digest: string, text: string): boolean {
+    const section = parseSection(digest, text);
+    if (!section) {
+      return false;
+    }
+    stored.set(digest, {text, section});
+    return true;
+  }
+
+  function packedOf(digest: string): Uint8Array | undefined {
+    const found = stored.get(digest);
+    if (found) {
+      found.packed ??= deflateRawSync(found.text);
+    }
+    return found?.packed;
+  }
+
   return {
     missing: manifest => {
       const missing = new Set<string>();
@@ -34,15 +58,12 @@
       return missing;
     },
     has: digest => stored.has(digest),
-    take: (digest, text) => {
-      const section = parseSection(digest, text);
-      if (!section) {
-        return false;
-      }
-      stored.set(digest, {text, section});
-      return true;
+    take,
+    takePacked: (digest, packed) => {
+      const text = inflate(packed);
+      return text !== undefined && take(digest, text);
     },
-    textOf: digest => stored.get(digest)?.text,
+    packedOf,
     assemble: manifest => {
       const sections = new Map<SectionName, Section>();
       for (const {section, digest} of manifest) {
@@ -61,6 +82,16 @@
   };
 }
 
+function inflate(packed: Uint8Array): string | undefined {
+  try {
+    return inflateRawSync(packed, {
+      maxOutputLength: MAXIMUM_TEXT_BYTES,
+    }).toString();
+  } catch {
+    return undefined;
+  }
+}
+
 function parseSection(digest: string, text: string): Section | undefined {
   if (chunkDigest(text) !== digest) {
     return undefined;
