Let restarted tasks catch up, and the list end VMs of silent regions

Found by a socket test with one VM a region: a stopped VM never became gone, since a silent region makes suspects without an entry of their own. The platform's list now ends those too. A restarted membership or peer_links task asks for the entry VMs instead of staying blind. Unused chunks are collected every six hours by the first live VM in a fixed order.

--- a/packages/decision/src/core/membership/create_membership.ts
+++ b/packages/decision/src/core/membership/create_membership.ts
@@ -28,6 +28,7 @@
 import {createSelfWatch} from './self_watch.js';
 import {listUpdates} from './platform_list.js';
 import type {
+  ListedVm,
   Membership,
   MembershipAction,
   MembershipEvent,
@@ -273,6 +274,13 @@
     actions.push({kind: 'list-vms'});
   }
 
+  function takeList(listed: readonly ListedVm[], nowMs: number): void {
+    const silent = silentRegions(nowMs);
+    for (const update of listUpdates(records, listed, self, silent)) {
+      mergeUpdate(update);
+    }
+  }
+
   function silentRegions(nowMs: number): ReadonlySet<RegionName> {
     const silent = new Set<RegionName>();
     for (const region of regions) {
@@ -353,9 +361,7 @@
         publishIfChanged(nowMs);
         return;
       case 'platform-list':
-        for (const update of listUpdates(records, event.vms, self)) {
-          mergeUpdate(update);
-        }
+        takeList(event.vms, nowMs);
         publishIfChanged(nowMs);
         return;
       case 'generation':
--- a/packages/library/src/plugins/configuration/configuration_task.ts
+++ b/packages/library/src/plugins/configuration/configuration_task.ts
@@ -9,8 +9,9 @@
   assertNever,
   configurationPeerMessageSchema,
   createRollout,
+  rankByRendezvous,
 } from '@ibisbeam/decision';
-import {chunkText} from '../../core/configuration/index.js';
+import {chunkText, collectChunks} from '../../core/configuration/index.js';
 import type {Task, TaskContext} from '../../core/kernel/index.js';
 import type {
   ConfigurationStatus,
@@ -20,6 +21,8 @@
 import {createHeadWatch} from './head_watch.js';
 
 const TICK_INTERVAL_MS = 250;
+/** How often chunks are collected that no configuration needs. */
+const COLLECTION_INTERVAL_MS = 6 * 3_600_000;
 /** Three waits fit into the bound, so that one failed call is no matter. */
 const WATCHES_PER_STALE_BOUND = 3;
 
@@ -64,7 +67,8 @@
   let storeReachable: boolean | undefined;
   let inForceSinceWallMs: number | undefined;
   let stopped = false;
-  let cancelTick = () => {};
+  let view: MembershipView | undefined;
+  let cancelTimers = () => {};
 
   function noteStore(reachable: boolean, cause?: string): void {
     if (reachable === storeReachable) {
@@ -128,6 +132,19 @@
     step({kind: 'chunk-read', digest, text: text.extract()});
   }
 
+  /** By the first live VM in a fixed order; harmless if two do it. */
+  async function collect(): Promise<void> {
+    const live: VmId[] = [];
+    for (const {vm, state} of view?.vms.values() ?? []) {
+      if (state === 'live') {
+        live.push(vm);
+      }
+    }
+    if (rankByRendezvous('chunk-collection', live)[0] === settings.vm.id) {
+      await collectChunks(platform, timers.wallMs()).run();
+    }
+  }
+
   function putInForce(
     action: Extract<RolloutAction, {kind: 'in-force'}>,
   ): void {
@@ -183,8 +200,15 @@
 
   return {
     start: async () => {
-      const handle = timers.every(TICK_INTERVAL_MS, () => step({kind: 'tick'}));
-      cancelTick = () => handle.cancel();
+      const ticks = timers.every(TICK_INTERVAL_MS, () => step({kind: 'tick'}));
+      const collections = timers.every(
+        COLLECTION_INTERVAL_MS,
+        () => void collect(),
+      );
+      cancelTimers = () => {
+        ticks.cancel();
+        collections.cancel();
+      };
       step({kind: 'started'});
       const linked = await context.ask<'peer_links', readonly VmId[]>(
         'peer_links',
@@ -203,7 +227,7 @@
     },
     stop: async () => {
       stopped = true;
-      cancelTick();
+      cancelTimers();
       headWatch.stop();
     },
     receive: (message: TaskMessages['configuration']) => {
@@ -216,7 +240,8 @@
           step({kind: event.kind, peer: event.peer});
           return;
         case 'membership-changed':
-          step({kind: 'membership-changed', view: event.view});
+          view = event.view;
+          step({kind: 'membership-changed', view});
           return;
         case 'peer-message':
           takePeerMessage(event);
--- a/packages/library/src/plugins/membership/membership_task.ts
+++ b/packages/library/src/plugins/membership/membership_task.ts
@@ -1,5 +1,6 @@
 /** The task that keeps the view of the entry VMs. */
 import {
+  type EntryVm,
   type Generation,
   type MembershipAction,
   type MembershipEvent,
@@ -9,6 +10,7 @@
   beatSchema,
   createMembership,
 } from '@ibisbeam/decision';
+import {askEntryVms} from '../../core/configuration/index.js';
 import type {Task, TaskContext} from '../../core/kernel/index.js';
 import type {TaskMessages, VmEvent} from '../../core/messages/index.js';
 
@@ -27,7 +29,6 @@
     suspectAfterMs,
     listIntervalMs: settings.platform.vmListIntervalMs,
   });
-  let generation: Generation | undefined;
   let stopped = false;
   let cancelTick = () => {};
 
@@ -119,6 +120,29 @@
     step({kind: 'beat', from: event.from, beat: parsed.data});
   }
 
+  function configure(
+    generation: Generation,
+    entryVms: Iterable<EntryVm>,
+  ): void {
+    step({kind: 'generation', generation});
+    step({kind: 'configured', entryVms});
+  }
+
+  /** After a restart the links and the configuration are there already. */
+  async function catchUp(): Promise<void> {
+    const linked = await context.ask<'peer_links', readonly VmId[]>(
+      'peer_links',
+      reply => ({kind: 'status', reply}),
+    );
+    for (const peer of linked ?? []) {
+      step({kind: 'peer-connected', peer});
+    }
+    const known = await askEntryVms(context);
+    if (known) {
+      configure(known.generation, known.entryVms);
+    }
+  }
+
   function observe(event: VmEvent): void {
     switch (event.kind) {
       case 'peer-connected':
@@ -129,12 +153,10 @@
         takeBeat(event);
         return;
       case 'configuration-in-force':
-        generation = event.configuration.generation;
-        step({kind: 'generation', generation});
-        step({
-          kind: 'configured',
-          entryVms: event.configuration.entryVms.values(),
-        });
+        configure(
+          event.configuration.generation,
+          event.configuration.entryVms.values(),
+        );
         return;
       case 'stop-began':
         step({kind: 'stop-began'});
@@ -151,13 +173,7 @@
         step({kind: 'tick'}),
       );
       cancelTick = () => handle.cancel();
-      const linked = await context.ask<'peer_links', readonly VmId[]>(
-        'peer_links',
-        reply => ({kind: 'status', reply}),
-      );
-      for (const peer of linked ?? []) {
-        step({kind: 'peer-connected', peer});
-      }
+      await catchUp();
     },
     stop: async () => {
       stopped = true;
--- a/packages/library/src/plugins/peer_links/peer_links_task.ts
+++ b/packages/library/src/plugins/peer_links/peer_links_task.ts
@@ -1,6 +1,7 @@
 /** Keeps the links that membership wants, and others while they are in use. */
-import type {VmId} from '@ibisbeam/decision';
+import type {EntryVm, VmId} from '@ibisbeam/decision';
 import {WebSocket} from 'ws';
+import {askEntryVms} from '../../core/configuration/index.js';
 import type {Task, TaskContext} from '../../core/kernel/index.js';
 import type {TaskMessages, VmEvent} from '../../core/messages/index.js';
 import {type DialOutcome, createDialSchedule} from './dial_schedule.js';
@@ -315,13 +316,11 @@
     }
   }
 
-  function learnAddresses(
-    event: Extract<VmEvent, {kind: 'configuration-in-force'}>,
-  ): void {
+  function learnAddresses(entryVms: Iterable<EntryVm>): void {
     addresses.clear();
-    for (const [vm, {peerAddress}] of event.configuration.entryVms) {
-      if (vm !== self) {
-        addresses.set(vm, peerAddress);
+    for (const {id, peerAddress} of entryVms) {
+      if (id !== self) {
+        addresses.set(id, peerAddress);
       }
     }
   }
@@ -329,6 +328,8 @@
   return {
     start: async () => {
       await server.start();
+      const known = await askEntryVms(context);
+      learnAddresses(known?.entryVms ?? []);
       const handle = timers.every(CHECK_INTERVAL_MS, check);
       cancelCheck = () => handle.cancel();
       check();
@@ -357,7 +358,7 @@
     },
     observe: (event: VmEvent) => {
       if (event.kind === 'configuration-in-force') {
-        learnAddresses(event);
+        learnAddresses(event.configuration.entryVms.values());
       }
     },
   };
