Wait for the other VM's view in the recovery test

The test looked at a third VM's view at the instant at which two others agreed; what is promised is that all follow within seconds. It now waits for it under the same limit as its other steps.

--- a/packages/stand_ins/test/fleet_recovery.test.ts
+++ b/packages/stand_ins/test/fleet_recovery.test.ts
@@ -43,7 +43,7 @@
     const replaced = await fleet.start(2, 2, [0]);
     await fleet.until('live', () => stateOfThird() === 'live');
     await fleet.until('a view of its own', () => liveVms(replaced) === 3);
-    assert.equal(liveVms(second!), 3);
+    await fleet.until('the view of the other', () => liveVms(second!) === 3);
   }));
 
 test('a membership task that fails comes back with a view', () =>
