--- a/packages/bench/src/decision/known_red.ts
+++ b/packages/bench/src/decision/known_red.ts
@@ -42,3 +42,29 @@
       one.bound === breach.bound,
   );
 }
+
+const SLOPE_PATTERN = /^slopes ([a-z-]+):/;
+
+/** Names of series that `slopes NAME: what was seen` lines list. */
+export function parseKnownSlopes(text: string): readonly string[] {
+  const names: string[] = [];
+  for (const line of text.split('\n')) {
+    const match = SLOPE_PATTERN.exec(line);
+    if (match) {
+      names.push(match[1]!);
+    }
+  }
+  return names;
+}
+
+export function readKnownSlopes(): readonly string[] {
+  const path = 'KNOWN-RED.txt';
+  return existsSync(path) ? parseKnownSlopes(readFileSync(path, 'utf8')) : [];
+}
+
+export function findKnownSlope(
+  known: readonly string[],
+  name: string,
+): boolean {
+  return known.includes(name);
+}
--- /dev/null
+++ b/packages/bench/src/slopes/all_series.ts
@@ -0,0 +1,290 @@
+/** Runs the measurements and arranges them as series. */
+import {type ControlFigures, measureControl} from './measure_control.js';
+import {measureClaims} from './measure_claims.js';
+import {
+  type ForwardingFigures,
+  measureForwarding,
+  measureShares,
+} from './measure_forwarding.js';
+import {type LookupFigures, measureLookup} from './measure_lookup.js';
+import {DESIGN, type FleetSize, TODAY} from './scaled_configuration.js';
+import type {Series} from './series.js';
+
+const CONTROL_BYTES_BOUND = 3_000;
+const IN_FORCE_BOUND_MS = 11_000;
+const STORE_READS_BOUND = 2_000;
+const CONTROL_PROCESSOR_BOUND_MS = 45;
+const CONTROL_MEMORY_BOUND_BYTES = 128_000_000;
+const DESIGN_BLOCKS = 480_000;
+const LOOKUPS_PER_SECOND = 420_000;
+const BOOKINGS = [1, 10, 100] as const;
+/** VMs left when the largest availability zone is gone. */
+const VMS_WITHOUT_ZONE =
+  DESIGN.vms - Math.ceil(DESIGN.vms / DESIGN.zones);
+
+export interface SlopeSizes {
+  readonly vms: readonly number[];
+  readonly blocks: readonly number[];
+  readonly sites: readonly number[];
+}
+
+export const FULL_SIZES: SlopeSizes = {
+  vms: [60, 120, 240],
+  blocks: [30_000, 120_000, DESIGN_BLOCKS],
+  sites: [30, 115, DESIGN.sites],
+};
+
+export const SHORT_SIZES: SlopeSizes = {
+  vms: [60, 90, 120],
+  blocks: [30_000, 60_000, 120_000],
+  sites: [30, 60, 115],
+};
+
+export function measureAll(
+  sizes: SlopeSizes,
+  progress: (line: string) => void,
+): readonly Series[] {
+  progress('control parts of today\u2019s seven VMs');
+  const today = measureControl(TODAY);
+  const control = sizes.vms.map(vms => {
+    progress(`control parts of ${vms} VMs`);
+    return measureControl({...DESIGN, vms});
+  });
+  progress('look-up tables');
+  const lookups = sizes.blocks.map(blocks => measureLookup(blocks, DESIGN));
+  progress('steering of one VM');
+  const forwarding = [100, 1_000, 4_000].map(inFlight =>
+    measureForwarding(inFlight, DESIGN),
+  );
+  return [
+    ...todaySeries(today),
+    ...controlSeries(control),
+    ...lookupSeries(lookups),
+    ...forwardingSeries(forwarding),
+    ...shareSeries(),
+    ...siteSeries(sizes.sites),
+    claimSeries(),
+  ];
+}
+
+/** Today's size stands alone: it has three regions instead of thirty. */
+function todaySeries(today: ControlFigures): readonly Series[] {
+  const point = (value: number) => [
+    {size: 0, value: 0},
+    {size: TODAY.vms, value},
+  ];
+  const common = {against: 'VMs today', designSize: TODAY.vms, counted: true};
+  return [
+    {
+      ...common,
+      name: 'today-control-bytes-busiest',
+      unit: 'bytes/s a VM',
+      points: point(today.busiestBytesPerSecond),
+      bound: CONTROL_BYTES_BOUND,
+    },
+    {
+      ...common,
+      name: 'today-in-force',
+      unit: 'ms',
+      points: point(today.inForceMs),
+      bound: IN_FORCE_BOUND_MS,
+    },
+    {
+      ...common,
+      name: 'today-store-reads',
+      unit: 'calls/s with waiting watches',
+      points: point(today.storeReadsPerSecond + today.waitingWatches),
+      bound: STORE_READS_BOUND,
+    },
+  ];
+}
+
+type ControlFigure = Exclude<keyof ControlFigures, 'size'>;
+
+function controlSeries(
+  measured: readonly ControlFigures[],
+): readonly Series[] {
+  const series = (
+    name: string,
+    unit: string,
+    figure: ControlFigure,
+    bound?: number,
+    counted = true,
+  ): Series => ({
+    name,
+    unit,
+    against: 'VMs',
+    points: measured.map(one => ({size: one.size.vms, value: one[figure]})),
+    designSize: DESIGN.vms,
+    counted,
+    bound,
+  });
+  const bytes = 'bytes/s a VM';
+  return [
+    series('control-bytes-mean', bytes, 'meanBytesPerSecond', 3_000),
+    series('control-bytes-busiest', bytes, 'busiestBytesPerSecond', 3_000),
+    series('membership-bytes', bytes, 'membershipBytesPerSecond'),
+    series('configuration-bytes', bytes, 'configurationBytesPerSecond'),
+    series('steering-bytes', bytes, 'steeringBytesPerSecond'),
+    series('zone-loss-bytes', bytes, 'zoneLossBytesPerSecond'),
+    series('zone-loss-seen', 'ms', 'zoneLossSeenMs'),
+    series('control-messages', 'messages/s a VM', 'meanMessagesPerSecond'),
+    series('links', 'links of a VM', 'mostLinks'),
+    series('in-force', 'ms', 'inForceMs', IN_FORCE_BOUND_MS),
+    series('change-bytes', 'bytes of a VM a change', 'bytesPerChange'),
+    series('change-store-reads', 'calls a change', 'storeReadsPerChange'),
+    series('waiting-watches', 'calls', 'waitingWatches', STORE_READS_BOUND),
+    series('store-reads', 'calls/s', 'storeReadsPerSecond', STORE_READS_BOUND),
+    series('fleet-start-store-reads', 'calls in 20 s', 'storeReadsAtStart'),
+    series('fleet-start-in-force', 'ms', 'inForceAtStartMs', IN_FORCE_BOUND_MS),
+    series(
+      'control-processor',
+      'ms/s a VM',
+      'processorMsPerSecond',
+      CONTROL_PROCESSOR_BOUND_MS,
+      false,
+    ),
+  ];
+}
+
+function lookupSeries(measured: readonly LookupFigures[]): readonly Series[] {
+  const common = {against: 'client blocks', designSize: DESIGN_BLOCKS};
+  const points = (figure: Exclude<keyof LookupFigures, 'blocks'>) =>
+    measured.map(one => ({size: one.blocks, value: one[figure]}));
+  const perVm = LOOKUPS_PER_SECOND / VMS_WITHOUT_ZONE;
+  return [
+    {
+      ...common,
+      name: 'block-section-bytes',
+      unit: 'bytes',
+      points: points('sectionBytes'),
+      counted: true,
+    },
+    {
+      ...common,
+      name: 'block-sections',
+      unit: 'chunks',
+      points: points('sections'),
+      counted: true,
+    },
+    {
+      ...common,
+      name: 'block-table-memory',
+      unit: 'bytes a VM',
+      points: points('tableBytes'),
+      counted: false,
+      bound: CONTROL_MEMORY_BOUND_BYTES,
+    },
+    {
+      ...common,
+      name: 'block-table-build',
+      unit: 'processor ms',
+      points: points('buildMs'),
+      counted: false,
+    },
+    {
+      ...common,
+      name: 'lookup-processor',
+      unit: `ms/s a VM at ${perVm.toFixed(0)} decisions/s`,
+      points: points('microsecondsPerLookup').map(({size, value}) => ({
+        size,
+        value: (value * perVm) / 1_000,
+      })),
+      counted: false,
+    },
+  ];
+}
+
+function forwardingSeries(
+  measured: readonly ForwardingFigures[],
+): readonly Series[] {
+  return [
+    {
+      name: 'request-memory',
+      unit: 'bytes a VM',
+      against: 'requests in flight',
+      points: measured.map(one => ({
+        size: one.inFlight,
+        value: one.bytesPerRequest * one.inFlight,
+      })),
+      designSize: 20_000,
+      counted: false,
+    },
+    {
+      name: 'request-processor',
+      unit: 'ms/s a VM',
+      against: 'requests/s',
+      points: [100, 1_000].map(rate => ({
+        size: rate,
+        value: (measured.at(-1)!.microsecondsPerRequest * rate) / 1_000,
+      })),
+      designSize: 1_000,
+      counted: false,
+    },
+  ];
+}
+
+/** VMs of one region, so that the shares become small. */
+function shareSeries(): readonly Series[] {
+  const sizes: readonly FleetSize[] = [110, 330, DESIGN.vms].map(vms => ({
+    ...DESIGN,
+    vms,
+  }));
+  const shares = sizes.map(size => ({size: size.vms, ...measureShares(size)}));
+  const common = {against: 'VMs', designSize: DESIGN.vms, counted: true};
+  return [
+    {
+      ...common,
+      name: 'share-slots-over',
+      unit: 'slots of a region',
+      points: shares.map(one => ({size: one.size, value: one.mostOverSlots})),
+      bound: 0,
+    },
+    {
+      ...common,
+      name: 'share-smallest',
+      unit: 'slots of a VM',
+      points: shares.map(one => ({size: one.size, value: one.smallestShare})),
+    },
+    {
+      ...common,
+      name: 'share-holders',
+      unit: 'VMs of a region',
+      points: shares.map(one => ({size: one.size, value: one.holders})),
+    },
+  ];
+}
+
+/** Control of seven VMs with more and more sites behind them. */
+function siteSeries(sites: readonly number[]): readonly Series[] {
+  const measured = sites.map(count =>
+    measureControl({...TODAY, sites: count}),
+  );
+  return [
+    {
+      name: 'sites-control-bytes',
+      unit: 'bytes/s a VM',
+      against: 'sites',
+      points: measured.map(one => ({
+        size: one.size.sites,
+        value: one.busiestBytesPerSecond,
+      })),
+      designSize: DESIGN.sites,
+      counted: true,
+    },
+  ];
+}
+
+function claimSeries(): Series {
+  return {
+    name: 'claim-writes',
+    unit: 'store writes, without collection',
+    against: 'bookings',
+    points: BOOKINGS.map(count => ({
+      size: count,
+      value: measureClaims(count).writes,
+    })),
+    designSize: 100,
+    counted: true,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/slopes/capacity_page.ts
@@ -0,0 +1,83 @@
+/** The counted figures in `docs/CAPACITY.md`, and how far a run is from them. */
+import type {SeriesResult} from './series.js';
+import {formatValue} from './series.js';
+
+const BEGIN = '<!-- counted figures: begin -->';
+const END = '<!-- counted figures: end -->';
+/** Part by which a figure of the page may differ from the run's. */
+const TOLERANCE = 0.05;
+const ROW_PATTERN = /^\| ([a-z-]+) \| [^|]+ \| ([\d.]+) \| ([\d.-]+) \|$/;
+
+export interface PageDifference {
+  readonly name: string;
+  readonly size: number;
+  readonly page?: number;
+  readonly run: number;
+}
+
+export function countedTable(results: readonly SeriesResult[]): string {
+  const rows: string[] = [];
+  for (const result of results) {
+    if (!result.counted) {
+      continue;
+    }
+    for (const {size, value} of result.points) {
+      rows.push(
+        `| ${result.name} | ${result.unit} against ${result.against} | ${size} | ${formatValue(value)} |`,
+      );
+    }
+  }
+  return [
+    '| Figure | Unit | Size | Counted |',
+    '| --- | --- | --- | --- |',
+    ...rows,
+  ].join('\n');
+}
+
+/** Puts the table of the run into the page. */
+export function replaceTable(page: string, table: string): string {
+  const begin = page.indexOf(BEGIN);
+  const end = page.indexOf(END);
+  if (begin < 0 || end < begin) {
+    throw new Error(`the page has no ${BEGIN} and ${END}`);
+  }
+  const head = page.slice(0, begin + BEGIN.length);
+  return `${head}\n\n${table}\n\n${page.slice(end)}`;
+}
+
+/** Every counted point of the run that the page lacks or states otherwise. */
+export function compareWithPage(
+  page: string,
+  results: readonly SeriesResult[],
+): readonly PageDifference[] {
+  const stated = readTable(page);
+  const differences: PageDifference[] = [];
+  for (const result of results) {
+    if (!result.counted) {
+      continue;
+    }
+    for (const {size, value} of result.points) {
+      const found = stated.get(`${result.name}/${size}`);
+      if (found === undefined || !isNear(found, value)) {
+        differences.push({name: result.name, size, page: found, run: value});
+      }
+    }
+  }
+  return differences;
+}
+
+function readTable(page: string): ReadonlyMap<string, number> {
+  const stated = new Map<string, number>();
+  for (const line of page.split('\n')) {
+    const cells = line.split('|').map(cell => cell.trim());
+    const match = ROW_PATTERN.exec(`| ${cells.slice(1, 5).join(' | ')} |`);
+    if (match) {
+      stated.set(`${match[1]}/${match[2]}`, Number(match[3]));
+    }
+  }
+  return stated;
+}
+
+function isNear(page: number, run: number): boolean {
+  return Math.abs(page - run) <= TOLERANCE * Math.max(Math.abs(run), 1);
+}
--- /dev/null
+++ b/packages/bench/src/slopes/fit.ts
@@ -0,0 +1,31 @@
+/** Least-squares slopes with their residuals. */
+import {linearRegression, rSquared} from 'simple-statistics';
+
+export interface Point {
+  readonly size: number;
+  readonly value: number;
+}
+
+export interface Fit {
+  readonly slope: number;
+  readonly intercept: number;
+  /** Largest distance of a point from the line, as a part of its value. */
+  readonly residual: number;
+  readonly rSquared: number;
+}
+
+export function fitLine(points: readonly Point[]): Fit {
+  const pairs = points.map(({size, value}) => [size, value] as number[]);
+  const {m: slope, b: intercept} = linearRegression(pairs);
+  const line = (size: number) => slope * size + intercept;
+  let residual = 0;
+  for (const {size, value} of points) {
+    const distance = Math.abs(line(size) - value);
+    residual = Math.max(residual, distance / Math.max(Math.abs(value), 1e-9));
+  }
+  return {slope, intercept, residual, rSquared: rSquared(pairs, line)};
+}
+
+export function valueAt(fit: Fit, size: number): number {
+  return fit.slope * size + fit.intercept;
+}
--- /dev/null
+++ b/packages/bench/src/slopes/measure_claims.ts
@@ -0,0 +1,80 @@
+/** Store calls that one non-idempotent operation takes. */
+import {
+  type ClaimsAction,
+  createClaims,
+  createRandomSource,
+  incarnation,
+  requestId,
+  serviceName,
+  vmId,
+  workspaceName,
+} from '@ibisbeam/decision';
+
+export interface ClaimFigures {
+  readonly operations: number;
+  readonly writes: number;
+  readonly reads: number;
+}
+
+const TIME = {nowMs: 0, wallMs: 0};
+
+export function measureClaims(operations: number): ClaimFigures {
+  const claims = createClaims({
+    vm: vmId('vm-1'),
+    incarnation: incarnation('vm-1-1'),
+    life: 1,
+    random: createRandomSource(1),
+    maximumRecordedBytes: 65_536,
+    lateWritesPerSecond: 20,
+  });
+  let writes = 0;
+  let reads = 0;
+  let version = 0;
+  let ended = 0;
+
+  function perform(actions: readonly ClaimsAction[]): void {
+    for (const action of actions) {
+      performOne(action);
+    }
+  }
+
+  function performOne(action: ClaimsAction): void {
+    if (action.kind === 'decide' && action.decision.kind === 'run') {
+      const {question, decision} = action;
+      const end = {
+        kind: 'answered' as const,
+        answer: {status: 200, headers: {}},
+      };
+      const {token} = decision;
+      perform(claims.step({kind: 'end', question, token, end}, TIME));
+    }
+    ended += action.kind === 'ended' ? 1 : 0;
+    if (action.kind !== 'call-store') {
+      return;
+    }
+    writes += action.operation.kind === 'read' ? 0 : 1;
+    reads += action.operation.kind === 'read' ? 1 : 0;
+    version += 1;
+    const result = {kind: 'written' as const, version};
+    const {call} = action;
+    perform(claims.step({kind: 'store-answered', call, result}, TIME));
+  }
+
+  for (let index = 0; index < operations; index += 1) {
+    const request = {
+      key: {
+        workspace: workspaceName('ceoltoiri-eadai-trust'),
+        service: serviceName('bookings'),
+        idempotencyKey: `key-${index}`,
+      },
+      request: requestId(`request-${index}`),
+      fingerprint: `fingerprint-${index}`,
+      deadlineMs: 10_000,
+    };
+    perform(claims.step({kind: 'begin', question: index, request}, TIME));
+  }
+  if (ended !== operations) {
+    throw new Error(`${operations - ended} operations did not end`);
+  }
+  return {operations, writes, reads};
+}
--- /dev/null
+++ b/packages/bench/src/slopes/series.ts
@@ -0,0 +1,60 @@
+/** Series of measurements, their bounds and their results as JSON. */
+import {type Fit, type Point, fitLine, valueAt} from './fit.js';
+
+export interface Series {
+  readonly name: string;
+  readonly unit: string;
+  /** What the points differ in. */
+  readonly against: string;
+  readonly points: readonly Point[];
+  /** Size to which the line is drawn out. */
+  readonly designSize: number;
+  /** Counted figures are equal in every run; others depend on the machine. */
+  readonly counted: boolean;
+  readonly bound?: number;
+}
+
+export interface SeriesResult extends Series {
+  readonly fit: Fit;
+  readonly atDesign: number;
+  /** Whether the design size itself was among the points. */
+  readonly measured: boolean;
+  readonly over: boolean;
+}
+
+export function evaluate(series: Series): SeriesResult {
+  const fit = fitLine(series.points);
+  const own = series.points.find(point => point.size === series.designSize);
+  const atDesign = own?.value ?? valueAt(fit, series.designSize);
+  const {bound} = series;
+  return {
+    ...series,
+    fit,
+    atDesign,
+    measured: own !== undefined,
+    over: bound !== undefined && atDesign > bound,
+  };
+}
+
+export function formatResult(result: SeriesResult): string {
+  const {name, unit, against, designSize, atDesign, fit, bound} = result;
+  const points = result.points
+    .map(({size, value}) => `${size}: ${formatValue(value)}`)
+    .join(', ');
+  const how = result.measured ? 'measured' : 'extrapolated';
+  const judged =
+    bound === undefined
+      ? ''
+      : `; ${result.over ? 'OVER' : 'within'} ${formatValue(bound)}`;
+  return [
+    `${name} (${unit} against ${against}) ${points}`,
+    `  slope ${fit.slope.toPrecision(3)}, residual ${(100 * fit.residual).toFixed(1)} %; at ${designSize} ${how} ${formatValue(atDesign)}${judged}`,
+  ].join('\n');
+}
+
+export function formatValue(value: number): string {
+  if (Number.isInteger(value)) {
+    return String(value);
+  }
+  return Math.abs(value) < 10 ? value.toPrecision(3) : value.toFixed(1);
+}
