--- a/packages/bench/src/slopes/all_series.ts
+++ b/packages/bench/src/slopes/all_series.ts
@@ -19,8 +19,7 @@
 const LOOKUPS_PER_SECOND = 420_000;
 const BOOKINGS = [1, 10, 100] as const;
 /** VMs left when the largest availability zone is gone. */
-const VMS_WITHOUT_ZONE =
-  DESIGN.vms - Math.ceil(DESIGN.vms / DESIGN.zones);
+const VMS_WITHOUT_ZONE = DESIGN.vms - Math.ceil(DESIGN.vms / DESIGN.zones);
 
 export interface SlopeSizes {
   readonly vms: readonly number[];
@@ -101,9 +100,7 @@
 
 type ControlFigure = Exclude<keyof ControlFigures, 'size'>;
 
-function controlSeries(
-  measured: readonly ControlFigures[],
-): readonly Series[] {
+function controlSeries(measured: readonly ControlFigures[]): readonly Series[] {
   const series = (
     name: string,
     unit: string,
@@ -257,9 +254,7 @@
 
 /** Control of seven VMs with more and more sites behind them. */
 function siteSeries(sites: readonly number[]): readonly Series[] {
-  const measured = sites.map(count =>
-    measureControl({...TODAY, sites: count}),
-  );
+  const measured = sites.map(count => measureControl({...TODAY, sites: count}));
   return [
     {
       name: 'sites-control-bytes',
--- a/packages/decision/src/core/membership/records.ts
+++ b/packages/decision/src/core/membership/records.ts
@@ -36,6 +36,7 @@
   configure(entryVms: Iterable<EntryVm>): void;
   get(vm: VmId): VmRecord | undefined;
   all(): Iterable<VmRecord>;
+  size(): number;
   merge(update: VmUpdate): MergeResult;
   updateOf(vm: VmId): VmUpdate | undefined;
   /** VMs that are other than live. */
@@ -77,6 +78,13 @@
     if (revision < record.revision) {
       return 'outdated';
     }
+    if (record.revision === 0 && record.state === state) {
+      // First heard of, and as assumed: a fleet that starts tells nobody.
+      record.revision = revision;
+      learnDetails(record, incarnation, generation);
+      digest = undefined;
+      return 'known';
+    }
     if (revision === record.revision) {
       if (RANK[state] < RANK[record.state]) {
         return 'outdated';
@@ -132,6 +140,7 @@
     configure,
     get: vm => records.get(vm),
     all: () => records.values(),
+    size: () => records.size,
     merge,
     updateOf: vm => {
       const record = records.get(vm);
--- a/packages/decision/src/core/membership/region_ages.ts
+++ b/packages/decision/src/core/membership/region_ages.ts
@@ -1,6 +1,8 @@
 /** When each region was last heard of, by this VM or by those it hears. */
 import type {RegionName, VmId} from '../model/index.js';
 
+/** Beats between regions are this much rarer than within one. */
+export const FAR_BEAT_FACTOR = 2;
 /** Added to an age for each hop: queues and the way. */
 const HOP_ALLOWANCE_MS = 250;
 /** With more regions than this, a beat holds only those with news. */
@@ -27,6 +29,25 @@
   return regionCount <= REGIONS_SENT_ALWAYS ? 0 : 2 * heartbeatIntervalMs;
 }
 
+/**
+ * How long a region may be unheard of before it counts as silent: news of it
+ * comes over the delegates' ring of regions and then through this region.
+ */
+export function silentAfterMs(
+  vmCount: number,
+  regionCount: number,
+  heartbeatIntervalMs: number,
+  suspectAfterMs: number,
+): number {
+  const vmsPerRegion = Math.max(1, Math.ceil(vmCount / regionCount));
+  const farHops = Math.ceil(Math.log(Math.max(2, regionCount)) / Math.log(3));
+  const nearHops = Math.ceil(Math.sqrt(vmsPerRegion) / 2);
+  const grainMs = regionNewsGrainMs(regionCount, heartbeatIntervalMs);
+  const nearMs = nearHops * (heartbeatIntervalMs + grainMs);
+  const farMs = farHops * (FAR_BEAT_FACTOR * heartbeatIntervalMs + grainMs);
+  return suspectAfterMs + nearMs + farMs;
+}
+
 export function createRegionAges(heartbeatIntervalMs: number): RegionAges {
   const heardMs = new Map<RegionName, number>();
   const sent = new Map<VmId, Map<RegionName, number>>();
