--- a/packages/bench/src/slopes/control_node.ts
+++ b/packages/bench/src/slopes/control_node.ts
@@ -23,6 +23,8 @@
 import type {EventLoop, ScheduledCall} from '../decision/event_loop.js';
 
 const HEARTBEAT_INTERVAL_MS = 1_000;
+/** As the configuration task sets it. */
+const ANNOUNCE_INTERVAL_MS = 2 * HEARTBEAT_INTERVAL_MS;
 const SUSPECT_AFTER_MS = 4_000;
 const LIST_INTERVAL_MS = 5_000;
 const STALE_AFTER_MS = 30_000;
@@ -82,7 +84,7 @@
     region: vm.region,
     zone: vm.zone,
     staleAfterMs: STALE_AFTER_MS,
-    announceIntervalMs: HEARTBEAT_INTERVAL_MS,
+    announceIntervalMs: ANNOUNCE_INTERVAL_MS,
   });
   const steering = createSteering({
     vm: vm.id,
