--- a/packages/bench/src/decision/faults.ts
+++ b/packages/bench/src/decision/faults.ts
@@ -26,6 +26,12 @@
     }
   | {readonly kind: 'targets-cold'; readonly region: RegionName}
   | {readonly kind: 'target-crashes'; readonly target: TargetId}
+  | {
+      readonly kind: 'service-gone';
+      readonly service: ServiceName;
+      readonly region: RegionName;
+      readonly forMs: number;
+    }
   | {readonly kind: 'target-leaves'; readonly target: TargetId}
   | {
       readonly kind: 'reports-lag';
@@ -101,6 +107,9 @@
     case 'target-crashes':
       targetOf(world, fault.target).fail();
       return;
+    case 'service-gone':
+      loseService(world, fault.service, fault.region, fault.forMs);
+      return;
     case 'target-leaves':
       targetOf(world, fault.target).leave();
       listLeaving(world, fault.target);
@@ -159,6 +168,22 @@
   }
 }
 
+function loseService(
+  world: World,
+  service: ServiceName,
+  region: RegionName,
+  forMs: number,
+): void {
+  for (const target of world.configuration.services.get(service)!.targets) {
+    if (target.region !== region) {
+      continue;
+    }
+    const lost = targetOf(world, target.id);
+    lost.fail(undefined, false);
+    world.loop.after(forMs, () => lost.restart());
+  }
+}
+
 function loseRegion(
   world: World,
   region: RegionName,
--- a/packages/bench/src/decision/run_scenario.ts
+++ b/packages/bench/src/decision/run_scenario.ts
@@ -4,6 +4,8 @@
   type RandomSource,
   type RegionName,
   type ServiceName,
+  type Shift,
+  type WorkspaceName,
   compileConfiguration,
   createRandomSource,
   generation,
@@ -45,6 +47,8 @@
   /** Shortens the interval of the shift policies, with the same cap. */
   readonly shiftIntervalMs?: number;
   readonly shape: LoadShape;
+  /** Planned shifts of the configuration; none if absent. */
+  readonly shifts?: (workspace: WorkspaceName) => readonly Shift[];
   readonly faults: (configuration: Configuration) => readonly PlannedFault[];
   /** When a second fault, drawn by the seed, joins; none if absent. */
   readonly secondFaultAtMs?: number;
@@ -128,7 +132,7 @@
   scenario: Scenario,
   world: World,
   callers: Callers,
-  workspace: Parameters<Configuration['workspaces']['get']>[0],
+  workspace: WorkspaceName,
   service: ServiceName,
   home: RegionName,
 ): void {
@@ -167,8 +171,12 @@
       clientBlockCount: 300,
     }),
   );
-  const {shiftIntervalMs} = scenario;
+  const {shiftIntervalMs, shifts} = scenario;
   for (const [name, section] of document) {
+    if (section.kind === 'workspace' && shifts) {
+      const planned = shifts(section.workspace.name);
+      document.set('shifts', {kind: 'shifts', shifts: planned});
+    }
     if (section.kind !== 'template' || shiftIntervalMs === undefined) {
       continue;
     }
