--- a/packages/bench/src/slopes/all_series.ts
+++ b/packages/bench/src/slopes/all_series.ts
@@ -28,7 +28,7 @@
 }
 
 export const FULL_SIZES: SlopeSizes = {
-  vms: [60, 120, 240],
+  vms: [120, 240, DESIGN.vms],
   blocks: [30_000, 120_000, DESIGN_BLOCKS],
   sites: [30, 115, DESIGN.sites],
 };
