--- a/packages/bench/src/slopes/capacity_page.ts
+++ b/packages/bench/src/slopes/capacity_page.ts
@@ -15,36 +15,52 @@
   readonly run: number;
 }
 
-export function countedTable(results: readonly SeriesResult[]): string {
-  const rows: string[] = [];
+/**
+ * Puts the counted figures of the run into the page's table. Rows of sizes
+ * that the run did not measure stay.
+ */
+export function updatePage(
+  page: string,
+  results: readonly SeriesResult[],
+): string {
+  const begin = page.indexOf(BEGIN);
+  const end = page.indexOf(END);
+  if (begin < 0 || end < begin) {
+    throw new Error(`the page has no ${BEGIN} and ${END}`);
+  }
+  const rows = new Map<string, string>();
+  for (const row of page.slice(begin, end).split('\n')) {
+    const match = ROW_PATTERN.exec(normalizeRow(row));
+    if (match) {
+      rows.set(`${match[1]}/${match[2]}`, normalizeRow(row));
+    }
+  }
   for (const result of results) {
     if (!result.counted) {
       continue;
     }
     for (const {size, value} of result.points) {
-      rows.push(
+      rows.set(
+        `${result.name}/${size}`,
         `| ${result.name} | ${result.unit} against ${result.against} | ${size} | ${formatValue(value)} |`,
       );
     }
   }
-  return [
+  const table = [
     '| Figure | Unit | Size | Counted |',
     '| --- | --- | --- | --- |',
-    ...rows,
+    ...rows.values(),
   ].join('\n');
-}
-
-/** Puts the table of the run into the page. */
-export function replaceTable(page: string, table: string): string {
-  const begin = page.indexOf(BEGIN);
-  const end = page.indexOf(END);
-  if (begin < 0 || end < begin) {
-    throw new Error(`the page has no ${BEGIN} and ${END}`);
-  }
   const head = page.slice(0, begin + BEGIN.length);
   return `${head}\n\n${table}\n\n${page.slice(end)}`;
 }
 
+/** A row without the spaces that align its columns. */
+function normalizeRow(row: string): string {
+  const cells = row.split('|').map(cell => cell.trim());
+  return `| ${cells.slice(1, 5).join(' | ')} |`;
+}
+
 /** Every counted point of the run that the page lacks or states otherwise. */
 export function compareWithPage(
   page: string,
@@ -69,8 +85,7 @@
 function readTable(page: string): ReadonlyMap<string, number> {
   const stated = new Map<string, number>();
   for (const line of page.split('\n')) {
-    const cells = line.split('|').map(cell => cell.trim());
-    const match = ROW_PATTERN.exec(`| ${cells.slice(1, 5).join(' | ')} |`);
+    const match = ROW_PATTERN.exec(normalizeRow(line));
     if (match) {
       stated.set(`${match[1]}/${match[2]}`, Number(match[3]));
     }
--- a/packages/bench/src/slopes/main.ts
+++ b/packages/bench/src/slopes/main.ts
@@ -4,7 +4,7 @@
 import {hideBin} from 'yargs/helpers';
 import {findKnownSlope, readKnownSlopes} from '../decision/known_red.js';
 import {FULL_SIZES, SHORT_SIZES, measureAll} from './all_series.js';
-import {compareWithPage, countedTable, replaceTable} from './capacity_page.js';
+import {compareWithPage, updatePage} from './capacity_page.js';
 import {plotSvg} from './plot.js';
 import {type SeriesResult, evaluate, formatResult} from './series.js';
 
@@ -33,7 +33,7 @@
   writeReports(results, options.short ? 'slopes-short' : 'slopes');
   const page = readFileSync(PAGE, 'utf8');
   if (options.writePage) {
-    writeFileSync(PAGE, replaceTable(page, countedTable(results)));
+    writeFileSync(PAGE, updatePage(page, results));
     return;
   }
   const failures = reportOver(results) + reportDifferences(page, results);
--- a/packages/bench/test/slopes.test.ts
+++ b/packages/bench/test/slopes.test.ts
@@ -1,10 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {
-  compareWithPage,
-  countedTable,
-  replaceTable,
-} from '../src/slopes/capacity_page.js';
+import {compareWithPage, updatePage} from '../src/slopes/capacity_page.js';
 import {measureControl} from '../src/slopes/measure_control.js';
 import {measureShares} from '../src/slopes/measure_forwarding.js';
 import {TODAY} from '../src/slopes/scaled_configuration.js';
@@ -51,7 +47,7 @@
 
 describe('the capacity page', () => {
   const results = [evaluate(series)];
-  const page = replaceTable(PAGE, countedTable(results));
+  const page = updatePage(PAGE, results);
 
   it('agrees with the run that wrote it', () => {
     assert.deepEqual(compareWithPage(page, results), []);
@@ -63,6 +59,12 @@
     assert.equal(compareWithPage(page, changed).length, 1);
   });
 
+  it('keeps the rows of sizes that a run did not measure', () => {
+    const points = [{size: 40, value: 400}];
+    const again = updatePage(page, [{...results[0]!, points}]);
+    assert.deepEqual(compareWithPage(again, results), []);
+  });
+
   it('is found to lack a point', () => {
     const points = [...series.points, {size: 40, value: 400}];
     const changed = [evaluate({...series, points})];
