--- a/packages/bench/src/slopes/control_fleet.ts
+++ b/packages/bench/src/slopes/control_fleet.ts
@@ -45,8 +45,10 @@
   resetCounters(): void;
 }
 
+/** @param withSteering Whether the steering parts talk as well. */
 export function createControlFleet(
   document: ConfigurationDocument,
+  withSteering: boolean,
 ): ControlFleet {
   const loop = createEventLoop();
   const nodes = new Map<VmId, ControlNode>();
@@ -164,7 +166,7 @@
   };
 
   for (const [index, vm] of entryVmsOf(document).entries()) {
-    nodes.set(vm.id, createControlNode(vm, index, surroundings));
+    nodes.set(vm.id, createControlNode(vm, index, surroundings, withSteering));
     counters.set(vm.id, emptyCounters());
   }
 
--- a/packages/bench/src/slopes/measure_control.ts
+++ b/packages/bench/src/slopes/measure_control.ts
@@ -42,8 +42,11 @@
   readonly processorMsPerSecond: number;
 }
 
-export function measureControl(size: FleetSize): ControlFigures {
-  const fleet = createControlFleet(scaledDocument(size));
+export function measureControl(
+  size: FleetSize,
+  withSteering = true,
+): ControlFigures {
+  const fleet = createControlFleet(scaledDocument(size), withSteering);
   fleet.start();
   fleet.loop.runUntil(WARM_UP_MS);
   const storeReadsAtStart = readsOf(fleet);
