--- a/packages/command_line/test/vm_harness.ts
+++ b/packages/command_line/test/vm_harness.ts
@@ -151,7 +151,7 @@
   };
 }
 
-const SETTINGS = settingsSchema.parse({
+export const SETTINGS = settingsSchema.parse({
   vm: {id: 'riga-a-1', region: 'riga', zone: 'a'},
   listen: {
     caller: '127.0.0.1:0',
--- a/packages/library/src/plugins/burn/burn_task.ts
+++ b/packages/library/src/plugins/burn/burn_task.ts
@@ -14,6 +14,7 @@
 
 /** The last write of a stopping VM may take this long. */
 const LAST_WRITE_TIMEOUT_MS = 2_000;
+const FIRST_WRITE_WITHIN_MS = 60_000;
 
 /** Counts finished requests and stores the counts of each hour. */
 export function createBurnTask(context: TaskContext): Task<'burn'> {
@@ -23,6 +24,7 @@
   const countedFromMs = timers.wallMs();
   let configuration: Configuration | undefined;
   let writing: TimerHandle | undefined;
+  let firstWrite: TimerHandle | undefined;
   let collectedOn: string | undefined;
 
   function summary(final: boolean): BurnSummary {
@@ -94,6 +96,10 @@
   }
 
   function scheduleWrites(): void {
+    // An early first write lets a report name this life if it ends soon.
+    firstWrite = timers.after(random.next() * FIRST_WRITE_WITHIN_MS, () => {
+      void write(false);
+    });
     // A random first delay spreads the writes of a fleet that starts together.
     writing = timers.after(random.next() * BURN_WRITE_INTERVAL_MS, () => {
       void write(false);
@@ -105,6 +111,7 @@
 
   async function stop(): Promise<void> {
     writing?.cancel();
+    firstWrite?.cancel();
     await Promise.race([write(true), timers.sleep(LAST_WRITE_TIMEOUT_MS)]);
   }
 
