--- a/packages/command_line/src/commands/keys/create.ts
+++ b/packages/command_line/src/commands/keys/create.ts
@@ -66,7 +66,7 @@
       return {
         text: dryRun
           ? `Key ${keyId}: --dry-run, nothing was written.`
-          : `Key ${keyId}: private part in ${options.privateFile}, ${changed.keys.length} valid keys in ${options.keySetFile}.`,
+          : `Key ${keyId}: private part in ${options.privateFile}; valid keys in ${options.keySetFile}: ${changed.keys.length}.`,
         data: {keyId, validKeys: changed.keys.length, dryRun},
       };
     }),
