--- /dev/null
+++ b/packages/library/src/plugins/forwarding/attempt_set.ts
@@ -0,0 +1,127 @@
+/** The attempts of one request that have not finished. */
+import type {IncomingMessage} from 'node:http';
+import type {AttemptResult, SteeringEvent} from '@ibisbeam/decision';
+import type {TimerService} from '../../core/timers/index.js';
+import type {Intake} from './intake.js';
+import {
+  type RunningAttempt,
+  type SendAction,
+  createRunningAttempt,
+  wasSent,
+} from './running_attempt.js';
+import type {AttemptSender} from './sender.js';
+
+export interface AttemptSetOptions {
+  readonly intake: Intake;
+  readonly sender: AttemptSender;
+  readonly timers: Pick<TimerService, 'at'>;
+  step(event: SteeringEvent): void;
+  /** Bytes may reach a target from now on. */
+  sent(): void;
+  answering(entry: RunningAttempt, head: IncomingMessage): void;
+  data(entry: RunningAttempt, chunk: Buffer): void;
+  /** Exactly once for each attempt. */
+  finished(entry: RunningAttempt, result: AttemptResult): void;
+}
+
+export interface AttemptSet {
+  add(action: SendAction): RunningAttempt;
+  start(entry: RunningAttempt): void;
+  /** Ends the attempt with this result, unless it is being ended already. */
+  stop(entry: RunningAttempt, result: AttemptResult): void;
+  stopAll(result: (sent: boolean) => AttemptResult): void;
+  stopOthers(winner: RunningAttempt): void;
+  cancel(attempt: number): void;
+  finish(entry: RunningAttempt, result: AttemptResult): void;
+}
+
+export function createAttemptSet(options: AttemptSetOptions): AttemptSet {
+  const {intake, sender, timers, step} = options;
+  const {facts} = intake;
+  const running = new Map<number, RunningAttempt>();
+
+  function add(action: SendAction): RunningAttempt {
+    const entry = createRunningAttempt(action);
+    running.set(action.attempt, entry);
+    return entry;
+  }
+
+  function finish(entry: RunningAttempt, result: AttemptResult): void {
+    const {attempt} = entry.action;
+    if (running.get(attempt) !== entry) {
+      return;
+    }
+    running.delete(attempt);
+    entry.timeout?.cancel();
+    options.finished(entry, result);
+  }
+
+  function stop(entry: RunningAttempt, result: AttemptResult): void {
+    if (entry.cancelled) {
+      return;
+    }
+    entry.cancelled = true;
+    if (entry.attempt) {
+      entry.attempt.abandon(result);
+      return;
+    }
+    finish(entry, {kind: 'cancelled', sent: false});
+  }
+
+  function start(entry: RunningAttempt): void {
+    const {action} = entry;
+    if (entry.cancelled) {
+      return;
+    }
+    if (action.deadlineMs < facts.deadlineMs) {
+      entry.timeout = timers.at(action.deadlineMs, () =>
+        stop(entry, {kind: 'timed-out'}),
+      );
+    }
+    sender.send(intake, action, {
+      started: attempt => {
+        entry.attempt = attempt;
+        if (entry.cancelled) {
+          attempt.abandon({kind: 'cancelled', sent: false});
+        }
+      },
+      sent: () => {
+        options.sent();
+        const {attempt} = action;
+        step({kind: 'attempt-sent', request: facts.id, attempt});
+      },
+      answering: head => options.answering(entry, head),
+      data: chunk => options.data(entry, chunk),
+      finished: result => finish(entry, result),
+    });
+  }
+
+  function stopAll(result: (sent: boolean) => AttemptResult): void {
+    for (const entry of [...running.values()]) {
+      stop(entry, result(wasSent(entry)));
+    }
+  }
+
+  function stopOthers(winner: RunningAttempt): void {
+    for (const entry of [...running.values()]) {
+      if (entry !== winner) {
+        stop(entry, {kind: 'cancelled', sent: wasSent(entry)});
+      }
+    }
+  }
+
+  return {
+    add,
+    start,
+    stop,
+    stopAll,
+    stopOthers,
+    finish,
+    cancel: attempt => {
+      const entry = running.get(attempt);
+      if (entry) {
+        stop(entry, {kind: 'cancelled', sent: wasSent(entry)});
+      }
+    },
+  };
+}
--- a/packages/library/src/plugins/forwarding/exchange.ts
+++ b/packages/library/src/plugins/forwarding/exchange.ts
@@ -23,16 +23,12 @@
   writeRecordedAnswer,
 } from './answer_writer.js';
 import {isWithoutBody} from './attempt.js';
+import {createAttemptSet} from './attempt_set.js';
 import {type ClaimGuard, createClaimGuard} from './claim_guard.js';
 import {claimRefusal} from './claim_refusal.js';
 import type {Intake} from './intake.js';
 import {type Settlement, buildRecord} from './request_record.js';
-import {
-  type RunningAttempt,
-  type SendAction,
-  createRunningAttempt,
-  wasSent,
-} from './running_attempt.js';
+import type {RunningAttempt, SendAction} from './running_attempt.js';
 import type {AttemptSender} from './sender.js';
 import {type PacedWriter, createPacedWriter} from './paced_writer.js';
 
@@ -62,7 +58,18 @@
   const {facts, policy} = intake;
   const startedAtMs = timers.nowMs();
   const startedAtWallMs = timers.wallMs();
-  const running = new Map<number, RunningAttempt>();
+  const running = createAttemptSet({
+    intake,
+    sender,
+    timers,
+    step,
+    sent: () => {
+      mayHaveRun += 1;
+    },
+    answering: onAnswering,
+    data: onData,
+    finished: onFinished,
+  });
   const claim: ClaimGuard | undefined = facts.idempotent
     ? undefined
     : createClaimGuard(context, intake);
@@ -95,21 +102,7 @@
   /** Tells steering, then ends what it left running. */
   function release(result: (sent: boolean) => AttemptResult): void {
     step({kind: 'request-cancelled', request: facts.id});
-    for (const entry of [...running.values()]) {
-      stopAttempt(entry, result(wasSent(entry)));
-    }
-  }
-
-  function stopAttempt(entry: RunningAttempt, result: AttemptResult): void {
-    if (entry.cancelled) {
-      return;
-    }
-    entry.cancelled = true;
-    if (entry.attempt) {
-      entry.attempt.abandon(result);
-      return;
-    }
-    onFinished(entry, {kind: 'cancelled', sent: false});
+    running.stopAll(result);
   }
 
   function refuse(refusal: Refusal, timedOut = false): void {
@@ -195,14 +188,16 @@
   }
 
   function send(action: SendAction): void {
-    const entry = createRunningAttempt(action);
-    running.set(action.attempt, entry);
+    const entry = running.add(action);
     if (settlement) {
-      stopAttempt(entry, {kind: 'cancelled', sent: false});
+      running.stop(entry, {kind: 'cancelled', sent: false});
       return;
     }
     if (!facts.idempotent && mayHaveRun > 0) {
-      onFinished(entry, {kind: 'not-sent', cause: 'it may have run already'});
+      running.finish(entry, {
+        kind: 'not-sent',
+        cause: 'it may have run already',
+      });
       refuse({reason: 'outcome-unknown', outcome: 'unknown'});
       return;
     }
@@ -257,35 +252,11 @@
   }
 
   function start(entry: RunningAttempt): void {
-    if (entry.cancelled || settlement) {
-      stopAttempt(entry, {kind: 'cancelled', sent: false});
+    if (settlement) {
+      running.stop(entry, {kind: 'cancelled', sent: false});
       return;
     }
-    const {action} = entry;
-    if (action.deadlineMs < facts.deadlineMs) {
-      entry.timeout = timers.at(action.deadlineMs, () =>
-        stopAttempt(entry, {kind: 'timed-out'}),
-      );
-    }
-    sender.send(intake, action, {
-      started: attempt => {
-        entry.attempt = attempt;
-        if (entry.cancelled) {
-          attempt.abandon({kind: 'cancelled', sent: false});
-        }
-      },
-      sent: () => {
-        mayHaveRun += 1;
-        step({
-          kind: 'attempt-sent',
-          request: facts.id,
-          attempt: action.attempt,
-        });
-      },
-      answering: head => onAnswering(entry, head),
-      data: chunk => onData(entry, chunk),
-      finished: result => onFinished(entry, result),
-    });
+    running.start(entry);
   }
 
   function onAnswering(entry: RunningAttempt, head: IncomingMessage): void {
@@ -331,11 +302,11 @@
       return;
     }
     if (settlement || streaming || writePending) {
-      stopAttempt(entry, {kind: 'cancelled', sent: true});
+      running.stop(entry, {kind: 'cancelled', sent: true});
       return;
     }
     streaming = entry;
-    stopOthers(entry);
+    running.stopOthers(entry);
     response.writeHead(
       head.statusCode ?? 502,
       answerHeaders(head, intake.requestId),
@@ -354,11 +325,6 @@
 
   function onFinished(entry: RunningAttempt, result: AttemptResult): void {
     const {attempt} = entry.action;
-    if (running.get(attempt) !== entry) {
-      return;
-    }
-    running.delete(attempt);
-    entry.timeout?.cancel();
     if (result.kind === 'shed') {
       mayHaveRun -= 1;
     }
@@ -383,15 +349,7 @@
     }
     deliver(entry);
     step(event);
-    stopOthers(entry);
-  }
-
-  function stopOthers(winner: RunningAttempt): void {
-    for (const entry of [...running.values()]) {
-      if (entry !== winner) {
-        stopAttempt(entry, {kind: 'cancelled', sent: wasSent(entry)});
-      }
-    }
+    running.stopOthers(entry);
   }
 
   function deliver(entry: RunningAttempt): void {
@@ -433,12 +391,7 @@
 
   return {
     send,
-    cancel: attempt => {
-      const entry = running.get(attempt);
-      if (entry) {
-        stopAttempt(entry, {kind: 'cancelled', sent: wasSent(entry)});
-      }
-    },
+    cancel: running.cancel,
     refuse,
     explain: lines => explanation.push(...lines),
     cut: () => {
