--- a/packages/library/src/plugins/forwarding/exchange.ts
+++ b/packages/library/src/plugins/forwarding/exchange.ts
@@ -16,12 +16,8 @@
   writeRefusal,
 } from '../../core/http/index.js';
 import type {TaskContext} from '../../core/kernel/index.js';
-import {
-  answerHeaders,
-  recordedAnswer,
-  writeHeldAnswer,
-  writeRecordedAnswer,
-} from './answer_writer.js';
+import {createAnswerDelivery} from './answer_delivery.js';
+import {writeRecordedAnswer} from './answer_writer.js';
 import {isWithoutBody} from './attempt.js';
 import {createAttemptSet} from './attempt_set.js';
 import {type ClaimGuard, createClaimGuard} from './claim_guard.js';
@@ -30,7 +26,6 @@
 import {type Settlement, buildRecord} from './request_record.js';
 import type {RunningAttempt, SendAction} from './running_attempt.js';
 import type {AttemptSender} from './sender.js';
-import {type PacedWriter, createPacedWriter} from './paced_writer.js';
 
 export interface ExchangeDependencies {
   readonly context: TaskContext;
@@ -73,14 +68,13 @@
   const claim: ClaimGuard | undefined = facts.idempotent
     ? undefined
     : createClaimGuard(context, intake);
+  const delivery = createAnswerDelivery(intake, response, timers);
   const explanation: string[] = [];
   let attempts = 0;
   let destination: AttemptDestination | undefined;
   /** Attempts that were sent and not refused by their target as not run. */
   let mayHaveRun = 0;
   let settlement: Settlement | undefined;
-  let streaming: RunningAttempt | undefined;
-  let writer: PacedWriter | undefined;
   /** Writes an answer that waits for its record. */
   let writePending: (() => void) | undefined;
   let callerGone = false;
@@ -109,7 +103,7 @@
     if (settlement) {
       return;
     }
-    if (streaming) {
+    if (delivery.streaming()) {
       breakOff({kind: 'cancelled', sent: true});
       return;
     }
@@ -138,7 +132,7 @@
       writePending();
       return;
     }
-    if (streaming) {
+    if (delivery.streaming()) {
       breakOff({kind: 'timed-out'});
       return;
     }
@@ -283,8 +277,8 @@
     if (entry.discarded) {
       return;
     }
-    if (streaming === entry) {
-      writer?.write(chunk);
+    if (delivery.streaming() === entry) {
+      delivery.pass(chunk);
       return;
     }
     entry.held.push(chunk);
@@ -301,26 +295,12 @@
       entry.held = [];
       return;
     }
-    if (settlement || streaming || writePending) {
+    if (settlement || delivery.streaming() || writePending) {
       running.stop(entry, {kind: 'cancelled', sent: true});
       return;
     }
-    streaming = entry;
     running.stopOthers(entry);
-    response.writeHead(
-      head.statusCode ?? 502,
-      answerHeaders(head, intake.requestId),
-    );
-    writer = createPacedWriter({
-      response,
-      timers,
-      bytesPerSecond: entry.action.paceBytesPerSecond,
-      pause: () => entry.attempt?.pause(),
-      resume: () => entry.attempt?.resume(),
-    });
-    for (const chunk of entry.held.splice(0)) {
-      writer.write(chunk);
-    }
+    delivery.beginStream(entry, head);
   }
 
   function onFinished(entry: RunningAttempt, result: AttemptResult): void {
@@ -334,7 +314,7 @@
       attempt,
       result,
     } as const;
-    if (streaming === entry && result.kind !== 'answered') {
+    if (delivery.streaming() === entry && result.kind !== 'answered') {
       // Settles before steering hears of it and refuses or tries again.
       if (!settlement) {
         breakOff(result);
@@ -354,38 +334,29 @@
 
   function deliver(entry: RunningAttempt): void {
     const head = entry.head!;
-    const status = head.statusCode ?? 0;
-    if (streaming === entry) {
-      settle({result: 'answered', status});
-      const headers = answerHeaders(head, intake.requestId);
-      void claim?.end({
-        kind: 'answered',
-        answer: recordedAnswer(head, headers, undefined),
-      });
-      writer?.end();
+    if (delivery.streaming() === entry) {
+      settle({result: 'answered', status: head.statusCode ?? 0});
+      const answer = delivery.endStream(head);
+      void claim?.end({kind: 'answered', answer});
       return;
     }
-    const body = Buffer.concat(entry.held);
-    const headers = answerHeaders(head, intake.requestId);
-    const withoutBody = isWithoutBody(head, intake.method);
+    const held = delivery.hold(entry, head);
     writePending = () => {
       if (settlement) {
         return;
       }
-      settle({result: 'answered', status});
+      settle({result: 'answered', status: held.status});
       if (callerGone) {
         record();
         return;
       }
-      writeHeldAnswer(response, head, headers, body, withoutBody);
+      held.write();
     };
     if (!claim?.held()) {
       writePending();
       return;
     }
-    const fits =
-      !entry.discarded && body.length <= settings.claims.maximumRecordedBytes;
-    const answer = recordedAnswer(head, headers, fits ? body : undefined);
+    const answer = held.toRecord(settings.claims.maximumRecordedBytes);
     void claim.end({kind: 'answered', answer}).then(writePending);
   }
 
