--- a/packages/library/src/plugins/forwarding/exchange.ts
+++ b/packages/library/src/plugins/forwarding/exchange.ts
@@ -7,41 +7,22 @@
   AttemptDestination,
   AttemptResult,
   ClaimDecision,
-  RequestRecord,
-  SteeringEvent,
 } from '@ibisbeam/decision';
 import {
   type Refusal,
   refusalStatus,
   writeRefusal,
 } from '../../core/http/index.js';
-import type {TaskContext} from '../../core/kernel/index.js';
 import {createAnswerDelivery} from './answer_delivery.js';
 import {writeRecordedAnswer} from './answer_writer.js';
 import {isWithoutBody} from './attempt.js';
 import {createAttemptSet} from './attempt_set.js';
 import {type ClaimGuard, createClaimGuard} from './claim_guard.js';
 import {claimRefusal} from './claim_refusal.js';
+import type {Exchange, ExchangeDependencies} from './exchange_types.js';
 import type {Intake} from './intake.js';
 import {type Settlement, buildRecord} from './request_record.js';
 import type {RunningAttempt, SendAction} from './running_attempt.js';
-import type {AttemptSender} from './sender.js';
-
-export interface ExchangeDependencies {
-  readonly context: TaskContext;
-  readonly sender: AttemptSender;
-  step(event: SteeringEvent): void;
-  finished(record: RequestRecord): void;
-}
-
-export interface Exchange {
-  send(action: SendAction): void;
-  cancel(attempt: number): void;
-  refuse(refusal: Refusal): void;
-  explain(lines: readonly string[]): void;
-  /** Gives up on the request and breaks the caller's connection. */
-  cut(): void;
-}
 
 export function createExchange(
   intake: Intake,
--- /dev/null
+++ b/packages/library/src/plugins/forwarding/exchange_types.ts
@@ -0,0 +1,22 @@
+/** What the forwarding task sees of one request, and what the request needs. */
+import type {RequestRecord, SteeringEvent} from '@ibisbeam/decision';
+import type {Refusal} from '../../core/http/index.js';
+import type {TaskContext} from '../../core/kernel/index.js';
+import type {SendAction} from './running_attempt.js';
+import type {AttemptSender} from './sender.js';
+
+export interface ExchangeDependencies {
+  readonly context: TaskContext;
+  readonly sender: AttemptSender;
+  step(event: SteeringEvent): void;
+  finished(record: RequestRecord): void;
+}
+
+export interface Exchange {
+  send(action: SendAction): void;
+  cancel(attempt: number): void;
+  refuse(refusal: Refusal): void;
+  explain(lines: readonly string[]): void;
+  /** Gives up on the request and breaks the caller's connection. */
+  cut(): void;
+}
--- a/packages/library/src/plugins/forwarding/forwarder.ts
+++ b/packages/library/src/plugins/forwarding/forwarder.ts
@@ -10,9 +10,6 @@
   type RequestId,
   type RequestRecord,
   type Steering,
-  type SteeringAction,
-  type SteeringEvent,
-  type SteeringNote,
   type Target,
   assertNever,
   createSteering,
@@ -35,7 +32,9 @@
   createConfigurationView,
 } from './configuration_view.js';
 import {earlyRecord} from './early_refusal.js';
-import {type Exchange, createExchange} from './exchange.js';
+import {createExchange} from './exchange.js';
+import type {Exchange} from './exchange_types.js';
+import {createSteeringDriver} from './steering_driver.js';
 import {createHealthPoller} from './health_poller.js';
 import {type Intake, type IntakeRefusal, createIntake} from './intake.js';
 import {runPlannedStop} from './planned_stop.js';
@@ -60,15 +59,17 @@
   dependencies: ForwardingDependencies,
 ): Task<'forwarding'> {
   const {settings, timers, metrics, logger} = context;
-  const steering = (dependencies.createSteering ?? ownSteering)(context);
+  const driver = createSteeringDriver(
+    context,
+    (dependencies.createSteering ?? ownSteering)(context),
+    id => exchanges.get(id),
+  );
+  const {step} = driver;
   const agents = createAgents();
   const intake = createIntake(context);
   const reporter = createRequestReporter(context);
   const exchanges = new Map<RequestId, Exchange>();
-  const waiting: SteeringEvent[] = [];
   let view: ConfigurationView | undefined;
-  let stepping = false;
-  let wake: {readonly atMs: number; readonly handle: TimerHandle} | undefined;
   let stopping = false;
   let reading = 0;
   let lastDuplicate = 0;
@@ -92,96 +93,6 @@
   });
   const server = createCallerServer(context, dependencies.routes, forward);
 
-  /** Events that actions bring about wait until the actions are done. */
-  function step(event: SteeringEvent): void {
-    waiting.push(event);
-    if (stepping) {
-      return;
-    }
-    stepping = true;
-    try {
-      for (let next = waiting.shift(); next; next = waiting.shift()) {
-        const time = {nowMs: timers.nowMs(), wallMs: timers.wallMs()};
-        for (const action of steering.step(next, time)) {
-          perform(action);
-        }
-      }
-    } finally {
-      stepping = false;
-    }
-  }
-
-  function perform(action: SteeringAction): void {
-    switch (action.kind) {
-      case 'send-attempt':
-        sendAttempt(action);
-        return;
-      case 'cancel-attempt':
-        exchanges.get(action.request)?.cancel(action.attempt);
-        return;
-      case 'refuse': {
-        const {reason, outcome, retryAfterMs} = action;
-        exchanges.get(action.request)?.refuse({reason, outcome, retryAfterMs});
-        return;
-      }
-      case 'send-to-peer':
-        context.post('peer_links', {
-          kind: 'send',
-          to: action.to,
-          channel: 'steering',
-          body: action.message,
-        });
-        return;
-      case 'wake-at':
-        wakeAt(action.nowMs);
-        return;
-      case 'note':
-        noted(action.note);
-        return;
-      default:
-        assertNever(action);
-    }
-  }
-
-  function sendAttempt(
-    action: Extract<SteeringAction, {kind: 'send-attempt'}>,
-  ): void {
-    const exchange = exchanges.get(action.request);
-    if (exchange) {
-      exchange.send(action);
-      return;
-    }
-    const {request, attempt} = action;
-    const result = {kind: 'cancelled', sent: false} as const;
-    step({kind: 'attempt-finished', request, attempt, result});
-  }
-
-  function wakeAt(atMs: number): void {
-    if (wake && wake.atMs <= atMs) {
-      return;
-    }
-    wake?.handle.cancel();
-    const handle = timers.at(atMs, () => {
-      wake = undefined;
-      step({kind: 'tick'});
-    });
-    wake = {atMs, handle};
-  }
-
-  function noted(note: SteeringNote): void {
-    if (note.kind === 'decision') {
-      exchanges.get(note.request)?.explain(note.explanation);
-      return;
-    }
-    metrics.emit({
-      kind: 'count',
-      name: 'steering.notes',
-      tags: {note: note.kind},
-    });
-    logger.log('info', 'steering-note', {...note, note: note.kind});
-    context.publish({kind: 'steering-note', note});
-  }
-
   function forward(koaContext: Context): Promise<void> {
     const {req, res} = koaContext;
     koaContext.respond = false;
@@ -272,9 +183,8 @@
   }
 
   function pollOwnTargets(configuration: Configuration): void {
-    const time = {nowMs: timers.nowMs(), wallMs: timers.wallMs()};
     const held = new Set<string>();
-    for (const pool of steering.status(time).pools) {
+    for (const pool of driver.status().pools) {
       if (pool.ownedSlots > 0) {
         held.add(pool.service);
       }
@@ -336,11 +246,10 @@
   function receive(message: TaskMessages['forwarding']): void {
     switch (message.kind) {
       case 'status': {
-        const time = {nowMs: timers.nowMs(), wallMs: timers.wallMs()};
         message.reply({
           inFlight: exchanges.size,
           stopping,
-          steering: steering.status(time),
+          steering: driver.status(),
           callerAddress,
         });
         return;
@@ -382,7 +291,7 @@
       },
     });
     gauges?.cancel();
-    wake?.handle.cancel();
+    driver.stop();
     poller.stop();
     agents.close();
   }
