--- a/packages/library/src/plugins/forwarding/attempt.ts
+++ b/packages/library/src/plugins/forwarding/attempt.ts
@@ -270,11 +270,17 @@
   method: string,
   bytes: number,
 ): boolean {
-  const stated = head.headers['content-length'];
+  const stated = statedLength(head);
   if (stated === undefined || isWithoutBody(head, method)) {
     return false;
   }
-  return bytes !== Number(stated);
+  return bytes !== stated;
+}
+
+/** Bytes of the body as the head states them, if it does. */
+export function statedLength(head: IncomingMessage): number | undefined {
+  const length = head.headers['content-length'];
+  return length === undefined ? undefined : Number(length);
 }
 
 /** Answers that have no body whatever their headers say. */
--- a/packages/library/src/plugins/forwarding/exchange.ts
+++ b/packages/library/src/plugins/forwarding/exchange.ts
@@ -1,7 +1,4 @@
-/**
- * One request from its admission to its answer: carries out the attempts that
- * steering asks for and gives the caller exactly one answer.
- */
+/** One request from its admission, over its attempts, to its one answer. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {
   AttemptDestination,
@@ -15,7 +12,7 @@
 } from '../../core/http/index.js';
 import {createAnswerDelivery} from './answer_delivery.js';
 import {writeRecordedAnswer} from './answer_writer.js';
-import {isWithoutBody} from './attempt.js';
+import {isWithoutBody, statedLength} from './attempt.js';
 import {createAttemptSet} from './attempt_set.js';
 import {type ClaimGuard, createClaimGuard} from './claim_guard.js';
 import {claimRefusal} from './claim_refusal.js';
@@ -236,8 +233,7 @@
 
   function onAnswering(entry: RunningAttempt, head: IncomingMessage): void {
     entry.head = head;
-    const length = head.headers['content-length'];
-    const contentLength = length === undefined ? undefined : Number(length);
+    const contentLength = statedLength(head);
     step({
       kind: 'attempt-answering',
       request: facts.id,
@@ -245,11 +241,9 @@
       status: head.statusCode ?? 0,
       contentLength,
     });
-    const withoutBody = isWithoutBody(head, intake.method);
-    if (
-      !withoutBody &&
-      (contentLength ?? 0) > policy.maximumHeldResponseBytes
-    ) {
+    const {maximumHeldResponseBytes} = policy;
+    const tooLong = (contentLength ?? 0) > maximumHeldResponseBytes;
+    if (tooLong && !isWithoutBody(head, intake.method)) {
       stream(entry, head);
     }
   }
@@ -285,14 +279,13 @@
   }
 
   function onFinished(entry: RunningAttempt, result: AttemptResult): void {
-    const {attempt} = entry.action;
     if (result.kind === 'shed') {
       mayHaveRun -= 1;
     }
     const event = {
       kind: 'attempt-finished',
       request: facts.id,
-      attempt,
+      attempt: entry.action.attempt,
       result,
     } as const;
     if (delivery.streaming() === entry && result.kind !== 'answered') {
--- /dev/null
+++ b/packages/stand_ins/test/whole_path/leaving_target.test.ts
@@ -0,0 +1,46 @@
+/** Signs that a target leaves, with the real steering and real polls. */
+import assert from 'node:assert/strict';
+import {after, before, it} from 'node:test';
+import type {SteeringStatus, TargetId} from '@ibisbeam/decision';
+import {createSilentLogger, createSystemTimerService} from '@ibisbeam/library';
+import {type LocalDeployment, startLocalDeployment} from '../../src/index.js';
+
+const CHECK_INTERVAL_MS = 20;
+const timers = createSystemTimerService();
+let deployment: LocalDeployment;
+
+before(async () => {
+  deployment = await startLocalDeployment({
+    name: 'daugava',
+    entryVmCount: 1,
+    workerDivisor: 4,
+    clientBlockCount: 3,
+    timers,
+    logger: createSilentLogger(),
+    seed: 1,
+    settings: {
+      lookup: {lifetimeMs: 1_000},
+      membership: {heartbeatIntervalMs: 50, suspectAfterMs: 1_000},
+    },
+  });
+});
+after(() => deployment.stop());
+
+async function leavingTargets(): Promise<readonly TargetId[]> {
+  const status = await deployment.vms[0]!.kernel.ask<
+    'forwarding',
+    {readonly steering: SteeringStatus}
+  >('forwarding', reply => ({kind: 'status', reply}));
+  return status?.steering.leavingTargets ?? [];
+}
+
+it('a target that says in its health answer that it leaves is noticed without any request', async () => {
+  const leaving = 'room-availability-1' as TargetId;
+  assert.deepEqual(await leavingTargets(), []);
+  deployment.targets.get(leaving)!.faults.leaving = true;
+  // The runner's timeout is the bound.
+  while (!(await leavingTargets()).includes(leaving)) {
+    await timers.sleep(CHECK_INTERVAL_MS);
+  }
+  assert.deepEqual(await leavingTargets(), [leaving]);
+});
