--- a/packages/library/src/plugins/forwarding/exchange.ts
+++ b/packages/library/src/plugins/forwarding/exchange.ts
@@ -1,56 +1,25 @@
-/**
- * One request from its admission to its answer: carries out the attempts that
- * steering asks for and gives the caller exactly one answer.
- */
+/** One request from its admission, over its attempts, to its one answer. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {
   AttemptDestination,
   AttemptResult,
   ClaimDecision,
-  RequestRecord,
-  SteeringEvent,
 } from '@ibisbeam/decision';
 import {
   type Refusal,
   refusalStatus,
   writeRefusal,
 } from '../../core/http/index.js';
-import type {TaskContext} from '../../core/kernel/index.js';
-import {
-  answerHeaders,
-  recordedAnswer,
-  writeHeldAnswer,
-  writeRecordedAnswer,
-} from './answer_writer.js';
-import {isWithoutBody} from './attempt.js';
+import {createAnswerDelivery} from './answer_delivery.js';
+import {writeRecordedAnswer} from './answer_writer.js';
+import {isWithoutBody, statedLength} from './attempt.js';
+import {createAttemptSet} from './attempt_set.js';
 import {type ClaimGuard, createClaimGuard} from './claim_guard.js';
 import {claimRefusal} from './claim_refusal.js';
+import type {Exchange, ExchangeDependencies} from './exchange_types.js';
 import type {Intake} from './intake.js';
 import {type Settlement, buildRecord} from './request_record.js';
-import {
-  type RunningAttempt,
-  type SendAction,
-  createRunningAttempt,
-  wasSent,
-} from './running_attempt.js';
-import type {AttemptSender} from './sender.js';
-import {type PacedWriter, createPacedWriter} from './paced_writer.js';
-
-export interface ExchangeDependencies {
-  readonly context: TaskContext;
-  readonly sender: AttemptSender;
-  step(event: SteeringEvent): void;
-  finished(record: RequestRecord): void;
-}
-
-export interface Exchange {
-  send(action: SendAction): void;
-  cancel(attempt: number): void;
-  refuse(refusal: Refusal): void;
-  explain(lines: readonly string[]): void;
-  /** Gives up on the request and breaks the caller's connection. */
-  cut(): void;
-}
+import type {RunningAttempt, SendAction} from './running_attempt.js';
 
 export function createExchange(
   intake: Intake,
@@ -62,18 +31,28 @@
   const {facts, policy} = intake;
   const startedAtMs = timers.nowMs();
   const startedAtWallMs = timers.wallMs();
-  const running = new Map<number, RunningAttempt>();
+  const running = createAttemptSet({
+    intake,
+    sender,
+    timers,
+    step,
+    sent: () => {
+      mayHaveRun += 1;
+    },
+    answering: onAnswering,
+    data: onData,
+    finished: onFinished,
+  });
   const claim: ClaimGuard | undefined = facts.idempotent
     ? undefined
     : createClaimGuard(context, intake);
+  const delivery = createAnswerDelivery(intake, response, timers);
   const explanation: string[] = [];
   let attempts = 0;
   let destination: AttemptDestination | undefined;
   /** Attempts that were sent and not refused by their target as not run. */
   let mayHaveRun = 0;
   let settlement: Settlement | undefined;
-  let streaming: RunningAttempt | undefined;
-  let writer: PacedWriter | undefined;
   /** Writes an answer that waits for its record. */
   let writePending: (() => void) | undefined;
   let callerGone = false;
@@ -95,28 +74,14 @@
   /** Tells steering, then ends what it left running. */
   function release(result: (sent: boolean) => AttemptResult): void {
     step({kind: 'request-cancelled', request: facts.id});
-    for (const entry of [...running.values()]) {
-      stopAttempt(entry, result(wasSent(entry)));
-    }
-  }
-
-  function stopAttempt(entry: RunningAttempt, result: AttemptResult): void {
-    if (entry.cancelled) {
-      return;
-    }
-    entry.cancelled = true;
-    if (entry.attempt) {
-      entry.attempt.abandon(result);
-      return;
-    }
-    onFinished(entry, {kind: 'cancelled', sent: false});
+    running.stopAll(result);
   }
 
   function refuse(refusal: Refusal, timedOut = false): void {
     if (settlement) {
       return;
     }
-    if (streaming) {
+    if (delivery.streaming()) {
       breakOff({kind: 'cancelled', sent: true});
       return;
     }
@@ -145,7 +110,7 @@
       writePending();
       return;
     }
-    if (streaming) {
+    if (delivery.streaming()) {
       breakOff({kind: 'timed-out'});
       return;
     }
@@ -195,14 +160,16 @@
   }
 
   function send(action: SendAction): void {
-    const entry = createRunningAttempt(action);
-    running.set(action.attempt, entry);
+    const entry = running.add(action);
     if (settlement) {
-      stopAttempt(entry, {kind: 'cancelled', sent: false});
+      running.stop(entry, {kind: 'cancelled', sent: false});
       return;
     }
     if (!facts.idempotent && mayHaveRun > 0) {
-      onFinished(entry, {kind: 'not-sent', cause: 'it may have run already'});
+      running.finish(entry, {
+        kind: 'not-sent',
+        cause: 'it may have run already',
+      });
       refuse({reason: 'outcome-unknown', outcome: 'unknown'});
       return;
     }
@@ -257,41 +224,16 @@
   }
 
   function start(entry: RunningAttempt): void {
-    if (entry.cancelled || settlement) {
-      stopAttempt(entry, {kind: 'cancelled', sent: false});
+    if (settlement) {
+      running.stop(entry, {kind: 'cancelled', sent: false});
       return;
     }
-    const {action} = entry;
-    if (action.deadlineMs < facts.deadlineMs) {
-      entry.timeout = timers.at(action.deadlineMs, () =>
-        stopAttempt(entry, {kind: 'timed-out'}),
-      );
-    }
-    sender.send(intake, action, {
-      started: attempt => {
-        entry.attempt = attempt;
-        if (entry.cancelled) {
-          attempt.abandon({kind: 'cancelled', sent: false});
-        }
-      },
-      sent: () => {
-        mayHaveRun += 1;
-        step({
-          kind: 'attempt-sent',
-          request: facts.id,
-          attempt: action.attempt,
-        });
-      },
-      answering: head => onAnswering(entry, head),
-      data: chunk => onData(entry, chunk),
-      finished: result => onFinished(entry, result),
-    });
+    running.start(entry);
   }
 
   function onAnswering(entry: RunningAttempt, head: IncomingMessage): void {
     entry.head = head;
-    const length = head.headers['content-length'];
-    const contentLength = length === undefined ? undefined : Number(length);
+    const contentLength = statedLength(head);
     step({
       kind: 'attempt-answering',
       request: facts.id,
@@ -299,11 +241,9 @@
       status: head.statusCode ?? 0,
       contentLength,
     });
-    const withoutBody = isWithoutBody(head, intake.method);
-    if (
-      !withoutBody &&
-      (contentLength ?? 0) > policy.maximumHeldResponseBytes
-    ) {
+    const {maximumHeldResponseBytes} = policy;
+    const tooLong = (contentLength ?? 0) > maximumHeldResponseBytes;
+    if (tooLong && !isWithoutBody(head, intake.method)) {
       stream(entry, head);
     }
   }
@@ -312,8 +252,8 @@
     if (entry.discarded) {
       return;
     }
-    if (streaming === entry) {
-      writer?.write(chunk);
+    if (delivery.streaming() === entry) {
+      delivery.pass(chunk);
       return;
     }
     entry.held.push(chunk);
@@ -330,45 +270,25 @@
       entry.held = [];
       return;
     }
-    if (settlement || streaming || writePending) {
-      stopAttempt(entry, {kind: 'cancelled', sent: true});
+    if (settlement || delivery.streaming() || writePending) {
+      running.stop(entry, {kind: 'cancelled', sent: true});
       return;
     }
-    streaming = entry;
-    stopOthers(entry);
-    response.writeHead(
-      head.statusCode ?? 502,
-      answerHeaders(head, intake.requestId),
-    );
-    writer = createPacedWriter({
-      response,
-      timers,
-      bytesPerSecond: entry.action.paceBytesPerSecond,
-      pause: () => entry.attempt?.pause(),
-      resume: () => entry.attempt?.resume(),
-    });
-    for (const chunk of entry.held.splice(0)) {
-      writer.write(chunk);
-    }
+    running.stopOthers(entry);
+    delivery.beginStream(entry, head);
   }
 
   function onFinished(entry: RunningAttempt, result: AttemptResult): void {
-    const {attempt} = entry.action;
-    if (running.get(attempt) !== entry) {
-      return;
-    }
-    running.delete(attempt);
-    entry.timeout?.cancel();
     if (result.kind === 'shed') {
       mayHaveRun -= 1;
     }
     const event = {
       kind: 'attempt-finished',
       request: facts.id,
-      attempt,
+      attempt: entry.action.attempt,
       result,
     } as const;
-    if (streaming === entry && result.kind !== 'answered') {
+    if (delivery.streaming() === entry && result.kind !== 'answered') {
       // Settles before steering hears of it and refuses or tries again.
       if (!settlement) {
         breakOff(result);
@@ -383,62 +303,40 @@
     }
     deliver(entry);
     step(event);
-    stopOthers(entry);
-  }
-
-  function stopOthers(winner: RunningAttempt): void {
-    for (const entry of [...running.values()]) {
-      if (entry !== winner) {
-        stopAttempt(entry, {kind: 'cancelled', sent: wasSent(entry)});
-      }
-    }
+    running.stopOthers(entry);
   }
 
   function deliver(entry: RunningAttempt): void {
     const head = entry.head!;
-    const status = head.statusCode ?? 0;
-    if (streaming === entry) {
-      settle({result: 'answered', status});
-      const headers = answerHeaders(head, intake.requestId);
-      void claim?.end({
-        kind: 'answered',
-        answer: recordedAnswer(head, headers, undefined),
-      });
-      writer?.end();
+    if (delivery.streaming() === entry) {
+      settle({result: 'answered', status: head.statusCode ?? 0});
+      const answer = delivery.endStream(head);
+      void claim?.end({kind: 'answered', answer});
       return;
     }
-    const body = Buffer.concat(entry.held);
-    const headers = answerHeaders(head, intake.requestId);
-    const withoutBody = isWithoutBody(head, intake.method);
+    const held = delivery.hold(entry, head);
     writePending = () => {
       if (settlement) {
         return;
       }
-      settle({result: 'answered', status});
+      settle({result: 'answered', status: held.status});
       if (callerGone) {
         record();
         return;
       }
-      writeHeldAnswer(response, head, headers, body, withoutBody);
+      held.write();
     };
     if (!claim?.held()) {
       writePending();
       return;
     }
-    const fits =
-      !entry.discarded && body.length <= settings.claims.maximumRecordedBytes;
-    const answer = recordedAnswer(head, headers, fits ? body : undefined);
+    const answer = held.toRecord(settings.claims.maximumRecordedBytes);
     void claim.end({kind: 'answered', answer}).then(writePending);
   }
 
   return {
     send,
-    cancel: attempt => {
-      const entry = running.get(attempt);
-      if (entry) {
-        stopAttempt(entry, {kind: 'cancelled', sent: wasSent(entry)});
-      }
-    },
+    cancel: running.cancel,
     refuse,
     explain: lines => explanation.push(...lines),
     cut: () => {
