Answer at once that a task has not started

Cause: since mailboxes exist before the first task starts, a task that asks another during its own start waited out the timeout of the question: peer_links asks for the configuration that depends on it, twice 5 s for each VM. A VM took 10 s longer to start, a replaced one too. Ruled out: the closing of sockets; a stop took no longer than before.

--- a/packages/library/src/core/kernel/kernel.ts
+++ b/packages/library/src/core/kernel/kernel.ts
@@ -102,7 +102,8 @@
     timeoutMs = DEFAULT_ASK_TIMEOUT_MS,
   ): Promise<Answer | undefined> {
     return new Promise(resolve => {
-      if (!running.has(task)) {
+      const entry = running.get(task);
+      if (!entry || entry.early) {
         resolve(undefined);
         return;
       }
--- a/packages/library/src/core/kernel/types.ts
+++ b/packages/library/src/core/kernel/types.ts
@@ -45,7 +45,8 @@
   post<Name extends TaskName>(task: Name, message: TaskMessages[Name]): void;
   /**
    * Posts a message with a reply and waits for the answer; `undefined` when
-   * the task is absent, its mailbox is full or it takes too long.
+   * the task is absent or has not started, its mailbox is full, or it takes
+   * too long.
    */
   ask<Name extends TaskName, Answer>(
     task: Name,
--- a/packages/library/test/core/kernel/kernel.test.ts
+++ b/packages/library/test/core/kernel/kernel.test.ts
@@ -3,6 +3,7 @@
 import {
   type FailureRule,
   type JournalEntry,
+  type Kernel,
   type KernelDependencies,
   type PlugIn,
   type Task,
@@ -145,6 +146,26 @@
   assert.equal(await asked, undefined);
 });
 
+test('asking a task that has not started gives nothing at once', async () => {
+  const {timers, built} = dependencies();
+  let answer: unknown = 'none yet';
+  const asking = plugIn('peer_links', {
+    start: async () => {
+      answer = await kernel.ask<'journal', readonly JournalEntry[]>(
+        'journal',
+        reply => ({kind: 'query', limit: 1, reply}),
+      );
+    },
+  });
+  const kernel: Kernel = createKernel(
+    [asking, plugIn('journal', {}, {dependsOn: ['peer_links']})],
+    built,
+  );
+  await kernel.start();
+  assert.equal(answer, undefined);
+  assert.equal(timers.nowMs(), 0);
+});
+
 test('messages keep their order while one is being handled', async () => {
   const {timers, built} = dependencies();
   const handled: boolean[] = [];
