Let a drain keep no started VM from its slots; wait for slots in the demonstration

Cause: a VM that starts asks its peers since when they use this division of slots. Peers counted every configuration, also one that divides nothing otherwise, such as a drain; a VM that started beside it left its slots idle for the longest use of each pool and refused with region-full. A skipped generation still counts as another division.

--- a/packages/decision/src/core/steering/configuration_change.ts
+++ b/packages/decision/src/core/steering/configuration_change.ts
@@ -6,10 +6,12 @@
 
 const RETRY_AFTER_REMOVAL_MS = 1_000;
 
+/** @returns Whether the slots of a pool are divided otherwise than before. */
 export function takeConfiguration(
   state: SteeringState,
   configuration: Configuration,
-): void {
+): boolean {
+  let divisionChanged = false;
   const {context} = state;
   state.moves.clear();
   state.budgets.clear();
@@ -18,7 +20,9 @@
     const pool =
       state.pools.get(service) ?? createPool(service, configuration, context);
     state.pools.set(service, pool);
-    configurePool(pool, configuration, context);
+    if (configurePool(pool, configuration, context)) {
+      divisionChanged = true;
+    }
   }
   for (const [service, pool] of state.pools) {
     if (configuration.services.has(service)) {
@@ -32,4 +36,5 @@
     }
     state.pools.delete(service);
   }
+  return divisionChanged;
 }
--- a/packages/decision/src/core/steering/earlier_lives.ts
+++ b/packages/decision/src/core/steering/earlier_lives.ts
@@ -15,8 +15,8 @@
 >;
 
 export interface EarlierLives {
-  /** Notes that this VM uses another share from now on. */
-  configurationTaken(): void;
+  /** @param divisionChanged Whether this VM may use another share from now. */
+  configurationTaken(divisionChanged: boolean): void;
   tick(): void;
   viewChanged(view: MembershipView): void;
   /** Answers a VM that has started. */
@@ -45,15 +45,15 @@
   const {context, knownLives} = state;
   const {parameters} = context;
   let start: Start | undefined;
-  /** When this VM took its second or a later configuration. */
+  /** When this VM last took a configuration that divides slots otherwise. */
   let changedMs: number | undefined;
   let earlierLifeEndedMs: number | undefined;
   let configured = false;
 
-  function configurationTaken(): void {
+  function configurationTaken(divisionChanged: boolean): void {
     const {nowMs} = context.time();
     if (configured) {
-      changedMs = nowMs;
+      changedMs = divisionChanged ? nowMs : changedMs;
       return;
     }
     configured = true;
--- a/packages/decision/src/core/steering/pool.ts
+++ b/packages/decision/src/core/steering/pool.ts
@@ -1,5 +1,6 @@
 /** One service's slots in this VM's region: holdings, targets and queue. */
 import {
+  type Division,
   type Holdings,
   type ShareGrowth,
   type SlotToken,
@@ -47,6 +48,8 @@
   serviceTimeMs: number;
   longestUseMs: number;
   leaseMs: number;
+  /** The division in force as a text, to notice that it changed. */
+  divisionText: string | undefined;
 }
 
 const FIRST_SERVICE_TIME_MS = 20;
@@ -74,6 +77,7 @@
     serviceTimeMs: FIRST_SERVICE_TIME_MS,
     longestUseMs,
     leaseMs,
+    divisionText: undefined,
   };
 }
 
@@ -103,12 +107,17 @@
   };
 }
 
-/** Takes a new configuration's division and targets. */
+/**
+ * Takes a new configuration's division and targets.
+ *
+ * @returns Whether some VM's share differs from that of the configuration
+ *     before; false for the first one.
+ */
 export function configurePool(
   pool: Pool,
   configuration: Configuration,
   context: SteeringContext,
-): void {
+): boolean {
   const {service} = pool;
   const targets = targetsOfRegion(configuration, service, context.region);
   const division = divideSlots(
@@ -137,6 +146,20 @@
       pool.records.delete(id);
     }
   }
+  const before = pool.divisionText;
+  pool.divisionText = describeDivision(division);
+  return before !== undefined && before !== pool.divisionText;
+}
+
+/** Equal for equal divisions, in whatever order their VMs stand. */
+function describeDivision(division: Division): string {
+  const parts: string[] = [];
+  for (const [vm, share] of division) {
+    for (const [target, slots] of share) {
+      parts.push(`${vm}/${target}/${slots}`);
+    }
+  }
+  return parts.sort().join(' ');
 }
 
 /** Lets the share grow where that has become safe. */
--- a/packages/decision/src/core/steering/steering.ts
+++ b/packages/decision/src/core/steering/steering.ts
@@ -162,12 +162,15 @@
   }
 
   function configurationAccepted(next: Configuration): void {
-    if (configuration && next.generation <= configuration.generation) {
+    const former = configuration?.generation;
+    if (former !== undefined && next.generation <= former) {
       return;
     }
     configuration = next;
-    takeConfiguration(state, next);
-    earlierLives.configurationTaken();
+    const divisionChanged = takeConfiguration(state, next);
+    // A generation in between may have divided the slots otherwise.
+    const skipped = former !== undefined && next.generation > former + 1;
+    earlierLives.configurationTaken(divisionChanged || skipped);
     ticks.tick();
   }
 
--- /dev/null
+++ b/packages/decision/test/steering/start_answers.test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  buildConfiguration,
+  targetName,
+  vmName,
+} from '../support/configuration_fixture.js';
+import {buildView, createDriver, only} from '../support/steering_driver.js';
+
+/** How long a VM that took two configurations says to use its share. */
+function settledAfter(second: Parameters<typeof buildConfiguration>[0]) {
+  const driver = createDriver();
+  const configuration = buildConfiguration({generation: 1});
+  driver.step({kind: 'configuration-accepted', configuration});
+  driver.step({kind: 'membership-changed', view: buildView(configuration)});
+  driver.pass(60_000);
+  driver.step({
+    kind: 'configuration-accepted',
+    configuration: buildConfiguration(second),
+  });
+  driver.pass(40);
+  const [answer] = only(
+    driver.step({
+      kind: 'peer-message',
+      from: vmName(0, 1),
+      message: {kind: 'failovers-wanted', incarnation: 'a-new-life'},
+    }),
+    'send-to-peer',
+  )
+    .map(action => action.message)
+    .filter(message => message.kind === 'start-answer');
+  assert.ok(answer);
+  return answer.settledForMs;
+}
+
+const DRAIN = {
+  id: 'drain-1',
+  scope: {kind: 'target', target: targetName(0, 0)},
+  startAtMs: 0,
+  rampMs: 0,
+  plannedBy: 'operator',
+} as const;
+
+test('a configuration that only plans a drain keeps no started VM waiting', () => {
+  assert.equal(settledAfter({generation: 2, drains: [DRAIN]}), undefined);
+});
+
+test('a configuration with other slots tells since when it is used', () => {
+  const slots = [[6, 6, 6, 6, 6, 6, 6], [6], [6]];
+  assert.equal(settledAfter({generation: 2, slots}), 40);
+});
+
+test('a skipped generation counts as another division', () => {
+  assert.equal(settledAfter({generation: 3, drains: [DRAIN]}), 40);
+});
--- a/packages/stand_ins/src/core/local_deployment/local_deployment.ts
+++ b/packages/stand_ins/src/core/local_deployment/local_deployment.ts
@@ -15,6 +15,7 @@
   sectionNameOf,
 } from '@ibisbeam/decision';
 import {
+  type ForwardingStatus,
   type Hooks,
   type Kernel,
   type Logger,
@@ -45,6 +46,7 @@
 const ADDRESSES_PER_VM = 3;
 const START_ATTEMPTS = 5;
 const READY_CHECK_INTERVAL_MS = 20;
+const SERVING_BOUND_MS = 10_000;
 
 export interface LocalDeploymentOptions {
   readonly name: DeploymentName;
@@ -82,6 +84,11 @@
   publish(summary: string, sections: readonly Section[]): Promise<number>;
   /** Resolves when every VM runs this generation or a later one. */
   inForce(generation: number): Promise<void>;
+  /**
+   * Resolves when every VM uses slots, which one that has just started may
+   * have to wait for; after ten seconds at the latest, since a VM may own none.
+   */
+  serving(): Promise<void>;
   stop(): Promise<void>;
 }
 
@@ -221,6 +228,15 @@
     }
   }
 
+  async function serving(): Promise<void> {
+    const giveUpMs = timers.nowMs() + SERVING_BOUND_MS;
+    for (const {kernel} of vms) {
+      while (!(await usesSlots(kernel)) && timers.nowMs() < giveUpMs) {
+        await timers.sleep(READY_CHECK_INTERVAL_MS);
+      }
+    }
+  }
+
   return {
     platform,
     platformUrl: platformServer.url,
@@ -230,6 +246,7 @@
     vms,
     publish,
     inForce,
+    serving,
     stop: async () => {
       await Promise.all(vms.map(vm => vm.stop()));
       await stopSurroundings();
@@ -246,6 +263,15 @@
   return status ? (status.generation ?? -1) : Infinity;
 }
 
+/** Whether the VM may use a slot of some service. */
+async function usesSlots(kernel: Kernel): Promise<boolean> {
+  const status = await kernel.ask<'forwarding', ForwardingStatus>(
+    'forwarding',
+    reply => ({kind: 'status', reply}),
+  );
+  return status?.steering.pools.some(pool => pool.usableSlots > 0) ?? true;
+}
+
 /** Starts a target for each that the deployment names. */
 async function buildDocument(
   options: LocalDeploymentOptions,
--- a/packages/stand_ins/src/demonstration/demonstrate.ts
+++ b/packages/stand_ins/src/demonstration/demonstrate.ts
@@ -69,6 +69,7 @@
       ],
     }),
   });
+  await deployment.serving();
   trace.configurationAccepted(generation(1));
   const token = await deployment.keys.token(
     {kind: 'calling-team', team: teamName(facts.team)},
