Refuse new work while the configuration may be stale

Cause: steering took freshness-changed and did nothing with it, so that a VM that hears neither the store nor any peer kept serving teams whose approval had been revoked. Ruled out: the judgement itself; the roll-out reports fresh=false for such a VM, and its test holds. Before: a request was sent to a target.

--- a/packages/decision/src/core/steering/admissions.ts
+++ b/packages/decision/src/core/steering/admissions.ts
@@ -11,6 +11,7 @@
 
 const RETRY_WITHOUT_CONFIGURATION_MS = 1_000;
 const RETRY_WITHOUT_VM_MS = 1_000;
+const RETRY_WHILE_STALE_MS = 1_000;
 const LEAST_QUEUE_PLACES = 2;
 /** A workspace counts as wanting slots for so long after a request. */
 const WANTED_LIFETIME_MS = 5_000;
@@ -30,6 +31,10 @@
     refuseUnplaced(state, facts);
     return;
   }
+  if (!context.fresh()) {
+    refuseStale(state, facts);
+    return;
+  }
   const placement =
     placeSuspect(state, facts) ?? placeRequest(state, facts, policy);
   const region =
@@ -59,6 +64,24 @@
   place(state, request);
 }
 
+/** Approvals may have been revoked and targets removed since. */
+function refuseStale(state: SteeringState, facts: RequestFacts): void {
+  const {context} = state;
+  const reason = 'configuration-stale';
+  context.note({
+    kind: 'decision',
+    request: facts.id,
+    explanation: [`refused: ${reason}: neither store nor peers are heard`],
+  });
+  context.emit({
+    kind: 'refuse',
+    request: facts.id,
+    reason,
+    outcome: 'not-run',
+    retryAfterMs: RETRY_WHILE_STALE_MS,
+  });
+}
+
 function refuseUnplaced(state: SteeringState, facts: RequestFacts): void {
   const {context} = state;
   const configuration = context.configuration();
--- a/packages/decision/src/core/steering/context.ts
+++ b/packages/decision/src/core/steering/context.ts
@@ -23,6 +23,8 @@
   time(): StepTime;
   configuration(): Configuration | undefined;
   view(): MembershipView | undefined;
+  /** False while this VM may run a configuration that is no longer in force. */
+  fresh(): boolean;
   emit(action: SteeringAction): void;
   note(note: SteeringNote): void;
   send(to: VmId, message: SteeringPeerMessage): void;
--- a/packages/decision/src/core/steering/steering.ts
+++ b/packages/decision/src/core/steering/steering.ts
@@ -61,6 +61,7 @@
   const parameters = {...defaultSteeringParameters, ...dependencies.parameters};
   let configuration: Configuration | undefined;
   let view: MembershipView | undefined;
+  let fresh = true;
   let time: StepTime = {nowMs: 0, wallMs: 0};
   let actions: SteeringAction[] = [];
   /** Earliest time asked for in this step, and the one the driver has. */
@@ -77,6 +78,7 @@
     time: () => time,
     configuration: () => configuration,
     view: () => view,
+    fresh: () => fresh,
     emit: action => {
       actions.push(action);
     },
@@ -123,6 +125,7 @@
         configurationAccepted(event.configuration);
         return;
       case 'freshness-changed':
+        fresh = event.fresh;
         return;
       case 'membership-changed':
         view = event.view;
--- a/packages/decision/test/steering/attempts.test.ts
+++ b/packages/decision/test/steering/attempts.test.ts
@@ -34,6 +34,16 @@
   assert.equal(refusal?.outcome, 'not-run');
 });
 
+test('takes no new work while its configuration may be stale', () => {
+  const driver = ready();
+  driver.step({kind: 'freshness-changed', fresh: false});
+  const [refusal] = refusals(driver.request());
+  assert.equal(refusal?.reason, 'configuration-stale');
+  assert.equal(refusal?.outcome, 'not-run');
+  driver.step({kind: 'freshness-changed', fresh: true});
+  assert.equal(sends(driver.request()).length, 1);
+});
+
 test('passes a request on to a VM of its home region', () => {
   const [send] = sends(ready().request({homeRegion: KURZEME}));
   assert.ok(send?.destination.kind === 'relay');
