Compare the pool load's due time as it was asked for

Cause: with a time of broken fractions, now - sent < interval could hold at the moment sent + interval, so that a tick asked for the same moment again, for ever in virtual time.

--- a/packages/decision/src/core/steering/ticks.ts
+++ b/packages/decision/src/core/steering/ticks.ts
@@ -44,7 +44,7 @@
     }
     lending.returnIdle();
     const {nowMs} = context.time();
-    if (nowMs - loadSentMs >= context.parameters.poolLoadIntervalMs) {
+    if (nowMs >= loadSentMs + context.parameters.poolLoadIntervalMs) {
       loadSentMs = nowMs;
       everyInterval();
     }
