--- a/packages/stand_ins/src/core/local_deployment/local_deployment.ts
+++ b/packages/stand_ins/src/core/local_deployment/local_deployment.ts
@@ -47,6 +47,7 @@
 const START_ATTEMPTS = 5;
 const READY_CHECK_INTERVAL_MS = 20;
 const SERVING_BOUND_MS = 10_000;
+const IN_FORCE_GIVE_UP_MS = 60_000;
 
 export interface LocalDeploymentOptions {
   readonly name: DeploymentName;
@@ -221,8 +222,12 @@
   }
 
   async function inForce(wanted: number): Promise<void> {
-    for (const {kernel} of vms) {
+    const giveUpMs = timers.nowMs() + IN_FORCE_GIVE_UP_MS;
+    for (const {entryVm, kernel} of vms) {
       while ((await generationOf(kernel)) < wanted) {
+        if (timers.nowMs() > giveUpMs) {
+          throw new Error(`${entryVm.id} does not run generation ${wanted}`);
+        }
         await timers.sleep(READY_CHECK_INTERVAL_MS);
       }
     }
