--- /dev/null
+++ b/packages/decision/src/core/attempt_policy/index.ts
@@ -0,0 +1,2 @@
+export * from './attempt_policy.js';
+export * from './retry_allowance.js';
--- /dev/null
+++ b/packages/decision/src/core/attempt_policy/retry_allowance.ts
@@ -0,0 +1,86 @@
+/**
+ * Bounds repeated attempts at a service by a share of the requests for it in
+ * a sliding window, so that failures cannot multiply the load. A VM keeps the
+ * share of its own requests without asking others; the fixed slack is divided
+ * among the VMs.
+ */
+
+export interface RetryAllowance {
+  requested(service: string, nowMs: number): void;
+  /** Takes one repeated attempt out of the allowance if there is one. */
+  take(service: string, nowMs: number): boolean;
+}
+
+export interface RetryAllowanceOptions {
+  readonly ratio: number;
+  readonly windowMs: number;
+  readonly slack: number;
+  /** VMs that share the slack. */
+  vmCount(): number;
+}
+
+/** Part of the bound that is used, since windows of VMs and judges differ. */
+const USED_SHARE = 0.8;
+const WINDOW_STEPS = 10;
+
+interface Window {
+  readonly requests: number[];
+  readonly repeats: number[];
+  step: number;
+}
+
+export function createRetryAllowance(
+  options: RetryAllowanceOptions,
+): RetryAllowance {
+  const stepMs = options.windowMs / WINDOW_STEPS;
+  const windows = new Map<string, Window>();
+
+  function windowOf(service: string, nowMs: number): Window {
+    const step = Math.floor(nowMs / stepMs);
+    const known = windows.get(service);
+    if (!known) {
+      const window: Window = {
+        requests: new Array<number>(WINDOW_STEPS).fill(0),
+        repeats: new Array<number>(WINDOW_STEPS).fill(0),
+        step,
+      };
+      windows.set(service, window);
+      return window;
+    }
+    const passed = Math.min(step - known.step, WINDOW_STEPS);
+    for (let index = 1; index <= passed; index += 1) {
+      const slot = (known.step + index) % WINDOW_STEPS;
+      known.requests[slot] = 0;
+      known.repeats[slot] = 0;
+    }
+    known.step = Math.max(step, known.step);
+    return known;
+  }
+
+  return {
+    requested: (service, nowMs) => {
+      const window = windowOf(service, nowMs);
+      const slot = window.step % WINDOW_STEPS;
+      window.requests[slot] = (window.requests[slot] ?? 0) + 1;
+    },
+    take: (service, nowMs) => {
+      const window = windowOf(service, nowMs);
+      const slack = options.slack / Math.max(1, options.vmCount());
+      const bound = sum(window.requests) * options.ratio + slack;
+      if (sum(window.repeats) + 1 > bound * USED_SHARE) {
+        return false;
+      }
+      const slot = window.step % WINDOW_STEPS;
+      window.repeats[slot] = (window.repeats[slot] ?? 0) + 1;
+      return true;
+    },
+  };
+}
+
+function sum(values: readonly number[]): number {
+  let total = 0;
+  for (const value of values) {
+    total += value;
+  }
+  return total;
+}
--- /dev/null
+++ b/packages/decision/src/core/cold_start/index.ts
@@ -0,0 +1,1 @@
+export * from './cold_allowance.js';
--- /dev/null
+++ b/packages/decision/src/core/fleet_targets/index.ts
@@ -0,0 +1,1 @@
+export * from './target_registry.js';
--- /dev/null
+++ b/packages/decision/src/core/placement/index.ts
@@ -0,0 +1,4 @@
+export * from './affinity_placement.js';
+export * from './service_times.js';
+export * from './target_load.js';
+export * from './warm_keys.js';
--- /dev/null
+++ b/packages/decision/src/core/placement/service_times.ts
@@ -0,0 +1,51 @@
+/**
+ * How long a service takes for a request, learned from answers of targets
+ * that had a slot free: with the affinity key warm at the target, and cold.
+ */
+
+export interface ServiceTimes {
+  /** Expected milliseconds at a target that is neither slow nor busy. */
+  expectedMs(route: string, objectiveMs: number, warm: boolean): number;
+  learn(
+    route: string,
+    objectiveMs: number,
+    warm: boolean,
+    tookMs: number,
+  ): void;
+}
+
+/** First guesses, as shares of the latency objective. */
+const WARM_SHARE = 0.4;
+const COLD_SHARE = 1.3;
+const SAMPLE_WEIGHT = 0.05;
+/** One sample moves the average by at most this factor of it. */
+const LARGEST_SAMPLE_RATIO = 3;
+
+export function createServiceTimes(): ServiceTimes {
+  const averages = new Map<string, number>();
+
+  function expectedMs(
+    route: string,
+    objectiveMs: number,
+    warm: boolean,
+  ): number {
+    const share = warm ? WARM_SHARE : COLD_SHARE;
+    return averages.get(keyOf(route, warm)) ?? objectiveMs * share;
+  }
+
+  return {
+    expectedMs,
+    learn: (route, objectiveMs, warm, tookMs) => {
+      const before = expectedMs(route, objectiveMs, warm);
+      const sample = Math.min(tookMs, before * LARGEST_SAMPLE_RATIO);
+      averages.set(
+        keyOf(route, warm),
+        before + (sample - before) * SAMPLE_WEIGHT,
+      );
+    },
+  };
+}
+
+function keyOf(route: string, warm: boolean): string {
+  return `${warm ? 'warm' : 'cold'} ${route}`;
+}
--- /dev/null
+++ b/packages/decision/src/core/route_table/index.ts
@@ -0,0 +1,2 @@
+export * from './route_table.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/decision/src/core/route_table/route_table.ts
@@ -0,0 +1,75 @@
+/** Finds the route of a request and divides a route among its services. */
+import type {Route, RoutingConfiguration} from './types.js';
+
+export interface RouteTable {
+  readonly configuration: RoutingConfiguration;
+  /** The route with the longest prefix that begins the path. */
+  find(host: string, path: string): Route | undefined;
+  /** The service whose turn it is, by smooth weighted round robin. */
+  nextService(route: Route): string | undefined;
+}
+
+export function createRouteTable(
+  configuration: RoutingConfiguration,
+): RouteTable {
+  const byHost = new Map<string, Map<string, Route>>();
+  for (const route of configuration.routes) {
+    const host = normalizeHost(route.host);
+    const byPrefix = byHost.get(host) ?? new Map<string, Route>();
+    byPrefix.set(route.pathPrefix, route);
+    byHost.set(host, byPrefix);
+  }
+  const credits = new Map<string, number[]>();
+
+  function find(host: string, path: string): Route | undefined {
+    const byPrefix = byHost.get(normalizeHost(host));
+    if (!byPrefix) {
+      return undefined;
+    }
+    const question = path.indexOf('?');
+    const end = question < 0 ? path.length : question;
+    let slash = path.lastIndexOf('/', end - 1);
+    while (slash >= 0) {
+      const route = byPrefix.get(path.slice(0, slash + 1));
+      if (route) {
+        return route;
+      }
+      slash = slash === 0 ? -1 : path.lastIndexOf('/', slash - 1);
+    }
+    return undefined;
+  }
+
+  function nextService(route: Route): string | undefined {
+    const [only] = route.parts;
+    if (route.parts.length <= 1) {
+      return only?.service;
+    }
+    const credit = credits.get(route.name) ?? route.parts.map(() => 0);
+    credits.set(route.name, credit);
+    let total = 0;
+    let best = -1;
+    for (const [index, part] of route.parts.entries()) {
+      total += part.weight;
+      credit[index] = (credit[index] ?? 0) + part.weight;
+      if (
+        part.weight > 0 &&
+        (best < 0 || (credit[index] ?? 0) > (credit[best] ?? 0))
+      ) {
+        best = index;
+      }
+    }
+    if (best < 0) {
+      return undefined;
+    }
+    credit[best] = (credit[best] ?? 0) - total;
+    return route.parts[best]?.service;
+  }
+
+  return {configuration, find, nextService};
+}
+
+/** Host names compare without their case and port. */
+function normalizeHost(host: string): string {
+  const colon = host.indexOf(':');
+  return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
+}
--- /dev/null
+++ b/packages/decision/src/core/store_mirror/index.ts
@@ -0,0 +1,2 @@
+export * from './store_mirror.js';
+export * from './watch_duty.js';
--- /dev/null
+++ b/packages/gateway/src/control/control_server.ts
@@ -0,0 +1,60 @@
+/** Readiness for the platform, the directory for clients, and metrics. */
+import {
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+  createServer,
+} from 'node:http';
+import type {HostAndPort} from '../core/settings.js';
+
+export type ControlAnswer = {
+  readonly status: number;
+  readonly contentType?: string;
+  readonly body?: string;
+};
+
+export interface ControlServer {
+  listen(): Promise<void>;
+  close(): void;
+}
+
+/** Answers by path; anything else is not found. */
+export function createControlServer(
+  address: HostAndPort,
+  answers: ReadonlyMap<
+    string,
+    (url: URL) => ControlAnswer | Promise<ControlAnswer>
+  >,
+): ControlServer {
+  const server: Server = createServer((incoming, outgoing) => {
+    void answer(incoming, outgoing);
+  });
+
+  async function answer(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(incoming.url ?? '/', 'http://localhost');
+    const handler =
+      incoming.method === 'GET' ? answers.get(url.pathname) : undefined;
+    const result = handler ? await handler(url) : {status: 404};
+    const body = result.body ?? '';
+    outgoing.writeHead(result.status, {
+      'Content-Type': result.contentType ?? 'text/plain',
+      'Content-Length': Buffer.byteLength(body),
+    });
+    outgoing.end(body);
+  }
+
+  return {
+    listen: () =>
+      new Promise((resolve, reject) => {
+        server.once('error', reject);
+        server.listen(address.port, address.host, () => resolve());
+      }),
+    close: () => {
+      server.close();
+      server.closeIdleConnections();
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/caller_server.ts
@@ -0,0 +1,199 @@
+/**
+ * The port for clients: reads requests, refuses what is malformed before any
+ * routing, and starts an exchange for the rest.
+ */
+import {
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+  createServer,
+} from 'node:http';
+import type {ClientLimits, RouteTable} from '@ibisbeam/decision';
+import type {HostAndPort} from '../core/settings.js';
+import {refuse} from './answer_delivery.js';
+import type {ForwardingContext} from './context.js';
+import {startExchange} from './exchange.js';
+import {headerValues} from './header_rules.js';
+import {readBody} from './request_body.js';
+
+export interface CallerServer {
+  listen(): Promise<void>;
+  setLimits(limits: ClientLimits): void;
+  /** Requests that were read and are not answered. */
+  inFlight(): number;
+  /** Stops listening and drops idle connections. */
+  close(): Promise<void>;
+}
+
+export interface CallerServerOptions {
+  readonly address: HostAndPort;
+  readonly context: ForwardingContext;
+  /** Absent before the first configuration. */
+  routes(): RouteTable | undefined;
+}
+
+/** Kept open so much longer than clients may reuse a connection. */
+const IDLE_MARGIN_MS = 1_000;
+/** A client is told to come back so soon while no configuration is known. */
+const NOT_CONFIGURED_RETRY_MS = 300;
+/** Slow clients are checked so often. */
+const CONNECTION_CHECK_INTERVAL_MS = 500;
+const DEFAULT_LIMITS: ClientLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 1_048_576,
+  headerTimeoutMs: 10_000,
+  idleTimeoutMs: 15_000,
+};
+
+export function createCallerServer(options: CallerServerOptions): CallerServer {
+  const {context} = options;
+  let limits = DEFAULT_LIMITS;
+  let inFlight = 0;
+  /** Unanswered requests by connection. */
+  const waiting = new WeakMap<object, number>();
+  const server: Server = createServer(
+    {
+      maxHeaderSize: limits.headerBytes,
+      requireHostHeader: true,
+      noDelay: true,
+      keepAliveTimeout: limits.idleTimeoutMs + IDLE_MARGIN_MS,
+      headersTimeout: limits.headerTimeoutMs,
+      requestTimeout: 0,
+      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+    },
+    onRequest,
+  );
+
+  function onRequest(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): void {
+    const {socket} = incoming;
+    inFlight += 1;
+    waiting.set(socket, (waiting.get(socket) ?? 0) + 1);
+    outgoing.on('close', () => {
+      inFlight -= 1;
+      waiting.set(socket, (waiting.get(socket) ?? 1) - 1);
+    });
+    if (context.isStopping()) {
+      outgoing.shouldKeepAlive = false;
+    }
+    const arrivedAtMs = context.timers.nowMs();
+    const problem = malformed(incoming);
+    if (problem) {
+      refuse(outgoing, 400, problem, undefined, true);
+      return;
+    }
+    const routes = options.routes();
+    if (!routes) {
+      const why = 'no configuration yet';
+      refuse(outgoing, 503, why, NOT_CONFIGURED_RETRY_MS, true);
+      return;
+    }
+    const path = incoming.url ?? '/';
+    const route = routes.find(incoming.headers.host ?? '', path);
+    if (!route) {
+      refuse(outgoing, 404, 'no route', undefined, !incoming.complete);
+      return;
+    }
+    readBody(incoming, limits.bodyBytes, result => {
+      switch (result.kind) {
+        case 'aborted':
+          return;
+        case 'too-large':
+          refuse(outgoing, 413, 'the body is too large', undefined, true);
+          return;
+        case 'whole':
+          break;
+      }
+      const service = routes.nextService(route);
+      if (service === undefined) {
+        const why = 'the route has no service';
+        refuse(outgoing, 503, why, NOT_CONFIGURED_RETRY_MS);
+        return;
+      }
+      const {headers} = context.protocol;
+      const [attemptId] = headerValues(incoming.rawHeaders, headers.attemptId);
+      const [key] = headerValues(incoming.rawHeaders, headers.affinityKey);
+      startExchange(context, {
+        incoming,
+        outgoing,
+        route,
+        service,
+        attemptId,
+        affinityKey: route.sticky ? key : undefined,
+        body: result.bytes,
+        arrivedAtMs,
+        clientDeadlineMs: deadlineOf(incoming, arrivedAtMs),
+      });
+    });
+  }
+
+  function deadlineOf(
+    incoming: IncomingMessage,
+    arrivedAtMs: number,
+  ): number | undefined {
+    const {deadlineMs} = context.protocol.headers;
+    const [text] = headerValues(incoming.rawHeaders, deadlineMs);
+    const leftMs = Number(text);
+    if (text === undefined || !Number.isFinite(leftMs) || leftMs < 0) {
+      return undefined;
+    }
+    return arrivedAtMs + leftMs;
+  }
+
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    context.log.log('info', 'input-refused', {cause: error.code});
+    // Bytes between another request and its answer would pass for the answer.
+    const isWaiting = (waiting.get(socket) ?? 0) > 0;
+    if (socket.writable && !isWaiting && error.code !== 'ECONNRESET') {
+      const status =
+        error.code === 'HPE_HEADER_OVERFLOW'
+          ? '431 Request Header Fields Too Large'
+          : '400 Bad Request';
+      socket.end(
+        `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+      );
+      return;
+    }
+    socket.destroy();
+  });
+
+  function setLimits(next: ClientLimits): void {
+    limits = next;
+    server.keepAliveTimeout = next.idleTimeoutMs + IDLE_MARGIN_MS;
+    server.headersTimeout = next.headerTimeoutMs;
+    // Read by the server for each new connection.
+    Object.assign(server, {maxHeaderSize: next.headerBytes});
+  }
+
+  return {
+    listen: () =>
+      new Promise((resolve, reject) => {
+        const {host, port} = options.address;
+        server.once('error', reject);
+        server.listen(port, host, LISTEN_BACKLOG, () => resolve());
+      }),
+    setLimits,
+    inFlight: () => inFlight,
+    close: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeIdleConnections();
+      }),
+  };
+}
+
+/** Connections that may wait to be accepted. */
+const LISTEN_BACKLOG = 1_024;
+
+/** What makes a request unfit for routing, beyond what the parser refuses. */
+function malformed(incoming: IncomingMessage): string | undefined {
+  if (headerValues(incoming.rawHeaders, 'host').length !== 1) {
+    return 'exactly one Host header is needed';
+  }
+  if (!(incoming.url ?? '').startsWith('/')) {
+    return 'the request target must be a path';
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/context.ts
@@ -0,0 +1,44 @@
+/** What the exchanges of one gateway share. */
+import type {
+  AffinityPlacement,
+  RegisteredTarget,
+  RetryAllowance,
+  ServiceTimes,
+  TargetLoad,
+  WarmKeys,
+} from '@ibisbeam/decision';
+import type {Logger, TimerService} from '@ibisbeam/library';
+import type {GatewayProtocol} from '../core/protocol.js';
+import type {TargetConnections} from './target_connections.js';
+
+export interface FinishedRequest {
+  readonly attemptId: string | undefined;
+  readonly route: string;
+  readonly service: string;
+  readonly outcome: string;
+  /** 0 where no answer was given. */
+  readonly status: number;
+  readonly detail: string;
+  /** Attempts at targets. */
+  readonly tried: number;
+  readonly tookMs: number;
+}
+
+export interface ForwardingContext {
+  readonly timers: TimerService;
+  readonly log: Logger;
+  readonly protocol: GatewayProtocol;
+  /** Names in lower case of headers that each attempt sets anew. */
+  readonly replacedHeaders: ReadonlySet<string>;
+  readonly placement: AffinityPlacement;
+  readonly load: TargetLoad;
+  readonly times: ServiceTimes;
+  readonly warmKeys: WarmKeys;
+  readonly retries: RetryAllowance;
+  readonly connections: TargetConnections;
+  isStopping(): boolean;
+  /** When a client that is refused may come back. */
+  retryAfterMs(service: string): number;
+  noteSent(target: RegisteredTarget, nowMs: number): void;
+  finished(request: FinishedRequest): void;
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -0,0 +1,367 @@
+/**
+ * One request of a client, from its arrival to its final answer: places it,
+ * starts attempts, and delivers the first answer that may be delivered.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  type AttemptOutcome,
+  type Placement,
+  type RegisteredTarget,
+  type Route,
+  mayRunAgain,
+  nextStep,
+} from '@ibisbeam/decision';
+import type {TimerHandle} from '@ibisbeam/library';
+import {deliverAnswer, refuse} from './answer_delivery.js';
+import type {ForwardingContext} from './context.js';
+import {endToEndHeaders} from './header_rules.js';
+import {
+  type TargetAnswer,
+  type TargetAttempt,
+  startTargetAttempt,
+} from './target_attempt.js';
+
+export interface ExchangeRequest {
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+  readonly route: Route;
+  readonly service: string;
+  readonly attemptId: string | undefined;
+  readonly affinityKey: string | undefined;
+  readonly body: Buffer | undefined;
+  readonly arrivedAtMs: number;
+  /** Moment until which the client waits. */
+  readonly clientDeadlineMs: number | undefined;
+}
+
+interface RunningAttempt {
+  readonly placement: Placement;
+  readonly startedAtMs: number;
+  readonly inFlightBefore: number;
+  handle?: TargetAttempt;
+  sentAtMs?: number;
+}
+
+/** A connection within a region is there sooner, or the target is away. */
+const CONNECT_TIMEOUT_MS = 300;
+/** Idle time after which a kept connection is not trusted with a booking. */
+const FRESH_CONNECTION_MS = 1_500;
+const LONGEST_IDLE_MS = 60_000;
+/** Time for the final answer to leave before the client's deadline. */
+const ANSWER_MARGIN_MS = 10;
+/** A second attempt beside a silent one starts after this many times the expected time. */
+const HEDGE_FACTOR = 3;
+/** No hedge before this share of the latency objective. */
+const HEDGE_OBJECTIVE_SHARE = 1;
+
+export function startExchange(
+  context: ForwardingContext,
+  request: ExchangeRequest,
+): void {
+  const {timers, load, log, protocol} = context;
+  const {route, incoming, outgoing, service} = request;
+  const limitMs = request.arrivedAtMs + route.timeoutMs;
+  const answerByMs = Math.min(
+    limitMs,
+    (request.clientDeadlineMs ?? Infinity) - ANSWER_MARGIN_MS,
+  );
+  const clientHeaders = endToEndHeaders(
+    incoming.rawHeaders,
+    context.replacedHeaders,
+  );
+  const running = new Set<RunningAttempt>();
+  const excluded = new Set<string>();
+  let tried = 0;
+  let possiblyRun = 0;
+  let over = false;
+  let hedgeTimer: TimerHandle | undefined;
+  const endTimer = timers.at(answerByMs, onTimeout);
+
+  function finish(outcome: string, status: number, detail = ''): void {
+    over = true;
+    endTimer.cancel();
+    hedgeTimer?.cancel();
+    for (const attempt of running) {
+      attempt.handle?.cancel();
+      load.ended(attempt.placement.target.life);
+    }
+    running.clear();
+    context.finished({
+      attemptId: request.attemptId,
+      route: route.name,
+      service,
+      outcome,
+      status,
+      detail,
+      tried,
+      tookMs: timers.nowMs() - request.arrivedAtMs,
+    });
+  }
+
+  function fail(status: number, why: string, retryAfterMs?: number): void {
+    finish('refused', status, why);
+    refuse(outgoing, status, why, retryAfterMs);
+  }
+
+  function onTimeout(): void {
+    if (possiblyRun > 0) {
+      fail(504, 'no answer in time');
+      return;
+    }
+    fail(503, 'no target in time', context.retryAfterMs(service));
+  }
+
+  function onClientGone(): void {
+    if (over || outgoing.writableFinished) {
+      return;
+    }
+    finish('client-left', 0);
+  }
+
+  /** False if no target could take the request. */
+  function tryNext(isHedge: boolean): boolean {
+    const nowMs = timers.nowMs();
+    const placement = context.placement.choose(
+      {
+        route: route.name,
+        service,
+        latencyObjectiveMs: route.latencyObjectiveMs,
+        affinityKey: request.affinityKey,
+        homeRegions: route.homeRegions,
+        excluded,
+      },
+      nowMs,
+    );
+    if (!placement) {
+      return false;
+    }
+    if (!isHedge && nowMs + placement.expectedMs > answerByMs) {
+      return false;
+    }
+    start(placement, nowMs);
+    return true;
+  }
+
+  function start(placement: Placement, nowMs: number): void {
+    const {target} = placement;
+    const {life, entry} = target;
+    const attempt: RunningAttempt = {
+      placement,
+      startedAtMs: nowMs,
+      inFlightBefore: load.estimate(life, nowMs),
+    };
+    excluded.add(life);
+    running.add(attempt);
+    tried += 1;
+    load.sent(life);
+    context.noteSent(target, nowMs);
+    const longestIdleMs = mayRunAgain(route.kind)
+      ? LONGEST_IDLE_MS
+      : FRESH_CONNECTION_MS;
+    attempt.handle = startTargetAttempt(
+      {
+        host: entry.host,
+        port: entry.port,
+        method: incoming.method ?? 'GET',
+        path: incoming.url ?? '/',
+        headers: attemptHeaders(target, nowMs),
+        body: request.body,
+        attemptId: request.attemptId,
+        agent: context.connections.agentFor(life, longestIdleMs),
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      },
+      protocol,
+      timers,
+      {
+        onSocket: socket => context.connections.taken(socket),
+        onSent: () => {
+          possiblyRun += 1;
+          attempt.sentAtMs = timers.nowMs();
+        },
+        onLoad: report => load.reported(life, report, timers.nowMs()),
+        onAnswerHead: (sent, answer) =>
+          context.connections.noteKeepAlive(sent, answer),
+        onEnd: (outcome, answer) => onAttemptEnd(attempt, outcome, answer),
+      },
+    );
+    scheduleHedge(placement);
+  }
+
+  function attemptHeaders(
+    target: RegisteredTarget,
+    nowMs: number,
+  ): readonly string[] {
+    const {headers} = protocol;
+    const untilMs = Math.min(limitMs, request.clientDeadlineMs ?? Infinity);
+    const leftMs = Math.max(1, Math.floor(untilMs - nowMs));
+    const list = [
+      ...clientHeaders,
+      headers.deadlineMs,
+      String(leftMs),
+      headers.expectedTarget,
+      target.entry.id,
+    ];
+    if (request.body !== undefined) {
+      list.push('Content-Length', String(request.body.length));
+    }
+    return list;
+  }
+
+  function scheduleHedge(placement: Placement): void {
+    hedgeTimer?.cancel();
+    if (!mayRunAgain(route.kind)) {
+      return;
+    }
+    const afterMs = Math.max(
+      placement.expectedMs * HEDGE_FACTOR,
+      route.latencyObjectiveMs * HEDGE_OBJECTIVE_SHARE,
+    );
+    hedgeTimer = timers.after(afterMs, () => {
+      if (over || possiblyRun >= route.maximumAttempts) {
+        return;
+      }
+      if (context.retries.take(service, timers.nowMs())) {
+        tryNext(true);
+      }
+    });
+  }
+
+  function onAttemptEnd(
+    attempt: RunningAttempt,
+    outcome: AttemptOutcome,
+    answer?: TargetAnswer,
+  ): void {
+    if (over || !running.delete(attempt)) {
+      return;
+    }
+    const nowMs = timers.nowMs();
+    const {target} = attempt.placement;
+    load.ended(target.life);
+    learn(attempt, outcome, nowMs);
+    if (outcome.kind === 'not-executed') {
+      possiblyRun -= 1;
+    }
+    if (outcome.kind !== 'answered' || outcome.status >= 500) {
+      log.log('info', 'attempt-failed', {
+        request: request.attemptId,
+        target: target.entry.id,
+        outcome: outcome.kind,
+        detail: 'cause' in outcome ? outcome.cause : outcome.status,
+        tookMs: Math.round(nowMs - attempt.startedAtMs),
+      });
+    }
+    const step = nextStep(outcome, {
+      routeKind: route.kind,
+      maximumAttempts: route.maximumAttempts,
+      possiblyRun,
+      tried,
+      replayable: true,
+      timeLeftMs: answerByMs - nowMs,
+    });
+    switch (step.kind) {
+      case 'deliver':
+        deliver(answer);
+        return;
+      case 'try-another':
+        onTryAnother(step.costsBudget, outcome, answer);
+        return;
+      case 'fail':
+        if (running.size > 0) {
+          return;
+        }
+        failWith(step.status, outcome);
+        return;
+    }
+  }
+
+  function onTryAnother(
+    costsBudget: boolean,
+    outcome: AttemptOutcome,
+    answer?: TargetAnswer,
+  ): void {
+    if (running.size > 0) {
+      return;
+    }
+    const allowed =
+      !costsBudget || context.retries.take(service, timers.nowMs());
+    if (allowed && tryNext(false)) {
+      return;
+    }
+    if (outcome.kind === 'answered' && outcome.status !== 503) {
+      deliver(answer);
+      return;
+    }
+    failWith(possiblyRun > 0 ? 502 : 503, outcome);
+  }
+
+  function failWith(status: 502 | 503, outcome: AttemptOutcome): void {
+    const why =
+      'cause' in outcome ? outcome.cause : `target said ${outcome.status}`;
+    fail(status, why, status === 503 ? context.retryAfterMs(service) : undefined);
+  }
+
+  function learn(
+    attempt: RunningAttempt,
+    outcome: AttemptOutcome,
+    nowMs: number,
+  ): void {
+    const {target, warm} = attempt.placement;
+    const {life} = target;
+    switch (outcome.kind) {
+      case 'answered': {
+        if (outcome.status >= 500) {
+          load.failed(life);
+          return;
+        }
+        learnTimes(attempt, nowMs - (attempt.sentAtMs ?? nowMs), warm);
+        if (request.affinityKey !== undefined) {
+          context.warmKeys.handled(life, service, request.affinityKey, nowMs);
+        }
+        return;
+      }
+      case 'not-executed':
+        load.failed(life);
+        return;
+      case 'not-sent':
+        load.unreachable(life, nowMs);
+        context.connections.dropIdle(life);
+        return;
+      case 'broken':
+        load.failed(life);
+        return;
+    }
+  }
+
+  function learnTimes(
+    attempt: RunningAttempt,
+    tookMs: number,
+    warm: boolean,
+  ): void {
+    const {target, expectedMs, waitMs} = attempt.placement;
+    if (attempt.inFlightBefore < target.entry.slots) {
+      context.times.learn(
+        route.name,
+        route.latencyObjectiveMs,
+        warm,
+        tookMs,
+      );
+    }
+    const plainMs = (expectedMs - waitMs) / load.slowness(target.life);
+    load.answered(target.life, (tookMs - waitMs) / Math.max(1, plainMs));
+  }
+
+  function deliver(answer: TargetAnswer | undefined): void {
+    if (!answer) {
+      fail(502, 'the answer is missing');
+      return;
+    }
+    finish('answered', answer.status);
+    deliverAnswer(outgoing, answer, context.isStopping());
+  }
+
+  outgoing.on('close', onClientGone);
+  context.retries.requested(service, request.arrivedAtMs);
+  if (!tryNext(false)) {
+    fail(503, 'no target has room', context.retryAfterMs(service));
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,439 @@
+/**
+ * One entry VM on a platform that lists its targets and keeps its
+ * configuration: forwarding, directory, store copies and peer links.
+ */
+import {
+  type MirrorChange,
+  type RegistryEvent,
+  type RouteTable,
+  DEFAULT_PLACEMENT_PARAMETERS,
+  createAffinityPlacement,
+  createColdAllowance,
+  createRetryAllowance,
+  createRouteTable,
+  createServiceTimes,
+  createTargetLoad,
+  createTargetRegistry,
+  createWarmKeys,
+  createWatchDuty,
+} from '@ibisbeam/decision';
+import type {
+  LogEvent,
+  Logger,
+  PlatformStore,
+  TimerHandle,
+  TimerService,
+} from '@ibisbeam/library';
+import {createControlServer} from './control/control_server.js';
+import {createVmDirectory} from './control/vm_directory.js';
+import type {GatewayProtocol} from './core/protocol.js';
+import type {GatewaySettings} from './core/settings.js';
+import {createCallerServer} from './forwarding/caller_server.js';
+import type {FinishedRequest, ForwardingContext} from './forwarding/context.js';
+import {createTargetConnections} from './forwarding/target_connections.js';
+import type {PeerMessage, StoreKind, VmRecord} from './peers/messages.js';
+import {createPeerMesh} from './peers/peer_mesh.js';
+import {createVmRegistration} from './peers/vm_registration.js';
+import {createStoreFollower} from './store/store_follower.js';
+
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly protocol: GatewayProtocol;
+  readonly store: PlatformStore;
+  readonly timers: TimerService;
+  readonly log: Logger;
+}
+
+export interface Gateway {
+  start(): Promise<void>;
+  /** Planned stop; resolves when the last request has its answer. */
+  stop(): Promise<void>;
+}
+
+const HEARTBEAT_INTERVAL_MS = 400;
+const REGISTRY_TICK_MS = 100;
+/** VMs that always watch the store. */
+const STORE_WATCHERS = 2;
+/** Longer than the age that a sound watcher's confirmation can reach. */
+const WATCH_PATIENCE_MS = 1_500;
+const WATCH_PATIENCE_PER_RANK_MS = 150;
+/** Cold rate assumed of services that the configuration does not know. */
+const UNKNOWN_COLD_PER_SECOND = 5;
+const UNKNOWN_COLD_MS = 5_000;
+/** Base of the time after which a refused client may come back. */
+const RETRY_AFTER_MS = 250;
+/** Kept of the stop's grace for closing connections and ending. */
+const STOP_MARGIN_MS = 700;
+/** A stopping VM ends when no request came for so long. */
+const STOP_QUIET_MS = 800;
+/** Clients learn from the directory meanwhile that this VM leaves. */
+const STOP_SHORTEST_MS = 2_200;
+const STOP_POLL_MS = 50;
+
+export function createGateway(options: GatewayOptions): Gateway {
+  const {settings, protocol, timers, log} = options;
+  const {bounds, vm} = settings;
+  const load = createTargetLoad();
+  const connections = createTargetConnections(timers);
+  const coldAllowance = createColdAllowance(vm.id);
+  const times = createServiceTimes();
+  const warmKeys = createWarmKeys();
+  let routes: RouteTable | undefined;
+  let stopping = false;
+  let lastRequestMs = -Infinity;
+  const handles: TimerHandle[] = [];
+
+  const registry = createTargetRegistry({
+    zoneRegions: settings.zoneRegions,
+    onEvent: onRegistryEvent,
+  });
+
+  function onRegistryEvent(event: RegistryEvent): void {
+    const {entry, life} = event.target;
+    log.log('info', event.kind satisfies LogEvent, {
+      target: entry.id,
+      service: entry.service,
+      zone: entry.zone,
+      born: entry.bornMs,
+      coldMs: entry.coldRemainingMs,
+      why: event.kind === 'target-removed' ? event.why : undefined,
+    });
+    if (event.kind === 'target-removed') {
+      connections.forget(life);
+      load.forget(life);
+    }
+  }
+
+  const self: VmRecord = {
+    id: vm.id,
+    startedWallMs: timers.wallMs(),
+    host: vm.host,
+    callerAddress: `${settings.listen.caller.host}:${settings.listen.caller.port}`,
+    zone: vm.zone,
+    region: vm.region,
+  };
+
+  const duty = createWatchDuty({
+    self: vm.id,
+    watchers: STORE_WATCHERS,
+    patienceMs: WATCH_PATIENCE_MS,
+    patiencePerRankMs: WATCH_PATIENCE_PER_RANK_MS,
+  });
+
+  const follower = createStoreFollower({
+    store: options.store,
+    kindNames: protocol.kinds,
+    duty,
+    timers,
+    log,
+    onChange: onStoreChange,
+    broadcast: message => mesh.broadcast(message),
+  });
+
+  const mesh = createPeerMesh({
+    self,
+    listen: settings.listen.peers,
+    seeds: settings.seeds,
+    timers,
+    log,
+    onLinked,
+    onMessage,
+  });
+
+  const directory = createVmDirectory({self, mesh, timers, isServing});
+  const registration = createVmRegistration({
+    self,
+    store: options.store,
+    kind: protocol.kinds.entryVms,
+    timers,
+    log,
+    mesh,
+  });
+
+  const context: ForwardingContext = {
+    timers,
+    log,
+    protocol,
+    replacedHeaders: new Set([
+      protocol.headers.deadlineMs,
+      protocol.headers.expectedTarget,
+      'content-length',
+      'expect',
+    ]),
+    placement: createAffinityPlacement({
+      zone: vm.zone,
+      region: vm.region,
+      registry,
+      load,
+      times,
+      warmKeys,
+      parameters: DEFAULT_PLACEMENT_PARAMETERS,
+      coldAllowed: (target, nowMs) =>
+        coldAllowance.allows(
+          target.life,
+          coldPerSecond(target.entry.service),
+          nowMs,
+        ),
+    }),
+    load,
+    times,
+    warmKeys,
+    retries: createRetryAllowance({
+      ratio: bounds.retryRatio,
+      windowMs: bounds.retryWindowMs,
+      slack: bounds.retrySlack,
+      vmCount: () => mesh.known().length + 1,
+    }),
+    connections,
+    isStopping: () => stopping,
+    retryAfterMs: () => RETRY_AFTER_MS,
+    noteSent: (target, nowMs) => {
+      if (registry.isCold(target, nowMs) || load.isReturning(target.life, nowMs)) {
+        const perSecond = coldPerSecond(target.entry.service);
+        coldAllowance.sent(target.life, perSecond, nowMs);
+      }
+    },
+    finished: onFinished,
+  };
+
+  const callerServer = createCallerServer({
+    address: settings.listen.caller,
+    context,
+    routes: () => {
+      lastRequestMs = timers.nowMs();
+      return routes;
+    },
+  });
+
+  const readiness = createControlServer(
+    settings.listen.readiness,
+    new Map([
+      [protocol.readinessPath, () => ({status: isServing() ? 200 : 503})],
+    ]),
+  );
+  const directoryServer = createControlServer(
+    settings.listen.directory,
+    new Map([[protocol.directoryPath, answerDirectory]]),
+  );
+
+  function isServing(): boolean {
+    return routes !== undefined && follower.isComplete() && !stopping;
+  }
+
+  function answerDirectory(url: URL) {
+    const query = protocol.readDirectoryQuery(url.searchParams);
+    const answer = directory.answer(query, bounds.directoryLifetimeMs);
+    if (answer.addresses.length === 0) {
+      return {status: 503};
+    }
+    return {
+      status: 200,
+      contentType: 'application/json',
+      body: protocol.writeDirectoryAnswer(
+        answer.addresses,
+        answer.lifetimeSeconds,
+      ),
+    };
+  }
+
+  function coldPerSecond(service: string): number {
+    return (
+      routes?.configuration.services.get(service)?.coldRequestsPerSecond ??
+      UNKNOWN_COLD_PER_SECOND
+    );
+  }
+
+  function coldMs(service: string): number {
+    return (
+      routes?.configuration.services.get(service)?.coldStartMs ??
+      UNKNOWN_COLD_MS
+    );
+  }
+
+  function onStoreChange(
+    kind: StoreKind,
+    change: MirrorChange,
+    settlingMs: number,
+  ): void {
+    const nowMs = timers.nowMs();
+    switch (kind) {
+      case 'targets':
+        for (const {name, value} of change.put) {
+          putTarget(name, value, nowMs);
+        }
+        for (const name of change.removed) {
+          registry.remove(name, nowMs, nowMs + settlingMs);
+        }
+        return;
+      case 'configuration':
+        for (const {name, value, version} of change.put) {
+          if (name === protocol.configurationName) {
+            takeConfiguration(value, version);
+          }
+        }
+        return;
+      case 'evacuations':
+        takeEvacuations(change, nowMs);
+        return;
+    }
+  }
+
+  function putTarget(name: string, value: unknown, nowMs: number): void {
+    protocol
+      .readTarget(name, value)
+      .ifRight(entry => registry.put(entry, nowMs))
+      .ifLeft(cause => {
+        log.log('warn', 'target-entry-refused', {target: name, cause});
+        registry.remove(name, nowMs, nowMs);
+      });
+  }
+
+  function takeConfiguration(value: unknown, storeVersion: number): void {
+    protocol
+      .readConfiguration(value)
+      .ifLeft(cause =>
+        log.log('error', 'configuration-rejected', {cause, storeVersion}),
+      )
+      .ifRight(configuration => {
+        const inForce = routes?.configuration.version ?? -1;
+        if (configuration.version <= inForce) {
+          log.log('info', 'configuration-rejected', {
+            cause: 'older than the one in force',
+            version: configuration.version,
+            inForce,
+          });
+          return;
+        }
+        routes = createRouteTable(configuration);
+        callerServer.setLimits(configuration.limits);
+        log.log('info', 'configuration-in-force', {
+          version: configuration.version,
+          storeVersion,
+          routes: configuration.routes.length,
+        });
+      });
+  }
+
+  function takeEvacuations(change: MirrorChange, nowMs: number): void {
+    const zones = new Set(registry.evacuated());
+    for (const {name} of change.put) {
+      zones.add(name);
+    }
+    for (const name of change.removed) {
+      zones.delete(name);
+    }
+    registry.setEvacuated(zones, nowMs, coldMs);
+    log.log('info', 'evacuations-changed', {zones: [...zones].join(',')});
+  }
+
+  function onLinked(peer: VmRecord): void {
+    for (const kind of ['configuration', 'targets', 'evacuations'] as const) {
+      if (follower.isMissing(kind)) {
+        mesh.send(peer.id, {kind: 'want-snapshot', of: kind});
+      }
+    }
+    mesh.send(peer.id, heartbeat());
+  }
+
+  function onMessage(from: VmRecord, message: PeerMessage): void {
+    switch (message.kind) {
+      case 'hello':
+        return;
+      case 'heartbeat':
+        directory.heard(from.id, message.serving);
+        if (message.watchAgeMs !== undefined) {
+          duty.heardFresh(timers.nowMs() - message.watchAgeMs);
+        }
+        return;
+      case 'want-snapshot': {
+        const snapshot = follower.snapshotMessage(message.of);
+        if (snapshot) {
+          mesh.send(from.id, snapshot);
+        }
+        return;
+      }
+      case 'snapshot':
+      case 'batch':
+        if (!follower.receive(message)) {
+          mesh.send(from.id, {kind: 'want-snapshot', of: message.of});
+        }
+        return;
+      case 'target-lost':
+        return;
+    }
+  }
+
+  function heartbeat(): PeerMessage {
+    return {
+      kind: 'heartbeat',
+      serving: isServing(),
+      watchAgeMs: follower.watchAgeMs(),
+    };
+  }
+
+  function onHeartbeatDue(): void {
+    mesh.broadcast(heartbeat());
+    const living = directory.living();
+    duty.setVms(living);
+    coldAllowance.setVms(living);
+  }
+
+  function onFinished(request: FinishedRequest): void {
+    log.log('info', 'request-finished', {
+      ...request,
+      tookMs: Math.round(request.tookMs),
+    });
+  }
+
+  async function start(): Promise<void> {
+    await Promise.all([
+      callerServer.listen(),
+      readiness.listen(),
+      directoryServer.listen(),
+      mesh.listen(),
+    ]);
+    follower.start();
+    registration.start();
+    handles.push(
+      timers.every(HEARTBEAT_INTERVAL_MS, onHeartbeatDue),
+      timers.every(REGISTRY_TICK_MS, () => registry.tick(timers.nowMs())),
+    );
+    log.log('info', 'vm-started', {
+      zone: vm.zone,
+      region: vm.region,
+      callers: self.callerAddress,
+    });
+  }
+
+  async function stop(): Promise<void> {
+    stopping = true;
+    const beganMs = timers.nowMs();
+    log.log('info', 'vm-stopping', {inFlight: callerServer.inFlight()});
+    mesh.broadcast(heartbeat());
+    const boundMs = bounds.stopGraceMs - STOP_MARGIN_MS;
+    for (;;) {
+      const nowMs = timers.nowMs();
+      const quiet = nowMs - lastRequestMs > STOP_QUIET_MS;
+      const idle = callerServer.inFlight() === 0 && quiet;
+      if (nowMs - beganMs >= boundMs) {
+        log.log('warn', 'stop-bound-hit', {inFlight: callerServer.inFlight()});
+        break;
+      }
+      if (idle && nowMs - beganMs >= STOP_SHORTEST_MS) {
+        break;
+      }
+      await timers.sleep(STOP_POLL_MS);
+    }
+    for (const handle of handles) {
+      handle.cancel();
+    }
+    follower.stop();
+    registration.stop();
+    mesh.close();
+    log.log('info', 'vm-stopped', {
+      tookMs: Math.round(timers.nowMs() - beganMs),
+    });
+  }
+
+  return {start, stop};
+}
--- /dev/null
+++ b/packages/gateway/src/peers/messages.ts
@@ -0,0 +1,70 @@
+/** Messages between gateways, checked on arrival. */
+import {z} from 'zod';
+
+export const vmRecordSchema = z.object({
+  id: z.string().min(1).max(128),
+  /** Grows with each start of the VM's process. */
+  startedWallMs: z.number(),
+  host: z.string().max(64),
+  /** Address for clients, as the directory names it. */
+  callerAddress: z.string().max(80),
+  zone: z.string().max(64),
+  region: z.string().max(64),
+});
+
+const mirroredObjectSchema = z.object({
+  name: z.string().max(512),
+  version: z.number(),
+  value: z.unknown(),
+});
+
+const mirrorEventSchema = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('put'), object: mirroredObjectSchema}),
+  z.object({
+    kind: z.literal('deleted'),
+    name: z.string().max(512),
+    version: z.number(),
+  }),
+]);
+
+const storeKindSchema = z.enum(['targets', 'configuration', 'evacuations']);
+
+export const peerMessageSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('hello'),
+    vm: vmRecordSchema,
+    known: z.array(vmRecordSchema).max(2_000),
+  }),
+  z.object({
+    kind: z.literal('heartbeat'),
+    /** Takes clients. */
+    serving: z.boolean(),
+    /** Age of the newest confirmation by the store of what this VM passes on. */
+    watchAgeMs: z.number().nonnegative().optional(),
+  }),
+  z.object({kind: z.literal('want-snapshot'), of: storeKindSchema}),
+  z.object({
+    kind: z.literal('snapshot'),
+    of: storeKindSchema,
+    version: z.number(),
+    objects: z.array(mirroredObjectSchema),
+    settlingMs: z.number().nonnegative(),
+  }),
+  z.object({
+    kind: z.literal('batch'),
+    of: storeKindSchema,
+    from: z.number(),
+    version: z.number(),
+    events: z.array(mirrorEventSchema),
+    settlingMs: z.number().nonnegative(),
+  }),
+  z.object({
+    kind: z.literal('target-lost'),
+    fingerprint: z.string().max(64),
+    target: z.string().max(256),
+  }),
+]);
+
+export type PeerMessage = z.infer<typeof peerMessageSchema>;
+export type VmRecord = z.infer<typeof vmRecordSchema>;
+export type StoreKind = z.infer<typeof storeKindSchema>;
--- /dev/null
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -0,0 +1,337 @@
+/**
+ * WebSocket links to the other gateways. Every gateway dials those it knows
+ * of; what a peer sends is checked and handed on, and a link that falls
+ * silent is ended and dialled anew.
+ */
+import {Packr} from 'msgpackr';
+import {WebSocket, WebSocketServer} from 'ws';
+import type {Logger, TimerHandle, TimerService} from '@ibisbeam/library';
+import type {HostAndPort} from '../core/settings.js';
+import {
+  type PeerMessage,
+  type VmRecord,
+  peerMessageSchema,
+} from './messages.js';
+
+export interface PeerMeshOptions {
+  readonly self: VmRecord;
+  readonly listen: HostAndPort;
+  readonly seeds: readonly string[];
+  readonly timers: TimerService;
+  readonly log: Logger;
+  /** The first link to a peer is up. */
+  onLinked(vm: VmRecord): void;
+  onMessage(from: VmRecord, message: PeerMessage): void;
+}
+
+export interface PeerMesh {
+  listen(): Promise<void>;
+  /** Learns of gateways from elsewhere, such as the store. */
+  learn(vms: readonly VmRecord[]): void;
+  send(vmId: string, message: PeerMessage): void;
+  broadcast(message: PeerMessage): void;
+  /** Gateways from which something came within the span, with its age. */
+  heardWithin(spanMs: number): readonly VmRecord[];
+  known(): readonly VmRecord[];
+  close(): void;
+}
+
+/** A link on which nothing came for so long is ended. */
+const LINK_SILENCE_MS = 1_500;
+const DIAL_TIMEOUT_MS = 600;
+const DIAL_INTERVAL_MS = 250;
+/** Pause after a failed dial, doubled with each further one. */
+const FIRST_REDIAL_MS = 300;
+const LONGEST_REDIAL_MS = 3_000;
+/** A gateway that was silent for so long is forgotten. */
+const FORGET_AFTER_MS = 60_000;
+const MAXIMUM_MESSAGE_BYTES = 16 * 1_048_576;
+/** A link whose unsent bytes exceed this gets no more messages. */
+const MAXIMUM_BACKLOG_BYTES = 8 * 1_048_576;
+
+interface Peer {
+  record: VmRecord;
+  link?: WebSocket;
+  dialing: boolean;
+  failures: number;
+  nextDialMs: number;
+  lastHeardMs: number;
+}
+
+export function createPeerMesh(options: PeerMeshOptions): PeerMesh {
+  const {self, timers, log} = options;
+  const peers = new Map<string, Peer>();
+  const packer = new Packr({useRecords: false});
+  const links = new Set<WebSocket>();
+  const lastHeard = new WeakMap<WebSocket, number>();
+  const seedDials = new Map<string, number>();
+  let server: WebSocketServer | undefined;
+  let ticker: TimerHandle | undefined;
+  let closed = false;
+
+  function learn(vms: readonly VmRecord[]): void {
+    for (const vm of vms) {
+      if (vm.id === self.id) {
+        continue;
+      }
+      const known = peers.get(vm.id);
+      if (!known) {
+        peers.set(vm.id, {
+          record: vm,
+          dialing: false,
+          failures: 0,
+          nextDialMs: 0,
+          lastHeardMs: timers.nowMs() - FORGET_AFTER_MS / 2,
+        });
+        continue;
+      }
+      if (vm.startedWallMs > known.record.startedWallMs) {
+        known.record = vm;
+        known.failures = 0;
+        known.nextDialMs = 0;
+      }
+    }
+  }
+
+  function hello(): PeerMessage {
+    const known = [...peers.values()].map(peer => peer.record);
+    return {kind: 'hello', vm: self, known};
+  }
+
+  function adopt(link: WebSocket, peerAddress: string): void {
+    links.add(link);
+    lastHeard.set(link, timers.nowMs());
+    let from: VmRecord | undefined;
+    link.on('message', data => {
+      lastHeard.set(link, timers.nowMs());
+      const message = decode(data as Buffer);
+      if (!message) {
+        log.log('warn', 'peer-refused', {peer: from?.id ?? peerAddress});
+        return;
+      }
+      if (message.kind === 'hello') {
+        from = message.vm;
+        onHello(link, message.vm, message.known);
+        return;
+      }
+      if (!from) {
+        return;
+      }
+      const peer = peers.get(from.id);
+      if (peer) {
+        peer.lastHeardMs = timers.nowMs();
+      }
+      options.onMessage(from, message);
+    });
+    link.on('close', () => {
+      links.delete(link);
+      if (from) {
+        unlink(from.id, link);
+      }
+    });
+    link.on('error', error => {
+      log.log('debug', 'peer-link-failed', {
+        peer: from?.id ?? peerAddress,
+        cause: error.message,
+      });
+    });
+    sendOn(link, hello());
+  }
+
+  function onHello(
+    link: WebSocket,
+    vm: VmRecord,
+    known: readonly VmRecord[],
+  ): void {
+    if (vm.id === self.id) {
+      link.terminate();
+      return;
+    }
+    learn([vm, ...known]);
+    const peer = peers.get(vm.id);
+    if (!peer) {
+      return;
+    }
+    const wasLinked = peer.link !== undefined;
+    peer.link = link;
+    peer.failures = 0;
+    peer.lastHeardMs = timers.nowMs();
+    if (!wasLinked) {
+      log.log('info', 'peer-connected', {peer: vm.id});
+      options.onLinked(vm);
+    }
+  }
+
+  function unlink(vmId: string, link: WebSocket): void {
+    const peer = peers.get(vmId);
+    if (peer?.link !== link) {
+      return;
+    }
+    peer.link = undefined;
+    log.log('info', 'peer-disconnected', {
+      peer: vmId,
+      silentMs: Math.round(timers.nowMs() - peer.lastHeardMs),
+    });
+  }
+
+  function decode(data: Buffer): PeerMessage | undefined {
+    try {
+      const parsed = peerMessageSchema.safeParse(packer.unpack(data));
+      return parsed.success ? parsed.data : undefined;
+    } catch (error) {
+      log.log('warn', 'peer-refused', {cause: String(error)});
+      return undefined;
+    }
+  }
+
+  function sendOn(link: WebSocket, message: PeerMessage): void {
+    sendBytes(link, packer.pack(message));
+  }
+
+  function sendBytes(link: WebSocket, bytes: Buffer): void {
+    if (link.readyState !== WebSocket.OPEN) {
+      return;
+    }
+    if (link.bufferedAmount > MAXIMUM_BACKLOG_BYTES) {
+      log.log('warn', 'peer-backlog', {bytes: link.bufferedAmount});
+      link.terminate();
+      return;
+    }
+    link.send(bytes);
+  }
+
+  function dial(host: string, onDone: (opened: boolean) => void): void {
+    const link = new WebSocket(`ws://${host}:${options.listen.port}`, {
+      handshakeTimeout: DIAL_TIMEOUT_MS,
+      perMessageDeflate: false,
+      maxPayload: MAXIMUM_MESSAGE_BYTES,
+    });
+    let opened = false;
+    link.on('open', () => {
+      opened = true;
+      if (closed) {
+        link.terminate();
+        return;
+      }
+      adopt(link, host);
+      onDone(true);
+    });
+    link.on('error', () => {
+      if (!opened) {
+        onDone(false);
+      }
+    });
+  }
+
+  function tick(): void {
+    const nowMs = timers.nowMs();
+    for (const link of links) {
+      if (nowMs - (lastHeard.get(link) ?? nowMs) > LINK_SILENCE_MS) {
+        link.terminate();
+      }
+    }
+    for (const [id, peer] of peers) {
+      if (peer.link || peer.dialing) {
+        continue;
+      }
+      if (nowMs - peer.lastHeardMs > FORGET_AFTER_MS) {
+        peers.delete(id);
+        continue;
+      }
+      if (nowMs >= peer.nextDialMs) {
+        dialPeer(peer);
+      }
+    }
+    dialSeeds(nowMs);
+  }
+
+  function dialPeer(peer: Peer): void {
+    peer.dialing = true;
+    dial(peer.record.host, opened => {
+      peer.dialing = false;
+      if (opened) {
+        peer.nextDialMs = timers.nowMs() + DIAL_TIMEOUT_MS;
+        return;
+      }
+      peer.failures += 1;
+      const pauseMs = Math.min(
+        LONGEST_REDIAL_MS,
+        FIRST_REDIAL_MS * 2 ** (peer.failures - 1),
+      );
+      peer.nextDialMs = timers.nowMs() + pauseMs;
+    });
+  }
+
+  function dialSeeds(nowMs: number): void {
+    if (links.size > 0) {
+      return;
+    }
+    for (const host of options.seeds) {
+      if (host === self.host || nowMs < (seedDials.get(host) ?? 0)) {
+        continue;
+      }
+      seedDials.set(host, nowMs + DIAL_TIMEOUT_MS);
+      dial(host, () => {});
+    }
+  }
+
+  function listen(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      server = new WebSocketServer(
+        {
+          host: options.listen.host,
+          port: options.listen.port,
+          perMessageDeflate: false,
+          maxPayload: MAXIMUM_MESSAGE_BYTES,
+        },
+        resolve,
+      );
+      server.once('error', reject);
+      server.on('connection', (link, request) =>
+        adopt(link, request.socket.remoteAddress ?? 'unknown'),
+      );
+      ticker = timers.every(DIAL_INTERVAL_MS, tick);
+      tick();
+    });
+  }
+
+  function broadcast(message: PeerMessage): void {
+    const bytes = packer.pack(message);
+    for (const peer of peers.values()) {
+      if (peer.link) {
+        sendBytes(peer.link, bytes);
+      }
+    }
+  }
+
+  return {
+    listen,
+    learn,
+    send: (vmId, message) => {
+      const link = peers.get(vmId)?.link;
+      if (link) {
+        sendOn(link, message);
+      }
+    },
+    broadcast,
+    heardWithin: spanMs => {
+      const sinceMs = timers.nowMs() - spanMs;
+      const heard: VmRecord[] = [];
+      for (const peer of peers.values()) {
+        if (peer.lastHeardMs >= sinceMs) {
+          heard.push(peer.record);
+        }
+      }
+      return heard;
+    },
+    known: () => [...peers.values()].map(peer => peer.record),
+    close: () => {
+      closed = true;
+      ticker?.cancel();
+      for (const link of links) {
+        link.terminate();
+      }
+      server?.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/peers/vm_registration.ts
@@ -0,0 +1,102 @@
+/**
+ * This VM's object in the platform's store, and what the objects of other
+ * VMs tell about peers to dial. Objects of VMs that have long been silent
+ * are deleted by the first living VM.
+ */
+import type {
+  Logger,
+  PlatformObject,
+  PlatformStore,
+  TimerHandle,
+  TimerService,
+} from '@ibisbeam/library';
+import {type VmRecord, vmRecordSchema} from './messages.js';
+import type {PeerMesh} from './peer_mesh.js';
+
+export interface VmRegistration {
+  start(): void;
+  stop(): void;
+}
+
+export interface VmRegistrationOptions {
+  readonly self: VmRecord;
+  readonly store: PlatformStore;
+  /** Kind of the VMs' objects. */
+  readonly kind: string;
+  readonly timers: TimerService;
+  readonly log: Logger;
+  readonly mesh: PeerMesh;
+}
+
+const LIST_INTERVAL_MS = 15_000;
+const RETRY_INTERVAL_MS = 1_000;
+const CALL_TIMEOUT_MS = 1_500;
+
+export function createVmRegistration(
+  options: VmRegistrationOptions,
+): VmRegistration {
+  const {self, store, kind, timers, log, mesh} = options;
+  const callOptions = {
+    purpose: 'vm-registration',
+    timeoutMs: CALL_TIMEOUT_MS,
+  } as const;
+  let registered = false;
+  let timer: TimerHandle | undefined;
+  let stopped = false;
+
+  async function register(): Promise<void> {
+    const key = `${kind}/${self.id}`;
+    const created = await store.create(key, self, callOptions).run();
+    const error = created.swap().toMaybe().extract();
+    if (error?.kind === 'conflict' && error.current) {
+      const replaced = await store
+        .update(key, error.current.version, self, callOptions)
+        .run();
+      registered = replaced.isRight();
+      return;
+    }
+    registered = created.isRight();
+    if (error) {
+      log.log('info', 'registration-failed', {
+        cause: 'cause' in error ? error.cause : error.kind,
+      });
+    }
+  }
+
+  async function learnPeers(): Promise<boolean> {
+    const listed = await store.list(kind, callOptions).run();
+    return listed.caseOf({
+      Left: () => false,
+      Right: ({objects}) => {
+        mesh.learn(objects.flatMap(readRecord));
+        return true;
+      },
+    });
+  }
+
+  async function round(): Promise<void> {
+    if (!registered) {
+      await register();
+    }
+    const learned = await learnPeers();
+    if (stopped) {
+      return;
+    }
+    const pauseMs =
+      registered && learned ? LIST_INTERVAL_MS : RETRY_INTERVAL_MS;
+    timer = timers.after(pauseMs, () => void round());
+  }
+
+  return {
+    start: () => void round(),
+    stop: () => {
+      stopped = true;
+      timer?.cancel();
+    },
+  };
+}
+
+function readRecord(object: PlatformObject): readonly VmRecord[] {
+  const parsed = vmRecordSchema.safeParse(object.value);
+  return parsed.success ? [parsed.data] : [];
+}
--- /dev/null
+++ b/packages/gateway/src/store/store_follower.ts
@@ -0,0 +1,362 @@
+/**
+ * Keeps copies of the store's targets, configuration and evacuations: by
+ * watches of its own while this VM has the watch duty, and by what peers
+ * pass on. Passes on what it learns from the store first-hand.
+ */
+import {
+  type MirrorBatch,
+  type MirrorChange,
+  type MirrorEvent,
+  type MirroredObject,
+  type StoreMirror,
+  type WatchDuty,
+  createStoreMirror,
+} from '@ibisbeam/decision';
+import type {
+  Logger,
+  PlatformChange,
+  PlatformError,
+  PlatformObject,
+  PlatformStore,
+  TimerService,
+} from '@ibisbeam/library';
+import type {PeerMessage, StoreKind} from '../peers/messages.js';
+
+export interface StoreFollowerOptions {
+  readonly store: PlatformStore;
+  /** The platform's name of each kind. */
+  readonly kindNames: Readonly<Record<StoreKind, string>>;
+  readonly duty: WatchDuty;
+  readonly timers: TimerService;
+  readonly log: Logger;
+  /** @param settlingMs Time until missing objects are really gone. */
+  onChange(kind: StoreKind, change: MirrorChange, settlingMs: number): void;
+  broadcast(message: PeerMessage): void;
+}
+
+export interface StoreFollower {
+  start(): void;
+  stop(): void;
+  /** Every kind has been listed, here or at a peer. */
+  isComplete(): boolean;
+  isMissing(kind: StoreKind): boolean;
+  /** Age of the oldest confirmation over all kinds, if all were confirmed. */
+  watchAgeMs(): number | undefined;
+  snapshotMessage(kind: StoreKind): PeerMessage | undefined;
+  /** False when the peer's snapshot is needed to go on. */
+  receive(message: Extract<PeerMessage, {kind: 'snapshot' | 'batch'}>): boolean;
+}
+
+const KINDS: readonly StoreKind[] = ['configuration', 'targets', 'evacuations'];
+/** Longest wait of one watch: the age of a confirmation stays below it. */
+const WATCH_WAIT_MS: Readonly<Record<StoreKind, number>> = {
+  configuration: 1_000,
+  targets: 1_000,
+  evacuations: 1_000,
+};
+/** An answer later than this after a watch's wait is taken for lost. */
+const WATCH_OVERDUE_MS = 500;
+const LIST_TIMEOUT_MS = 1_500;
+/** Changes that follow each other closely come in one answer. */
+const PAUSE_AFTER_CHANGE_MS = 120;
+const DUTY_CHECK_INTERVAL_MS = 100;
+const FIRST_BACKOFF_MS = 100;
+const LONGEST_BACKOFF_MS = 800;
+/** Entries that lapsed during an outage are listed again by then. */
+const SETTLE_AFTER_OUTAGE_MS = 2_000;
+/** Shorter failures are not held to be outages. */
+const SHORTEST_OUTAGE_MS = 300;
+
+interface Follow {
+  readonly kind: StoreKind;
+  readonly mirror: StoreMirror;
+  confirmedAtMs: number;
+  needsList: boolean;
+}
+
+export function createStoreFollower(
+  options: StoreFollowerOptions,
+): StoreFollower {
+  const {timers, log, store} = options;
+  const follows = new Map<StoreKind, Follow>();
+  for (const kind of KINDS) {
+    follows.set(kind, {
+      kind,
+      mirror: createStoreMirror(),
+      confirmedAtMs: -Infinity,
+      needsList: true,
+    });
+  }
+  let stopped = false;
+  let failingSinceMs: number | undefined;
+  let failures = 0;
+  let settleUntilMs = -Infinity;
+
+  function followOf(kind: StoreKind): Follow {
+    const follow = follows.get(kind);
+    if (!follow) {
+      throw new Error(`no follow of ${kind}`);
+    }
+    return follow;
+  }
+
+  function settlingMs(): number {
+    return Math.max(0, settleUntilMs - timers.nowMs());
+  }
+
+  function onSuccess(follow: Follow): void {
+    const nowMs = timers.nowMs();
+    follow.confirmedAtMs = nowMs;
+    failures = 0;
+    if (failingSinceMs === undefined) {
+      return;
+    }
+    const awayMs = nowMs - failingSinceMs;
+    failingSinceMs = undefined;
+    if (awayMs >= SHORTEST_OUTAGE_MS) {
+      settleUntilMs = nowMs + SETTLE_AFTER_OUTAGE_MS;
+    }
+    log.log('info', 'store-reachable', {awayMs: Math.round(awayMs)});
+  }
+
+  function onFailure(follow: Follow, error: PlatformError): void {
+    failures += 1;
+    if (error.kind === 'watch-gap') {
+      follow.needsList = true;
+      log.log('info', 'watch-gap', {
+        of: follow.kind,
+        version: follow.mirror.version(),
+      });
+      return;
+    }
+    if (failingSinceMs === undefined) {
+      failingSinceMs = timers.nowMs();
+      log.log('warn', 'store-unreachable', {
+        of: follow.kind,
+        cause: 'cause' in error ? error.cause : error.kind,
+      });
+    }
+    // Changes may have been missed for longer than the store keeps them.
+    follow.needsList = true;
+  }
+
+  function backoffMs(): number {
+    const step = Math.min(Math.max(failures - 1, 0), 8);
+    return Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** step);
+  }
+
+  async function run(follow: Follow): Promise<void> {
+    while (!stopped) {
+      if (!options.duty.mustWatch(timers.nowMs())) {
+        await timers.sleep(DUTY_CHECK_INTERVAL_MS);
+        continue;
+      }
+      // While the store is away only one kind asks whether it is back.
+      if (failingSinceMs !== undefined && follow.kind !== 'configuration') {
+        await timers.sleep(DUTY_CHECK_INTERVAL_MS);
+        continue;
+      }
+      const pauseMs = follow.needsList ? await list(follow) : await watch(follow);
+      if (pauseMs > 0) {
+        await timers.sleep(pauseMs);
+      }
+    }
+  }
+
+  async function list(follow: Follow): Promise<number> {
+    const result = await store
+      .list(options.kindNames[follow.kind], {
+        purpose: 'store-follow',
+        timeoutMs: LIST_TIMEOUT_MS,
+      })
+      .run();
+    return result.caseOf({
+      Left: error => {
+        onFailure(follow, error);
+        return backoffMs();
+      },
+      Right: listing => {
+        onSuccess(follow);
+        follow.needsList = false;
+        applySnapshot(follow, {
+          version: listing.version,
+          objects: listing.objects.map(toMirrored),
+        });
+        const message = snapshotMessage(follow.kind);
+        if (message) {
+          options.broadcast(message);
+        }
+        return 0;
+      },
+    });
+  }
+
+  async function watch(follow: Follow): Promise<number> {
+    const from = follow.mirror.version();
+    const waitMs = WATCH_WAIT_MS[follow.kind];
+    const result = await store
+      .watch(options.kindNames[follow.kind], from, {
+        purpose: 'store-follow',
+        waitMs,
+        timeoutMs: waitMs + WATCH_OVERDUE_MS,
+      })
+      .run();
+    return result.caseOf({
+      Left: error => {
+        onFailure(follow, error);
+        return backoffMs();
+      },
+      Right: changes => {
+        onSuccess(follow);
+        if (changes.changes.length === 0) {
+          return 0;
+        }
+        const batch: MirrorBatch = {
+          from,
+          version: changes.version,
+          events: changes.changes.map(toMirrorEvent),
+        };
+        applyBatch(follow, batch);
+        options.broadcast({
+          kind: 'batch',
+          of: follow.kind,
+          from,
+          version: batch.version,
+          events: [...batch.events],
+          settlingMs: settlingMs(),
+        });
+        return PAUSE_AFTER_CHANGE_MS;
+      },
+    });
+  }
+
+  function applySnapshot(
+    follow: Follow,
+    snapshot: {version: number; objects: readonly MirroredObject[]},
+  ): void {
+    report(follow, follow.mirror.applySnapshot(snapshot));
+  }
+
+  function applyBatch(follow: Follow, batch: MirrorBatch): boolean {
+    const change = follow.mirror.applyBatch(batch);
+    if (change === 'gap') {
+      return false;
+    }
+    report(follow, change);
+    return true;
+  }
+
+  function report(follow: Follow, change: MirrorChange): void {
+    if (change.put.length > 0 || change.removed.length > 0) {
+      options.onChange(follow.kind, change, settlingMs());
+    }
+  }
+
+  function snapshotMessage(kind: StoreKind): PeerMessage | undefined {
+    const {mirror} = followOf(kind);
+    if (mirror.version() < 0) {
+      return undefined;
+    }
+    const {version, objects} = mirror.snapshot();
+    return {
+      kind: 'snapshot',
+      of: kind,
+      version,
+      objects: [...objects],
+      settlingMs: settlingMs(),
+    };
+  }
+
+  function receive(
+    message: Extract<PeerMessage, {kind: 'snapshot' | 'batch'}>,
+  ): boolean {
+    const follow = followOf(message.of);
+    settleUntilMs = Math.max(
+      settleUntilMs,
+      timers.nowMs() + Math.min(message.settlingMs, SETTLE_AFTER_OUTAGE_MS),
+    );
+    switch (message.kind) {
+      case 'snapshot':
+        applySnapshot(follow, {
+          version: message.version,
+          objects: message.objects.map(withValue),
+        });
+        follow.needsList = follow.needsList && follow.mirror.version() < 0;
+        return true;
+      case 'batch':
+        return applyBatch(follow, {
+          from: message.from,
+          version: message.version,
+          events: message.events.map(event =>
+            event.kind === 'put'
+              ? {kind: 'put', object: withValue(event.object)}
+              : event,
+          ),
+        });
+    }
+  }
+
+  return {
+    start: () => {
+      for (const follow of follows.values()) {
+        void run(follow);
+      }
+    },
+    stop: () => {
+      stopped = true;
+    },
+    isComplete: () => {
+      for (const {mirror} of follows.values()) {
+        if (mirror.version() < 0) {
+          return false;
+        }
+      }
+      return true;
+    },
+    isMissing: kind => followOf(kind).mirror.version() < 0,
+    watchAgeMs: () => {
+      let oldestMs = Infinity;
+      for (const {confirmedAtMs} of follows.values()) {
+        oldestMs = Math.min(oldestMs, confirmedAtMs);
+      }
+      const ageMs = timers.nowMs() - oldestMs;
+      return Number.isFinite(ageMs) ? ageMs : undefined;
+    },
+    snapshotMessage,
+    receive,
+  };
+}
+
+function withValue(object: {
+  name: string;
+  version: number;
+  value?: unknown;
+}): MirroredObject {
+  return {name: object.name, version: object.version, value: object.value};
+}
+
+/** Keys are the kind and the name, with a slash between. */
+function nameOf(key: string): string {
+  return key.slice(key.indexOf('/') + 1);
+}
+
+function toMirrored(object: PlatformObject): MirroredObject {
+  return {
+    name: nameOf(object.key),
+    version: object.version,
+    value: object.value,
+  };
+}
+
+function toMirrorEvent(change: PlatformChange): MirrorEvent {
+  switch (change.kind) {
+    case 'put':
+      return {kind: 'put', object: toMirrored(change.object)};
+    case 'deleted':
+      return {
+        kind: 'deleted',
+        name: nameOf(change.key),
+        version: change.version,
+      };
+  }
+}
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -30,7 +30,18 @@
   | 'operator-call'
   | 'access-refused'
   | 'burn-summary-written'
-  | 'burn-summary-failed';
+  | 'burn-summary-failed'
+  | 'attempt-failed'
+  | 'target-added'
+  | 'target-draining'
+  | 'target-cold'
+  | 'target-removed'
+  | 'target-entry-refused'
+  | 'evacuations-changed'
+  | 'registration-failed'
+  | 'peer-link-failed'
+  | 'peer-backlog'
+  | 'lines-dropped';
 
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
 
--- a/packages/library/src/core/platform/types.ts
+++ b/packages/library/src/core/platform/types.ts
@@ -67,6 +67,7 @@
   | 'claim'
   | 'claim-collection'
   | 'vm-list'
+  | 'store-follow'
   | 'vm-registration'
   | 'failover-record'
   | 'burn-summary'
