Bind each affinity key to one target of its client's region

Cause: rank 0 of every zone counted as warm, so load moved keys over all zones and each request met a cold target (8,294 of 11,273 look-ups late). Ruled out: short memory of the targets; gaps of 12 s stay warm once keys stay. Answers also cost by length what they take over a border: 90 KB packs crossed zones at the price of a request each.

--- a/packages/decision/src/core/placement/affinity_placement.ts
+++ b/packages/decision/src/core/placement/affinity_placement.ts
@@ -30,6 +30,8 @@
   readonly expectedMs: number;
   /** Of that, the wait for a slot. */
   readonly waitMs: number;
+  /** Of that, the way there and back. */
+  readonly roundTripMs: number;
   /** The key was expected to be warm at the target. */
   readonly warm: boolean;
 }
@@ -41,10 +43,12 @@
   readonly sameRegionMs: number;
   /** Round trip to another region. */
   readonly otherRegionMs: number;
-  /** What a byte-laden answer over a zone's border is held to cost. */
-  readonly zoneCostMs: number;
-  /** Likewise over a region's border. */
-  readonly regionCostMs: number;
+  /** What a kilobyte over the border of a zone is held to cost. */
+  readonly zoneCostMsPerKilobyte: number;
+  /** Likewise over the border of a region. */
+  readonly regionCostMsPerKilobyte: number;
+  /** Bytes that travel in one round trip; longer answers take more. */
+  readonly windowBytes: number;
   /** Weight of the slot time that a cold run takes from others. */
   readonly slotTimeWeight: number;
   /** Cost of a target's failures, times their share. */
@@ -55,8 +59,9 @@
   sameZoneMs: 1,
   sameRegionMs: 4,
   otherRegionMs: 45,
-  zoneCostMs: 10,
-  regionCostMs: 30,
+  zoneCostMsPerKilobyte: 3,
+  regionCostMsPerKilobyte: 1.5,
+  windowBytes: 65_536,
   slotTimeWeight: 1,
   failureCostMs: 1_000,
 };
@@ -77,6 +82,13 @@
   choose(request: PlacementRequest, nowMs: number): Placement | undefined;
 }
 
+const BYTES_PER_KILOBYTE = 1_024;
+
+interface Distance {
+  readonly roundTripMs: number;
+  readonly costMs: number;
+}
+
 /** Keys whose ranks are kept until the registry changes. */
 const MAXIMUM_CACHED_KEYS = 4_000;
 
@@ -87,7 +99,7 @@
   const firstByKey = new Map<string, ReadonlyMap<string, number>>();
   let cachedRevision = -1;
 
-  /** Rank by zone of the targets that a key is bound to. */
+  /** Rank by region of the targets that a key is bound to. */
   function ranksOf(
     service: string,
     key: string,
@@ -110,22 +122,22 @@
     return ranks;
   }
 
-  function distance(target: RegisteredTarget): {
-    readonly roundTripMs: number;
-    readonly costMs: number;
-  } {
+  /** Time and other costs of the way to a target and back. */
+  function distance(target: RegisteredTarget, answerBytes: number): Distance {
     if (target.entry.zone === dependencies.zone) {
       return {roundTripMs: parameters.sameZoneMs, costMs: 0};
     }
+    const kilobytes = answerBytes / BYTES_PER_KILOBYTE;
+    const roundTrips = 1 + Math.floor(answerBytes / parameters.windowBytes);
     if (target.region === dependencies.region) {
       return {
-        roundTripMs: parameters.sameRegionMs,
-        costMs: parameters.zoneCostMs,
+        roundTripMs: parameters.sameRegionMs * roundTrips,
+        costMs: parameters.zoneCostMsPerKilobyte * kilobytes,
       };
     }
     return {
-      roundTripMs: parameters.otherRegionMs,
-      costMs: parameters.regionCostMs,
+      roundTripMs: parameters.otherRegionMs * roundTrips,
+      costMs: parameters.regionCostMsPerKilobyte * kilobytes,
     };
   }
 
@@ -144,6 +156,7 @@
       affinityKey === undefined
         ? undefined
         : ranksOf(request.service, affinityKey, targets);
+    const answerBytes = times.answerBytes(route);
     let best: Placement | undefined;
     let bestCost = Infinity;
     for (const target of targets) {
@@ -165,14 +178,14 @@
       const rank = ranks?.get(life) ?? Infinity;
       const warm =
         affinityKey === undefined ||
-        rank === 0 ||
+        (rank === 0 && region === dependencies.region) ||
         warmKeys.isWarm(life, request.service, affinityKey, nowMs);
       const slowness = load.slowness(life);
       const runMs = (warm ? warmMs : coldMs) * slowness;
       const occupied = load.estimate(life, nowMs);
       const queued = Math.max(0, occupied + 1 - entry.slots);
       const waitMs = (queued / entry.slots) * warmMs * slowness;
-      const {roundTripMs, costMs} = distance(target);
+      const {roundTripMs, costMs} = distance(target, answerBytes);
       const expectedMs = roundTripMs + waitMs + runMs;
       const utilization = Math.min(1, occupied / entry.slots);
       const cost =
@@ -184,7 +197,7 @@
         occupied / entry.slots;
       if (cost < bestCost) {
         bestCost = cost;
-        best = {target, expectedMs, waitMs, warm};
+        best = {target, expectedMs, waitMs, roundTripMs, warm};
       }
     }
     return best;
@@ -193,22 +206,22 @@
   return {choose};
 }
 
-/** Rank 0 in each zone goes to the zone's first target for the key. */
+/** Rank 0 in each region goes to the region's first target for the key. */
 function rankTargets(
   key: string,
   targets: readonly RegisteredTarget[],
 ): ReadonlyMap<string, number> {
   const scored = targets.map(target => ({
     life: target.life,
-    zone: target.entry.zone,
+    region: target.region,
     score: hash32(`${key}\n${target.life}`),
   }));
   scored.sort((one, other) => other.score - one.score);
-  const seenInZone = new Map<string, number>();
+  const seenInRegion = new Map<string, number>();
   const ranks = new Map<string, number>();
-  for (const {life, zone} of scored) {
-    const rank = seenInZone.get(zone) ?? 0;
-    seenInZone.set(zone, rank + 1);
+  for (const {life, region} of scored) {
+    const rank = seenInRegion.get(region) ?? 0;
+    seenInRegion.set(region, rank + 1);
     ranks.set(life, rank);
   }
   return ranks;
--- a/packages/decision/src/core/placement/service_times.ts
+++ b/packages/decision/src/core/placement/service_times.ts
@@ -6,12 +6,26 @@
 export interface ServiceTimes {
   /** Expected milliseconds at a target that is neither slow nor busy. */
   expectedMs(route: string, objectiveMs: number, warm: boolean): number;
+  /**
+   * Whether a run of this length looks like one with the key warm.
+   *
+   * @param slowness Of the target, against its service's usual pace.
+   */
+  looksWarm(
+    route: string,
+    objectiveMs: number,
+    tookMs: number,
+    slowness: number,
+  ): boolean;
   learn(
     route: string,
     objectiveMs: number,
     warm: boolean,
     tookMs: number,
   ): void;
+  /** Usual length of the route's answers. */
+  answerBytes(route: string): number;
+  learnBytes(route: string, bytes: number): void;
 }
 
 /** First guesses, as shares of the latency objective. */
@@ -23,6 +37,7 @@
 
 export function createServiceTimes(): ServiceTimes {
   const averages = new Map<string, number>();
+  const bytesByRoute = new Map<string, number>();
 
   function expectedMs(
     route: string,
@@ -35,6 +50,16 @@
 
   return {
     expectedMs,
+    answerBytes: route => bytesByRoute.get(route) ?? 0,
+    learnBytes: (route, bytes) => {
+      const before = bytesByRoute.get(route) ?? bytes;
+      bytesByRoute.set(route, before + (bytes - before) * SAMPLE_WEIGHT);
+    },
+    looksWarm: (route, objectiveMs, tookMs, slowness) => {
+      const warmMs = expectedMs(route, objectiveMs, true);
+      const coldMs = expectedMs(route, objectiveMs, false);
+      return tookMs < Math.sqrt(warmMs * coldMs) * slowness;
+    },
     learn: (route, objectiveMs, warm, tookMs) => {
       const before = expectedMs(route, objectiveMs, warm);
       const sample = Math.min(tookMs, before * LARGEST_SAMPLE_RATIO);
--- a/packages/decision/src/core/placement/warm_keys.ts
+++ b/packages/decision/src/core/placement/warm_keys.ts
@@ -6,7 +6,7 @@
 }
 
 /** Time after which a target is taken to have forgotten a key. */
-const WARM_SPAN_MS = 20_000;
+const WARM_SPAN_MS = 15_000;
 /** Pairs remembered; the oldest are dropped. */
 const MAXIMUM_PAIRS = 20_000;
 
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -1,6 +1,7 @@
 /** What the exchanges of one gateway share. */
 import type {
   AffinityPlacement,
+  Placement,
   RegisteredTarget,
   RetryAllowance,
   ServiceTimes,
@@ -22,6 +23,9 @@
   /** Attempts at targets. */
   readonly tried: number;
   readonly tookMs: number;
+  readonly affinityKey: string | undefined;
+  /** The last placement: where, and what was expected there. */
+  readonly placed: Placement | undefined;
 }
 
 export interface ForwardingContext {
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -74,6 +74,7 @@
   let tried = 0;
   let possiblyRun = 0;
   let over = false;
+  let lastPlacement: Placement | undefined;
   let hedgeTimer: TimerHandle | undefined;
   const endTimer = timers.at(answerByMs, onTimeout);
 
@@ -95,6 +96,8 @@
       detail,
       tried,
       tookMs: timers.nowMs() - request.arrivedAtMs,
+      affinityKey: request.affinityKey,
+      placed: lastPlacement,
     });
   }
 
@@ -150,6 +153,7 @@
       startedAtMs: nowMs,
       inFlightBefore: load.estimate(life, nowMs),
     };
+    lastPlacement = placement;
     excluded.add(life);
     running.add(attempt);
     tried += 1;
@@ -305,15 +309,14 @@
     outcome: AttemptOutcome,
     nowMs: number,
   ): void {
-    const {target, warm} = attempt.placement;
-    const {life} = target;
+    const {life} = attempt.placement.target;
     switch (outcome.kind) {
       case 'answered': {
         if (outcome.status >= 500) {
           load.failed(life);
           return;
         }
-        learnTimes(attempt, nowMs - (attempt.sentAtMs ?? nowMs), warm);
+        learnTimes(attempt, nowMs - (attempt.sentAtMs ?? nowMs));
         if (request.affinityKey !== undefined) {
           context.warmKeys.handled(life, service, request.affinityKey, nowMs);
         }
@@ -332,22 +335,19 @@
     }
   }
 
-  function learnTimes(
-    attempt: RunningAttempt,
-    tookMs: number,
-    warm: boolean,
-  ): void {
-    const {target, expectedMs, waitMs} = attempt.placement;
+  function learnTimes(attempt: RunningAttempt, tookMs: number): void {
+    const {target, waitMs, roundTripMs} = attempt.placement;
+    const objectiveMs = route.latencyObjectiveMs;
+    const slowness = load.slowness(target.life);
+    const runMs = Math.max(0, tookMs - waitMs - roundTripMs);
+    const warm =
+      request.affinityKey === undefined ||
+      context.times.looksWarm(route.name, objectiveMs, runMs, slowness);
+    const usualMs = context.times.expectedMs(route.name, objectiveMs, warm);
+    load.answered(target.life, runMs / Math.max(1, usualMs));
     if (attempt.inFlightBefore < target.entry.slots) {
-      context.times.learn(
-        route.name,
-        route.latencyObjectiveMs,
-        warm,
-        tookMs,
-      );
+      context.times.learn(route.name, objectiveMs, warm, runMs / slowness);
     }
-    const plainMs = (expectedMs - waitMs) / load.slowness(target.life);
-    load.answered(target.life, (tookMs - waitMs) / Math.max(1, plainMs));
   }
 
   function deliver(answer: TargetAnswer | undefined): void {
@@ -355,6 +355,9 @@
       fail(502, 'the answer is missing');
       return;
     }
+    if (answer.body.kind === 'whole') {
+      context.times.learnBytes(route.name, answer.body.bytes.length);
+    }
     finish('answered', answer.status);
     deliverAnswer(outgoing, answer, context.isStopping());
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -379,9 +379,21 @@
   }
 
   function onFinished(request: FinishedRequest): void {
+    const {placed} = request;
     log.log('info', 'request-finished', {
-      ...request,
+      request: request.attemptId,
+      route: request.route,
+      outcome: request.outcome,
+      status: request.status,
+      detail: request.detail || undefined,
       tookMs: Math.round(request.tookMs),
+      tried: request.tried,
+      key: request.affinityKey,
+      target: placed?.target.entry.id,
+      zone: placed?.target.entry.zone,
+      expectedMs: placed && Math.round(placed.expectedMs),
+      waitMs: placed && Math.round(placed.waitMs),
+      warm: placed?.warm,
     });
   }
 
