Give regions cohorts of keys by demand and room

Cause: kurzeme has 12 of 96 look-up slots for a third of the look-ups; nearly all late answers waited there.

Shares of regions follow the demand that VMs tell each other in heartbeats, move by a fifth of the shift bound a second, and begin with an assumed demand.

--- a/packages/decision/src/core/cold_start/cold_allowance.ts
+++ b/packages/decision/src/core/cold_start/cold_allowance.ts
@@ -57,8 +57,7 @@
 
   return {
     allows: (life, perSecond, nowMs) =>
-      rate(life, perSecond) > 0 &&
-      bucketOf(life, perSecond, nowMs).tokens >= 1,
+      rate(life, perSecond) > 0 && bucketOf(life, perSecond, nowMs).tokens >= 1,
     sent: (life, perSecond, nowMs) => {
       bucketOf(life, perSecond, nowMs).tokens -= 1;
     },
--- a/packages/decision/src/core/fleet_targets/target_registry.ts
+++ b/packages/decision/src/core/fleet_targets/target_registry.ts
@@ -114,10 +114,7 @@
     if (entry.draining && !(sameLife && known.target.entry.draining)) {
       options.onEvent({kind: 'target-draining', target});
     }
-    if (
-      statedUntilMs > 0 &&
-      !(sameLife && known.target.coldUntilMs >= nowMs)
-    ) {
+    if (statedUntilMs > 0 && !(sameLife && known.target.coldUntilMs >= nowMs)) {
       options.onEvent({kind: 'target-cold', target});
     }
   }
--- a/packages/decision/src/core/placement/affinity_placement.ts
+++ b/packages/decision/src/core/placement/affinity_placement.ts
@@ -5,10 +5,9 @@
  * distance and health move it away only when that answers sooner.
  */
 import {hash32} from '../hashing/index.js';
-import type {
-  RegisteredTarget,
-  TargetRegistry,
-} from '../fleet_targets/index.js';
+import type {RegisteredTarget, TargetRegistry} from '../fleet_targets/index.js';
+import type {RandomSource} from '../model/index.js';
+import type {RegionShares} from './region_shares.js';
 import type {ServiceTimes} from './service_times.js';
 import type {TargetLoad} from './target_load.js';
 import type {WarmKeys} from './warm_keys.js';
@@ -74,6 +73,10 @@
   readonly times: ServiceTimes;
   readonly warmKeys: WarmKeys;
   readonly parameters: PlacementParameters;
+  readonly shares: RegionShares;
+  readonly random: RandomSource;
+  /** Takes one request out of what may leave its home region by load. */
+  mayLeaveHome(nowMs: number): boolean;
   /** Whether the fleet's budget for cold targets lets this VM send one. */
   coldAllowed(target: RegisteredTarget, nowMs: number): boolean;
 }
@@ -82,6 +85,7 @@
   choose(request: PlacementRequest, nowMs: number): Placement | undefined;
 }
 
+const UINT32_RANGE = 2 ** 32;
 const BYTES_PER_KILOBYTE = 1_024;
 
 interface Distance {
@@ -141,9 +145,43 @@
     };
   }
 
+  /** The region in which the request's key has its home. */
+  function homeRegion(request: PlacementRequest): string {
+    const {service, affinityKey} = request;
+    if (affinityKey === undefined) {
+      const position = dependencies.random.next();
+      return dependencies.shares.regionFor(service, position, position);
+    }
+    const key = `${service} ${affinityKey}`;
+    return dependencies.shares.regionFor(
+      service,
+      hash32(`region ${key}`) / UINT32_RANGE,
+      hash32(`away ${key}`) / UINT32_RANGE,
+    );
+  }
+
   function choose(
     request: PlacementRequest,
     nowMs: number,
+  ): Placement | undefined {
+    const home = homeRegion(request);
+    const atHome = chooseIn(request, home, home, nowMs);
+    const anywhere = chooseIn(request, undefined, home, nowMs);
+    if (!anywhere || anywhere.target.region === home) {
+      return atHome ?? anywhere;
+    }
+    if (atHome && !dependencies.mayLeaveHome(nowMs)) {
+      return atHome;
+    }
+    return anywhere;
+  }
+
+  /** @param only The region to choose in; all if absent. */
+  function chooseIn(
+    request: PlacementRequest,
+    only: string | undefined,
+    home: string,
+    nowMs: number,
   ): Placement | undefined {
     const targets = registry.usable(request.service);
     const {route, latencyObjectiveMs, affinityKey, homeRegions} = request;
@@ -164,6 +202,9 @@
       if (request.excluded.has(life)) {
         continue;
       }
+      if (only !== undefined && region !== only) {
+        continue;
+      }
       if (homeRegions.length > 0 && !homeRegions.includes(region)) {
         continue;
       }
@@ -178,7 +219,7 @@
       const rank = ranks?.get(life) ?? Infinity;
       const warm =
         affinityKey === undefined ||
-        (rank === 0 && region === dependencies.region) ||
+        (rank === 0 && region === home) ||
         warmKeys.isWarm(life, request.service, affinityKey, nowMs);
       const slowness = load.slowness(life);
       const runMs = (warm ? warmMs : coldMs) * slowness;
@@ -188,10 +229,11 @@
       const {roundTripMs, costMs} = distance(target, answerBytes);
       const expectedMs = roundTripMs + waitMs + runMs;
       const utilization = Math.min(1, occupied / entry.slots);
+      const extraMs = runMs - warmMs * slowness;
       const cost =
         expectedMs +
         costMs +
-        (runMs - warmMs) * utilization * parameters.slotTimeWeight +
+        extraMs * utilization * parameters.slotTimeWeight +
         load.failureShare(life) * parameters.failureCostMs +
         tieBreakMs(rank) +
         occupied / entry.slots;
--- a/packages/decision/src/core/placement/service_times.ts
+++ b/packages/decision/src/core/placement/service_times.ts
@@ -23,6 +23,8 @@
     warm: boolean,
     tookMs: number,
   ): void;
+  /** Expected milliseconds over warm and cold runs as they come. */
+  meanMs(route: string, objectiveMs: number): number;
   /** Usual length of the route's answers. */
   answerBytes(route: string): number;
   learnBytes(route: string, bytes: number): void;
@@ -37,6 +39,7 @@
 
 export function createServiceTimes(): ServiceTimes {
   const averages = new Map<string, number>();
+  const means = new Map<string, number>();
   const bytesByRoute = new Map<string, number>();
 
   function expectedMs(
@@ -50,6 +53,8 @@
 
   return {
     expectedMs,
+    meanMs: (route, objectiveMs) =>
+      means.get(route) ?? objectiveMs * COLD_SHARE,
     answerBytes: route => bytesByRoute.get(route) ?? 0,
     learnBytes: (route, bytes) => {
       const before = bytesByRoute.get(route) ?? bytes;
@@ -61,6 +66,8 @@
       return tookMs < Math.sqrt(warmMs * coldMs) * slowness;
     },
     learn: (route, objectiveMs, warm, tookMs) => {
+      const mean = means.get(route) ?? objectiveMs * COLD_SHARE;
+      means.set(route, mean + (tookMs - mean) * SAMPLE_WEIGHT);
       const before = expectedMs(route, objectiveMs, warm);
       const sample = Math.min(tookMs, before * LARGEST_SAMPLE_RATIO);
       averages.set(
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -41,6 +41,8 @@
   readonly retries: RetryAllowance;
   readonly connections: TargetConnections;
   isStopping(): boolean;
+  /** A request of this VM's own clients has come. */
+  arrived(service: string, expectedMs: number, nowMs: number): void;
   /** When a client that is refused may come back. */
   retryAfterMs(service: string): number;
   noteSent(target: RegisteredTarget, nowMs: number): void;
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -50,9 +50,9 @@
 /** Time for the final answer to leave before the client's deadline. */
 const ANSWER_MARGIN_MS = 10;
 /** A second attempt beside a silent one starts after this many times the expected time. */
-const HEDGE_FACTOR = 3;
+const HEDGE_FACTOR = 4;
 /** No hedge before this share of the latency objective. */
-const HEDGE_OBJECTIVE_SHARE = 1;
+const HEDGE_OBJECTIVE_SHARE = 2;
 
 export function startExchange(
   context: ForwardingContext,
@@ -301,7 +301,11 @@
   function failWith(status: 502 | 503, outcome: AttemptOutcome): void {
     const why =
       'cause' in outcome ? outcome.cause : `target said ${outcome.status}`;
-    fail(status, why, status === 503 ? context.retryAfterMs(service) : undefined);
+    fail(
+      status,
+      why,
+      status === 503 ? context.retryAfterMs(service) : undefined,
+    );
   }
 
   function learn(
@@ -364,6 +368,11 @@
 
   outgoing.on('close', onClientGone);
   context.retries.requested(service, request.arrivedAtMs);
+  context.arrived(
+    service,
+    context.times.meanMs(route.name, route.latencyObjectiveMs),
+    request.arrivedAtMs,
+  );
   if (!tryNext(false)) {
     fail(503, 'no target has room', context.retryAfterMs(service));
   }
--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -134,8 +134,7 @@
     events.onAnswerHead(outgoing, answer);
     const status = answer.statusCode ?? 0;
     const isNotExecuted =
-      status === 421 ||
-      headerValues(answer.rawHeaders, notExecuted).length > 0;
+      status === 421 || headerValues(answer.rawHeaders, notExecuted).length > 0;
     collect(answer, isNotExecuted, status);
   }
 
--- a/packages/gateway/src/forwarding/target_connections.ts
+++ b/packages/gateway/src/forwarding/target_connections.ts
@@ -95,7 +95,9 @@
     answer: IncomingMessage,
   ): void {
     const socket = request.socket;
-    const stated = /timeout=(\d+)/i.exec(String(answer.headers['keep-alive'] ?? ''));
+    const stated = /timeout=(\d+)/i.exec(
+      String(answer.headers['keep-alive'] ?? ''),
+    );
     if (!socket || !stated) {
       return;
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,11 +4,15 @@
  */
 import {
   type MirrorChange,
+  type RegionRoom,
   type RegistryEvent,
   type RouteTable,
   DEFAULT_PLACEMENT_PARAMETERS,
   createAffinityPlacement,
   createColdAllowance,
+  createDemandMeter,
+  createRandomSource,
+  createRegionShares,
   createRetryAllowance,
   createRouteTable,
   createServiceTimes,
@@ -16,6 +20,7 @@
   createTargetRegistry,
   createWarmKeys,
   createWatchDuty,
+  hash32,
 } from '@ibisbeam/decision';
 import type {
   LogEvent,
@@ -50,7 +55,14 @@
   stop(): Promise<void>;
 }
 
+/** Part of the shift bound, which counts windows of 2 s, used in a second. */
+const REGION_SHIFT_PER_SECOND = 0.2;
+/** Requests that load alone may move out of their region. */
+const DEPARTURE_SHARE = 0.08;
+const DEPARTURE_BURST = 5;
 const HEARTBEAT_INTERVAL_MS = 400;
+/** What a peer said of its demand counts so long. */
+const DEMAND_LIFETIME_MS = 3_000;
 const REGISTRY_TICK_MS = 100;
 /** VMs that always watch the store. */
 const STORE_WATCHERS = 2;
@@ -78,6 +90,13 @@
   const coldAllowance = createColdAllowance(vm.id);
   const times = createServiceTimes();
   const warmKeys = createWarmKeys();
+  const demand = createDemandMeter();
+  const shares = createRegionShares({
+    region: vm.region,
+    movePerSecond: bounds.regionShift * REGION_SHIFT_PER_SECOND,
+  });
+  const departures = createAllowance(DEPARTURE_SHARE, DEPARTURE_BURST);
+  const peerDemand = new Map<string, ReadonlyMap<string, number>>();
   let routes: RouteTable | undefined;
   let stopping = false;
   let lastRequestMs = -Infinity;
@@ -168,6 +187,9 @@
       times,
       warmKeys,
       parameters: DEFAULT_PLACEMENT_PARAMETERS,
+      shares,
+      random: createRandomSource(hash32(vm.id + timers.wallMs())),
+      mayLeaveHome: () => departures.take(),
       coldAllowed: (target, nowMs) =>
         coldAllowance.allows(
           target.life,
@@ -186,9 +208,16 @@
     }),
     connections,
     isStopping: () => stopping,
+    arrived: (service, expectedMs, nowMs) => {
+      departures.earn();
+      demand.arrived(service, expectedMs, nowMs);
+    },
     retryAfterMs: () => RETRY_AFTER_MS,
     noteSent: (target, nowMs) => {
-      if (registry.isCold(target, nowMs) || load.isReturning(target.life, nowMs)) {
+      if (
+        registry.isCold(target, nowMs) ||
+        load.isReturning(target.life, nowMs)
+      ) {
         const perSecond = coldPerSecond(target.entry.service);
         coldAllowance.sent(target.life, perSecond, nowMs);
       }
@@ -341,6 +370,7 @@
         return;
       case 'heartbeat':
         directory.heard(from.id, message.serving);
+        peerDemand.set(from.id, new Map(message.demand));
         if (message.watchAgeMs !== undefined) {
           duty.heardFresh(timers.nowMs() - message.watchAgeMs);
         }
@@ -368,6 +398,7 @@
       kind: 'heartbeat',
       serving: isServing(),
       watchAgeMs: follower.watchAgeMs(),
+      demand: [...demand.read(timers.nowMs())],
     };
   }
 
@@ -376,6 +407,37 @@
     const living = directory.living();
     duty.setVms(living);
     coldAllowance.setVms(living);
+    updateShares();
+  }
+
+  /** Divides this region's requests by the demand and room of all regions. */
+  function updateShares(): void {
+    const nowMs = timers.nowMs();
+    const demandByRegion = new Map<string, Map<string, number>>();
+    addDemand(demandByRegion, vm.region, demand.read(nowMs));
+    for (const peer of mesh.heardWithin(DEMAND_LIFETIME_MS)) {
+      addDemand(demandByRegion, peer.region, peerDemand.get(peer.id));
+    }
+    for (const service of routes?.configuration.services.keys() ?? []) {
+      const rooms = new Map<string, RegionRoom>();
+      for (const region of new Set(settings.zoneRegions.values())) {
+        rooms.set(region, {
+          demand: demandByRegion.get(region)?.get(service) ?? 0,
+          slots: slotsOf(service, region),
+        });
+      }
+      shares.update(service, rooms, nowMs);
+    }
+  }
+
+  function slotsOf(service: string, region: string): number {
+    let slots = 0;
+    for (const target of registry.usable(service)) {
+      if (target.region === region) {
+        slots += target.entry.slots;
+      }
+    }
+    return slots;
   }
 
   function onFinished(request: FinishedRequest): void {
@@ -449,3 +511,37 @@
 
   return {start, stop};
 }
+
+function addDemand(
+  byRegion: Map<string, Map<string, number>>,
+  region: string,
+  demand: ReadonlyMap<string, number> | undefined,
+): void {
+  const total = byRegion.get(region) ?? new Map<string, number>();
+  byRegion.set(region, total);
+  for (const [service, slots] of demand ?? []) {
+    total.set(service, (total.get(service) ?? 0) + slots);
+  }
+}
+
+interface Allowance {
+  earn(): void;
+  take(): boolean;
+}
+
+/** Allows a share of what is earned, and a burst. */
+function createAllowance(share: number, burst: number): Allowance {
+  let tokens = burst;
+  return {
+    earn: () => {
+      tokens = Math.min(burst, tokens + share);
+    },
+    take: () => {
+      if (tokens < 1) {
+        return false;
+      }
+      tokens -= 1;
+      return true;
+    },
+  };
+}
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -41,6 +41,8 @@
     serving: z.boolean(),
     /** Age of the newest confirmation by the store of what this VM passes on. */
     watchAgeMs: z.number().nonnegative().optional(),
+    /** Busy slots that its own clients need, by service. */
+    demand: z.array(z.tuple([z.string().max(256), z.number()])).max(500),
   }),
   z.object({kind: z.literal('want-snapshot'), of: storeKindSchema}),
   z.object({
--- a/packages/gateway/src/store/store_follower.ts
+++ b/packages/gateway/src/store/store_follower.ts
@@ -156,7 +156,9 @@
         await timers.sleep(DUTY_CHECK_INTERVAL_MS);
         continue;
       }
-      const pauseMs = follow.needsList ? await list(follow) : await watch(follow);
+      const pauseMs = follow.needsList
+        ? await list(follow)
+        : await watch(follow);
       if (pauseMs > 0) {
         await timers.sleep(pauseMs);
       }
