Refuse answers that end with a reset; stop listening within a stop

The request's error now breaks the client's answer too. It now takes new connections for 2.2 s and then only finishes.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,7 @@
 const RANDOM_MESSAGE = 'Use the injected random source.';
 
 export default typescriptEslint.config(
-  {ignores: ['**/dist/**', '**/node_modules/**', 'reports/**']},
+  {ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'reports/**']},
   ...typescriptEslint.configs.recommended,
   {
     files: ['packages/**/*.ts'],
--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -69,6 +69,7 @@
   let ended = false;
   let sent = false;
   let connectTimer: TimerHandle | undefined;
+  let streaming: IncomingMessage | undefined;
 
   const outgoing = httpRequest({
     host: wanted.host,
@@ -153,6 +154,7 @@
         return;
       }
       answer.pause();
+      streaming = answer;
       answer.removeListener('data', onData);
       answer.removeListener('end', onEnd);
       end(
@@ -191,7 +193,11 @@
 
   outgoing.on('socket', onSocket);
   outgoing.on('response', onResponse);
-  outgoing.on('error', error => fail(error.message));
+  outgoing.on('error', error => {
+    fail(error.message);
+    // An answer that ends with its connection would else look complete.
+    streaming?.destroy(error);
+  });
   outgoing.on('close', () => fail('the connection was closed'));
   outgoing.end(wanted.body);
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -75,11 +75,9 @@
 /** Base of the time after which a refused client may come back. */
 const RETRY_AFTER_MS = 250;
 /** Kept of the stop's grace for closing connections and ending. */
-const STOP_MARGIN_MS = 700;
-/** A stopping VM ends when no request came for so long. */
-const STOP_QUIET_MS = 800;
-/** Clients learn from the directory meanwhile that this VM leaves. */
-const STOP_SHORTEST_MS = 2_200;
+const STOP_MARGIN_MS = 400;
+/** A stopping VM takes new connections for so long. */
+const STOP_NOTICE_MS = 2_200;
 const STOP_POLL_MS = 50;
 
 export function createGateway(options: GatewayOptions): Gateway {
@@ -99,7 +97,6 @@
   const peerDemand = new Map<string, ReadonlyMap<string, number>>();
   let routes: RouteTable | undefined;
   let stopping = false;
-  let lastRequestMs = -Infinity;
   const handles: TimerHandle[] = [];
 
   const registry = createTargetRegistry({
@@ -228,10 +225,7 @@
   const callerServer = createCallerServer({
     address: settings.listen.caller,
     context,
-    routes: () => {
-      lastRequestMs = timers.nowMs();
-      return routes;
-    },
+    routes: () => routes,
   });
 
   const readiness = createControlServer(
@@ -484,18 +478,15 @@
     const beganMs = timers.nowMs();
     log.log('info', 'vm-stopping', {inFlight: callerServer.inFlight()});
     mesh.broadcast(heartbeat());
+    // Clients hear meanwhile that this VM leaves and connect elsewhere.
+    await timers.sleep(STOP_NOTICE_MS);
+    void callerServer.close();
     const boundMs = bounds.stopGraceMs - STOP_MARGIN_MS;
-    for (;;) {
-      const nowMs = timers.nowMs();
-      const quiet = nowMs - lastRequestMs > STOP_QUIET_MS;
-      const idle = callerServer.inFlight() === 0 && quiet;
-      if (nowMs - beganMs >= boundMs) {
+    while (callerServer.inFlight() > 0) {
+      if (timers.nowMs() - beganMs >= boundMs) {
         log.log('warn', 'stop-bound-hit', {inFlight: callerServer.inFlight()});
         break;
       }
-      if (idle && nowMs - beganMs >= STOP_SHORTEST_MS) {
-        break;
-      }
       await timers.sleep(STOP_POLL_MS);
     }
     for (const handle of handles) {
