--- a/packages/gateway/src/forwarding/caller_server.ts
+++ b/packages/gateway/src/forwarding/caller_server.ts
@@ -14,7 +14,7 @@
 import type {ForwardingContext} from './context.js';
 import {startExchange} from './exchange.js';
 import {headerValues} from './header_rules.js';
-import {readBody} from './request_body.js';
+import {hasBody, readBody} from './request_body.js';
 
 export interface CallerServer {
   listen(): Promise<void>;
@@ -23,6 +23,8 @@
   inFlight(): number;
   /** Stops listening and drops idle connections. */
   close(): Promise<void>;
+  /** Cuts every connection off. */
+  abandon(): Promise<void>;
 }
 
 export interface CallerServerOptions {
@@ -93,7 +95,7 @@
     const path = incoming.url ?? '/';
     const route = routes.find(incoming.headers.host ?? '', path);
     if (!route) {
-      refuse(outgoing, 404, 'no route', undefined, !incoming.complete);
+      refuse(outgoing, 404, 'no route', undefined, hasBody(incoming));
       return;
     }
     readBody(incoming, limits.bodyBytes, result => {
@@ -181,6 +183,11 @@
         server.close(() => resolve());
         server.closeIdleConnections();
       }),
+    abandon: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
   };
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,43 +3,38 @@
  * configuration: forwarding, directory, store copies and peer links.
  */
 import {
-  type MirrorChange,
-  type RegionRoom,
-  type RegistryEvent,
-  type RouteTable,
   DEFAULT_PLACEMENT_PARAMETERS,
   createAffinityPlacement,
   createColdAllowance,
-  createDemandMeter,
   createRandomSource,
-  createRegionShares,
   createRetryAllowance,
-  createRouteTable,
   createServiceTimes,
+  createShareAllowance,
   createTargetLoad,
-  createTargetRegistry,
   createWarmKeys,
   createWatchDuty,
   hash32,
 } from '@ibisbeam/decision';
 import type {
-  LogEvent,
   Logger,
   PlatformStore,
   TimerHandle,
   TimerService,
 } from '@ibisbeam/library';
+import {createBeliefs} from './beliefs.js';
 import {createControlServer} from './control/control_server.js';
 import {createVmDirectory} from './control/vm_directory.js';
 import type {GatewayProtocol} from './core/protocol.js';
 import type {GatewaySettings} from './core/settings.js';
 import {createCallerServer} from './forwarding/caller_server.js';
-import type {FinishedRequest, ForwardingContext} from './forwarding/context.js';
+import type {ForwardingContext} from './forwarding/context.js';
+import {logFinished} from './forwarding/request_log.js';
 import {createTargetConnections} from './forwarding/target_connections.js';
-import type {PeerMessage, StoreKind, VmRecord} from './peers/messages.js';
+import type {PeerMessage, VmRecord} from './peers/messages.js';
 import {createPeerMesh} from './peers/peer_mesh.js';
 import {createVmRegistration} from './peers/vm_registration.js';
-import {createStoreFollower} from './store/store_follower.js';
+import {createRegionPlan} from './region_plan.js';
+import {STORE_KINDS, createStoreFollower} from './store/store_follower.js';
 
 export interface GatewayOptions {
   readonly settings: GatewaySettings;
@@ -53,28 +48,25 @@
   start(): Promise<void>;
   /** Planned stop; resolves when the last request has its answer. */
   stop(): Promise<void>;
+  /** Ends at once; what is in flight is cut off. */
+  abandon(): Promise<void>;
 }
 
-/** Part of the shift bound, which counts windows of 2 s, used in a second. */
-const REGION_SHIFT_PER_SECOND = 0.2;
-/** Requests that load alone may move out of their region. */
-const DEPARTURE_SHARE = 0.08;
-const DEPARTURE_BURST = 5;
 const HEARTBEAT_INTERVAL_MS = 400;
-/** What a peer said of its demand counts so long. */
-const DEMAND_LIFETIME_MS = 3_000;
 const REGISTRY_TICK_MS = 100;
+/** What a silent peer said of its demand counts so long. */
+const DEMAND_LIFETIME_MS = 3_000;
 /** VMs that always watch the store. */
 const STORE_WATCHERS = 2;
 /** Longer than the age that a sound watcher's confirmation can reach. */
 const WATCH_PATIENCE_MS = 1_500;
 const WATCH_PATIENCE_PER_RANK_MS = 150;
-/** Cold rate assumed of services that the configuration does not know. */
-const UNKNOWN_COLD_PER_SECOND = 5;
-const UNKNOWN_COLD_MS = 5_000;
+/** Requests that load alone may move out of their region. */
+const DEPARTURE_SHARE = 0.08;
+const DEPARTURE_BURST = 5;
 /** Base of the time after which a refused client may come back. */
 const RETRY_AFTER_MS = 250;
-/** Kept of the stop's grace for closing connections and ending. */
+/** Kept of the stop's grace for ending the process. */
 const STOP_MARGIN_MS = 400;
 /** A stopping VM takes new connections for so long. */
 const STOP_NOTICE_MS = 2_200;
@@ -84,41 +76,34 @@
   const {settings, protocol, timers, log} = options;
   const {bounds, vm} = settings;
   const load = createTargetLoad();
-  const connections = createTargetConnections(timers);
-  const coldAllowance = createColdAllowance(vm.id);
   const times = createServiceTimes();
   const warmKeys = createWarmKeys();
-  const demand = createDemandMeter();
-  const shares = createRegionShares({
-    region: vm.region,
-    movePerSecond: bounds.regionShift * REGION_SHIFT_PER_SECOND,
-  });
-  const departures = createAllowance(DEPARTURE_SHARE, DEPARTURE_BURST);
-  const peerDemand = new Map<string, ReadonlyMap<string, number>>();
-  let routes: RouteTable | undefined;
-  let stopping = false;
+  const connections = createTargetConnections(timers);
+  const coldAllowance = createColdAllowance(vm.id);
+  const departures = createShareAllowance(DEPARTURE_SHARE, DEPARTURE_BURST);
   const handles: TimerHandle[] = [];
+  let stopping = false;
 
-  const registry = createTargetRegistry({
+  const beliefs = createBeliefs({
+    protocol,
     zoneRegions: settings.zoneRegions,
-    onEvent: onRegistryEvent,
-  });
-
-  function onRegistryEvent(event: RegistryEvent): void {
-    const {entry, life} = event.target;
-    log.log('info', event.kind satisfies LogEvent, {
-      target: entry.id,
-      service: entry.service,
-      zone: entry.zone,
-      born: entry.bornMs,
-      coldMs: entry.coldRemainingMs,
-      why: event.kind === 'target-removed' ? event.why : undefined,
-    });
-    if (event.kind === 'target-removed') {
+    timers,
+    log,
+    onConfiguration: ({limits}) => callerServer.setLimits(limits),
+    onTargetGone: life => {
       connections.forget(life);
       load.forget(life);
-    }
-  }
+    },
+  });
+  const {registry} = beliefs;
+
+  const plan = createRegionPlan({
+    region: vm.region,
+    zoneRegions: settings.zoneRegions,
+    shiftBound: bounds.regionShift,
+    registry,
+    timers,
+  });
 
   const self: VmRecord = {
     id: vm.id,
@@ -142,7 +127,7 @@
     duty,
     timers,
     log,
-    onChange: onStoreChange,
+    onChange: beliefs.take,
     broadcast: message => mesh.broadcast(message),
   });
 
@@ -184,13 +169,13 @@
       times,
       warmKeys,
       parameters: DEFAULT_PLACEMENT_PARAMETERS,
-      shares,
-      random: createRandomSource(hash32(vm.id + timers.wallMs())),
+      shares: plan.shares,
+      random: createRandomSource(hash32(`${vm.id} ${self.startedWallMs}`)),
       mayLeaveHome: () => departures.take(),
-      coldAllowed: (target, nowMs) =>
+      coldAllowed: ({life, entry}, nowMs) =>
         coldAllowance.allows(
-          target.life,
-          coldPerSecond(target.entry.service),
+          life,
+          beliefs.coldRequestsPerSecond(entry.service),
           nowMs,
         ),
     }),
@@ -207,27 +192,24 @@
     isStopping: () => stopping,
     arrived: (service, expectedMs, nowMs) => {
       departures.earn();
-      demand.arrived(service, expectedMs, nowMs);
+      plan.meter.arrived(service, expectedMs, nowMs);
     },
     retryAfterMs: () => RETRY_AFTER_MS,
     noteSent: (target, nowMs) => {
-      if (
-        registry.isCold(target, nowMs) ||
-        load.isReturning(target.life, nowMs)
-      ) {
-        const perSecond = coldPerSecond(target.entry.service);
-        coldAllowance.sent(target.life, perSecond, nowMs);
+      const {life, entry} = target;
+      if (registry.isCold(target, nowMs) || load.isReturning(life, nowMs)) {
+        const perSecond = beliefs.coldRequestsPerSecond(entry.service);
+        coldAllowance.sent(life, perSecond, nowMs);
       }
     },
-    finished: onFinished,
+    finished: request => logFinished(log, request),
   };
 
   const callerServer = createCallerServer({
     address: settings.listen.caller,
     context,
-    routes: () => routes,
+    routes: beliefs.routes,
   });
-
   const readiness = createControlServer(
     settings.listen.readiness,
     new Map([
@@ -240,7 +222,7 @@
   );
 
   function isServing(): boolean {
-    return routes !== undefined && follower.isComplete() && !stopping;
+    return beliefs.routes() !== undefined && follower.isComplete() && !stopping;
   }
 
   function answerDirectory(url: URL) {
@@ -259,98 +241,8 @@
     };
   }
 
-  function coldPerSecond(service: string): number {
-    return (
-      routes?.configuration.services.get(service)?.coldRequestsPerSecond ??
-      UNKNOWN_COLD_PER_SECOND
-    );
-  }
-
-  function coldMs(service: string): number {
-    return (
-      routes?.configuration.services.get(service)?.coldStartMs ??
-      UNKNOWN_COLD_MS
-    );
-  }
-
-  function onStoreChange(
-    kind: StoreKind,
-    change: MirrorChange,
-    settlingMs: number,
-  ): void {
-    const nowMs = timers.nowMs();
-    switch (kind) {
-      case 'targets':
-        for (const {name, value} of change.put) {
-          putTarget(name, value, nowMs);
-        }
-        for (const name of change.removed) {
-          registry.remove(name, nowMs, nowMs + settlingMs);
-        }
-        return;
-      case 'configuration':
-        for (const {name, value, version} of change.put) {
-          if (name === protocol.configurationName) {
-            takeConfiguration(value, version);
-          }
-        }
-        return;
-      case 'evacuations':
-        takeEvacuations(change, nowMs);
-        return;
-    }
-  }
-
-  function putTarget(name: string, value: unknown, nowMs: number): void {
-    protocol
-      .readTarget(name, value)
-      .ifRight(entry => registry.put(entry, nowMs))
-      .ifLeft(cause => {
-        log.log('warn', 'target-entry-refused', {target: name, cause});
-        registry.remove(name, nowMs, nowMs);
-      });
-  }
-
-  function takeConfiguration(value: unknown, storeVersion: number): void {
-    protocol
-      .readConfiguration(value)
-      .ifLeft(cause =>
-        log.log('error', 'configuration-rejected', {cause, storeVersion}),
-      )
-      .ifRight(configuration => {
-        const inForce = routes?.configuration.version ?? -1;
-        if (configuration.version <= inForce) {
-          log.log('info', 'configuration-rejected', {
-            cause: 'older than the one in force',
-            version: configuration.version,
-            inForce,
-          });
-          return;
-        }
-        routes = createRouteTable(configuration);
-        callerServer.setLimits(configuration.limits);
-        log.log('info', 'configuration-in-force', {
-          version: configuration.version,
-          storeVersion,
-          routes: configuration.routes.length,
-        });
-      });
-  }
-
-  function takeEvacuations(change: MirrorChange, nowMs: number): void {
-    const zones = new Set(registry.evacuated());
-    for (const {name} of change.put) {
-      zones.add(name);
-    }
-    for (const name of change.removed) {
-      zones.delete(name);
-    }
-    registry.setEvacuated(zones, nowMs, coldMs);
-    log.log('info', 'evacuations-changed', {zones: [...zones].join(',')});
-  }
-
   function onLinked(peer: VmRecord): void {
-    for (const kind of ['configuration', 'targets', 'evacuations'] as const) {
+    for (const kind of STORE_KINDS) {
       if (follower.isMissing(kind)) {
         mesh.send(peer.id, {kind: 'want-snapshot', of: kind});
       }
@@ -364,7 +256,7 @@
         return;
       case 'heartbeat':
         directory.heard(from.id, message.serving);
-        peerDemand.set(from.id, new Map(message.demand));
+        plan.heard(from.id, new Map(message.demand));
         if (message.watchAgeMs !== undefined) {
           duty.heardFresh(timers.nowMs() - message.watchAgeMs);
         }
@@ -392,7 +284,7 @@
       kind: 'heartbeat',
       serving: isServing(),
       watchAgeMs: follower.watchAgeMs(),
-      demand: [...demand.read(timers.nowMs())],
+      demand: [...plan.meter.read(timers.nowMs())],
     };
   }
 
@@ -401,56 +293,8 @@
     const living = directory.living();
     duty.setVms(living);
     coldAllowance.setVms(living);
-    updateShares();
-  }
-
-  /** Divides this region's requests by the demand and room of all regions. */
-  function updateShares(): void {
-    const nowMs = timers.nowMs();
-    const demandByRegion = new Map<string, Map<string, number>>();
-    addDemand(demandByRegion, vm.region, demand.read(nowMs));
-    for (const peer of mesh.heardWithin(DEMAND_LIFETIME_MS)) {
-      addDemand(demandByRegion, peer.region, peerDemand.get(peer.id));
-    }
-    for (const service of routes?.configuration.services.keys() ?? []) {
-      const rooms = new Map<string, RegionRoom>();
-      for (const region of new Set(settings.zoneRegions.values())) {
-        rooms.set(region, {
-          demand: demandByRegion.get(region)?.get(service) ?? 0,
-          slots: slotsOf(service, region),
-        });
-      }
-      shares.update(service, rooms, nowMs);
-    }
-  }
-
-  function slotsOf(service: string, region: string): number {
-    let slots = 0;
-    for (const target of registry.usable(service)) {
-      if (target.region === region) {
-        slots += target.entry.slots;
-      }
-    }
-    return slots;
-  }
-
-  function onFinished(request: FinishedRequest): void {
-    const {placed} = request;
-    log.log('info', 'request-finished', {
-      request: request.attemptId,
-      route: request.route,
-      outcome: request.outcome,
-      status: request.status,
-      detail: request.detail || undefined,
-      tookMs: Math.round(request.tookMs),
-      tried: request.tried,
-      key: request.affinityKey,
-      target: placed?.target.entry.id,
-      zone: placed?.target.entry.zone,
-      expectedMs: placed && Math.round(placed.expectedMs),
-      waitMs: placed && Math.round(placed.waitMs),
-      warm: placed?.warm,
-    });
+    const services = beliefs.routes()?.configuration.services.keys() ?? [];
+    plan.update(services, mesh.heardWithin(DEMAND_LIFETIME_MS));
   }
 
   async function start(): Promise<void> {
@@ -489,50 +333,29 @@
       }
       await timers.sleep(STOP_POLL_MS);
     }
+    endParts();
+    log.log('info', 'vm-stopped', {
+      tookMs: Math.round(timers.nowMs() - beganMs),
+    });
+  }
+
+  function endParts(): void {
     for (const handle of handles) {
       handle.cancel();
     }
     follower.stop();
     registration.stop();
     mesh.close();
-    log.log('info', 'vm-stopped', {
-      tookMs: Math.round(timers.nowMs() - beganMs),
-    });
+    readiness.close();
+    directoryServer.close();
+    connections.close();
   }
 
-  return {start, stop};
-}
-
-function addDemand(
-  byRegion: Map<string, Map<string, number>>,
-  region: string,
-  demand: ReadonlyMap<string, number> | undefined,
-): void {
-  const total = byRegion.get(region) ?? new Map<string, number>();
-  byRegion.set(region, total);
-  for (const [service, slots] of demand ?? []) {
-    total.set(service, (total.get(service) ?? 0) + slots);
+  async function abandon(): Promise<void> {
+    stopping = true;
+    endParts();
+    await callerServer.abandon();
   }
-}
-
-interface Allowance {
-  earn(): void;
-  take(): boolean;
-}
 
-/** Allows a share of what is earned, and a burst. */
-function createAllowance(share: number, burst: number): Allowance {
-  let tokens = burst;
-  return {
-    earn: () => {
-      tokens = Math.min(burst, tokens + share);
-    },
-    take: () => {
-      if (tokens < 1) {
-        return false;
-      }
-      tokens -= 1;
-      return true;
-    },
-  };
+  return {start, stop, abandon};
 }
--- /dev/null
+++ b/packages/gateway/src/region_plan.ts
@@ -0,0 +1,102 @@
+/**
+ * Divides the work of this VM's region among regions, from the demand that
+ * the VMs tell each other and the slots that are listed.
+ */
+import {
+  type DemandMeter,
+  type RegionRoom,
+  type RegionShares,
+  type TargetRegistry,
+  createDemandMeter,
+  createRegionShares,
+} from '@ibisbeam/decision';
+import type {TimerService} from '@ibisbeam/library';
+import type {VmRecord} from './peers/messages.js';
+
+export interface RegionPlan {
+  readonly shares: RegionShares;
+  readonly meter: DemandMeter;
+  /** What a peer's own clients need, in busy slots by service. */
+  heard(peerId: string, demand: ReadonlyMap<string, number>): void;
+  /** @param peers Gateways heard of lately. */
+  update(services: Iterable<string>, peers: readonly VmRecord[]): void;
+}
+
+export interface RegionPlanOptions {
+  readonly region: string;
+  readonly zoneRegions: ReadonlyMap<string, string>;
+  /** Share of a region's requests that may change region within 2 s. */
+  readonly shiftBound: number;
+  readonly registry: TargetRegistry;
+  readonly timers: Pick<TimerService, 'nowMs'>;
+}
+
+/**
+ * Part of the shift bound used in a second: two seconds of it and what load
+ * moves besides stay below the bound.
+ */
+const SHIFT_PER_SECOND = 0.2;
+
+export function createRegionPlan(options: RegionPlanOptions): RegionPlan {
+  const {region, registry, timers} = options;
+  const meter = createDemandMeter();
+  const shares = createRegionShares({
+    region,
+    movePerSecond: options.shiftBound * SHIFT_PER_SECOND,
+  });
+  const regions = new Set(options.zoneRegions.values());
+  const peerDemand = new Map<string, ReadonlyMap<string, number>>();
+
+  function update(
+    services: Iterable<string>,
+    peers: readonly VmRecord[],
+  ): void {
+    const nowMs = timers.nowMs();
+    const demandByRegion = new Map<string, Map<string, number>>();
+    addDemand(demandByRegion, region, meter.read(nowMs));
+    for (const peer of peers) {
+      addDemand(demandByRegion, peer.region, peerDemand.get(peer.id));
+    }
+    for (const service of services) {
+      const slots = slotsByRegion(service);
+      const rooms = new Map<string, RegionRoom>();
+      for (const name of regions) {
+        rooms.set(name, {
+          demand: demandByRegion.get(name)?.get(service) ?? 0,
+          slots: slots.get(name) ?? 0,
+        });
+      }
+      shares.update(service, rooms, nowMs);
+    }
+  }
+
+  function slotsByRegion(service: string): ReadonlyMap<string, number> {
+    const slots = new Map<string, number>();
+    for (const target of registry.usable(service)) {
+      const before = slots.get(target.region) ?? 0;
+      slots.set(target.region, before + target.entry.slots);
+    }
+    return slots;
+  }
+
+  return {
+    shares,
+    meter,
+    heard: (peerId, demand) => {
+      peerDemand.set(peerId, demand);
+    },
+    update,
+  };
+}
+
+function addDemand(
+  byRegion: Map<string, Map<string, number>>,
+  region: string,
+  demand: ReadonlyMap<string, number> | undefined,
+): void {
+  const total = byRegion.get(region) ?? new Map<string, number>();
+  byRegion.set(region, total);
+  for (const [service, slots] of demand ?? []) {
+    total.set(service, (total.get(service) ?? 0) + slots);
+  }
+}
--- a/packages/gateway/src/store/store_follower.ts
+++ b/packages/gateway/src/store/store_follower.ts
@@ -47,7 +47,11 @@
   receive(message: Extract<PeerMessage, {kind: 'snapshot' | 'batch'}>): boolean;
 }
 
-const KINDS: readonly StoreKind[] = ['configuration', 'targets', 'evacuations'];
+export const STORE_KINDS: readonly StoreKind[] = [
+  'configuration',
+  'targets',
+  'evacuations',
+];
 /** Longest wait of one watch: the age of a confirmation stays below it. */
 const WATCH_WAIT_MS: Readonly<Record<StoreKind, number>> = {
   configuration: 1_000,
@@ -79,7 +83,7 @@
 ): StoreFollower {
   const {timers, log, store} = options;
   const follows = new Map<StoreKind, Follow>();
-  for (const kind of KINDS) {
+  for (const kind of STORE_KINDS) {
     follows.set(kind, {
       kind,
       mirror: createStoreMirror(),
--- /dev/null
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -0,0 +1,299 @@
+/**
+ * A stand-in worker of the users' platform: slots and a queue, warm affinity
+ * keys, cold starts, and the ways in which it may fail. It writes answers by
+ * hand where a fault asks for bytes that no HTTP library would write.
+ */
+import {type IncomingMessage, createServer} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import type {TimerService} from '@ibisbeam/library';
+
+/** What happens to the next requests, in their order; then `none`. */
+export type TargetFault =
+  | 'none'
+  /** Runs the request and resets the connection. */
+  | 'answer-lost'
+  /** Sends a second answer right after the first. */
+  | 'extra-answer'
+  /** Sends a second answer a little later. */
+  | 'extra-answer-late'
+  /** Ends the answer before its stated length. */
+  | 'cut-short'
+  /** States no length and resets the connection in the middle. */
+  | 'unframed-reset'
+  /** States no length and ends the connection properly. */
+  | 'unframed'
+  | 'not-http'
+  | 'error-500'
+  /** States that it has not run the request. */
+  | 'shed'
+  /** Answers with another request's identifier. */
+  | 'foreign'
+  /** Answers before the request's body has come. */
+  | 'early'
+  /** Runs the request and never answers. */
+  | 'silent';
+
+export interface TargetRun {
+  readonly attemptId: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body: string;
+  readonly key: string | undefined;
+  readonly deadlineMs: number;
+  cancelled: boolean;
+}
+
+export interface FleetTarget {
+  readonly id: string;
+  readonly host: string;
+  readonly port: number;
+  /** The entry that the target would write into the store. */
+  entry(changes?: Readonly<Record<string, unknown>>): Record<string, unknown>;
+  readonly runs: readonly TargetRun[];
+  readonly connectionCount: () => number;
+  plan(...faults: readonly TargetFault[]): void;
+  setWorkMs(workMs: number): void;
+  close(): Promise<void>;
+}
+
+export interface FleetTargetOptions {
+  readonly id: string;
+  readonly service: string;
+  readonly zone: string;
+  readonly slots: number;
+  readonly timers: TimerService;
+  /** Slot time of a request whose key is not warm. */
+  readonly workMs?: number;
+  /** Part of the work that a warm key needs. */
+  readonly warmShare?: number;
+  readonly queueLength?: number;
+  readonly bodyBytes?: number;
+  readonly bornMs?: number;
+  readonly host?: string;
+}
+
+const EXTRA_ANSWER_DELAY_MS = 20;
+
+export async function startFleetTarget(
+  options: FleetTargetOptions,
+): Promise<FleetTarget> {
+  const {id, timers, slots} = options;
+  const host = options.host ?? '127.0.0.1';
+  const runs: TargetRun[] = [];
+  const faults: TargetFault[] = [];
+  const warm = new Set<string>();
+  const queue: (() => void)[] = [];
+  const sockets = new Set<Socket>();
+  let running = 0;
+  let workMs = options.workMs ?? 5;
+  let connections = 0;
+
+  const server = createServer((incoming, outgoing) => {
+    const chunks: Buffer[] = [];
+    const expected = header(incoming, 'x-ibisbeam-expect-instance');
+    const attemptId = header(incoming, 'x-ibisbeam-attempt-id') ?? '';
+    if (incoming.url === '/health') {
+      outgoing.writeHead(200, {'X-Ibisbeam-Instance-Id': id});
+      outgoing.end();
+      return;
+    }
+    if (expected !== undefined && expected !== id) {
+      outgoing.writeHead(421, {'X-Ibisbeam-Instance-Id': id});
+      outgoing.end();
+      return;
+    }
+    const fault = faults.shift() ?? 'none';
+    if (fault === 'early') {
+      write(incoming.socket, 'early', attemptId);
+      return;
+    }
+    incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+    incoming.on('end', () => {
+      const full = running >= slots && queue.length >= queueLimit();
+      if (fault === 'shed' || full) {
+        outgoing.writeHead(503, {
+          'X-Ibisbeam-Not-Executed': '1',
+          'X-Ibisbeam-Attempt-Id': attemptId,
+        });
+        outgoing.end();
+        return;
+      }
+      const body = Buffer.concat(chunks).toString('utf8');
+      enqueue(() => run(incoming, fault, attemptId, body));
+    });
+  });
+
+  function queueLimit(): number {
+    return options.queueLength ?? slots * 3;
+  }
+
+  function enqueue(start: () => void): void {
+    if (running < slots) {
+      running += 1;
+      start();
+      return;
+    }
+    queue.push(start);
+  }
+
+  function release(): void {
+    const next = queue.shift();
+    if (next) {
+      next();
+      return;
+    }
+    running -= 1;
+  }
+
+  function run(
+    incoming: IncomingMessage,
+    fault: TargetFault,
+    attemptId: string,
+    body: string,
+  ): void {
+    const key = header(incoming, 'x-ibisbeam-affinity-key');
+    const isWarm = key !== undefined && warm.has(key);
+    const record: TargetRun = {
+      attemptId,
+      method: incoming.method ?? '',
+      path: incoming.url ?? '',
+      body,
+      key,
+      deadlineMs: Number(header(incoming, 'x-ibisbeam-deadline-ms')),
+      cancelled: false,
+    };
+    runs.push(record);
+    if (key !== undefined) {
+      warm.add(key);
+    }
+    const takesMs = isWarm ? workMs * (options.warmShare ?? 1) : workMs;
+    let done = false;
+    const timer = timers.after(takesMs, () => {
+      done = true;
+      release();
+      write(incoming.socket, fault, attemptId);
+    });
+    incoming.socket.once('close', () => {
+      if (!done) {
+        record.cancelled = true;
+        timer.cancel();
+        release();
+      }
+    });
+  }
+
+  function write(socket: Socket, fault: TargetFault, attemptId: string): void {
+    const text = 'x'.repeat(options.bodyBytes ?? 20);
+    const whole = answer(200, attemptId, text);
+    switch (fault) {
+      case 'none':
+      case 'shed':
+      case 'early':
+        socket.write(whole);
+        return;
+      case 'answer-lost':
+        socket.resetAndDestroy();
+        return;
+      case 'extra-answer':
+        socket.write(whole + answer(200, 'another', text));
+        return;
+      case 'extra-answer-late':
+        socket.write(whole);
+        timers.after(EXTRA_ANSWER_DELAY_MS, () => {
+          if (!socket.destroyed) {
+            socket.write(answer(200, 'another', text));
+          }
+        });
+        return;
+      case 'cut-short':
+        socket.end(whole.slice(0, -5));
+        return;
+      case 'unframed-reset':
+        socket.write(answer(200, attemptId, text, false), () =>
+          socket.resetAndDestroy(),
+        );
+        return;
+      case 'unframed':
+        socket.end(answer(200, attemptId, text, false));
+        return;
+      case 'not-http':
+        socket.end('these are not the bytes you are looking for\r\n\r\n');
+        return;
+      case 'error-500':
+        socket.write(answer(500, attemptId, 'failed'));
+        return;
+      case 'foreign':
+        socket.write(answer(200, 'another', text));
+        return;
+      case 'silent':
+        return;
+    }
+  }
+
+  function answer(
+    status: number,
+    attemptId: string,
+    text: string,
+    framed = true,
+  ): string {
+    const head = [
+      `HTTP/1.1 ${status} Answer`,
+      `X-Ibisbeam-Attempt-Id: ${attemptId}`,
+      `X-Ibisbeam-Response-Seal: seal-${id}-${attemptId}`,
+      `X-Ibisbeam-Server-Load: ${running},${queue.length},${slots}`,
+      'Keep-Alive: timeout=10',
+      ...(framed ? [`Content-Length: ${text.length}`] : []),
+    ];
+    return `${head.join('\r\n')}\r\n\r\n${text}`;
+  }
+
+  server.keepAliveTimeout = 10_000;
+  server.on('connection', socket => {
+    connections += 1;
+    sockets.add(socket);
+    socket.on('error', () => {});
+    socket.on('close', () => sockets.delete(socket));
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, host, resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+
+  return {
+    id,
+    host,
+    port,
+    entry: (changes = {}) => ({
+      service: options.service,
+      address: `${host}:${port}`,
+      zone: options.zone,
+      version: 'v1',
+      slots,
+      state: 'ready',
+      cold_remaining_ms: 0,
+      sequence: 1,
+      born: options.bornMs ?? 1_000,
+      ...changes,
+    }),
+    runs,
+    connectionCount: () => connections,
+    plan: (...planned) => {
+      faults.push(...planned);
+    },
+    setWorkMs: next => {
+      workMs = next;
+    },
+    close: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        for (const socket of sockets) {
+          socket.destroy();
+        }
+      }),
+  };
+}
+
+function header(incoming: IncomingMessage, name: string): string | undefined {
+  const value = incoming.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/packages/stand_ins/src/core/object_platform/index.ts
@@ -0,0 +1,3 @@
+export * from './fleet_target.js';
+export * from './local_fleet.js';
+export * from './object_store.js';
--- /dev/null
+++ b/packages/stand_ins/src/core/object_platform/local_fleet.ts
@@ -0,0 +1,165 @@
+/**
+ * The users' platform on loopback in one process: a store, workers and
+ * gateways that meet them through the adapter.
+ */
+import {type Gateway, createGateway} from '@ibisbeam/gateway';
+import type {Logger, TimerService} from '@ibisbeam/library';
+import {
+  type ObjectStore,
+  PLATFORM_PROTOCOL,
+  createObjectStore,
+  readSettings,
+} from '@ibisbeam/platform';
+import {reserveAddresses} from '../local_deployment/reserve_addresses.js';
+import {type FleetTarget, startFleetTarget} from './fleet_target.js';
+import {
+  type StandInObjectStore,
+  startStandInObjectStore,
+} from './object_store.js';
+
+export interface LocalGateway {
+  readonly id: string;
+  readonly gateway: Gateway;
+  readonly caller: {readonly host: string; readonly port: number};
+  readonly readiness: {readonly host: string; readonly port: number};
+  readonly directory: {readonly host: string; readonly port: number};
+  /** Settings as the platform would write them. */
+  readonly settingsText: string;
+  /** Ends it as a kill would: nothing is finished. */
+  abandon(): Promise<void>;
+}
+
+export interface LocalFleetOptions {
+  readonly timers: TimerService;
+  readonly log: Logger;
+  /** Availability zones and their regions. */
+  readonly zones: Readonly<Record<string, string>>;
+  readonly bounds?: Readonly<Record<string, number>>;
+}
+
+export interface LocalFleet {
+  readonly store: StandInObjectStore;
+  addGateway(id: string, zone: string): Promise<LocalGateway>;
+  /** Starts a worker and lists it in the store. */
+  addTarget(
+    options: Omit<Parameters<typeof startFleetTarget>[0], 'timers'>,
+  ): Promise<FleetTarget>;
+  configure(configuration: Readonly<Record<string, unknown>>): void;
+  stop(): Promise<void>;
+}
+
+const BOUNDS = {
+  drain_ms: 2_500,
+  config_apply_ms: 2_500,
+  grace_s: 6,
+  retry_budget_ratio: 0.2,
+  budget_window_s: 10,
+  retry_budget_slack: 58,
+  ttl_max_s: 5,
+  max_shift: 0.15,
+};
+
+/** Gateways of one fleet differ by host, since their peer port is one. */
+let lastHostNumber = 10;
+
+export async function startLocalFleet(
+  options: LocalFleetOptions,
+): Promise<LocalFleet> {
+  const {timers, log, zones} = options;
+  const store = await startStandInObjectStore(timers);
+  const targets: FleetTarget[] = [];
+  const gateways: LocalGateway[] = [];
+  const seeds: string[] = [];
+  const [peerAddress] = await reserveAddresses(1);
+  const peerPort = Number(peerAddress?.split(':')[1]);
+
+  async function addGateway(id: string, zone: string): Promise<LocalGateway> {
+    lastHostNumber += 1;
+    const host = `127.0.7.${lastHostNumber}`;
+    const ports = (await reserveAddresses(3)).map(address =>
+      Number(address.split(':')[1]),
+    );
+    const [front = 0, ready = 0, directory = 0] = ports;
+    const settingsText = JSON.stringify({
+      self: {node: id, ip: host, zone, region: zones[zone]},
+      network: {
+        listen: {
+          front: `${host}:${front}`,
+          ready: `${host}:${ready}`,
+          directory: `${host}:${directory}`,
+        },
+        internal_ports: [peerPort, peerPort + 1],
+        seeds: [...seeds],
+        zones,
+      },
+      platform: {
+        heartbeat_ms: 1_500,
+        platform: {address: `${store.host}:${store.port}`},
+      },
+      terms: {bounds: {...BOUNDS, ...options.bounds}},
+    });
+    if (seeds.length < 3) {
+      seeds.push(`${host}:1`);
+    }
+    const settings = readSettings(settingsText).mapLeft(problem => {
+      throw new Error(problem);
+    });
+    return settings.caseOf({
+      Left: problem => Promise.reject(problem),
+      Right: async parsed => {
+        const client: ObjectStore = createObjectStore({
+          address: parsed.store,
+          timers,
+        });
+        const gateway = createGateway({
+          settings: parsed.gateway,
+          protocol: PLATFORM_PROTOCOL,
+          store: client,
+          timers,
+          log,
+        });
+        await gateway.start();
+        const local: LocalGateway = {
+          id,
+          gateway,
+          caller: {host, port: front},
+          readiness: {host, port: ready},
+          directory: {host, port: directory},
+          settingsText,
+          abandon: async () => {
+            gateways.splice(gateways.indexOf(local), 1);
+            await gateway.abandon();
+            client.close();
+          },
+        };
+        gateways.push(local);
+        return local;
+      },
+    });
+  }
+
+  async function addTarget(
+    targetOptions: Omit<Parameters<typeof startFleetTarget>[0], 'timers'>,
+  ): Promise<FleetTarget> {
+    const target = await startFleetTarget({...targetOptions, timers});
+    targets.push(target);
+    store.put('servers', target.id, target.entry());
+    return target;
+  }
+
+  return {
+    store,
+    addGateway,
+    addTarget,
+    configure: configuration => store.put('config', 'main', configuration),
+    stop: async () => {
+      for (const gateway of [...gateways]) {
+        await gateway.abandon();
+      }
+      for (const target of targets) {
+        await target.close();
+      }
+      await store.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/stand_ins/src/core/object_platform/object_store.ts
@@ -0,0 +1,345 @@
+/**
+ * A stand-in of the users' object store on loopback: objects by kind and
+ * name, lists, watches and conditional writes, with faults to order.
+ */
+import {
+  type IncomingMessage,
+  type ServerResponse,
+  createServer,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {TimerService} from '@ibisbeam/library';
+
+/** What the store does with calls. */
+export type StoreFault =
+  | {readonly kind: 'none'}
+  /** Answers 503 to everything. */
+  | {readonly kind: 'busy'}
+  /** Takes calls and never answers. */
+  | {readonly kind: 'silent'}
+  /** Carries out writes and closes the connection instead of answering. */
+  | {readonly kind: 'answers-lost'}
+  | {readonly kind: 'slow'; readonly delayMs: number};
+
+export interface StandInObjectStore {
+  readonly host: string;
+  readonly port: number;
+  /** Calls taken, refused ones included. */
+  callCount(): number;
+  put(kind: string, name: string, spec: unknown): void;
+  remove(kind: string, name: string): void;
+  names(kind: string): readonly string[];
+  setFault(fault: StoreFault): void;
+  /** Drops the history: watches from before end with 410. */
+  compact(): void;
+  close(): Promise<void>;
+}
+
+interface StoredObject {
+  readonly name: string;
+  readonly revision: number;
+  readonly created: number;
+  readonly spec: unknown;
+}
+
+interface StoreEvent {
+  readonly kind: string;
+  readonly revision: number;
+  readonly object: StoredObject;
+  readonly deleted: boolean;
+}
+
+interface Waiter {
+  readonly kind: string;
+  readonly after: number;
+  readonly answer: () => void;
+}
+
+const PAGE_SIZE = 50;
+const FIRST_REVISION = 100;
+const OBJECTS_PATTERN = /^\/objects\/([^/]+)(?:\/([^/]+))?$/;
+
+export async function startStandInObjectStore(
+  timers: Pick<TimerService, 'after'>,
+  host = '127.0.0.1',
+): Promise<StandInObjectStore> {
+  const objects = new Map<string, Map<string, StoredObject>>();
+  let events: StoreEvent[] = [];
+  let revision = FIRST_REVISION;
+  let oldestWatchable = FIRST_REVISION;
+  let fault: StoreFault = {kind: 'none'};
+  let calls = 0;
+  const waiters = new Set<Waiter>();
+
+  function kindMap(kind: string): Map<string, StoredObject> {
+    const known = objects.get(kind) ?? new Map<string, StoredObject>();
+    objects.set(kind, known);
+    return known;
+  }
+
+  function record(kind: string, object: StoredObject, deleted: boolean): void {
+    events.push({kind, revision: object.revision, object, deleted});
+    for (const waiter of [...waiters]) {
+      if (waiter.kind === kind) {
+        waiters.delete(waiter);
+        waiter.answer();
+      }
+    }
+  }
+
+  function put(kind: string, name: string, spec: unknown): StoredObject {
+    revision += 1;
+    const created = kindMap(kind).get(name)?.created ?? revision;
+    const object = {name, revision, created, spec};
+    kindMap(kind).set(name, object);
+    record(kind, object, false);
+    return object;
+  }
+
+  function remove(kind: string, name: string): void {
+    const known = kindMap(kind).get(name);
+    if (!known) {
+      return;
+    }
+    revision += 1;
+    kindMap(kind).delete(name);
+    record(kind, {...known, revision}, true);
+  }
+
+  const server = createServer((incoming, outgoing) => {
+    calls += 1;
+    const chunks: Buffer[] = [];
+    incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+    incoming.on('end', () => {
+      const body = Buffer.concat(chunks).toString('utf8');
+      const current = fault;
+      switch (current.kind) {
+        case 'busy':
+          send(outgoing, 503, {error: 'busy'});
+          return;
+        case 'silent':
+          return;
+        case 'slow':
+          timers.after(current.delayMs, () => serve(incoming, outgoing, body));
+          return;
+        case 'answers-lost':
+          if (incoming.method !== 'GET') {
+            serve(incoming, undefined, body);
+          }
+          incoming.socket.destroy();
+          return;
+        case 'none':
+          serve(incoming, outgoing, body);
+          return;
+      }
+    });
+  });
+
+  function serve(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse | undefined,
+    body: string,
+  ): void {
+    const url = new URL(incoming.url ?? '/', 'http://store');
+    const [, kind, name] = OBJECTS_PATTERN.exec(url.pathname) ?? [];
+    if (kind === undefined) {
+      send(outgoing, 404, {error: 'no such path'});
+      return;
+    }
+    const target = name === undefined ? undefined : decodeURIComponent(name);
+    switch (incoming.method) {
+      case 'GET':
+        serveGet(kind, target, url.searchParams, outgoing);
+        return;
+      case 'POST':
+        servePost(kind, JSON.parse(body), outgoing);
+        return;
+      case 'PUT':
+        servePut(kind, target ?? '', JSON.parse(body), outgoing);
+        return;
+      case 'DELETE':
+        serveDelete(kind, target ?? '', url.searchParams, outgoing);
+        return;
+      default:
+        send(outgoing, 400, {error: 'no such call'});
+    }
+  }
+
+  function serveGet(
+    kind: string,
+    name: string | undefined,
+    query: URLSearchParams,
+    outgoing: ServerResponse | undefined,
+  ): void {
+    if (name !== undefined) {
+      const object = kindMap(kind).get(name);
+      send(outgoing, object ? 200 : 404, object ? toWire(object) : {});
+      return;
+    }
+    const watch = query.get('watch');
+    if (watch !== null) {
+      serveWatch(kind, Number(watch), Number(query.get('wait_ms')), outgoing);
+      return;
+    }
+    const after = query.get('after') ?? '';
+    const rest = [...kindMap(kind).values()]
+      .filter(object => object.name > after)
+      .sort((one, other) => (one.name < other.name ? -1 : 1));
+    send(outgoing, 200, {
+      items: rest.slice(0, PAGE_SIZE).map(toWire),
+      has_more: rest.length > PAGE_SIZE,
+      store_revision: revision,
+    });
+  }
+
+  function serveWatch(
+    kind: string,
+    after: number,
+    waitMs: number,
+    outgoing: ServerResponse | undefined,
+  ): void {
+    if (after < oldestWatchable) {
+      send(outgoing, 410, {error: 'history is gone'});
+      return;
+    }
+    const found = (): StoreEvent[] =>
+      events.filter(event => event.kind === kind && event.revision > after);
+    const answer = (): void => {
+      waiters.delete(waiter);
+      timer?.cancel();
+      send(outgoing, 200, {
+        events: found().map(({object, deleted}) => ({
+          object: toWire(object),
+          deleted,
+        })),
+        store_revision: revision,
+      });
+    };
+    const waiter: Waiter = {kind, after, answer};
+    const timer = found().length > 0 ? undefined : timers.after(waitMs, answer);
+    if (!timer) {
+      answer();
+      return;
+    }
+    waiters.add(waiter);
+    outgoing?.on('close', () => {
+      waiters.delete(waiter);
+      timer.cancel();
+    });
+  }
+
+  function servePost(
+    kind: string,
+    sent: {metadata: {name: string}; spec: unknown},
+    outgoing: ServerResponse | undefined,
+  ): void {
+    const known = kindMap(kind).get(sent.metadata.name);
+    if (known) {
+      send(outgoing, 409, toWire(known));
+      return;
+    }
+    send(outgoing, 200, toWire(put(kind, sent.metadata.name, sent.spec)));
+  }
+
+  function servePut(
+    kind: string,
+    name: string,
+    sent: {metadata?: {revision?: number}; spec: unknown},
+    outgoing: ServerResponse | undefined,
+  ): void {
+    const known = kindMap(kind).get(name);
+    if (!known) {
+      send(outgoing, 404, {});
+      return;
+    }
+    const expected = sent.metadata?.revision;
+    if (expected !== undefined && expected !== known.revision) {
+      send(outgoing, 409, toWire(known));
+      return;
+    }
+    send(outgoing, 200, toWire(put(kind, name, sent.spec)));
+  }
+
+  function serveDelete(
+    kind: string,
+    name: string,
+    query: URLSearchParams,
+    outgoing: ServerResponse | undefined,
+  ): void {
+    const known = kindMap(kind).get(name);
+    if (!known) {
+      send(outgoing, 404, {});
+      return;
+    }
+    const expected = query.get('revision');
+    if (expected !== null && Number(expected) !== known.revision) {
+      send(outgoing, 409, toWire(known));
+      return;
+    }
+    remove(kind, name);
+    send(outgoing, 200, toWire(known));
+  }
+
+  await new Promise<void>(resolve => {
+    server.listen(0, host, resolve);
+  });
+
+  return {
+    host,
+    port: (server.address() as AddressInfo).port,
+    callCount: () => calls,
+    put: (kind, name, spec) => void put(kind, name, spec),
+    remove,
+    names: kind => [...kindMap(kind).keys()],
+    setFault: next => {
+      fault = next;
+      if (next.kind !== 'none') {
+        waiters.clear();
+      }
+    },
+    compact: () => {
+      events = [];
+      revision += 1;
+      oldestWatchable = revision;
+      for (const waiter of [...waiters]) {
+        waiters.delete(waiter);
+        waiter.answer();
+      }
+    },
+    close: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
+
+function toWire(object: StoredObject): unknown {
+  return {
+    metadata: {
+      name: object.name,
+      revision: object.revision,
+      created: object.created,
+      finalizers: [],
+      deleting: false,
+    },
+    spec: object.spec,
+    status: null,
+  };
+}
+
+function send(
+  outgoing: ServerResponse | undefined,
+  status: number,
+  body: unknown,
+): void {
+  if (!outgoing || outgoing.destroyed) {
+    return;
+  }
+  const text = JSON.stringify(body);
+  outgoing.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  outgoing.end(text);
+}
--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -5,3 +5,4 @@
 export * from './core/targets/index.js';
 export * from './core/keys/index.js';
 export * from './core/local_deployment/index.js';
+export * from './core/object_platform/index.js';
--- /dev/null
+++ b/packages/stand_ins/test/object_platform/fleet.test.ts
@@ -0,0 +1,156 @@
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {
+  type Harness,
+  HOST,
+  call,
+  configuration,
+  get,
+  isReady,
+  startHarness,
+  timers,
+  until,
+} from './harness.js';
+
+describe('a fleet on the users’ platform', () => {
+  let harness: Harness;
+
+  beforeEach(async () => {
+    harness = await startHarness();
+  });
+  afterEach(() => harness.stop());
+
+  async function addressesAt(
+    directory: {readonly host: string; readonly port: number},
+    region = 'riga',
+  ): Promise<readonly string[]> {
+    const path = `/resolve?name=${HOST}&region=${region}&zone=riga-a`;
+    const answer = await get(directory, path);
+    if (answer.status !== 200) {
+      return [];
+    }
+    const decoded = JSON.parse(answer.body) as {addresses: string[]};
+    return decoded.addresses;
+  }
+
+  it('sends a draining target nothing new', async () => {
+    const [leaving] = harness.targets;
+    assert.ok(leaving);
+    harness.fleet.store.put(
+      'servers',
+      leaving.id,
+      leaving.entry({state: 'draining'}),
+    );
+    await until(() =>
+      harness.logLines.some(line => line.includes('event=target-draining')),
+    );
+    const before = leaving.runs.length;
+    for (let index = 0; index < 10; index += 1) {
+      await call(harness.gateway, {key: String(index)});
+    }
+    assert.equal(leaving.runs.length, before);
+  });
+
+  it('sends nothing into an evacuated zone, and refuses when none is left', async () => {
+    harness.fleet.store.put('evacuations', 'riga-a', {});
+    await until(() =>
+      harness.logLines.some(line => line.includes('event=evacuations-changed')),
+    );
+    const answer = await call(harness.gateway);
+    assert.equal(answer.status, 503);
+    assert.ok(Number(answer.headers['retry-after']) > 0);
+  });
+
+  it('lets malformed entries name no target and keeps the others', async () => {
+    harness.fleet.store.put('servers', 'forged-1', {service: 7});
+    harness.fleet.store.put('servers', 'forged-2', 'not an object');
+    harness.fleet.store.put('servers', 'forged-3', {
+      ...harness.targets[0]?.entry(),
+      state: 'resting',
+    });
+    await until(
+      () =>
+        harness.logLines.filter(line => line.includes('target-entry-refused'))
+          .length === 3,
+    );
+    assert.equal((await call(harness.gateway)).status, 200);
+  });
+
+  it('keeps a configuration when an older one comes', async () => {
+    harness.fleet.configure(configuration(9));
+    await until(() =>
+      harness.logLines.some(line => /in-force.*version=9/.test(line)),
+    );
+    harness.fleet.configure(configuration(8, {routes: []}));
+    await until(() =>
+      harness.logLines.some(line => line.includes('configuration-rejected')),
+    );
+    assert.equal((await call(harness.gateway)).status, 200);
+  });
+
+  it('takes changes up after the store has forgotten its history', async () => {
+    harness.fleet.store.compact();
+    harness.fleet.configure(configuration(20));
+    await until(() =>
+      harness.logLines.some(line => /in-force.*version=20/.test(line)),
+    );
+  });
+
+  it('serves on and starts another VM while the store is away', async () => {
+    harness.fleet.store.setFault({kind: 'silent'});
+    const second = await harness.fleet.addGateway('edge-riga-b-1', 'riga-b');
+    await until(() => isReady(second));
+    assert.equal((await call(second)).status, 200);
+    assert.equal((await call(harness.gateway)).status, 200);
+  });
+
+  it('names only VMs that live', async () => {
+    const second = await harness.fleet.addGateway('edge-riga-b-1', 'riga-b');
+    const {directory} = harness.gateway;
+    await until(async () => (await addressesAt(directory)).length === 2);
+    await second.abandon();
+    await until(async () => (await addressesAt(directory)).length === 1);
+    const [left] = await addressesAt(directory);
+    assert.equal(
+      left,
+      `${harness.gateway.caller.host}:${harness.gateway.caller.port}`,
+    );
+  });
+
+  it('leaves the directory at once on a planned stop and finishes its work', async () => {
+    const second = await harness.fleet.addGateway('edge-riga-b-1', 'riga-b');
+    const {directory} = harness.gateway;
+    await until(async () => (await addressesAt(directory)).length === 2);
+    for (const target of harness.targets) {
+      target.setWorkMs(700);
+    }
+    const pending = call(second, {deadlineMs: 1_200});
+    await until(() => harness.targets.some(target => target.runs.length > 0));
+    const stopped = second.gateway.stop();
+    await until(async () => (await addressesAt(directory)).length === 1);
+    assert.equal(await isReady(second), false);
+    const answer = await pending;
+    assert.equal(answer.status, 200);
+    assert.equal(answer.headers['connection'], 'close');
+    await stopped;
+  });
+
+  it('passes changes on from the VMs that watch', async () => {
+    for (const [index, zone] of ['riga-b', 'kurz-a', 'riga-a'].entries()) {
+      const gateway = await harness.fleet.addGateway(`edge-${index}`, zone);
+      await until(() => isReady(gateway));
+    }
+    await timers.sleep(1_500);
+    const before = harness.fleet.store.callCount();
+    await timers.sleep(2_000);
+    const calls = harness.fleet.store.callCount() - before;
+    // Two watchers with three kinds, once a second each, and a little more.
+    assert.ok(calls <= 2 * 3 * 2 + 6, `${calls} calls in 2 s`);
+    harness.fleet.configure(configuration(30));
+    await until(
+      () =>
+        harness.logLines.filter(line => /in-force.*version=30/.test(line))
+          .length === 4,
+    );
+  });
+});
--- /dev/null
+++ b/packages/stand_ins/test/object_platform/forwarding.test.ts
@@ -0,0 +1,224 @@
+import assert from 'node:assert/strict';
+import {connect} from 'node:net';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import type {TargetFault} from '../../src/index.js';
+import {
+  type Harness,
+  HOST,
+  call,
+  configuration,
+  runsOf,
+  startHarness,
+  timers,
+  until,
+} from './harness.js';
+
+describe('forwarding on the users’ platform', () => {
+  let harness: Harness;
+
+  beforeEach(async () => {
+    harness = await startHarness();
+  });
+  afterEach(() => harness.stop());
+
+  function planEverywhere(...faults: readonly TargetFault[]): void {
+    for (const target of harness.targets) {
+      target.plan(...faults);
+    }
+  }
+
+  it('passes a request on and its answer back unchanged', async () => {
+    const answer = await call(harness.gateway, {
+      attemptId: 'one',
+      path: '/rooms/7?night=2',
+      headers: {'X-Own': 'kept', Connection: 'X-Private', 'X-Private': 'gone'},
+    });
+    assert.equal(answer.status, 200);
+    assert.match(String(answer.headers['x-ibisbeam-response-seal']), /one$/);
+    const run = harness.targets.flatMap(target => target.runs)[0];
+    assert.equal(run?.path, '/rooms/7?night=2');
+    assert.ok((run?.deadlineMs ?? Infinity) <= 1_000);
+  });
+
+  it('sends the body of a booking unchanged', async () => {
+    const body = 'room=7&nights=2';
+    const answer = await call(harness.gateway, {
+      method: 'POST',
+      path: '/book/7',
+      body,
+    });
+    assert.equal(answer.status, 200);
+    const run = harness.targets.flatMap(target => target.runs)[0];
+    assert.equal(run?.body, body);
+  });
+
+  it('runs a booking once though its answer is lost, and promises nothing', async () => {
+    planEverywhere('answer-lost', 'answer-lost');
+    const answer = await call(harness.gateway, {
+      method: 'POST',
+      path: '/book/7',
+      body: 'x',
+      attemptId: 'once',
+    });
+    assert.equal(answer.status, 502);
+    assert.equal(runsOf(harness, 'once'), 1);
+  });
+
+  it('tries a booking elsewhere after the target says that it has not run', async () => {
+    planEverywhere('shed');
+    const answer = await call(harness.gateway, {
+      method: 'POST',
+      path: '/book/7',
+      body: 'x',
+      attemptId: 'shed',
+    });
+    // Both targets refuse once; a request visits each of them once.
+    assert.equal(answer.status, 503);
+    assert.ok(Number(answer.headers['retry-after']) > 0);
+    assert.equal(runsOf(harness, 'shed'), 0);
+  });
+
+  const broken: readonly TargetFault[] = [
+    'answer-lost',
+    'cut-short',
+    'unframed-reset',
+    'not-http',
+    'foreign',
+    'error-500',
+  ];
+  for (const fault of broken) {
+    it(`gets a look-up answered by another target after ${fault}`, async () => {
+      const [first, second] = harness.targets;
+      // The key decides which comes first: let the one that is asked fail.
+      first?.plan(fault);
+      second?.plan('none');
+      const answers = [];
+      for (let index = 0; index < 12; index += 1) {
+        answers.push(await call(harness.gateway, {key: String(index)}));
+      }
+      assert.deepEqual(
+        answers.map(answer => answer.status),
+        answers.map(() => 200),
+      );
+      assert.ok(answers.every(answer => answer.whole));
+    });
+  }
+
+  for (const fault of ['extra-answer', 'extra-answer-late'] as const) {
+    it(`gives no request the answer of another after ${fault}`, async () => {
+      for (let index = 0; index < 20; index += 1) {
+        planEverywhere(fault);
+        const attemptId = `own-${fault}-${index}`;
+        const answer = await call(harness.gateway, {attemptId});
+        assert.equal(answer.status, 200);
+        const seal = String(answer.headers['x-ibisbeam-response-seal']);
+        assert.ok(seal.endsWith(attemptId), seal);
+        await timers.sleep(index);
+      }
+    });
+  }
+
+  it('passes on an answer that ends with its connection', async () => {
+    planEverywhere('unframed');
+    const answer = await call(harness.gateway, {});
+    assert.equal(answer.status, 200);
+    assert.equal(answer.body.length, 20);
+    assert.ok(answer.whole);
+  });
+
+  it('answers at the route’s timeout when the target is silent', async () => {
+    harness.fleet.configure(
+      configuration(2, {
+        routes: [
+          {
+            name: 'booking',
+            host: HOST,
+            path_prefix: '/book/',
+            route_type: 'non_idempotent',
+            timeout_ms: 150,
+            target_latency_ms: 100,
+            service: 'availability',
+          },
+        ],
+      }),
+    );
+    await until(() =>
+      harness.logLines.some(line => /in-force.*version=2/.test(line)),
+    );
+    planEverywhere('silent');
+    const beganMs = timers.nowMs();
+    const answer = await call(harness.gateway, {
+      method: 'POST',
+      path: '/book/7',
+      body: 'x',
+    });
+    assert.equal(answer.status, 504);
+    assert.ok(timers.nowMs() - beganMs < 150 + 500);
+  });
+
+  it('ends the target’s work when the client leaves', async () => {
+    for (const target of harness.targets) {
+      target.setWorkMs(800);
+    }
+    const answer = await call(harness.gateway, {leaveAfterMs: 60});
+    assert.equal(answer.status, 0);
+    await until(() =>
+      harness.targets.some(target => target.runs.some(run => run.cancelled)),
+    );
+  });
+
+  it('knows no route: 404; too long a body: 413; none of them forwarded', async () => {
+    const unknown = await call(harness.gateway, {path: '/nowhere/'});
+    assert.equal(unknown.status, 404);
+    const large = await call(harness.gateway, {
+      method: 'POST',
+      path: '/book/7',
+      body: 'x'.repeat(200_000),
+    });
+    assert.ok([413, 0].includes(large.status));
+    assert.equal(runsOf(harness), 0);
+  });
+
+  const smuggled: Readonly<Record<string, string>> = {
+    'two lengths': 'Content-Length: 1\r\nContent-Length: 2\r\n\r\nab',
+    'length and chunks':
+      'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+    'a bare line end': 'X-Name: value\nX-Other: value\r\n\r\n',
+    'a folded header': 'X-Name: value\r\n folded\r\n\r\n',
+    'two hosts': `Host: ${HOST}\r\n\r\n`,
+    'a space before the colon': 'X-Name : value\r\n\r\n',
+  };
+  for (const [name, rest] of Object.entries(smuggled)) {
+    it(`refuses a request with ${name} and forwards nothing`, async () => {
+      const text = await rawExchange(
+        harness,
+        `POST /book/7 HTTP/1.1\r\nHost: ${HOST}\r\n${rest}`,
+      );
+      assert.match(text, /^HTTP\/1\.1 400/);
+      assert.equal(runsOf(harness), 0);
+    });
+  }
+
+  it('keeps a connection usable after a refusal', async () => {
+    const text = await rawExchange(
+      harness,
+      `GET /nowhere/ HTTP/1.1\r\nHost: ${HOST}\r\n\r\n` +
+        `GET /rooms/1 HTTP/1.1\r\nHost: ${HOST}\r\nX-Ibisbeam-Attempt-Id: two\r\n` +
+        'Connection: close\r\n\r\n',
+    );
+    assert.match(text, /^HTTP\/1\.1 404[\s\S]*HTTP\/1\.1 200/);
+  });
+});
+
+function rawExchange(harness: Harness, text: string): Promise<string> {
+  return new Promise(resolve => {
+    const {host, port} = harness.gateway.caller;
+    const socket = connect(port, host, () => socket.write(text));
+    let received = '';
+    socket.on('data', data => {
+      received += data.toString('utf8');
+    });
+    socket.on('error', () => {});
+    socket.on('close', () => resolve(received));
+  });
+}
--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -3,9 +3,9 @@
 set -eu
 cd "$(dirname "$0")/.."
 files=""
-for source in $(find packages -path '*/node_modules' -prune -o -path '*/test/*' -name '*.test.ts' -not -path '*/dist/*' -print | sort); do
-  package=$(echo "$source" | cut -d/ -f1-2)
-  rest=$(echo "$source" | cut -d/ -f3-)
+for source in $(find packages platform -path '*/node_modules' -prune -o -path '*/test/*' -name '*.test.ts' -not -path '*/dist/*' -print | sort); do
+  package=${source%%/test/*}
+  rest=test/${source#*/test/}
   files="$files $package/dist/${rest%.ts}.js"
 done
 # shellcheck disable=SC2086
