Bound the log, serve metrics, watch for crashing requests, follow settings

The log drops and counts lines rather than wait for its reader, and bounds each event's rate. Metrics stand at the second internal port. Requests that a dead target had are told to all VMs; two dead targets put one under quarantine. A reset alone is no death: answers get lost at sound targets.

--- a/packages/decision/src/core/attempt_policy/retry_allowance.ts
+++ b/packages/decision/src/core/attempt_policy/retry_allowance.ts
@@ -12,9 +12,11 @@
 }
 
 export interface RetryAllowanceOptions {
-  readonly ratio: number;
   readonly windowMs: number;
-  readonly slack: number;
+  /** Repeated attempts for each request. */
+  ratio(): number;
+  /** Repeated attempts of the whole fleet besides. */
+  slack(): number;
   /** VMs that share the slack. */
   vmCount(): number;
 }
@@ -65,8 +67,8 @@
     },
     take: (service, nowMs) => {
       const window = windowOf(service, nowMs);
-      const slack = options.slack / Math.max(1, options.vmCount());
-      const bound = sum(window.requests) * options.ratio + slack;
+      const slack = options.slack() / Math.max(1, options.vmCount());
+      const bound = sum(window.requests) * options.ratio() + slack;
       if (sum(window.repeats) + 1 > bound * USED_SHARE) {
         return false;
       }
--- /dev/null
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -0,0 +1,58 @@
+/** Counters and histograms of a gateway, in the text format of prom-client. */
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {FinishedRequest} from '../forwarding/context.js';
+
+export interface GatewayMetrics {
+  requestFinished(request: FinishedRequest): void;
+  attemptEnded(service: string, outcome: string): void;
+  /** @param read Called when metrics are asked for. */
+  gauge(name: string, help: string, read: () => number): void;
+  text(): Promise<string>;
+}
+
+/** Bounds in seconds, close around the latency objectives of 150 to 2,067 ms. */
+const LATENCY_BUCKETS_S = [
+  0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5, 10,
+];
+const MILLISECONDS_PER_SECOND = 1_000;
+
+export function createGatewayMetrics(): GatewayMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const requests = new Counter({
+    name: 'ibisbeam_requests_total',
+    help: 'Requests of clients that have ended, by outcome and status.',
+    labelNames: ['service', 'outcome', 'status'] as const,
+    registers,
+  });
+  const latency = new Histogram({
+    name: 'ibisbeam_request_duration_seconds',
+    help: 'Time from the arrival of a request to its final answer.',
+    labelNames: ['service'] as const,
+    buckets: LATENCY_BUCKETS_S,
+    registers,
+  });
+  const attempts = new Counter({
+    name: 'ibisbeam_attempts_total',
+    help: 'Attempts at targets that have ended, by outcome.',
+    labelNames: ['service', 'outcome'] as const,
+    registers,
+  });
+
+  return {
+    requestFinished: ({service, outcome, status, tookMs}) => {
+      requests.inc({service, outcome, status});
+      latency.observe({service}, tookMs / MILLISECONDS_PER_SECOND);
+    },
+    attemptEnded: (service, outcome) => attempts.inc({service, outcome}),
+    gauge: (name, help, read) => {
+      const gauge: Gauge = new Gauge({
+        name,
+        help,
+        registers,
+        collect: () => gauge.set(read()),
+      });
+    },
+    text: () => registry.metrics(),
+  };
+}
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -1,6 +1,7 @@
 /** What the exchanges of one gateway share. */
 import type {
   AffinityPlacement,
+  AttemptOutcome,
   Placement,
   RegisteredTarget,
   RetryAllowance,
@@ -10,6 +11,7 @@
 } from '@ibisbeam/decision';
 import type {Logger, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
+import type {CrashGuard} from './crash_guard.js';
 import type {TargetConnections} from './target_connections.js';
 
 export interface FinishedRequest {
@@ -40,11 +42,13 @@
   readonly warmKeys: WarmKeys;
   readonly retries: RetryAllowance;
   readonly connections: TargetConnections;
+  readonly crashGuard: CrashGuard;
   isStopping(): boolean;
   /** A request of this VM's own clients has come. */
   arrived(service: string, expectedMs: number, nowMs: number): void;
   /** When a client that is refused may come back. */
   retryAfterMs(service: string): number;
   noteSent(target: RegisteredTarget, nowMs: number): void;
+  attemptEnded(service: string, outcome: AttemptOutcome['kind']): void;
   finished(request: FinishedRequest): void;
 }
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -46,6 +46,8 @@
 const CONNECT_TIMEOUT_MS = 300;
 /** Idle time after which a kept connection is not trusted with a booking. */
 const FRESH_CONNECTION_MS = 1_500;
+/** A caller of a quarantined request need not come back soon. */
+const QUARANTINE_RETRY_MS = 30_000;
 const LONGEST_IDLE_MS = 60_000;
 /** Time for the final answer to leave before the client's deadline. */
 const ANSWER_MARGIN_MS = 10;
@@ -101,6 +103,10 @@
     });
   }
 
+  function fingerprint(): string {
+    return context.crashGuard.fingerprint(incoming, request.body);
+  }
+
   function fail(status: number, why: string, retryAfterMs?: number): void {
     finish('refused', status, why);
     refuse(outgoing, status, why, retryAfterMs);
@@ -242,6 +248,7 @@
     const {target} = attempt.placement;
     load.ended(target.life);
     learn(attempt, outcome, nowMs);
+    context.attemptEnded(service, outcome.kind);
     if (outcome.kind === 'not-executed') {
       possiblyRun -= 1;
     }
@@ -320,6 +327,9 @@
           load.failed(life);
           return;
         }
+        if (context.crashGuard.isWatching()) {
+          context.crashGuard.answered(fingerprint());
+        }
         learnTimes(attempt, nowMs - (attempt.sentAtMs ?? nowMs));
         if (request.affinityKey !== undefined) {
           context.warmKeys.handled(life, service, request.affinityKey, nowMs);
@@ -332,9 +342,11 @@
       case 'not-sent':
         load.unreachable(life, nowMs);
         context.connections.dropIdle(life);
+        context.crashGuard.targetDied(life);
         return;
       case 'broken':
         load.failed(life);
+        context.crashGuard.brokeOff(life, fingerprint());
         return;
     }
   }
@@ -373,6 +385,11 @@
     context.times.meanMs(route.name, route.latencyObjectiveMs),
     request.arrivedAtMs,
   );
+  const {crashGuard} = context;
+  if (crashGuard.isWatching() && crashGuard.isQuarantined(fingerprint())) {
+    fail(503, 'requests like this one crashed targets', QUARANTINE_RETRY_MS);
+    return;
+  }
   if (!tryNext(false)) {
     fail(503, 'no target has room', context.retryAfterMs(service));
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,10 +24,12 @@
 import {createBeliefs} from './beliefs.js';
 import {createControlServer} from './control/control_server.js';
 import {createVmDirectory} from './control/vm_directory.js';
+import {createGatewayMetrics} from './core/gateway_metrics.js';
 import type {GatewayProtocol} from './core/protocol.js';
 import type {GatewaySettings} from './core/settings.js';
 import {createCallerServer} from './forwarding/caller_server.js';
 import type {ForwardingContext} from './forwarding/context.js';
+import {createCrashGuard} from './forwarding/crash_guard.js';
 import {logFinished} from './forwarding/request_log.js';
 import {createTargetConnections} from './forwarding/target_connections.js';
 import type {PeerMessage, VmRecord} from './peers/messages.js';
@@ -48,6 +50,8 @@
   start(): Promise<void>;
   /** Planned stop; resolves when the last request has its answer. */
   stop(): Promise<void>;
+  /** Takes over changed bounds; what it listens on needs a restart. */
+  applySettings(next: GatewaySettings): void;
   /** Ends at once; what is in flight is cut off. */
   abandon(): Promise<void>;
 }
@@ -71,10 +75,13 @@
 /** A stopping VM takes new connections for so long. */
 const STOP_NOTICE_MS = 2_200;
 const STOP_POLL_MS = 50;
+const METRICS_PATH = '/metrics';
+const MILLISECONDS_PER_SECOND = 1_000;
 
 export function createGateway(options: GatewayOptions): Gateway {
   const {settings, protocol, timers, log} = options;
-  const {bounds, vm} = settings;
+  const {vm} = settings;
+  let {bounds} = settings;
   const load = createTargetLoad();
   const times = createServiceTimes();
   const warmKeys = createWarmKeys();
@@ -82,6 +89,13 @@
   const coldAllowance = createColdAllowance(vm.id);
   const departures = createShareAllowance(DEPARTURE_SHARE, DEPARTURE_BURST);
   const handles: TimerHandle[] = [];
+  const metrics = createGatewayMetrics();
+  const crashGuard = createCrashGuard({
+    timers,
+    log,
+    tellPeers: (fingerprint, target) =>
+      mesh.broadcast({kind: 'target-lost', fingerprint, target}),
+  });
   let stopping = false;
 
   const beliefs = createBeliefs({
@@ -91,6 +105,7 @@
     log,
     onConfiguration: ({limits}) => callerServer.setLimits(limits),
     onTargetGone: life => {
+      crashGuard.targetDied(life);
       connections.forget(life);
       load.forget(life);
     },
@@ -183,12 +198,13 @@
     times,
     warmKeys,
     retries: createRetryAllowance({
-      ratio: bounds.retryRatio,
       windowMs: bounds.retryWindowMs,
-      slack: bounds.retrySlack,
+      ratio: () => bounds.retryRatio,
+      slack: () => bounds.retrySlack,
       vmCount: () => mesh.known().length + 1,
     }),
     connections,
+    crashGuard,
     isStopping: () => stopping,
     arrived: (service, expectedMs, nowMs) => {
       departures.earn();
@@ -202,7 +218,11 @@
         coldAllowance.sent(life, perSecond, nowMs);
       }
     },
-    finished: request => logFinished(log, request),
+    attemptEnded: (service, outcome) => metrics.attemptEnded(service, outcome),
+    finished: request => {
+      metrics.requestFinished(request);
+      logFinished(log, request);
+    },
   };
 
   const callerServer = createCallerServer({
@@ -221,6 +241,39 @@
     new Map([[protocol.directoryPath, answerDirectory]]),
   );
 
+  const metricsServer = createControlServer(
+    settings.listen.metrics,
+    new Map([
+      [METRICS_PATH, async () => ({status: 200, body: await metrics.text()})],
+    ]),
+  );
+  metrics.gauge('ibisbeam_requests_in_flight', 'Requests unanswered.', () =>
+    callerServer.inFlight(),
+  );
+  metrics.gauge(
+    'ibisbeam_configuration_version',
+    'Version of the configuration in force; -1 before the first.',
+    () => beliefs.routes()?.configuration.version ?? -1,
+  );
+  metrics.gauge(
+    'ibisbeam_store_confirmed_age_seconds',
+    'Age of this VM’s own newest look at the store; -1 if it never looked.',
+    () => {
+      const ageMs = follower.watchAgeMs();
+      return ageMs === undefined ? -1 : ageMs / MILLISECONDS_PER_SECOND;
+    },
+  );
+  metrics.gauge(
+    'ibisbeam_peers_living',
+    'Entry VMs heard of lately.',
+    () => directory.living().length,
+  );
+  metrics.gauge(
+    'ibisbeam_targets',
+    'Targets listed.',
+    () => registry.all().length,
+  );
+
   function isServing(): boolean {
     return beliefs.routes() !== undefined && follower.isComplete() && !stopping;
   }
@@ -275,6 +328,7 @@
         }
         return;
       case 'target-lost':
+        crashGuard.heard(message.fingerprint, message.target);
         return;
     }
   }
@@ -302,6 +356,7 @@
       callerServer.listen(),
       readiness.listen(),
       directoryServer.listen(),
+      metricsServer.listen(),
       mesh.listen(),
     ]);
     follower.start();
@@ -348,6 +403,7 @@
     mesh.close();
     readiness.close();
     directoryServer.close();
+    metricsServer.close();
     connections.close();
   }
 
@@ -357,5 +413,10 @@
     await callerServer.abandon();
   }
 
-  return {start, stop, abandon};
+  function applySettings(next: GatewaySettings): void {
+    bounds = next.bounds;
+    log.log('info', 'settings-reloaded', {...next.bounds});
+  }
+
+  return {start, stop, applySettings, abandon};
 }
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -41,7 +41,11 @@
   | 'registration-failed'
   | 'peer-link-failed'
   | 'peer-backlog'
-  | 'lines-dropped';
+  | 'lines-dropped'
+  | 'crash-suspected'
+  | 'settings-reloaded'
+  | 'settings-rejected'
+  | 'region-share-changed';
 
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
 
--- /dev/null
+++ b/packages/library/test/core/logs/bounded_logs.test.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  type LogEvent,
+  type LogFields,
+  createBoundedWriter,
+  createManualTimerService,
+  createRatedLogger,
+} from '../../../src/index.js';
+
+describe('bounded log writer', () => {
+  it('drops and counts lines while the reader stalls, and goes on after', async () => {
+    const timers = createManualTimerService();
+    const written: string[] = [];
+    let finish: (() => void) | undefined;
+    const writer = createBoundedWriter({
+      timers,
+      output: (text, done) => {
+        written.push(text);
+        finish = () => done();
+      },
+      maximumBufferedCharacters: 100,
+    });
+    const line = `${'x'.repeat(39)}\n`;
+    assert.equal(writer.write(line), true);
+    await timers.advance(60);
+    assert.equal(writer.write(line), true);
+    assert.equal(writer.write(line), false);
+    assert.equal(writer.takeDropped(), 1);
+    finish?.();
+    await timers.advance(60);
+    assert.deepEqual(written, [line, line]);
+    finish?.();
+    assert.equal(writer.write(line), true);
+  });
+
+  it('joins lines that come closely into one write', async () => {
+    const timers = createManualTimerService();
+    const written: string[] = [];
+    const writer = createBoundedWriter({
+      timers,
+      output: (text, done) => {
+        written.push(text);
+        done();
+      },
+    });
+    writer.write('a\n');
+    writer.write('b\n');
+    await timers.advance(60);
+    assert.deepEqual(written, ['a\nb\n']);
+  });
+});
+
+describe('rated logger', () => {
+  it('bounds each event by itself and tells what it left out', async () => {
+    const timers = createManualTimerService();
+    const lines: {event: LogEvent; fields?: LogFields}[] = [];
+    const logger = createRatedLogger({
+      logger: {log: (_level, event, fields) => lines.push({event, fields})},
+      timers,
+      linesPerSecond: 10,
+    });
+    for (let index = 0; index < 50; index += 1) {
+      logger.log('info', 'request-finished');
+    }
+    logger.log('warn', 'attempt-failed');
+    assert.equal(lines.length, 11);
+    logger.reportDropped();
+    assert.deepEqual(lines.at(-1), {
+      event: 'lines-dropped',
+      fields: {of: 'request-finished', atLevel: 'info', count: 40},
+    });
+    await timers.advance(500);
+    for (let index = 0; index < 50; index += 1) {
+      logger.log('info', 'request-finished');
+    }
+    assert.equal(lines.length, 12 + 5);
+  });
+});
