Tell an outage of the store from a broken connection; test the decisions

Each kind now lists at once after a failure; only after three failures in a row one kind asks alone; removals wait only if no VM reached the store for 2.5 s.

--- /dev/null
+++ b/packages/decision/src/core/placement/dispatch_rule.ts
@@ -0,0 +1,88 @@
+/**
+ * Decides whether a request goes to its best target now, waits a little for a
+ * free slot, or is refused. Answers the pattern of more work than slots:
+ * first come, first served then makes every answer late, while the slots
+ * could answer a part of the requests in time.
+ */
+
+/** How a request stands towards its latency objective. */
+export type Urgency =
+  /** Can be answered within its objective if sent now. */
+  | 'in-time'
+  /** Was refused before and came back as told; a second refusal is worst. */
+  | 'returned'
+  /** Will be late whatever happens. */
+  | 'late';
+
+export interface DispatchQuestion {
+  /** Expected time until the answer, if sent now. */
+  readonly expectedMs: number;
+  /** Of that, the wait for a slot at the target. */
+  readonly waitMs: number;
+  readonly objectiveMs: number;
+  /** Until the latency objective; negative when it has passed. */
+  readonly objectiveLeftMs: number;
+  /** Until the client or the route gives up. */
+  readonly deadlineLeftMs: number;
+  /** Since the request came to this VM. */
+  readonly heldMs: number;
+  /** What the client had left when it came. */
+  readonly patienceMs: number;
+  readonly hasReturned: boolean;
+}
+
+export type DispatchDecision =
+  | {readonly kind: 'send'; readonly urgency: Urgency}
+  | {readonly kind: 'hold'; readonly urgency: Urgency}
+  | {readonly kind: 'refuse'};
+
+/** Part of a client's patience for which a late request waits for a slot. */
+const HOLD_SHARE = 0.25;
+/**
+ * A returned request may wait at the target for this part of the objective,
+ * so that the queue stays short enough for others to be in time.
+ */
+const RETURNED_WAIT_SHARE = 0.25;
+
+export function decideDispatch(question: DispatchQuestion): DispatchDecision {
+  const {expectedMs, waitMs, deadlineLeftMs} = question;
+  if (expectedMs <= question.objectiveLeftMs) {
+    return {kind: 'send', urgency: 'in-time'};
+  }
+  if (expectedMs - waitMs > deadlineLeftMs) {
+    return {kind: 'refuse'};
+  }
+  const urgency: Urgency = question.hasReturned ? 'returned' : 'late';
+  if (waitMs <= 0) {
+    return {kind: 'send', urgency};
+  }
+  if (
+    question.hasReturned &&
+    waitMs <= question.objectiveMs * RETURNED_WAIT_SHARE &&
+    expectedMs <= deadlineLeftMs
+  ) {
+    return {kind: 'send', urgency};
+  }
+  if (question.heldMs < question.patienceMs * HOLD_SHARE) {
+    return {kind: 'hold', urgency};
+  }
+  return {kind: 'refuse'};
+}
+
+/** Who is tried first when a slot may have become free. */
+export function compareWaiting(
+  one: {readonly urgency: Urgency; readonly arrivedAtMs: number},
+  other: {readonly urgency: Urgency; readonly arrivedAtMs: number},
+): number {
+  const byUrgency = RANK[one.urgency] - RANK[other.urgency];
+  if (byUrgency !== 0) {
+    return byUrgency;
+  }
+  return one.arrivedAtMs - other.arrivedAtMs;
+}
+
+const RANK: Readonly<Record<Urgency, number>> = {
+  'in-time': 0,
+  returned: 1,
+  late: 2,
+};
--- a/packages/decision/src/core/placement/index.ts
+++ b/packages/decision/src/core/placement/index.ts
@@ -4,3 +4,5 @@
 export * from './warm_keys.js';
 export * from './demand_meter.js';
 export * from './region_shares.js';
+export * from './client_patience.js';
+export * from './dispatch_rule.js';
--- a/packages/decision/src/core/placement/target_load.ts
+++ b/packages/decision/src/core/placement/target_load.ts
@@ -26,6 +26,12 @@
   /** An attempt has ended, in whatever way. */
   ended(life: string): void;
   reported(life: string, report: LoadReport, nowMs: number): void;
+  /**
+   * The target refused a request as one too many.
+   *
+   * @returns False if it had room by all that is known: it fails.
+   */
+  wasFull(life: string, slots: number, nowMs: number): boolean;
   /** @param ratio Time taken against the time expected of an idle target. */
   answered(life: string, ratio: number): void;
   failed(life: string): void;
@@ -37,7 +43,9 @@
 /** Weight of the newest sample in moving averages. */
 const SAMPLE_WEIGHT = 0.2;
 /** A report older than this says nothing of the present. */
-const REPORT_LIFETIME_MS = 2_000;
+const REPORT_LIFETIME_MS = 500;
+/** Load assumed of a target that refuses for being full, in its slots. */
+const FULL_LOAD_FACTOR = 2;
 /** First pause after a failed connection; doubles with each further one. */
 const FIRST_AVOIDANCE_MS = 200;
 const LONGEST_AVOIDANCE_MS = 1_600;
@@ -99,6 +107,18 @@
     record.reportedAtMs = nowMs;
   }
 
+  function wasFull(life: string, slots: number, nowMs: number): boolean {
+    const record = recordOf(life);
+    const hadRoom = estimate(life, nowMs) < slots;
+    const isReported = nowMs - record.reportedAtMs < REPORT_LIFETIME_MS;
+    if (hadRoom && isReported) {
+      return false;
+    }
+    record.others = Math.max(record.others, slots * FULL_LOAD_FACTOR);
+    record.reportedAtMs = nowMs;
+    return true;
+  }
+
   function answered(life: string, ratio: number): void {
     const record = recordOf(life);
     const sample = Math.min(MOST_SLOWNESS, Math.max(LEAST_SLOWNESS, ratio));
@@ -136,6 +156,7 @@
       }
     },
     reported,
+    wasFull,
     answered,
     failed: life => {
       const record = recordOf(life);
--- a/packages/decision/src/core/placement/warm_keys.ts
+++ b/packages/decision/src/core/placement/warm_keys.ts
@@ -7,22 +7,31 @@
 
 /** Time after which a target is taken to have forgotten a key. */
 const WARM_SPAN_MS = 15_000;
-/** Pairs remembered; the oldest are dropped. */
-const MAXIMUM_PAIRS = 20_000;
+/** Keys remembered; the ones unused for longest are dropped. */
+const MAXIMUM_KEYS = 10_000;
 
 export function createWarmKeys(): WarmKeys {
-  const handledAt = new Map<string, number>();
+  /** By service and key, then by life: the last moment. */
+  const handledAt = new Map<string, Map<string, number>>();
 
   return {
     isWarm: (life, service, key, nowMs) => {
-      const atMs = handledAt.get(pairOf(life, service, key));
+      const atMs = handledAt.get(nameOf(service, key))?.get(life);
       return atMs !== undefined && nowMs - atMs < WARM_SPAN_MS;
     },
     handled: (life, service, key, nowMs) => {
-      const pair = pairOf(life, service, key);
-      handledAt.delete(pair);
-      handledAt.set(pair, nowMs);
-      if (handledAt.size <= MAXIMUM_PAIRS) {
+      const name = nameOf(service, key);
+      const lives = handledAt.get(name) ?? new Map<string, number>();
+      // The keys used last stand last.
+      handledAt.delete(name);
+      handledAt.set(name, lives);
+      lives.set(life, nowMs);
+      for (const [other, atMs] of lives) {
+        if (nowMs - atMs >= WARM_SPAN_MS) {
+          lives.delete(other);
+        }
+      }
+      if (handledAt.size <= MAXIMUM_KEYS) {
         return;
       }
       for (const oldest of handledAt.keys()) {
@@ -33,6 +42,6 @@
   };
 }
 
-function pairOf(life: string, service: string, key: string): string {
-  return `${life} ${service} ${key}`;
+function nameOf(service: string, key: string): string {
+  return `${service} ${key}`;
 }
--- a/packages/decision/src/core/store_mirror/watch_duty.ts
+++ b/packages/decision/src/core/store_mirror/watch_duty.ts
@@ -26,6 +26,8 @@
   /** A peer has said that its watch was confirmed by the store. */
   heardFresh(atMs: number): void;
   mustWatch(nowMs: number): boolean;
+  /** When a peer's watch was last known to be confirmed. */
+  lastFreshMs(): number;
 }
 
 export function createWatchDuty(options: WatchDutyOptions): WatchDuty {
@@ -53,5 +55,6 @@
       lastFreshMs = Math.max(lastFreshMs, atMs);
     },
     mustWatch,
+    lastFreshMs: () => lastFreshMs,
   };
 }
--- /dev/null
+++ b/packages/decision/test/attempt_policy/attempt_policy.test.ts
@@ -0,0 +1,132 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {
+  type AttemptHistory,
+  type AttemptOutcome,
+  createRetryAllowance,
+  nextStep,
+} from '../../src/index.js';
+
+const FRESH: AttemptHistory = {
+  routeKind: 'idempotent',
+  maximumAttempts: 2,
+  possiblyRun: 1,
+  tried: 1,
+  replayable: true,
+  timeLeftMs: 500,
+};
+
+const outcome = fc.oneof(
+  fc.record({
+    kind: fc.constant('answered' as const),
+    status: fc.integer({min: 200, max: 599}),
+  }),
+  fc.record({
+    kind: fc.constant('not-executed' as const),
+    status: fc.constantFrom(503, 429, 421, 400),
+  }),
+  fc.record({kind: fc.constant('not-sent' as const), cause: fc.string()}),
+  fc.record({kind: fc.constant('broken' as const), cause: fc.string()}),
+);
+
+const history = fc.record({
+  routeKind: fc.constantFrom(
+    'idempotent' as const,
+    'non-idempotent' as const,
+    'download' as const,
+  ),
+  maximumAttempts: fc.integer({min: 1, max: 4}),
+  possiblyRun: fc.integer({min: 0, max: 4}),
+  tried: fc.integer({min: 1, max: 5}),
+  replayable: fc.boolean(),
+  timeLeftMs: fc.integer({min: -100, max: 2_000}),
+});
+
+function mayHaveRun(ended: AttemptOutcome): boolean {
+  return ended.kind === 'answered' || ended.kind === 'broken';
+}
+
+describe('what follows from the end of an attempt', () => {
+  it('never repeats a non-idempotent request that may have run', () => {
+    fc.assert(
+      fc.property(outcome, history, (ended, before) => {
+        const step = nextStep(ended, {...before, routeKind: 'non-idempotent'});
+        assert.ok(!(mayHaveRun(ended) && step.kind === 'try-another'));
+      }),
+    );
+  });
+
+  it('never says “not run” of a request that may have run', () => {
+    fc.assert(
+      fc.property(outcome, history, (ended, before) => {
+        const possiblyRun = before.possiblyRun + (mayHaveRun(ended) ? 1 : 0);
+        const step = nextStep(ended, {...before, possiblyRun});
+        assert.ok(
+          !(possiblyRun > 0 && step.kind === 'fail' && step.status === 503),
+        );
+      }),
+    );
+  });
+
+  it('keeps to the route’s attempts', () => {
+    const step = nextStep(
+      {kind: 'broken', cause: 'reset'},
+      {...FRESH, possiblyRun: 2, tried: 2},
+    );
+    assert.deepEqual(step, {kind: 'fail', status: 502});
+  });
+
+  it('turns a target’s own 503 without a statement into 502', () => {
+    const step = nextStep(
+      {kind: 'answered', status: 503},
+      {...FRESH, routeKind: 'non-idempotent'},
+    );
+    assert.deepEqual(step, {kind: 'fail', status: 502});
+  });
+
+  it('passes a target’s failure on when it may not be repeated', () => {
+    const step = nextStep(
+      {kind: 'answered', status: 500},
+      {...FRESH, routeKind: 'non-idempotent'},
+    );
+    assert.deepEqual(step, {kind: 'deliver'});
+  });
+});
+
+describe('allowance of repeated attempts', () => {
+  function allowance(vmCount: number) {
+    return createRetryAllowance({
+      windowMs: 10_000,
+      ratio: () => 0.2,
+      slack: () => 70,
+      vmCount: () => vmCount,
+    });
+  }
+
+  it('keeps a whole fleet below its bound in any window', () => {
+    const fleet = Array.from({length: 7}, () => allowance(7));
+    let requests = 0;
+    let repeats = 0;
+    for (let nowMs = 0; nowMs < 9_000; nowMs += 10) {
+      for (const vm of fleet) {
+        vm.requested('rooms', nowMs);
+        requests += 1;
+        if (vm.take('rooms', nowMs)) {
+          repeats += 1;
+        }
+      }
+    }
+    assert.ok(repeats <= requests * 0.2 + 70, `${repeats} of ${requests}`);
+    assert.ok(repeats > requests * 0.1);
+  });
+
+  it('forgets what is older than the window', () => {
+    const vm = allowance(1);
+    while (vm.take('rooms', 0)) {
+      // Uses the slack up.
+    }
+    assert.equal(vm.take('rooms', 5_000), false);
+    assert.equal(vm.take('rooms', 11_000), true);
+  });
+});
--- /dev/null
+++ b/packages/decision/test/cold_start/cold_allowance.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createColdAllowance} from '../../src/index.js';
+
+const PER_SECOND = 19;
+/** 1.5 times the rate and 5 more: what a cold target stands in a second. */
+const BOUND = PER_SECOND * 1.5 + 5;
+
+/** Most requests that VMs with these views send to one cold target in 1 s. */
+function mostInOneSecond(views: ReadonlyMap<string, readonly string[]>) {
+  const sentAtMs: number[] = [];
+  const vms = [...views].map(([self, view]) => {
+    const allowance = createColdAllowance(self);
+    allowance.setVms(view);
+    return allowance;
+  });
+  for (let nowMs = 0; nowMs < 4_000; nowMs += 5) {
+    for (const vm of vms) {
+      if (vm.allows('target', PER_SECOND, nowMs)) {
+        vm.sent('target', PER_SECOND, nowMs);
+        sentAtMs.push(nowMs);
+      }
+    }
+  }
+  let most = 0;
+  for (const fromMs of sentAtMs) {
+    const inside = sentAtMs.filter(
+      atMs => atMs >= fromMs && atMs < fromMs + 1_000,
+    );
+    most = Math.max(most, inside.length);
+  }
+  return most;
+}
+
+describe('requests to a cold target', () => {
+  const vms = Array.from({length: 32}, (_unused, index) => `vm-${index}`);
+
+  it('stay below its bound from a whole fleet, and come', () => {
+    const most = mostInOneSecond(new Map(vms.map(vm => [vm, vms])));
+    assert.ok(most <= BOUND, `${most} in a second`);
+    assert.ok(most >= 3);
+  });
+
+  it('stay below it when the fleet is cut in two', () => {
+    const views = new Map(
+      vms.map((vm, index) => [
+        vm,
+        vms.filter((_other, other) => other % 2 === index % 2),
+      ]),
+    );
+    const most = mostInOneSecond(views);
+    assert.ok(most <= BOUND, `${most} in a second`);
+  });
+});
--- /dev/null
+++ b/packages/decision/test/fleet_targets/target_registry.test.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  type RegistryEvent,
+  type TargetEntry,
+  createTargetRegistry,
+} from '../../src/index.js';
+
+function entry(id: string, changes: Partial<TargetEntry> = {}): TargetEntry {
+  return {
+    id,
+    service: 'rooms',
+    host: '10.0.0.1',
+    port: 80,
+    zone: 'riga-a',
+    slots: 4,
+    draining: false,
+    coldRemainingMs: 0,
+    bornMs: 1,
+    ...changes,
+  };
+}
+
+function start() {
+  const events: RegistryEvent[] = [];
+  const registry = createTargetRegistry({
+    zoneRegions: new Map([
+      ['riga-a', 'riga'],
+      ['kurz-a', 'kurzeme'],
+    ]),
+    onEvent: event => events.push(event),
+  });
+  const usable = () => registry.usable('rooms').map(target => target.entry.id);
+  return {registry, events, usable};
+}
+
+describe('target registry', () => {
+  it('gives a draining target nothing new', () => {
+    const {registry, usable} = start();
+    registry.put(entry('a'), 0);
+    registry.put(entry('b'), 0);
+    registry.put(entry('a', {draining: true}), 10);
+    assert.deepEqual(usable(), ['b']);
+  });
+
+  it('takes a target that starts anew under its name for another life', () => {
+    const {registry, events} = start();
+    registry.put(entry('a'), 0);
+    const before = registry.get('a')?.life;
+    registry.put(entry('a', {bornMs: 2}), 10);
+    assert.notEqual(registry.get('a')?.life, before);
+    assert.deepEqual(
+      events.map(event => event.kind),
+      ['target-added', 'target-removed', 'target-added'],
+    );
+  });
+
+  it('keeps a missing target until the list has settled', () => {
+    const {registry, usable} = start();
+    registry.put(entry('a'), 0);
+    registry.put(entry('b'), 0);
+    registry.remove('a', 100, 2_100);
+    registry.remove('b', 100, 2_100);
+    registry.put(entry('b'), 1_000);
+    registry.tick(2_000);
+    assert.deepEqual(usable().sort(), ['a', 'b']);
+    registry.tick(2_100);
+    assert.deepEqual(usable(), ['b']);
+  });
+
+  it('drops a target at once while the list is not in doubt', () => {
+    const {registry, usable} = start();
+    registry.put(entry('a'), 0);
+    registry.remove('a', 100, 100);
+    assert.deepEqual(usable(), []);
+  });
+
+  it('leaves out evacuated zones and takes them back cold', () => {
+    const {registry, usable} = start();
+    registry.put(entry('a'), 0);
+    registry.put(entry('b', {zone: 'kurz-a'}), 0);
+    registry.setEvacuated(new Set(['riga-a']), 10, () => 3_000);
+    assert.deepEqual(usable(), ['b']);
+    registry.setEvacuated(new Set(), 1_000, () => 3_000);
+    const target = registry.get('a');
+    assert.ok(target);
+    assert.equal(registry.isCold(target, 3_999), true);
+    assert.equal(registry.isCold(target, 4_000), false);
+  });
+});
--- /dev/null
+++ b/packages/decision/test/placement/dispatch_rule.test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  type DispatchQuestion,
+  compareWaiting,
+  createClientPatience,
+  decideDispatch,
+} from '../../src/index.js';
+
+/** A look-up with an objective of 200 ms and a timeout of a second. */
+const IDLE: DispatchQuestion = {
+  expectedMs: 75,
+  waitMs: 0,
+  objectiveMs: 200,
+  objectiveLeftMs: 184,
+  deadlineLeftMs: 1_000,
+  heldMs: 0,
+  patienceMs: 1_000,
+  hasReturned: false,
+};
+
+describe('more work than slots', () => {
+  it('sends what can be in time, also behind a short queue', () => {
+    const answer = decideDispatch({...IDLE, expectedMs: 170, waitMs: 95});
+    assert.deepEqual(answer, {kind: 'send', urgency: 'in-time'});
+  });
+
+  it('does not let late work queue before work in time', () => {
+    const late = {...IDLE, expectedMs: 300, waitMs: 225};
+    assert.equal(decideDispatch(late).kind, 'hold');
+    assert.equal(decideDispatch({...late, heldMs: 400}).kind, 'refuse');
+  });
+
+  it('serves late work in free slots', () => {
+    const answer = decideDispatch({...IDLE, expectedMs: 260});
+    assert.deepEqual(answer, {kind: 'send', urgency: 'late'});
+  });
+
+  it('refuses at once what cannot be answered before the deadline', () => {
+    const answer = decideDispatch({
+      ...IDLE,
+      expectedMs: 240,
+      deadlineLeftMs: 200,
+      objectiveLeftMs: -10,
+    });
+    assert.deepEqual(answer, {kind: 'refuse'});
+  });
+
+  it('lets a client that came back wait a little rather than refuse it again', () => {
+    const returned = {
+      ...IDLE,
+      expectedMs: 110,
+      waitMs: 35,
+      objectiveLeftMs: -200,
+      deadlineLeftMs: 600,
+    };
+    assert.deepEqual(decideDispatch({...returned, hasReturned: true}), {
+      kind: 'send',
+      urgency: 'returned',
+    });
+    assert.equal(decideDispatch(returned).kind, 'hold');
+  });
+
+  it('tries those in time first, then those that came back, then the rest', () => {
+    const waiting = [
+      {urgency: 'late', arrivedAtMs: 0},
+      {urgency: 'returned', arrivedAtMs: 30},
+      {urgency: 'in-time', arrivedAtMs: 40},
+      {urgency: 'late', arrivedAtMs: -5},
+    ] as const;
+    assert.deepEqual(
+      [...waiting].sort(compareWaiting).map(one => one.arrivedAtMs),
+      [40, 30, -5, 0],
+    );
+  });
+
+  it('knows a client that came back by the time it has left', () => {
+    const patience = createClientPatience();
+    assert.equal(patience.elapsedMs('rooms', 1_200), 0);
+    assert.equal(patience.elapsedMs('rooms', 900), 300);
+    assert.equal(patience.elapsedMs('rooms', 1_199), 0);
+    assert.equal(patience.elapsedMs('packs', 900), 0);
+  });
+});
--- /dev/null
+++ b/packages/decision/test/placement/region_shares.test.ts
@@ -0,0 +1,95 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type RegionRoom, createRegionShares} from '../../src/index.js';
+
+const MOVE_PER_SECOND = 0.03;
+
+function rooms(
+  demand: Readonly<Record<string, number>>,
+): ReadonlyMap<string, RegionRoom> {
+  return new Map([
+    ['riga', {demand: demand['riga'] ?? 0, slots: 48}],
+    ['kurzeme', {demand: demand['kurzeme'] ?? 0, slots: 12}],
+    ['latgale', {demand: demand['latgale'] ?? 0, slots: 36}],
+  ]);
+}
+
+function kurzeme() {
+  return createRegionShares({
+    region: 'kurzeme',
+    movePerSecond: MOVE_PER_SECOND,
+  });
+}
+
+/** Share of a thousand keys by region. */
+function divide(shares: ReturnType<typeof kurzeme>) {
+  const counts = new Map<string, number>();
+  for (let index = 0; index < 1_000; index += 1) {
+    const position = index / 1_000;
+    const spread = (index * 0.618) % 1;
+    const region = shares.regionFor('rooms', position, spread);
+    counts.set(region, (counts.get(region) ?? 0) + 0.001);
+  }
+  return counts;
+}
+
+describe('shares of a region with a third of the work and an eighth of the slots', () => {
+  it('begin with less than all at home, before any request has come', () => {
+    const shares = kurzeme();
+    shares.update('rooms', rooms({}), 0);
+    assert.ok(shares.localShare('rooms') < 0.6);
+  });
+
+  it('move no faster than the bound when clients move to the region', () => {
+    const shares = kurzeme();
+    shares.update('rooms', rooms({riga: 10, kurzeme: 5, latgale: 10}), 0);
+    assert.equal(shares.localShare('rooms'), 1);
+    let before = divide(shares);
+    for (let second = 1; second <= 30; second += 1) {
+      const demand = {riga: 5, kurzeme: 25, latgale: 10};
+      shares.update('rooms', rooms(demand), second * 1_000);
+      const now = divide(shares);
+      const left = (before.get('kurzeme') ?? 0) - (now.get('kurzeme') ?? 0);
+      assert.ok(left <= MOVE_PER_SECOND + 0.002, `${left} in a second`);
+      before = now;
+    }
+    assert.ok(shares.localShare('rooms') < 0.4);
+  });
+
+  it('send away whole keys, and leave the others where they are', () => {
+    const shares = kurzeme();
+    shares.update('rooms', rooms({kurzeme: 8}), 0);
+    const homeBefore = new Set<number>();
+    for (let index = 0; index < 1_000; index += 1) {
+      if (shares.regionFor('rooms', index / 1_000, 0.5) !== 'kurzeme') {
+        homeBefore.add(index);
+      }
+    }
+    shares.update('rooms', rooms({kurzeme: 20}), 1_000);
+    for (const index of homeBefore) {
+      assert.notEqual(
+        shares.regionFor('rooms', index / 1_000, 0.5),
+        'kurzeme',
+        'a key that was away has come back',
+      );
+    }
+  });
+
+  it('leave at once a region that has lost all targets', () => {
+    const shares = kurzeme();
+    shares.update('rooms', rooms({riga: 5, kurzeme: 5, latgale: 5}), 0);
+    const lost = new Map(rooms({riga: 5, kurzeme: 5, latgale: 5}));
+    lost.set('kurzeme', {demand: 5, slots: 0});
+    shares.update('rooms', lost, 400);
+    assert.equal(divide(shares).get('kurzeme'), undefined);
+  });
+
+  it('fill all regions alike when all have too little room', () => {
+    const shares = kurzeme();
+    const demand = {riga: 20, kurzeme: 80, latgale: 20};
+    shares.update('rooms', rooms(demand), 0);
+    // 120 busy slots of 96: each region gets work for 1.25 times its slots.
+    const kept = shares.localShare('rooms') * 80;
+    assert.ok(Math.abs(kept - 12 * 1.25) < 0.5, `${kept} slots' work`);
+  });
+});
--- /dev/null
+++ b/packages/decision/test/store_mirror/store_mirror.test.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  type MirrorEvent,
+  createStoreMirror,
+  createWatchDuty,
+} from '../../src/index.js';
+
+function put(name: string, version: number): MirrorEvent {
+  return {kind: 'put', object: {name, version, value: version}};
+}
+
+describe('copy of the store', () => {
+  it('takes changes in their order and tells what they did', () => {
+    const mirror = createStoreMirror();
+    mirror.applySnapshot({
+      version: 5,
+      objects: [{name: 'a', version: 3, value: 3}],
+    });
+    const change = mirror.applyBatch({
+      from: 5,
+      version: 8,
+      events: [
+        put('b', 6),
+        {kind: 'deleted', name: 'a', version: 7},
+        put('b', 8),
+      ],
+    });
+    assert.deepEqual(change, {
+      put: [{name: 'b', version: 8, value: 8}],
+      removed: ['a'],
+    });
+  });
+
+  it('goes back neither for an older list nor for an older batch', () => {
+    const mirror = createStoreMirror();
+    mirror.applySnapshot({
+      version: 9,
+      objects: [{name: 'a', version: 9, value: 'new'}],
+    });
+    mirror.applySnapshot({
+      version: 4,
+      objects: [{name: 'a', version: 2, value: 'old'}],
+    });
+    mirror.applyBatch({from: 1, version: 4, events: [put('a', 3)]});
+    assert.deepEqual(mirror.objects(), [{name: 'a', version: 9, value: 'new'}]);
+    assert.equal(mirror.version(), 9);
+  });
+
+  it('asks for a list rather than skip changes', () => {
+    const mirror = createStoreMirror();
+    mirror.applySnapshot({version: 5, objects: []});
+    const change = mirror.applyBatch({
+      from: 7,
+      version: 8,
+      events: [put('a', 8)],
+    });
+    assert.equal(change, 'gap');
+    assert.equal(mirror.version(), 5);
+  });
+
+  it('does not bring back what a newer list left out', () => {
+    const mirror = createStoreMirror();
+    mirror.applySnapshot({
+      version: 5,
+      objects: [{name: 'a', version: 5, value: 5}],
+    });
+    assert.deepEqual(mirror.applySnapshot({version: 6, objects: []}).removed, [
+      'a',
+    ]);
+    mirror.applyBatch({from: 4, version: 5, events: [put('a', 5)]});
+    assert.deepEqual(mirror.objects(), []);
+  });
+});
+
+describe('duty to watch the store', () => {
+  const vms = ['a', 'b', 'c', 'd', 'e'];
+
+  function dutyOf(self: string) {
+    const duty = createWatchDuty({
+      self,
+      watchers: 2,
+      patienceMs: 1_000,
+      patiencePerRankMs: 100,
+    });
+    duty.setVms(vms);
+    return duty;
+  }
+
+  it('falls to as many VMs as asked for while they are fresh', () => {
+    const watching = vms.filter(vm => {
+      const duty = dutyOf(vm);
+      duty.heardFresh(0);
+      return duty.mustWatch(500);
+    });
+    assert.equal(watching.length, 2);
+  });
+
+  it('falls to the others one by one when no watch is fresh', () => {
+    const counts = [900, 1_050, 1_150, 1_250].map(
+      nowMs =>
+        vms.filter(vm => {
+          const duty = dutyOf(vm);
+          duty.heardFresh(0);
+          return duty.mustWatch(nowMs);
+        }).length,
+    );
+    assert.deepEqual(counts, [2, 3, 4, 5]);
+  });
+});
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -2,6 +2,7 @@
 import type {
   AffinityPlacement,
   AttemptOutcome,
+  ClientPatience,
   Placement,
   RegisteredTarget,
   RetryAllowance,
@@ -13,6 +14,7 @@
 import type {GatewayProtocol} from '../core/protocol.js';
 import type {CrashGuard} from './crash_guard.js';
 import type {TargetConnections} from './target_connections.js';
+import type {WaitingLine} from './waiting_line.js';
 
 export interface FinishedRequest {
   readonly attemptId: string | undefined;
@@ -34,6 +36,8 @@
   readonly timers: TimerService;
   readonly log: Logger;
   readonly protocol: GatewayProtocol;
+  /** This VM's region. */
+  readonly region: string;
   /** Names in lower case of headers that each attempt sets anew. */
   readonly replacedHeaders: ReadonlySet<string>;
   readonly placement: AffinityPlacement;
@@ -43,6 +47,8 @@
   readonly retries: RetryAllowance;
   readonly connections: TargetConnections;
   readonly crashGuard: CrashGuard;
+  readonly clientPatience: ClientPatience;
+  readonly waitingLine: WaitingLine;
   isStopping(): boolean;
   /** A request of this VM's own clients has come. */
   arrived(service: string, expectedMs: number, nowMs: number): void;
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -5,9 +5,11 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
   type AttemptOutcome,
+  type DispatchDecision,
   type Placement,
   type RegisteredTarget,
   type Route,
+  decideDispatch,
   mayRunAgain,
   nextStep,
 } from '@ibisbeam/decision';
@@ -15,6 +17,7 @@
 import {deliverAnswer, refuse} from './answer_delivery.js';
 import type {ForwardingContext} from './context.js';
 import {endToEndHeaders} from './header_rules.js';
+import type {WaitingRequest} from './waiting_line.js';
 import {
   type TargetAnswer,
   type TargetAttempt,
@@ -43,11 +46,15 @@
 }
 
 /** A connection within a region is there sooner, or the target is away. */
-const CONNECT_TIMEOUT_MS = 300;
+const CONNECT_TIMEOUT_MS = 150;
+/** The way to another region takes some 40 ms there and back. */
+const FAR_CONNECT_TIMEOUT_MS = 300;
 /** Idle time after which a kept connection is not trusted with a booking. */
 const FRESH_CONNECTION_MS = 1_500;
 /** A caller of a quarantined request need not come back soon. */
 const QUARANTINE_RETRY_MS = 30_000;
+/** Time of a request and its answer between client and VM. */
+const CLIENT_WAY_MS = 16;
 const LONGEST_IDLE_MS = 60_000;
 /** Time for the final answer to leave before the client's deadline. */
 const ANSWER_MARGIN_MS = 10;
@@ -84,11 +91,16 @@
     over = true;
     endTimer.cancel();
     hedgeTimer?.cancel();
+    const hadSlots = running.size > 0;
     for (const attempt of running) {
       attempt.handle?.cancel();
       load.ended(attempt.placement.target.life);
     }
     running.clear();
+    context.waitingLine.remove(waiting);
+    if (hadSlots) {
+      context.waitingLine.slotFreed(service);
+    }
     context.finished({
       attemptId: request.attemptId,
       route: route.name,
@@ -130,7 +142,33 @@
   /** False if no target could take the request. */
   function tryNext(isHedge: boolean): boolean {
     const nowMs = timers.nowMs();
-    const placement = context.placement.choose(
+    const placement = choosePlacement(nowMs);
+    if (!placement) {
+      return false;
+    }
+    if (!isHedge && nowMs + placement.expectedMs > answerByMs) {
+      return false;
+    }
+    start(placement, nowMs);
+    return true;
+  }
+
+  /**
+   * After a target's refusal another one is tried only if it can answer in
+   * time or has a free slot: refusals come when all are full.
+   */
+  function tryInTime(): boolean {
+    const nowMs = timers.nowMs();
+    const placement = choosePlacement(nowMs);
+    if (!placement || decide(placement, nowMs).kind !== 'send') {
+      return false;
+    }
+    start(placement, nowMs);
+    return true;
+  }
+
+  function choosePlacement(nowMs: number): Placement | undefined {
+    return context.placement.choose(
       {
         route: route.name,
         service,
@@ -141,14 +179,6 @@
       },
       nowMs,
     );
-    if (!placement) {
-      return false;
-    }
-    if (!isHedge && nowMs + placement.expectedMs > answerByMs) {
-      return false;
-    }
-    start(placement, nowMs);
-    return true;
   }
 
   function start(placement: Placement, nowMs: number): void {
@@ -178,7 +208,10 @@
         body: request.body,
         attemptId: request.attemptId,
         agent: context.connections.agentFor(life, longestIdleMs),
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        connectTimeoutMs:
+          target.region === context.region
+            ? CONNECT_TIMEOUT_MS
+            : FAR_CONNECT_TIMEOUT_MS,
       },
       protocol,
       timers,
@@ -248,6 +281,7 @@
     const {target} = attempt.placement;
     load.ended(target.life);
     learn(attempt, outcome, nowMs);
+    context.waitingLine.slotFreed(service);
     context.attemptEnded(service, outcome.kind);
     if (outcome.kind === 'not-executed') {
       possiblyRun -= 1;
@@ -295,7 +329,8 @@
     }
     const allowed =
       !costsBudget || context.retries.take(service, timers.nowMs());
-    if (allowed && tryNext(false)) {
+    const wasRefused = outcome.kind === 'not-executed';
+    if (allowed && (wasRefused ? tryInTime() : tryNext(false))) {
       return;
     }
     if (outcome.kind === 'answered' && outcome.status !== 503) {
@@ -336,9 +371,13 @@
         }
         return;
       }
-      case 'not-executed':
-        load.failed(life);
+      case 'not-executed': {
+        const {slots} = attempt.placement.target.entry;
+        if (!load.wasFull(life, slots, nowMs)) {
+          load.failed(life);
+        }
         return;
+      }
       case 'not-sent':
         load.unreachable(life, nowMs);
         context.connections.dropIdle(life);
@@ -386,11 +425,69 @@
     request.arrivedAtMs,
   );
   const {crashGuard} = context;
+  const elapsedMs = elapsedBefore(context, request);
+  const waiting: WaitingRequest = {
+    service,
+    arrivedAtMs: request.arrivedAtMs,
+    urgency: 'in-time',
+    tryAgain: () => over || dispatch() !== 'hold',
+  };
+
+  function decide(placement: Placement, nowMs: number): DispatchDecision {
+    const heldMs = nowMs - request.arrivedAtMs;
+    return decideDispatch({
+      expectedMs: placement.expectedMs,
+      waitMs: placement.waitMs,
+      objectiveMs: route.latencyObjectiveMs,
+      objectiveLeftMs:
+        route.latencyObjectiveMs - CLIENT_WAY_MS - elapsedMs - heldMs,
+      deadlineLeftMs: answerByMs - nowMs,
+      heldMs,
+      patienceMs: answerByMs - request.arrivedAtMs,
+      hasReturned: elapsedMs > 0,
+    });
+  }
+
+  /** Sends the request, refuses it, or tells that it has to wait. */
+  function dispatch(): 'done' | 'hold' {
+    const nowMs = timers.nowMs();
+    const placement = choosePlacement(nowMs);
+    if (!placement) {
+      fail(503, 'no target has room', context.retryAfterMs(service));
+      return 'done';
+    }
+    const decision = decide(placement, nowMs);
+    switch (decision.kind) {
+      case 'send':
+        start(placement, nowMs);
+        return 'done';
+      case 'hold':
+        waiting.urgency = decision.urgency;
+        return 'hold';
+      case 'refuse':
+        fail(503, 'no slot in time', context.retryAfterMs(service));
+        return 'done';
+    }
+  }
+
   if (crashGuard.isWatching() && crashGuard.isQuarantined(fingerprint())) {
     fail(503, 'requests like this one crashed targets', QUARANTINE_RETRY_MS);
     return;
   }
-  if (!tryNext(false)) {
-    fail(503, 'no target has room', context.retryAfterMs(service));
+  if (dispatch() === 'hold') {
+    context.waitingLine.add(waiting);
+  }
+}
+
+/** Time since the client's first attempt, by the patience that it states. */
+function elapsedBefore(
+  context: ForwardingContext,
+  request: ExchangeRequest,
+): number {
+  const {clientDeadlineMs, arrivedAtMs, route} = request;
+  if (clientDeadlineMs === undefined) {
+    return 0;
   }
+  const statedMs = clientDeadlineMs - arrivedAtMs;
+  return context.clientPatience.elapsedMs(route.name, statedMs);
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import {
   DEFAULT_PLACEMENT_PARAMETERS,
   createAffinityPlacement,
+  createClientPatience,
   createColdAllowance,
   createRandomSource,
   createRetryAllowance,
@@ -32,6 +33,7 @@
 import {createCrashGuard} from './forwarding/crash_guard.js';
 import {logFinished} from './forwarding/request_log.js';
 import {createTargetConnections} from './forwarding/target_connections.js';
+import {createWaitingLine} from './forwarding/waiting_line.js';
 import type {PeerMessage, VmRecord} from './peers/messages.js';
 import {createPeerMesh} from './peers/peer_mesh.js';
 import {createVmRegistration} from './peers/vm_registration.js';
@@ -170,6 +172,7 @@
     timers,
     log,
     protocol,
+    region: vm.region,
     replacedHeaders: new Set([
       protocol.headers.deadlineMs,
       protocol.headers.expectedTarget,
@@ -205,6 +208,8 @@
     }),
     connections,
     crashGuard,
+    clientPatience: createClientPatience(),
+    waitingLine: createWaitingLine(timers),
     isStopping: () => stopping,
     arrived: (service, expectedMs, nowMs) => {
       departures.earn();
--- a/packages/gateway/src/store/store_follower.ts
+++ b/packages/gateway/src/store/store_follower.ts
@@ -68,8 +68,13 @@
 const LONGEST_BACKOFF_MS = 800;
 /** Entries that lapsed during an outage are listed again by then. */
 const SETTLE_AFTER_OUTAGE_MS = 2_000;
-/** Shorter failures are not held to be outages. */
-const SHORTEST_OUTAGE_MS = 300;
+/**
+ * No VM has reached the store for so long: targets may have failed to renew
+ * their entries. Three missed renewals, 1.5 s apart, take longer than this.
+ */
+const SHORTEST_OUTAGE_MS = 2_500;
+/** Failures in a row after which only one kind asks whether it is back. */
+const FAILURES_TO_GIVE_WAY = 3;
 
 interface Follow {
   readonly kind: StoreKind;
@@ -108,19 +113,31 @@
     return Math.max(0, settleUntilMs - timers.nowMs());
   }
 
+  /** When any VM last had an answer of the store, as far as is known. */
+  function lastConfirmedMs(): number {
+    let lastMs = options.duty.lastFreshMs();
+    for (const {confirmedAtMs} of follows.values()) {
+      lastMs = Math.max(lastMs, confirmedAtMs);
+    }
+    return lastMs;
+  }
+
   function onSuccess(follow: Follow): void {
     const nowMs = timers.nowMs();
+    // A VM whose own connection failed misses nothing that its peers saw.
+    if (nowMs - lastConfirmedMs() >= SHORTEST_OUTAGE_MS) {
+      settleUntilMs = nowMs + SETTLE_AFTER_OUTAGE_MS;
+    }
     follow.confirmedAtMs = nowMs;
     failures = 0;
     if (failingSinceMs === undefined) {
       return;
     }
-    const awayMs = nowMs - failingSinceMs;
+    log.log('info', 'store-reachable', {
+      awayMs: Math.round(nowMs - failingSinceMs),
+      settlingMs: Math.round(settlingMs()),
+    });
     failingSinceMs = undefined;
-    if (awayMs >= SHORTEST_OUTAGE_MS) {
-      settleUntilMs = nowMs + SETTLE_AFTER_OUTAGE_MS;
-    }
-    log.log('info', 'store-reachable', {awayMs: Math.round(awayMs)});
   }
 
   function onFailure(follow: Follow, error: PlatformError): void {
@@ -156,7 +173,8 @@
         continue;
       }
       // While the store is away only one kind asks whether it is back.
-      if (failingSinceMs !== undefined && follow.kind !== 'configuration') {
+      const givesWay = failures >= FAILURES_TO_GIVE_WAY;
+      if (givesWay && follow.kind !== 'configuration') {
         await timers.sleep(DUTY_CHECK_INTERVAL_MS);
         continue;
       }
--- a/packages/stand_ins/src/core/object_platform/fleet_target.ts
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -167,19 +167,19 @@
       warm.add(key);
     }
     const takesMs = isWarm ? workMs * (options.warmShare ?? 1) : workMs;
-    let done = false;
     const timer = timers.after(takesMs, () => {
-      done = true;
+      incoming.socket.removeListener('close', onClose);
       release();
       write(incoming.socket, fault, attemptId);
     });
-    incoming.socket.once('close', () => {
-      if (!done) {
-        record.cancelled = true;
-        timer.cancel();
-        release();
-      }
-    });
+
+    function onClose(): void {
+      record.cancelled = true;
+      timer.cancel();
+      release();
+    }
+
+    incoming.socket.once('close', onClose);
   }
 
   function write(socket: Socket, fault: TargetFault, attemptId: string): void {
--- a/packages/stand_ins/src/demonstration/main.ts
+++ b/packages/stand_ins/src/demonstration/main.ts
@@ -12,6 +12,7 @@
   startDemonstration,
 } from './demonstrate.js';
 import {createNarrator} from './narrator.js';
+import {runPlatformDemonstration} from './platform_demonstration.js';
 import {ceoltoiri, daugava} from './user_facts.js';
 
 const keep = process.argv.includes('--keep');
@@ -44,6 +45,10 @@
   await demonstration.deployment.stop();
 }
 
+if (!keep) {
+  await runPlatformDemonstration(timers, logger, narrator);
+}
+
 /** What to type to try it by hand. */
 function printAddresses(demonstration: Demonstration): void {
   const {deployment, facts, token} = demonstration;
--- /dev/null
+++ b/packages/stand_ins/src/demonstration/platform_demonstration.ts
@@ -0,0 +1,186 @@
+/** The part of `npm start` that runs the gateway on the users' platform. */
+import {request as httpRequest} from 'node:http';
+import type {Logger, TimerService} from '@ibisbeam/library';
+import {
+  type FleetTarget,
+  type LocalFleet,
+  type LocalGateway,
+  startLocalFleet,
+} from '../core/object_platform/index.js';
+import type {Narrator} from './narrator.js';
+
+const HOST = 'rooms.example';
+const ZONES = {'riga-a': 'riga', 'riga-b': 'riga', 'kurz-a': 'kurzeme'};
+const READY_TIMEOUT_MS = 5_000;
+const POLL_MS = 20;
+
+interface Answer {
+  readonly status: number;
+  readonly body: string;
+}
+
+export async function runPlatformDemonstration(
+  timers: TimerService,
+  log: Logger,
+  narrator: Narrator,
+): Promise<void> {
+  narrator.heading('The gateway on a platform that lists its targets');
+  const fleet = await startLocalFleet({timers, log, zones: ZONES});
+  try {
+    await demonstrate(fleet, timers, narrator);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function demonstrate(
+  fleet: LocalFleet,
+  timers: TimerService,
+  narrator: Narrator,
+): Promise<void> {
+  fleet.configure(configuration());
+  const targets: FleetTarget[] = [];
+  for (const [index, zone] of ['riga-a', 'riga-b', 'kurz-a'].entries()) {
+    targets.push(
+      await fleet.addTarget({
+        id: `worker-${index}`,
+        service: 'rooms',
+        zone,
+        slots: 4,
+      }),
+    );
+  }
+  const first = await fleet.addGateway('edge-riga-a-1', 'riga-a');
+  const second = await fleet.addGateway('edge-riga-b-1', 'riga-b');
+  await waitFor(timers, async () => (await named(first)).length === 2);
+  narrator.happened('two VMs are ready and the directory names both');
+
+  const lookUp = await call(first, 'GET', '/rooms/7', 'demo-look-up');
+  narrator.promise(lookUp.status === 200, 'a look-up is answered');
+
+  for (const target of targets) {
+    target.plan('answer-lost');
+  }
+  const booking = await call(first, 'POST', '/book/7', 'demo-booking');
+  const runs = targets.flatMap(target => target.runs);
+  const bookings = runs.filter(run => run.attemptId === 'demo-booking');
+  narrator.happened(`a booking whose answer got lost: ${booking.status}`);
+  narrator.because('it may have run, so it is neither sent again nor denied');
+  narrator.promise(bookings.length === 1, 'the booking has run once');
+
+  const [leaving] = targets;
+  if (leaving) {
+    const entry = leaving.entry({state: 'draining'});
+    fleet.store.put('servers', leaving.id, entry);
+    await timers.sleep(READY_TIMEOUT_MS / 10);
+    const before = leaving.runs.length;
+    for (let index = 0; index < 10; index += 1) {
+      await call(first, 'GET', `/rooms/${index}`, `demo-drain-${index}`);
+    }
+    narrator.promise(
+      leaving.runs.length === before,
+      'a draining target gets nothing new',
+    );
+  }
+
+  await second.gateway.stop();
+  const left = await named(first);
+  narrator.promise(left.length === 1, 'a stopped VM is no longer named');
+}
+
+function configuration(): Record<string, unknown> {
+  const common = {
+    host: HOST,
+    timeout_ms: 1_000,
+    target_latency_ms: 200,
+    max_attempts: 2,
+    service: 'rooms',
+    sticky: true,
+  };
+  return {
+    version: 1,
+    routes: [
+      {
+        ...common,
+        name: 'look-up',
+        path_prefix: '/rooms/',
+        route_type: 'idempotent',
+      },
+      {
+        ...common,
+        name: 'booking',
+        path_prefix: '/book/',
+        route_type: 'non_idempotent',
+      },
+    ],
+    services: [{name: 'rooms', health_path: '/health'}],
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 1_000_000,
+      header_timeout_ms: 3_000,
+      idle_timeout_ms: 15_000,
+    },
+  };
+}
+
+async function named(gateway: LocalGateway): Promise<readonly string[]> {
+  const path = `/resolve?name=${HOST}&region=riga&zone=riga-a`;
+  const answer = await exchange(gateway.directory, 'GET', path, {});
+  if (answer.status !== 200) {
+    return [];
+  }
+  const {addresses} = JSON.parse(answer.body) as {addresses: string[]};
+  return addresses;
+}
+
+function call(
+  gateway: LocalGateway,
+  method: string,
+  path: string,
+  attemptId: string,
+): Promise<Answer> {
+  return exchange(gateway.caller, method, path, {
+    Host: HOST,
+    'X-Ibisbeam-Attempt-Id': attemptId,
+    'X-Ibisbeam-Deadline-Ms': '1200',
+  });
+}
+
+function exchange(
+  address: {readonly host: string; readonly port: number},
+  method: string,
+  path: string,
+  headers: Readonly<Record<string, string>>,
+): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const outgoing = httpRequest(
+      {...address, method, path, headers, agent: false},
+      incoming => {
+        const chunks: Buffer[] = [];
+        incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+        incoming.on('error', reject);
+        incoming.on('end', () =>
+          resolve({
+            status: incoming.statusCode ?? 0,
+            body: Buffer.concat(chunks).toString('utf8'),
+          }),
+        );
+      },
+    );
+    outgoing.on('error', reject);
+    outgoing.end();
+  });
+}
+
+async function waitFor(
+  timers: TimerService,
+  condition: () => Promise<boolean>,
+): Promise<void> {
+  const endsMs = timers.nowMs() + READY_TIMEOUT_MS;
+  while (!(await condition())) {
+    if (timers.nowMs() > endsMs) {
+      throw new Error('the fleet did not become ready');
+    }
+    await timers.sleep(POLL_MS);
+  }
+}
