Keep holds short and judge queues by warm runs

Requests that will be late wait 6 % of their patience for a free slot, those that came back may wait 0.6 of the objective; a wait is queue length times a warm run. Ruled out: longer holds, which clients pay with their patience.

--- a/packages/decision/src/core/placement/affinity_placement.ts
+++ b/packages/decision/src/core/placement/affinity_placement.ts
@@ -194,7 +194,6 @@
       affinityKey === undefined
         ? undefined
         : ranksOf(request.service, affinityKey, targets);
-    const meanMs = times.meanMs(route, latencyObjectiveMs);
     const answerBytes = times.answerBytes(route);
     let best: Placement | undefined;
     let bestCost = Infinity;
@@ -226,7 +225,7 @@
       const runMs = (warm ? warmMs : coldMs) * slowness;
       const occupied = load.estimate(life, nowMs);
       const queued = Math.max(0, occupied + 1 - entry.slots);
-      const waitMs = (queued / entry.slots) * meanMs * slowness;
+      const waitMs = (queued / entry.slots) * warmMs * slowness;
       const {roundTripMs, costMs} = distance(target, answerBytes);
       const expectedMs = roundTripMs + waitMs + runMs;
       const utilization = Math.min(1, occupied / entry.slots);
--- a/packages/decision/src/core/placement/dispatch_rule.ts
+++ b/packages/decision/src/core/placement/dispatch_rule.ts
@@ -37,12 +37,12 @@
   | {readonly kind: 'refuse'};
 
 /** Part of a client's patience for which a late request waits for a slot. */
-const HOLD_SHARE = 0.25;
+const HOLD_SHARE = 0.06;
 /**
  * A returned request may wait at the target for this part of the objective,
  * so that the queue stays short enough for others to be in time.
  */
-const RETURNED_WAIT_SHARE = 0.25;
+const RETURNED_WAIT_SHARE = 0.6;
 
 export function decideDispatch(question: DispatchQuestion): DispatchDecision {
   const {expectedMs, waitMs, deadlineLeftMs} = question;
