Tell a reset from the end of an answer without a length

Ruled out: hedges and unread errors; the request's error event is not sent. The peer of a reset connection has no name: 12 of 12 short answers and none of 19 whole ones. Test with a held-up process failed before (200 for a booking cut short).

--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -70,6 +70,7 @@
   let sent = false;
   let connectTimer: TimerHandle | undefined;
   let streaming: IncomingMessage | undefined;
+  let connection: Socket | undefined;
 
   const outgoing = httpRequest({
     host: wanted.host,
@@ -87,9 +88,26 @@
     }
     ended = true;
     connectTimer?.cancel();
+    if (answer?.body.kind !== 'streaming') {
+      connection?.removeListener('end', onEndOfConnection);
+    }
     events.onEnd(outcome, answer);
   }
 
+  /**
+   * Where data and a reset arrive together, libuv reports the end of the
+   * stream in place of the reset, and an answer without a length would look
+   * complete. The peer of a connection that was reset has no name.
+   */
+  function onEndOfConnection(): void {
+    if (connection?.remoteAddress !== undefined) {
+      return;
+    }
+    const reset = new Error('the connection was reset');
+    fail(reset.message);
+    streaming?.destroy(reset);
+  }
+
   function fail(cause: string): void {
     if (ended) {
       return;
@@ -109,6 +127,9 @@
 
   function onSocket(socket: Socket): void {
     events.onSocket(socket);
+    connection = socket;
+    // Before the listener of node:http, which takes the answer for whole.
+    socket.prependListener('end', onEndOfConnection);
     if (!socket.connecting) {
       markSent();
       return;
@@ -205,6 +226,7 @@
     cancel: () => {
       ended = true;
       connectTimer?.cancel();
+      connection?.removeListener('end', onEndOfConnection);
       outgoing.destroy();
     },
   };
--- a/packages/stand_ins/src/core/object_platform/fleet_target.ts
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -20,6 +20,8 @@
   | 'cut-short'
   /** States no length and resets the connection in the middle. */
   | 'unframed-reset'
+  /** Likewise, with the reset seen together with the last bytes. */
+  | 'unframed-reset-at-once'
   /** States no length and ends the connection properly. */
   | 'unframed'
   | 'not-http'
@@ -73,6 +75,7 @@
 }
 
 const EXTRA_ANSWER_DELAY_MS = 20;
+const HELD_UP_MS = 20;
 
 export async function startFleetTarget(
   options: FleetTargetOptions,
@@ -213,6 +216,12 @@
           socket.resetAndDestroy(),
         );
         return;
+      case 'unframed-reset-at-once':
+        socket.write(answer(200, attemptId, text, false), () => {
+          socket.resetAndDestroy();
+          holdUp(HELD_UP_MS);
+        });
+        return;
       case 'unframed':
         socket.end(answer(200, attemptId, text, false));
         return;
@@ -230,6 +239,14 @@
     }
   }
 
+  /** Keeps the whole process from reading what has arrived. */
+  function holdUp(spanMs: number): void {
+    const endsMs = timers.nowMs() + spanMs;
+    while (timers.nowMs() < endsMs) {
+      // Nothing is read meanwhile.
+    }
+  }
+
   function answer(
     status: number,
     attemptId: string,
--- a/packages/stand_ins/test/object_platform/forwarding.test.ts
+++ b/packages/stand_ins/test/object_platform/forwarding.test.ts
@@ -82,6 +82,7 @@
     'answer-lost',
     'cut-short',
     'unframed-reset',
+    'unframed-reset-at-once',
     'not-http',
     'foreign',
     'error-500',
@@ -118,6 +119,16 @@
     });
   }
 
+  it('does not take a reset for the end of a booking’s answer', async () => {
+    planEverywhere('unframed-reset-at-once');
+    const answer = await call(harness.gateway, {
+      method: 'POST',
+      path: '/book/7',
+      body: 'x',
+    });
+    assert.equal(answer.status, 502);
+  });
+
   it('passes on an answer that ends with its connection', async () => {
     planEverywhere('unframed');
     const answer = await call(harness.gateway, {});
