--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -1,4 +1,4 @@
-/** Events that may stand in the log; `docs/operators/night.md` describes each. */
+/** Events that may stand in the log; `docs/operators/logs.md` describes each. */
 export type LogEvent =
   | 'vm-started'
   | 'vm-stopping'
@@ -44,8 +44,7 @@
   | 'lines-dropped'
   | 'crash-suspected'
   | 'settings-reloaded'
-  | 'settings-rejected'
-  | 'region-share-changed';
+  | 'settings-rejected';
 
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
 
