Split headers and learning from the exchange; answer slow input with 408

A request line that does not come in time got 400, which clients do not repeat; 408 is the truth. Tests of placement by affinity and load.

--- /dev/null
+++ b/packages/decision/test/placement/affinity_placement.test.ts
@@ -0,0 +1,189 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  type PlacementRequest,
+  type TargetEntry,
+  DEFAULT_PLACEMENT_PARAMETERS,
+  createAffinityPlacement,
+  createRandomSource,
+  createRegionShares,
+  createServiceTimes,
+  createTargetLoad,
+  createTargetRegistry,
+  createWarmKeys,
+} from '../../src/index.js';
+
+const ZONES = new Map([
+  ['riga-a', 'riga'],
+  ['riga-b', 'riga'],
+  ['kurz-a', 'kurzeme'],
+]);
+
+const REQUEST: PlacementRequest = {
+  route: 'look-up',
+  service: 'rooms',
+  latencyObjectiveMs: 200,
+  affinityKey: '17',
+  homeRegions: [],
+  excluded: new Set(),
+};
+
+function entry(id: string, zone: string): TargetEntry {
+  return {
+    id,
+    service: 'rooms',
+    host: '10.0.0.1',
+    port: 80,
+    zone,
+    slots: 4,
+    draining: false,
+    coldRemainingMs: 0,
+    bornMs: 1,
+  };
+}
+
+/** A VM of riga-a with four targets in its region and two in another. */
+function startVm(mayLeaveHome = true) {
+  const registry = createTargetRegistry({
+    zoneRegions: ZONES,
+    onEvent: () => {},
+  });
+  for (const [id, zone] of [
+    ['a1', 'riga-a'],
+    ['a2', 'riga-a'],
+    ['b1', 'riga-b'],
+    ['b2', 'riga-b'],
+    ['k1', 'kurz-a'],
+    ['k2', 'kurz-a'],
+  ] as const) {
+    registry.put(entry(id, zone), 0);
+  }
+  const load = createTargetLoad();
+  const times = createServiceTimes();
+  const warmKeys = createWarmKeys();
+  const placement = createAffinityPlacement({
+    zone: 'riga-a',
+    region: 'riga',
+    registry,
+    load,
+    times,
+    warmKeys,
+    parameters: DEFAULT_PLACEMENT_PARAMETERS,
+    shares: createRegionShares({region: 'riga', movePerSecond: 0.03}),
+    random: createRandomSource(1),
+    mayLeaveHome: () => mayLeaveHome,
+    coldAllowed: () => false,
+  });
+  const lifeOf = (id: string): string => registry.get(id)?.life ?? '';
+  return {registry, load, times, warmKeys, placement, lifeOf};
+}
+
+describe('placement by affinity and load', () => {
+  it('binds a key to one target of the region, alike at every VM', () => {
+    const chosen = new Set<string | undefined>();
+    for (let vm = 0; vm < 3; vm += 1) {
+      const {placement} = startVm();
+      chosen.add(placement.choose(REQUEST, 0)?.target.entry.id);
+      chosen.add(placement.choose(REQUEST, 10)?.target.entry.id);
+    }
+    assert.equal(chosen.size, 1);
+  });
+
+  it('spreads keys over the targets of the region and no others', () => {
+    const {placement} = startVm();
+    const keys = new Map<string, number>();
+    for (let key = 0; key < 400; key += 1) {
+      const request = {...REQUEST, affinityKey: String(key)};
+      const id = placement.choose(request, 0)?.target.entry.id ?? 'none';
+      keys.set(id, (keys.get(id) ?? 0) + 1);
+    }
+    assert.deepEqual([...keys.keys()].sort(), ['a1', 'a2', 'b1', 'b2']);
+    for (const count of keys.values()) {
+      assert.ok(count > 50 && count < 150, `${count} of 400 keys`);
+    }
+  });
+
+  it('moves only the keys of a target that leaves', () => {
+    const {placement, registry} = startVm();
+    const place = (key: number) =>
+      placement.choose({...REQUEST, affinityKey: String(key)}, 0)?.target.entry
+        .id;
+    const before = Array.from({length: 200}, (_unused, key) => place(key));
+    registry.put({...entry('b1', 'riga-b'), draining: true}, 1);
+    for (const [key, id] of before.entries()) {
+      if (id !== 'b1') {
+        assert.equal(place(key), id);
+      }
+    }
+  });
+
+  it('leaves a key’s target only when the wait costs more than a cold run', () => {
+    const {placement, load, lifeOf} = startVm(false);
+    const home = placement.choose(REQUEST, 0)?.target.entry.id ?? '';
+    for (let running = 0; running < 5; running += 1) {
+      load.sent(lifeOf(home));
+    }
+    assert.equal(placement.choose(REQUEST, 0)?.target.entry.id, home);
+    for (let running = 0; running < 20; running += 1) {
+      load.sent(lifeOf(home));
+    }
+    const elsewhere = placement.choose(REQUEST, 0)?.target;
+    assert.notEqual(elsewhere?.entry.id, home);
+    assert.equal(elsewhere?.region, 'riga');
+  });
+
+  it('keeps large answers in the zone, small ones with their key', () => {
+    const {placement, times, warmKeys, lifeOf} = startVm();
+    const key = keyAt(placement, 'b1');
+    const request = {...REQUEST, affinityKey: key};
+    warmKeys.handled(lifeOf('a1'), 'rooms', key, 0);
+    times.learnBytes('look-up', 1_000);
+    assert.equal(placement.choose(request, 1)?.target.entry.id, 'a1');
+    const cold = {...REQUEST, affinityKey: keyAt(startVm().placement, 'b1')};
+    assert.equal(startVm().placement.choose(cold, 1)?.target.entry.id, 'b1');
+    const large = startVm();
+    large.times.learnBytes('look-up', 90_000);
+    const zone = large.placement.choose(cold, 1)?.target.entry.zone;
+    assert.equal(zone, 'riga-a');
+  });
+
+  it('runs requests with homes only there', () => {
+    const {placement} = startVm();
+    const request = {...REQUEST, homeRegions: ['kurzeme']};
+    assert.equal(placement.choose(request, 0)?.target.region, 'kurzeme');
+    const nowhere = {...REQUEST, homeRegions: ['latgale']};
+    assert.equal(placement.choose(nowhere, 0), undefined);
+  });
+
+  it('avoids a target that takes no connections, then treats it as cold', () => {
+    const {placement, load, lifeOf} = startVm();
+    const home = placement.choose(REQUEST, 0)?.target.entry.id ?? '';
+    load.unreachable(lifeOf(home), 0);
+    assert.notEqual(placement.choose(REQUEST, 100)?.target.entry.id, home);
+    assert.notEqual(placement.choose(REQUEST, 1_000)?.target.entry.id, home);
+    assert.equal(placement.choose(REQUEST, 10_000)?.target.entry.id, home);
+  });
+
+  it('turns from a target that fails its requests', () => {
+    const {placement, load, lifeOf} = startVm();
+    const home = placement.choose(REQUEST, 0)?.target.entry.id ?? '';
+    for (let failure = 0; failure < 3; failure += 1) {
+      load.failed(lifeOf(home));
+    }
+    assert.notEqual(placement.choose(REQUEST, 0)?.target.entry.id, home);
+  });
+});
+
+function keyAt(
+  placement: ReturnType<typeof startVm>['placement'],
+  id: string,
+): string {
+  for (let key = 0; key < 1_000; key += 1) {
+    const affinityKey = String(key);
+    const chosen = placement.choose({...REQUEST, affinityKey}, 0);
+    if (chosen?.target.entry.id === id) {
+      return affinityKey;
+    }
+  }
+  throw new Error(`no key has its home at ${id}`);
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/attempt_headers.ts
@@ -0,0 +1,35 @@
+/** The headers of an attempt: the client's own and those set for the target. */
+import type {RegisteredTarget} from '@ibisbeam/decision';
+import type {ForwardingContext} from './context.js';
+import type {ExchangeRequest} from './exchange_types.js';
+import {endToEndHeaders} from './header_rules.js';
+
+/** A target takes a deadline of 0 for none. */
+const SHORTEST_DEADLINE_MS = 1;
+
+/** @returns A flat list of names and values. */
+export function attemptHeaders(
+  context: ForwardingContext,
+  request: ExchangeRequest,
+  target: RegisteredTarget,
+  nowMs: number,
+): readonly string[] {
+  const {headers} = context.protocol;
+  const {route, incoming, body} = request;
+  const untilMs = Math.min(
+    request.arrivedAtMs + route.timeoutMs,
+    request.clientDeadlineMs ?? Infinity,
+  );
+  const leftMs = Math.max(SHORTEST_DEADLINE_MS, Math.floor(untilMs - nowMs));
+  const list = endToEndHeaders(incoming.rawHeaders, context.replacedHeaders);
+  list.push(
+    headers.deadlineMs,
+    String(leftMs),
+    headers.expectedTarget,
+    target.entry.id,
+  );
+  if (body !== undefined) {
+    list.push('Content-Length', String(body.length));
+  }
+  return list;
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/attempt_learning.ts
@@ -0,0 +1,80 @@
+/** What the end of an attempt teaches about its target and service. */
+import type {AttemptOutcome} from '@ibisbeam/decision';
+import type {ForwardingContext} from './context.js';
+import type {ExchangeRequest, RunningAttempt} from './exchange_types.js';
+
+export interface AttemptEnd {
+  readonly request: ExchangeRequest;
+  readonly attempt: RunningAttempt;
+  readonly outcome: AttemptOutcome;
+  readonly nowMs: number;
+  /** Of the request; worked out only where it is needed. */
+  fingerprint(): string;
+}
+
+export function learnFromAttempt(
+  context: ForwardingContext,
+  end: AttemptEnd,
+): void {
+  const {load, crashGuard} = context;
+  const {outcome, nowMs} = end;
+  const {life, entry} = end.attempt.placement.target;
+  switch (outcome.kind) {
+    case 'answered':
+      if (outcome.status >= 500) {
+        load.failed(life);
+        return;
+      }
+      learnFromSuccess(context, end);
+      return;
+    case 'not-executed':
+      if (!load.wasFull(life, entry.slots, nowMs)) {
+        load.failed(life);
+      }
+      return;
+    case 'not-sent':
+      load.unreachable(life, nowMs);
+      context.connections.dropIdle(life);
+      crashGuard.targetDied(life);
+      return;
+    case 'broken':
+      load.failed(life);
+      crashGuard.brokeOff(life, end.fingerprint());
+      return;
+  }
+}
+
+function learnFromSuccess(context: ForwardingContext, end: AttemptEnd): void {
+  const {request, attempt, nowMs} = end;
+  const {life} = attempt.placement.target;
+  if (context.crashGuard.isWatching()) {
+    context.crashGuard.answered(end.fingerprint());
+  }
+  learnTimes(context, request, attempt, nowMs - (attempt.sentAtMs ?? nowMs));
+  if (request.affinityKey !== undefined) {
+    const {service, affinityKey} = request;
+    context.warmKeys.handled(life, service, affinityKey, nowMs);
+  }
+}
+
+function learnTimes(
+  context: ForwardingContext,
+  request: ExchangeRequest,
+  attempt: RunningAttempt,
+  tookMs: number,
+): void {
+  const {load, times} = context;
+  const {route, affinityKey} = request;
+  const {target, waitMs, roundTripMs} = attempt.placement;
+  const objectiveMs = route.latencyObjectiveMs;
+  const slowness = load.slowness(target.life);
+  const runMs = Math.max(0, tookMs - waitMs - roundTripMs);
+  const warm =
+    affinityKey === undefined ||
+    times.looksWarm(route.name, objectiveMs, runMs, slowness);
+  const usualMs = times.expectedMs(route.name, objectiveMs, warm);
+  load.answered(target.life, runMs / Math.max(1, usualMs));
+  if (attempt.inFlightBefore < target.entry.slots) {
+    times.learn(route.name, objectiveMs, warm, runMs / slowness);
+  }
+}
--- a/packages/gateway/src/forwarding/caller_server.ts
+++ b/packages/gateway/src/forwarding/caller_server.ts
@@ -149,10 +149,7 @@
     // Bytes between another request and its answer would pass for the answer.
     const isWaiting = (waiting.get(socket) ?? 0) > 0;
     if (socket.writable && !isWaiting && error.code !== 'ECONNRESET') {
-      const status =
-        error.code === 'HPE_HEADER_OVERFLOW'
-          ? '431 Request Header Fields Too Large'
-          : '400 Bad Request';
+      const status = STATUS_BY_ERROR[error.code ?? ''] ?? '400 Bad Request';
       socket.end(
         `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
       );
@@ -191,6 +188,12 @@
   };
 }
 
+/** Answers to input that the parser gives up on; all else is a 400. */
+const STATUS_BY_ERROR: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
 /** Connections that may wait to be accepted. */
 const LISTEN_BACKLOG = 1_024;
 
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -2,13 +2,10 @@
  * One request of a client, from its arrival to its final answer: places it,
  * starts attempts, and delivers the first answer that may be delivered.
  */
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
   type AttemptOutcome,
   type DispatchDecision,
   type Placement,
-  type RegisteredTarget,
-  type Route,
   decideDispatch,
   mayRunAgain,
   nextStep,
@@ -16,34 +13,11 @@
 import type {TimerHandle} from '@ibisbeam/library';
 import {deliverAnswer, refuse} from './answer_delivery.js';
 import type {ForwardingContext} from './context.js';
-import {endToEndHeaders} from './header_rules.js';
+import {attemptHeaders} from './attempt_headers.js';
+import {learnFromAttempt} from './attempt_learning.js';
+import type {ExchangeRequest, RunningAttempt} from './exchange_types.js';
 import type {WaitingRequest} from './waiting_line.js';
-import {
-  type TargetAnswer,
-  type TargetAttempt,
-  startTargetAttempt,
-} from './target_attempt.js';
-
-export interface ExchangeRequest {
-  readonly incoming: IncomingMessage;
-  readonly outgoing: ServerResponse;
-  readonly route: Route;
-  readonly service: string;
-  readonly attemptId: string | undefined;
-  readonly affinityKey: string | undefined;
-  readonly body: Buffer | undefined;
-  readonly arrivedAtMs: number;
-  /** Moment until which the client waits. */
-  readonly clientDeadlineMs: number | undefined;
-}
-
-interface RunningAttempt {
-  readonly placement: Placement;
-  readonly startedAtMs: number;
-  readonly inFlightBefore: number;
-  handle?: TargetAttempt;
-  sentAtMs?: number;
-}
+import {type TargetAnswer, startTargetAttempt} from './target_attempt.js';
 
 /** A connection within a region is there sooner, or the target is away. */
 const CONNECT_TIMEOUT_MS = 150;
@@ -74,10 +48,6 @@
     limitMs,
     (request.clientDeadlineMs ?? Infinity) - ANSWER_MARGIN_MS,
   );
-  const clientHeaders = endToEndHeaders(
-    incoming.rawHeaders,
-    context.replacedHeaders,
-  );
   const running = new Set<RunningAttempt>();
   const excluded = new Set<string>();
   let tried = 0;
@@ -204,7 +174,7 @@
         port: entry.port,
         method: incoming.method ?? 'GET',
         path: incoming.url ?? '/',
-        headers: attemptHeaders(target, nowMs),
+        headers: attemptHeaders(context, request, target, nowMs),
         body: request.body,
         attemptId: request.attemptId,
         agent: context.connections.agentFor(life, longestIdleMs),
@@ -230,26 +200,6 @@
     scheduleHedge(placement);
   }
 
-  function attemptHeaders(
-    target: RegisteredTarget,
-    nowMs: number,
-  ): readonly string[] {
-    const {headers} = protocol;
-    const untilMs = Math.min(limitMs, request.clientDeadlineMs ?? Infinity);
-    const leftMs = Math.max(1, Math.floor(untilMs - nowMs));
-    const list = [
-      ...clientHeaders,
-      headers.deadlineMs,
-      String(leftMs),
-      headers.expectedTarget,
-      target.entry.id,
-    ];
-    if (request.body !== undefined) {
-      list.push('Content-Length', String(request.body.length));
-    }
-    return list;
-  }
-
   function scheduleHedge(placement: Placement): void {
     hedgeTimer?.cancel();
     if (!mayRunAgain(route.kind)) {
@@ -280,7 +230,7 @@
     const nowMs = timers.nowMs();
     const {target} = attempt.placement;
     load.ended(target.life);
-    learn(attempt, outcome, nowMs);
+    learnFromAttempt(context, {request, attempt, outcome, fingerprint, nowMs});
     context.waitingLine.slotFreed(service);
     context.attemptEnded(service, outcome.kind);
     if (outcome.kind === 'not-executed') {
@@ -350,61 +300,6 @@
     );
   }
 
-  function learn(
-    attempt: RunningAttempt,
-    outcome: AttemptOutcome,
-    nowMs: number,
-  ): void {
-    const {life} = attempt.placement.target;
-    switch (outcome.kind) {
-      case 'answered': {
-        if (outcome.status >= 500) {
-          load.failed(life);
-          return;
-        }
-        if (context.crashGuard.isWatching()) {
-          context.crashGuard.answered(fingerprint());
-        }
-        learnTimes(attempt, nowMs - (attempt.sentAtMs ?? nowMs));
-        if (request.affinityKey !== undefined) {
-          context.warmKeys.handled(life, service, request.affinityKey, nowMs);
-        }
-        return;
-      }
-      case 'not-executed': {
-        const {slots} = attempt.placement.target.entry;
-        if (!load.wasFull(life, slots, nowMs)) {
-          load.failed(life);
-        }
-        return;
-      }
-      case 'not-sent':
-        load.unreachable(life, nowMs);
-        context.connections.dropIdle(life);
-        context.crashGuard.targetDied(life);
-        return;
-      case 'broken':
-        load.failed(life);
-        context.crashGuard.brokeOff(life, fingerprint());
-        return;
-    }
-  }
-
-  function learnTimes(attempt: RunningAttempt, tookMs: number): void {
-    const {target, waitMs, roundTripMs} = attempt.placement;
-    const objectiveMs = route.latencyObjectiveMs;
-    const slowness = load.slowness(target.life);
-    const runMs = Math.max(0, tookMs - waitMs - roundTripMs);
-    const warm =
-      request.affinityKey === undefined ||
-      context.times.looksWarm(route.name, objectiveMs, runMs, slowness);
-    const usualMs = context.times.expectedMs(route.name, objectiveMs, warm);
-    load.answered(target.life, runMs / Math.max(1, usualMs));
-    if (attempt.inFlightBefore < target.entry.slots) {
-      context.times.learn(route.name, objectiveMs, warm, runMs / slowness);
-    }
-  }
-
   function deliver(answer: TargetAnswer | undefined): void {
     if (!answer) {
       fail(502, 'the answer is missing');
@@ -470,6 +365,10 @@
     }
   }
 
+  if (outgoing.destroyed) {
+    finish('client-left', 0);
+    return;
+  }
   if (crashGuard.isWatching() && crashGuard.isQuarantined(fingerprint())) {
     fail(503, 'requests like this one crashed targets', QUARANTINE_RETRY_MS);
     return;
