Share header and body rules with the library; move gauges and conversions out

Cause: the gateway held a second copy of the hop-by-hop headers and of the body reader; gateway.ts and store_follower.ts held parts of another job.

--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -56,3 +56,46 @@
     text: () => registry.metrics(),
   };
 }
+
+/** What the gauges read when metrics are asked for. */
+export interface GaugeSources {
+  inFlight(): number;
+  configurationVersion(): number | undefined;
+  /** Age of this VM's own newest look at the store. */
+  storeAgeMs(): number | undefined;
+  livingVms(): number;
+  targets(): number;
+}
+
+/** Stands for a value that is not known yet. */
+const UNKNOWN = -1;
+
+export function registerGauges(
+  metrics: GatewayMetrics,
+  sources: GaugeSources,
+): void {
+  metrics.gauge(
+    'ibisbeam_requests_in_flight',
+    'Requests that have no answer yet.',
+    sources.inFlight,
+  );
+  metrics.gauge(
+    'ibisbeam_configuration_version',
+    'Version of the configuration in force; -1 before the first.',
+    () => sources.configurationVersion() ?? UNKNOWN,
+  );
+  metrics.gauge(
+    'ibisbeam_store_confirmed_age_seconds',
+    'Age of this VM’s own newest look at the store; -1 if it never looked.',
+    () => {
+      const ageMs = sources.storeAgeMs();
+      return ageMs === undefined ? UNKNOWN : ageMs / MILLISECONDS_PER_SECOND;
+    },
+  );
+  metrics.gauge(
+    'ibisbeam_peers_living',
+    'Entry VMs heard of lately, this one included.',
+    sources.livingVms,
+  );
+  metrics.gauge('ibisbeam_targets', 'Targets listed.', sources.targets);
+}
--- a/packages/gateway/src/forwarding/answer_delivery.ts
+++ b/packages/gateway/src/forwarding/answer_delivery.ts
@@ -1,6 +1,6 @@
 /** Writes answers of targets, and refusals, to clients. */
 import type {ServerResponse} from 'node:http';
-import {endToEndHeaders} from './header_rules.js';
+import {endToEndRawHeaders} from './header_rules.js';
 import type {TargetAnswer} from './target_attempt.js';
 
 const NOTHING_DROPPED: ReadonlySet<string> = new Set();
@@ -19,7 +19,7 @@
     discard(answer);
     return;
   }
-  const headers = endToEndHeaders(answer.rawHeaders, NOTHING_DROPPED);
+  const headers = endToEndRawHeaders(answer.rawHeaders, NOTHING_DROPPED);
   if (closeAfter) {
     headers.push('Connection', 'close');
   }
--- a/packages/gateway/src/forwarding/attempt_headers.ts
+++ b/packages/gateway/src/forwarding/attempt_headers.ts
@@ -2,7 +2,7 @@
 import type {RegisteredTarget} from '@ibisbeam/decision';
 import type {ForwardingContext} from './context.js';
 import type {ExchangeRequest} from './exchange_types.js';
-import {endToEndHeaders} from './header_rules.js';
+import {endToEndRawHeaders} from './header_rules.js';
 
 /** A target takes a deadline of 0 for none. */
 const SHORTEST_DEADLINE_MS = 1;
@@ -21,7 +21,7 @@
     request.clientDeadlineMs ?? Infinity,
   );
   const leftMs = Math.max(SHORTEST_DEADLINE_MS, Math.floor(untilMs - nowMs));
-  const list = endToEndHeaders(incoming.rawHeaders, context.replacedHeaders);
+  const list = endToEndRawHeaders(incoming.rawHeaders, context.replacedHeaders);
   list.push(
     headers.deadlineMs,
     String(leftMs),
--- a/packages/gateway/src/forwarding/caller_server.ts
+++ b/packages/gateway/src/forwarding/caller_server.ts
@@ -8,13 +8,13 @@
   type ServerResponse,
   createServer,
 } from 'node:http';
-import type {ClientLimits, RouteTable} from '@ibisbeam/decision';
+import type {ClientLimits, Route, RouteTable} from '@ibisbeam/decision';
+import {announcesBody, readBody} from '@ibisbeam/library';
 import type {HostAndPort} from '../core/settings.js';
 import {refuse} from './answer_delivery.js';
 import type {ForwardingContext} from './context.js';
 import {startExchange} from './exchange.js';
 import {headerValues} from './header_rules.js';
-import {hasBody, readBody} from './request_body.js';
 
 export interface CallerServer {
   listen(): Promise<void>;
@@ -40,6 +40,7 @@
 const NOT_CONFIGURED_RETRY_MS = 300;
 /** Slow clients are checked so often. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
+const EMPTY_BODY = Buffer.alloc(0);
 const DEFAULT_LIMITS: ClientLimits = {
   headerBytes: 16_384,
   bodyBytes: 1_048_576,
@@ -95,39 +96,54 @@
     const path = incoming.url ?? '/';
     const route = routes.find(incoming.headers.host ?? '', path);
     if (!route) {
-      refuse(outgoing, 404, 'no route', undefined, hasBody(incoming));
+      refuse(outgoing, 404, 'no route', undefined, announcesBody(incoming));
       return;
     }
-    readBody(incoming, limits.bodyBytes, result => {
-      switch (result.kind) {
-        case 'aborted':
-          return;
-        case 'too-large':
-          refuse(outgoing, 413, 'the body is too large', undefined, true);
-          return;
-        case 'whole':
-          break;
-      }
-      const service = routes.nextService(route);
-      if (service === undefined) {
-        const why = 'the route has no service';
-        refuse(outgoing, 503, why, NOT_CONFIGURED_RETRY_MS);
-        return;
-      }
-      const {headers} = context.protocol;
-      const [attemptId] = headerValues(incoming.rawHeaders, headers.attemptId);
-      const [key] = headerValues(incoming.rawHeaders, headers.affinityKey);
-      startExchange(context, {
-        incoming,
-        outgoing,
-        route,
-        service,
-        attemptId,
-        affinityKey: route.sticky ? key : undefined,
-        body: result.bytes,
-        arrivedAtMs,
-        clientDeadlineMs: deadlineOf(incoming, arrivedAtMs),
-      });
+    if (!announcesBody(incoming)) {
+      const isEmpty = incoming.headers['content-length'] === '0';
+      const body = isEmpty ? EMPTY_BODY : undefined;
+      forward(incoming, outgoing, routes, route, body, arrivedAtMs);
+      return;
+    }
+    void readBody(incoming, limits.bodyBytes).then(result =>
+      result.caseOf({
+        Left: error => {
+          if (error.kind === 'too-large') {
+            refuse(outgoing, 413, 'the body is too large', undefined, true);
+          }
+        },
+        Right: body =>
+          forward(incoming, outgoing, routes, route, body, arrivedAtMs),
+      }),
+    );
+  }
+
+  function forward(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    routes: RouteTable,
+    route: Route,
+    body: Buffer | undefined,
+    arrivedAtMs: number,
+  ): void {
+    const service = routes.nextService(route);
+    if (service === undefined) {
+      refuse(outgoing, 503, 'no service', NOT_CONFIGURED_RETRY_MS);
+      return;
+    }
+    const {headers} = context.protocol;
+    const [attemptId] = headerValues(incoming.rawHeaders, headers.attemptId);
+    const [key] = headerValues(incoming.rawHeaders, headers.affinityKey);
+    startExchange(context, {
+      incoming,
+      outgoing,
+      route,
+      service,
+      attemptId,
+      affinityKey: route.sticky ? key : undefined,
+      body,
+      arrivedAtMs,
+      clientDeadlineMs: deadlineOf(incoming, arrivedAtMs),
     });
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,7 +25,7 @@
 import {createBeliefs} from './beliefs.js';
 import {createControlServer} from './control/control_server.js';
 import {createVmDirectory} from './control/vm_directory.js';
-import {createGatewayMetrics} from './core/gateway_metrics.js';
+import {createGatewayMetrics, registerGauges} from './core/gateway_metrics.js';
 import type {GatewayProtocol} from './core/protocol.js';
 import type {GatewaySettings} from './core/settings.js';
 import {createCallerServer} from './forwarding/caller_server.js';
@@ -78,7 +78,6 @@
 const STOP_NOTICE_MS = 2_200;
 const STOP_POLL_MS = 50;
 const METRICS_PATH = '/metrics';
-const MILLISECONDS_PER_SECOND = 1_000;
 
 export function createGateway(options: GatewayOptions): Gateway {
   const {settings, protocol, timers, log} = options;
@@ -252,32 +251,13 @@
       [METRICS_PATH, async () => ({status: 200, body: await metrics.text()})],
     ]),
   );
-  metrics.gauge('ibisbeam_requests_in_flight', 'Requests unanswered.', () =>
-    callerServer.inFlight(),
-  );
-  metrics.gauge(
-    'ibisbeam_configuration_version',
-    'Version of the configuration in force; -1 before the first.',
-    () => beliefs.routes()?.configuration.version ?? -1,
-  );
-  metrics.gauge(
-    'ibisbeam_store_confirmed_age_seconds',
-    'Age of this VM’s own newest look at the store; -1 if it never looked.',
-    () => {
-      const ageMs = follower.watchAgeMs();
-      return ageMs === undefined ? -1 : ageMs / MILLISECONDS_PER_SECOND;
-    },
-  );
-  metrics.gauge(
-    'ibisbeam_peers_living',
-    'Entry VMs heard of lately.',
-    () => directory.living().length,
-  );
-  metrics.gauge(
-    'ibisbeam_targets',
-    'Targets listed.',
-    () => registry.all().length,
-  );
+  registerGauges(metrics, {
+    inFlight: () => callerServer.inFlight(),
+    configurationVersion: () => beliefs.routes()?.configuration.version,
+    storeAgeMs: () => follower.watchAgeMs(),
+    livingVms: () => directory.living().length,
+    targets: () => registry.all().length,
+  });
 
   function isServing(): boolean {
     return beliefs.routes() !== undefined && follower.isComplete() && !stopping;
--- /dev/null
+++ b/packages/gateway/src/store/mirror_objects.ts
@@ -0,0 +1,38 @@
+/** Objects of the store, and of peers' messages, as the copies hold them. */
+import type {MirrorEvent, MirroredObject} from '@ibisbeam/decision';
+import type {PlatformChange, PlatformObject} from '@ibisbeam/library';
+
+/** An absent value, which messages leave out, is `undefined`. */
+export function withValue(object: {
+  name: string;
+  version: number;
+  value?: unknown;
+}): MirroredObject {
+  return {name: object.name, version: object.version, value: object.value};
+}
+
+/** Keys are the kind and the name, with a slash between. */
+function nameOf(key: string): string {
+  return key.slice(key.indexOf('/') + 1);
+}
+
+export function toMirrored(object: PlatformObject): MirroredObject {
+  return {
+    name: nameOf(object.key),
+    version: object.version,
+    value: object.value,
+  };
+}
+
+export function toMirrorEvent(change: PlatformChange): MirrorEvent {
+  switch (change.kind) {
+    case 'put':
+      return {kind: 'put', object: toMirrored(change.object)};
+    case 'deleted':
+      return {
+        kind: 'deleted',
+        name: nameOf(change.key),
+        version: change.version,
+      };
+  }
+}
--- a/packages/gateway/src/store/store_follower.ts
+++ b/packages/gateway/src/store/store_follower.ts
@@ -6,7 +6,6 @@
 import {
   type MirrorBatch,
   type MirrorChange,
-  type MirrorEvent,
   type MirroredObject,
   type StoreMirror,
   type WatchDuty,
@@ -14,13 +13,12 @@
 } from '@ibisbeam/decision';
 import type {
   Logger,
-  PlatformChange,
   PlatformError,
-  PlatformObject,
   PlatformStore,
   TimerService,
 } from '@ibisbeam/library';
 import type {PeerMessage, StoreKind} from '../peers/messages.js';
+import {toMirrorEvent, toMirrored, withValue} from './mirror_objects.js';
 
 export interface StoreFollowerOptions {
   readonly store: PlatformStore;
@@ -350,37 +348,3 @@
     receive,
   };
 }
-
-function withValue(object: {
-  name: string;
-  version: number;
-  value?: unknown;
-}): MirroredObject {
-  return {name: object.name, version: object.version, value: object.value};
-}
-
-/** Keys are the kind and the name, with a slash between. */
-function nameOf(key: string): string {
-  return key.slice(key.indexOf('/') + 1);
-}
-
-function toMirrored(object: PlatformObject): MirroredObject {
-  return {
-    name: nameOf(object.key),
-    version: object.version,
-    value: object.value,
-  };
-}
-
-function toMirrorEvent(change: PlatformChange): MirrorEvent {
-  switch (change.kind) {
-    case 'put':
-      return {kind: 'put', object: toMirrored(change.object)};
-    case 'deleted':
-      return {
-        kind: 'deleted',
-        name: nameOf(change.key),
-        version: change.version,
-      };
-  }
-}
--- a/packages/library/src/core/http/body.ts
+++ b/packages/library/src/core/http/body.ts
@@ -11,7 +11,7 @@
 const EMPTY_BODY = Buffer.alloc(0);
 
 /** Whether the head of the request announces a body. */
-function announcesBody(request: IncomingMessage): boolean {
+export function announcesBody(request: IncomingMessage): boolean {
   const {headers} = request;
   return (
     headers['transfer-encoding'] !== undefined ||
--- a/packages/library/src/core/http/headers.ts
+++ b/packages/library/src/core/http/headers.ts
@@ -21,7 +21,7 @@
 const BEARER_PREFIX = 'Bearer ';
 
 /** Headers that concern one connection only (RFC 9110, section 7.6.1). */
-const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
+export const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
   'connection',
   'keep-alive',
   'proxy-authenticate',
@@ -60,8 +60,11 @@
   return kept;
 }
 
-/** Absent for the usual values, which name no header. */
-function connectionOptions(
+/**
+ * Names in lower case that a Connection header lists as its own. Absent for
+ * the usual values, which name no header.
+ */
+export function connectionOptions(
   connection: string | undefined,
 ): ReadonlySet<string> | undefined {
   if (!connection || connection === 'keep-alive' || connection === 'close') {
