Add a fault soak with real processes

Four gateways as processes, signals, a loopback proxy before the store, nine targets that spoil answers, leave and come; promises checked from what callers and targets saw, each check with a trace that breaks it.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,7 @@
   {ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'reports/**']},
   ...typescriptEslint.configs.recommended,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     rules: {
       'prefer-const': 'error',
       'no-var': 'error',
@@ -57,4 +57,9 @@
       ],
     },
   },
+  {
+    // The soak runs the real programs as processes of their own.
+    files: ['packages/soak/src/gateway_process.ts'],
+    rules: {'no-restricted-imports': 'off'},
+  },
 );
--- /dev/null
+++ b/packages/soak/src/callers.ts
@@ -0,0 +1,116 @@
+/** Callers that send look-ups and bookings over kept connections. */
+import {Agent, request as httpRequest} from 'node:http';
+import type {RandomSource} from '@ibisbeam/decision';
+import type {TimerService} from '@ibisbeam/library';
+import type {GatewayProcess} from './gateway_process.js';
+import type {CallRecord} from './observations.js';
+
+export interface Callers {
+  start(): void;
+  /** Sends nothing new; resolves when all calls have ended. */
+  stop(): Promise<void>;
+  readonly calls: readonly CallRecord[];
+  /** One look-up outside the load; its status, 0 without an answer. */
+  probe(vm: GatewayProcess): Promise<number>;
+}
+
+const SEND_INTERVAL_MS = 8;
+const DEADLINE_MS = 1_200;
+const BOOKING_SHARE = 0.4;
+const KEYS = 60;
+const CONNECTIONS_PER_VM = 40;
+const DRAIN_POLL_MS = 20;
+
+export function createCallers(
+  vms: readonly GatewayProcess[],
+  host: string,
+  timers: TimerService,
+  random: RandomSource,
+): Callers {
+  const agent = new Agent({keepAlive: true, maxSockets: CONNECTIONS_PER_VM});
+  const calls: CallRecord[] = [];
+  let pending = 0;
+  let sent = 0;
+  let ticker: {cancel(): void} | undefined;
+
+  function send(vm: GatewayProcess, idempotent: boolean): Promise<number> {
+    sent += 1;
+    pending += 1;
+    const attemptId = `call-${sent}`;
+    const sentMs = timers.nowMs();
+    return new Promise(resolve => {
+      const outgoing = httpRequest({
+        ...vm.caller,
+        agent,
+        method: idempotent ? 'GET' : 'POST',
+        path: idempotent ? '/rooms/1' : '/book/1',
+        headers: {
+          Host: host,
+          'X-Ibisbeam-Attempt-Id': attemptId,
+          'X-Ibisbeam-Deadline-Ms': String(DEADLINE_MS),
+          'X-Ibisbeam-Affinity-Key': String(random.below(KEYS)),
+        },
+      });
+      const deadline = timers.after(DEADLINE_MS, () => outgoing.destroy());
+      let ended = false;
+
+      function end(status: number, whole: boolean, seal?: string): void {
+        if (ended) {
+          return;
+        }
+        ended = true;
+        pending -= 1;
+        deadline.cancel();
+        const endedMs = timers.nowMs();
+        // A caller that gives up has not been cut off.
+        const gaveUp = status === 0 && endedMs - sentMs >= DEADLINE_MS;
+        calls.push({
+          attemptId,
+          idempotent,
+          vm: gaveUp ? 'none' : vm.id,
+          sentMs,
+          endedMs,
+          status,
+          whole,
+          seal,
+        });
+        resolve(status);
+      }
+
+      outgoing.on('error', () => end(0, false));
+      outgoing.on('response', incoming => {
+        const seal = incoming.headers['x-ibisbeam-response-seal'];
+        incoming.resume();
+        incoming.on('error', () => end(0, false));
+        incoming.on('close', () =>
+          end(
+            incoming.statusCode ?? 0,
+            incoming.complete,
+            typeof seal === 'string' ? seal : undefined,
+          ),
+        );
+      });
+      outgoing.end(idempotent ? undefined : 'room=1');
+    });
+  }
+
+  return {
+    calls,
+    probe: vm => send(vm, true),
+    start: () => {
+      ticker = timers.every(SEND_INTERVAL_MS, () => {
+        const vm = vms[random.below(vms.length)];
+        if (vm) {
+          void send(vm, random.next() >= BOOKING_SHARE);
+        }
+      });
+    },
+    stop: async () => {
+      ticker?.cancel();
+      while (pending > 0) {
+        await timers.sleep(DRAIN_POLL_MS);
+      }
+      agent.destroy();
+    },
+  };
+}
--- /dev/null
+++ b/packages/soak/src/gateway_process.ts
@@ -0,0 +1,77 @@
+/** One gateway as a process of its own, and the signals sent to it. */
+import {type ChildProcess, spawn} from 'node:child_process';
+import {openSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+
+export interface GatewayProcess {
+  readonly id: string;
+  readonly caller: {readonly host: string; readonly port: number};
+  readonly readiness: {readonly host: string; readonly port: number};
+  /** Signals reach only this process, by its id. */
+  signal(
+    signal: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP',
+  ): void;
+  start(): void;
+  isRunning(): boolean;
+  /** Ends that no signal of the soak explains. */
+  unexpectedEnds(): number;
+}
+
+export interface GatewayProcessOptions {
+  readonly id: string;
+  readonly folder: string;
+  readonly settings: {readonly [key: string]: unknown};
+  readonly caller: {readonly host: string; readonly port: number};
+  readonly readiness: {readonly host: string; readonly port: number};
+  onEnd(): void;
+}
+
+const PROGRAM = fileURLToPath(
+  new URL('../../../../platform/dist/src/main.js', import.meta.url),
+);
+
+export function createGatewayProcess(
+  options: GatewayProcessOptions,
+): GatewayProcess {
+  const settingsFile = join(options.folder, `${options.id}.json`);
+  const logFile = join(options.folder, `${options.id}.log`);
+  writeFileSync(settingsFile, JSON.stringify(options.settings));
+  let child: ChildProcess | undefined;
+  let endExpected = false;
+  let unexpected = 0;
+
+  function start(): void {
+    const log = openSync(logFile, 'a');
+    endExpected = false;
+    const started = spawn(process.execPath, [PROGRAM], {
+      env: {PATH: process.env['PATH'], IBISBEAM_BOOT: settingsFile},
+      stdio: ['ignore', log, log],
+    });
+    child = started;
+    started.on('exit', () => {
+      if (!endExpected) {
+        unexpected += 1;
+      }
+      if (child === started) {
+        child = undefined;
+      }
+      options.onEnd();
+    });
+  }
+
+  return {
+    id: options.id,
+    caller: options.caller,
+    readiness: options.readiness,
+    start,
+    signal: signal => {
+      if (signal === 'SIGTERM' || signal === 'SIGKILL') {
+        endExpected = true;
+      }
+      child?.kill(signal);
+    },
+    isRunning: () => child !== undefined,
+    unexpectedEnds: () => unexpected,
+  };
+}
--- /dev/null
+++ b/packages/soak/src/store_proxy.ts
@@ -0,0 +1,86 @@
+/** A loopback proxy that spoils the connections between a VM and the store. */
+import {type Server, type Socket, connect, createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import type {TimerService} from '@ibisbeam/library';
+
+export type ProxyMode =
+  | 'pass'
+  /** Open connections and new ones carry nothing more. */
+  | 'silent'
+  /** Answers are held back, calls arrive. */
+  | 'one-way'
+  | 'slow'
+  /** Open connections are reset and new ones refused by a reset. */
+  | 'reset';
+
+export interface StoreProxy {
+  readonly port: number;
+  setMode(mode: ProxyMode): void;
+  mode(): ProxyMode;
+  close(): void;
+}
+
+const SLOW_DELAY_MS = 150;
+
+export async function startStoreProxy(
+  target: {readonly host: string; readonly port: number},
+  timers: Pick<TimerService, 'after'>,
+): Promise<StoreProxy> {
+  let mode: ProxyMode = 'pass';
+  const sockets = new Set<Socket>();
+
+  const server: Server = createServer(near => {
+    if (mode === 'reset') {
+      near.resetAndDestroy();
+      return;
+    }
+    const far = connect(target.port, target.host);
+    for (const socket of [near, far]) {
+      sockets.add(socket);
+      socket.on('error', () => socket.destroy());
+      socket.on('close', () => {
+        sockets.delete(socket);
+        near.destroy();
+        far.destroy();
+      });
+    }
+    pass(near, far, ['silent']);
+    pass(far, near, ['silent', 'one-way']);
+  });
+
+  function pass(from: Socket, to: Socket, heldIn: readonly ProxyMode[]): void {
+    from.on('data', (data: Buffer) => {
+      if (heldIn.includes(mode)) {
+        return;
+      }
+      const delayMs = mode === 'slow' ? SLOW_DELAY_MS : 0;
+      timers.after(delayMs, () => {
+        if (!to.destroyed) {
+          to.write(data);
+        }
+      });
+    });
+  }
+
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return {
+    port: (server.address() as AddressInfo).port,
+    mode: () => mode,
+    setMode: next => {
+      mode = next;
+      if (next === 'reset') {
+        for (const socket of sockets) {
+          socket.resetAndDestroy();
+        }
+      }
+    },
+    close: () => {
+      server.close();
+      for (const socket of sockets) {
+        socket.destroy();
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/soak/test/observations.test.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  type CallRecord,
+  type Observations,
+  findViolations,
+} from '../src/observations.js';
+
+function call(changes: Partial<CallRecord> = {}): CallRecord {
+  return {
+    attemptId: 'a',
+    idempotent: false,
+    vm: 'edge-0',
+    sentMs: 0,
+    endedMs: 100,
+    status: 200,
+    whole: true,
+    seal: 'seal-worker-a',
+    ...changes,
+  };
+}
+
+function seen(changes: Partial<Observations>): Observations {
+  return {calls: [], runs: [], disruptions: [], departures: [], ...changes};
+}
+
+function promises(observations: Observations): readonly string[] {
+  return findViolations(observations).map(violation => violation.promise);
+}
+
+const RUN = {attemptId: 'a', target: 'worker', atMs: 50};
+
+describe('checks of the soak', () => {
+  it('hold for a booking that ran once', () => {
+    assert.deepEqual(promises(seen({calls: [call()], runs: [RUN]})), []);
+  });
+
+  it('find a booking that ran twice, and pass over a look-up', () => {
+    const runs = [RUN, RUN];
+    assert.deepEqual(promises(seen({calls: [call()], runs})), ['at most once']);
+    const lookUp = call({idempotent: true});
+    assert.deepEqual(promises(seen({calls: [lookUp], runs})), []);
+  });
+
+  it('find a refusal that has run', () => {
+    const calls = [call({status: 503, seal: undefined})];
+    assert.deepEqual(promises(seen({calls, runs: [RUN]})), [
+      'a refusal has not run',
+    ]);
+  });
+
+  it('find the answer of another request', () => {
+    const calls = [call({seal: 'seal-worker-b'})];
+    assert.deepEqual(promises(seen({calls})), ['own answer']);
+  });
+
+  it('find a request to a target that left, unless a VM was disrupted', () => {
+    const departures = [{target: 'worker', atMs: 0}];
+    const runs = [{...RUN, atMs: 2_600}];
+    assert.deepEqual(promises(seen({departures, runs})), [
+      'leaving targets get nothing new',
+    ]);
+    const disruptions = [
+      {vm: 'edge-0', fromMs: 1_000, toMs: 1_500, kind: 'other'} as const,
+    ];
+    assert.deepEqual(promises(seen({departures, runs, disruptions})), []);
+  });
+
+  it('find a request that a planned stop cut off', () => {
+    const calls = [call({status: 0, whole: false, seal: undefined})];
+    const disruptions = [
+      {vm: 'edge-0', fromMs: 10, toMs: 6_000, kind: 'planned-stop'} as const,
+    ];
+    assert.deepEqual(promises(seen({calls, runs: [RUN], disruptions})), [
+      'a planned stop cuts nothing off',
+    ]);
+  });
+});
--- a/packages/stand_ins/src/core/object_platform/fleet_target.ts
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -42,6 +42,8 @@
   readonly body: string;
   readonly key: string | undefined;
   readonly deadlineMs: number;
+  /** When the run began, on the timer service's clock. */
+  readonly atMs: number;
   cancelled: boolean;
 }
 
@@ -163,6 +165,7 @@
       body,
       key,
       deadlineMs: Number(header(incoming, 'x-ibisbeam-deadline-ms')),
+      atMs: timers.nowMs(),
       cancelled: false,
     };
     runs.push(record);
