Keep a stopping VM until its open connections are used up or closed

Ruled out: the SIGKILL of the same VM, 2.8 s later; requests in the accept queue, which reach no target. The VM now waits 0.6 s for such connections, then closes all in the step in which it sees nothing in flight. A test with an unused connection failed before; 35 end-to-end tests pass.

--- a/packages/gateway/src/forwarding/caller_server.ts
+++ b/packages/gateway/src/forwarding/caller_server.ts
@@ -23,6 +23,7 @@
   inFlight(): number;
   /** Stops listening and drops idle connections. */
   close(): Promise<void>;
+  openConnections(): number;
   /** Cuts every connection off. */
   abandon(): Promise<void>;
 }
@@ -52,6 +53,7 @@
   const {context} = options;
   let limits = DEFAULT_LIMITS;
   let inFlight = 0;
+  let open = 0;
   /** Unanswered requests by connection. */
   const waiting = new WeakMap<object, number>();
   const server: Server = createServer(
@@ -160,6 +162,12 @@
     return arrivedAtMs + leftMs;
   }
 
+  server.on('connection', socket => {
+    open += 1;
+    socket.on('close', () => {
+      open -= 1;
+    });
+  });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     context.log.log('info', 'input-refused', {cause: error.code});
     // Bytes between another request and its answer would pass for the answer.
@@ -191,6 +199,7 @@
       }),
     setLimits,
     inFlight: () => inFlight,
+    openConnections: () => open,
     close: () =>
       new Promise(resolve => {
         server.close(() => resolve());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -76,6 +76,8 @@
 const STOP_MARGIN_MS = 400;
 /** A stopping VM takes new connections for so long. */
 const STOP_NOTICE_MS = 2_200;
+/** Connections without a request are kept so long after the listener closed. */
+const STOP_LINGER_MS = 600;
 const STOP_POLL_MS = 50;
 const METRICS_PATH = '/metrics';
 
@@ -365,20 +367,33 @@
     // Clients hear meanwhile that this VM leaves and connect elsewhere.
     await timers.sleep(STOP_NOTICE_MS);
     void callerServer.close();
+    const lingerUntilMs = timers.nowMs() + STOP_LINGER_MS;
     const boundMs = bounds.stopGraceMs - STOP_MARGIN_MS;
-    while (callerServer.inFlight() > 0) {
+    while (!isQuiet(lingerUntilMs)) {
       if (timers.nowMs() - beganMs >= boundMs) {
         log.log('warn', 'stop-bound-hit', {inFlight: callerServer.inFlight()});
         break;
       }
       await timers.sleep(STOP_POLL_MS);
     }
+    // Nothing is read from here on, so that nothing can be left unanswered.
+    void callerServer.abandon();
     endParts();
     log.log('info', 'vm-stopped', {
       tookMs: Math.round(timers.nowMs() - beganMs),
     });
   }
 
+  /** A connection that is open may still bring its first request. */
+  function isQuiet(lingerUntilMs: number): boolean {
+    if (callerServer.inFlight() > 0) {
+      return false;
+    }
+    return (
+      callerServer.openConnections() === 0 || timers.nowMs() >= lingerUntilMs
+    );
+  }
+
   function endParts(): void {
     for (const handle of handles) {
       handle.cancel();
--- a/packages/stand_ins/test/object_platform/fleet.test.ts
+++ b/packages/stand_ins/test/object_platform/fleet.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {connect} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {
   type Harness,
@@ -135,6 +136,30 @@
     await stopped;
   });
 
+  it('answers a first request late in a planned stop, and reads none after', async () => {
+    const {host, port} = harness.gateway.caller;
+    const stopped = harness.gateway.gateway.stop();
+    await timers.sleep(2_000);
+    const late = connect(port, host);
+    const unused = connect(port, host);
+    unused.on('error', () => {});
+    await timers.sleep(300);
+    const answered = new Promise<string>(resolve => {
+      late.once('data', data => resolve(data.toString('utf8')));
+      late.once('close', () => resolve('closed'));
+    });
+    late.write(firstRequest('late'));
+    assert.match(await answered, /^HTTP\/1\.1 200/);
+    await stopped;
+    unused.write(firstRequest('after'));
+    await timers.sleep(200);
+    const runs = harness.targets.flatMap(target => target.runs);
+    assert.deepEqual(
+      runs.map(run => run.attemptId),
+      ['late'],
+    );
+  });
+
   it('passes changes on from the VMs that watch', async () => {
     for (const [index, zone] of ['riga-b', 'kurz-a', 'riga-a'].entries()) {
       const gateway = await harness.fleet.addGateway(`edge-${index}`, zone);
@@ -154,3 +179,12 @@
     );
   });
 });
+
+function firstRequest(attemptId: string): string {
+  const lines = [
+    'GET /rooms/1 HTTP/1.1',
+    `Host: ${HOST}`,
+    `X-Ibisbeam-Attempt-Id: ${attemptId}`,
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n`;
+}
