--- a/packages/decision/src/core/placement/affinity_placement.ts
+++ b/packages/decision/src/core/placement/affinity_placement.ts
@@ -76,7 +76,7 @@
   readonly shares: RegionShares;
   readonly random: RandomSource;
   /** Takes one request out of what may leave its home region by load. */
-  mayLeaveHome(nowMs: number): boolean;
+  maySpillOver(nowMs: number): boolean;
   /** Whether the fleet's budget for cold targets lets this VM send one. */
   coldAllowed(target: RegisteredTarget, nowMs: number): boolean;
 }
@@ -170,7 +170,7 @@
     if (!anywhere || anywhere.target.region === home) {
       return atHome ?? anywhere;
     }
-    if (atHome && !dependencies.mayLeaveHome(nowMs)) {
+    if (atHome && !dependencies.maySpillOver(nowMs)) {
       return atHome;
     }
     return anywhere;
--- a/packages/decision/src/core/placement/dispatch_rule.ts
+++ b/packages/decision/src/core/placement/dispatch_rule.ts
@@ -70,7 +70,7 @@
 }
 
 /** Who is tried first when a slot may have become free. */
-export function compareWaiting(
+export function compareQueued(
   one: {readonly urgency: Urgency; readonly arrivedAtMs: number},
   other: {readonly urgency: Urgency; readonly arrivedAtMs: number},
 ): number {
--- a/packages/decision/test/placement/affinity_placement.test.ts
+++ b/packages/decision/test/placement/affinity_placement.test.ts
@@ -43,7 +43,7 @@
 }
 
 /** A VM of riga-a with four targets in its region and two in another. */
-function startVm(mayLeaveHome = true) {
+function startVm(maySpillOver = true) {
   const registry = createTargetRegistry({
     zoneRegions: ZONES,
     onEvent: () => {},
@@ -71,7 +71,7 @@
     parameters: DEFAULT_PLACEMENT_PARAMETERS,
     shares: createRegionShares({region: 'riga', movePerSecond: 0.03}),
     random: createRandomSource(1),
-    mayLeaveHome: () => mayLeaveHome,
+    maySpillOver: () => maySpillOver,
     coldAllowed: () => false,
   });
   const lifeOf = (id: string): string => registry.get(id)?.life ?? '';
--- a/packages/decision/test/placement/dispatch_rule.test.ts
+++ b/packages/decision/test/placement/dispatch_rule.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {
   type DispatchQuestion,
-  compareWaiting,
+  compareQueued,
   createClientPatience,
   decideDispatch,
 } from '../../src/index.js';
@@ -69,7 +69,7 @@
       {urgency: 'late', arrivedAtMs: -5},
     ] as const;
     assert.deepEqual(
-      [...waiting].sort(compareWaiting).map(one => one.arrivedAtMs),
+      [...waiting].sort(compareQueued).map(one => one.arrivedAtMs),
       [40, 30, -5, 0],
     );
   });
--- a/packages/gateway/src/forwarding/waiting_line.ts
+++ b/packages/gateway/src/forwarding/admission_queue.ts
@@ -1,8 +1,8 @@
 /** Requests that wait for a free slot, tried again whenever one may be free. */
-import {type Urgency, compareWaiting} from '@ibisbeam/decision';
+import {type Urgency, compareQueued} from '@ibisbeam/decision';
 import type {TimerHandle, TimerService} from '@ibisbeam/library';
 
-export interface WaitingRequest {
+export interface QueuedRequest {
   readonly service: string;
   readonly arrivedAtMs: number;
   urgency: Urgency;
@@ -10,9 +10,9 @@
   tryAgain(): boolean;
 }
 
-export interface WaitingLine {
-  add(request: WaitingRequest): void;
-  remove(request: WaitingRequest): void;
+export interface AdmissionQueue {
+  add(request: QueuedRequest): void;
+  remove(request: QueuedRequest): void;
   /** A slot of the service may have become free. */
   slotFreed(service: string): void;
   length(): number;
@@ -21,35 +21,35 @@
 /** Slots that other VMs free show only when asked for. */
 const RETRY_INTERVAL_MS = 20;
 
-export function createWaitingLine(timers: TimerService): WaitingLine {
-  const lines = new Map<string, Set<WaitingRequest>>();
+export function createAdmissionQueue(timers: TimerService): AdmissionQueue {
+  const queues = new Map<string, Set<QueuedRequest>>();
   let ticker: TimerHandle | undefined;
   let waiting = 0;
   let pumping = false;
 
-  function lineOf(service: string): Set<WaitingRequest> {
-    const line = lines.get(service) ?? new Set<WaitingRequest>();
-    lines.set(service, line);
-    return line;
+  function queueOf(service: string): Set<QueuedRequest> {
+    const queue = queues.get(service) ?? new Set<QueuedRequest>();
+    queues.set(service, queue);
+    return queue;
   }
 
   function pump(service: string): void {
-    const line = lineOf(service);
-    // A request that ends while the line is tried frees no further slot.
-    if (line.size === 0 || pumping) {
+    const queue = queueOf(service);
+    // A request that ends while the queue is tried frees no further slot.
+    if (queue.size === 0 || pumping) {
       return;
     }
     pumping = true;
-    for (const request of [...line].sort(compareWaiting)) {
-      if (line.has(request) && request.tryAgain()) {
+    for (const request of [...queue].sort(compareQueued)) {
+      if (queue.has(request) && request.tryAgain()) {
         remove(request);
       }
     }
     pumping = false;
   }
 
-  function remove(request: WaitingRequest): void {
-    if (!lineOf(request.service).delete(request)) {
+  function remove(request: QueuedRequest): void {
+    if (!queueOf(request.service).delete(request)) {
       return;
     }
     waiting -= 1;
@@ -61,10 +61,10 @@
 
   return {
     add: request => {
-      lineOf(request.service).add(request);
+      queueOf(request.service).add(request);
       waiting += 1;
       ticker ??= timers.every(RETRY_INTERVAL_MS, () => {
-        for (const service of lines.keys()) {
+        for (const service of queues.keys()) {
           pump(service);
         }
       });
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -14,7 +14,7 @@
 import type {GatewayProtocol} from '../core/protocol.js';
 import type {CrashGuard} from './crash_guard.js';
 import type {TargetConnections} from './target_connections.js';
-import type {WaitingLine} from './waiting_line.js';
+import type {AdmissionQueue} from './admission_queue.js';
 
 export interface FinishedRequest {
   readonly attemptId: string | undefined;
@@ -48,7 +48,7 @@
   readonly connections: TargetConnections;
   readonly crashGuard: CrashGuard;
   readonly clientPatience: ClientPatience;
-  readonly waitingLine: WaitingLine;
+  readonly admissionQueue: AdmissionQueue;
   isStopping(): boolean;
   /** A request of this VM's own clients has come. */
   arrived(service: string, expectedMs: number, nowMs: number): void;
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -16,7 +16,7 @@
 import {attemptHeaders} from './attempt_headers.js';
 import {learnFromAttempt} from './attempt_learning.js';
 import type {ExchangeRequest, RunningAttempt} from './exchange_types.js';
-import type {WaitingRequest} from './waiting_line.js';
+import type {QueuedRequest} from './admission_queue.js';
 import {type TargetAnswer, startTargetAttempt} from './target_attempt.js';
 
 /** A connection within a region is there sooner, or the target is away. */
@@ -67,9 +67,9 @@
       load.ended(attempt.placement.target.life);
     }
     running.clear();
-    context.waitingLine.remove(waiting);
+    context.admissionQueue.remove(waiting);
     if (hadSlots) {
-      context.waitingLine.slotFreed(service);
+      context.admissionQueue.slotFreed(service);
     }
     context.finished({
       attemptId: request.attemptId,
@@ -231,7 +231,7 @@
     const {target} = attempt.placement;
     load.ended(target.life);
     learnFromAttempt(context, {request, attempt, outcome, fingerprint, nowMs});
-    context.waitingLine.slotFreed(service);
+    context.admissionQueue.slotFreed(service);
     context.attemptEnded(service, outcome.kind);
     if (outcome.kind === 'not-executed') {
       possiblyRun -= 1;
@@ -321,7 +321,7 @@
   );
   const {crashGuard} = context;
   const elapsedMs = elapsedBefore(context, request);
-  const waiting: WaitingRequest = {
+  const waiting: QueuedRequest = {
     service,
     arrivedAtMs: request.arrivedAtMs,
     urgency: 'in-time',
@@ -374,7 +374,7 @@
     return;
   }
   if (dispatch() === 'hold') {
-    context.waitingLine.add(waiting);
+    context.admissionQueue.add(waiting);
   }
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,7 +33,7 @@
 import {createCrashGuard} from './forwarding/crash_guard.js';
 import {logFinished} from './forwarding/request_log.js';
 import {createTargetConnections} from './forwarding/target_connections.js';
-import {createWaitingLine} from './forwarding/waiting_line.js';
+import {createAdmissionQueue} from './forwarding/admission_queue.js';
 import type {PeerMessage, VmRecord} from './peers/messages.js';
 import {createPeerMesh} from './peers/peer_mesh.js';
 import {createVmRegistration} from './peers/vm_registration.js';
@@ -68,8 +68,8 @@
 const WATCH_PATIENCE_MS = 1_500;
 const WATCH_PATIENCE_PER_RANK_MS = 150;
 /** Requests that load alone may move out of their region. */
-const DEPARTURE_SHARE = 0.08;
-const DEPARTURE_BURST = 5;
+const SPILLOVER_SHARE = 0.08;
+const SPILLOVER_BURST = 5;
 /** Base of the time after which a refused client may come back. */
 const RETRY_AFTER_MS = 250;
 /** Kept of the stop's grace for ending the process. */
@@ -90,7 +90,7 @@
   const warmKeys = createWarmKeys();
   const connections = createTargetConnections(timers);
   const coldAllowance = createColdAllowance(vm.id);
-  const departures = createShareAllowance(DEPARTURE_SHARE, DEPARTURE_BURST);
+  const spillover = createShareAllowance(SPILLOVER_SHARE, SPILLOVER_BURST);
   const handles: TimerHandle[] = [];
   const metrics = createGatewayMetrics();
   const crashGuard = createCrashGuard({
@@ -190,7 +190,7 @@
       parameters: DEFAULT_PLACEMENT_PARAMETERS,
       shares: plan.shares,
       random: createRandomSource(hash32(`${vm.id} ${self.startedWallMs}`)),
-      mayLeaveHome: () => departures.take(),
+      maySpillOver: () => spillover.take(),
       coldAllowed: ({life, entry}, nowMs) =>
         coldAllowance.allows(
           life,
@@ -210,10 +210,10 @@
     connections,
     crashGuard,
     clientPatience: createClientPatience(),
-    waitingLine: createWaitingLine(timers),
+    admissionQueue: createAdmissionQueue(timers),
     isStopping: () => stopping,
     arrived: (service, expectedMs, nowMs) => {
-      departures.earn();
+      spillover.earn();
       plan.meter.arrived(service, expectedMs, nowMs);
     },
     retryAfterMs: () => RETRY_AFTER_MS,
