--- a/packages/gateway/src/peers/vm_registration.ts
+++ b/packages/gateway/src/peers/vm_registration.ts
@@ -1,7 +1,7 @@
 /**
  * This VM's object in the platform's store, and what the objects of other
- * VMs tell about peers to dial. Objects of VMs that have long been silent
- * are deleted by the first living VM.
+ * VMs tell about peers to dial. Objects of VMs that are gone stay: nothing is
+ * believed of them until they are reached.
  */
 import type {
   Logger,
