Keep the stand-in bounds and routes in one module

Cause: the bounds stood three times and the two-route configuration twice (soak, local fleet, demonstration); the number of the last gateway host was mutable state of a module; a request that threw left the admission queue marked as pumping. Now: object_platform/stand_in_deployment.ts, a counter in each fleet, and a finally block. Gateway hosts may repeat between fleets, since each fleet has a peer port of its own.

--- a/packages/gateway/src/forwarding/admission_queue.ts
+++ b/packages/gateway/src/forwarding/admission_queue.ts
@@ -40,12 +40,15 @@
       return;
     }
     pumping = true;
-    for (const request of [...queue].sort(compareQueued)) {
-      if (queue.has(request) && request.tryAgain()) {
-        remove(request);
+    try {
+      for (const request of [...queue].sort(compareQueued)) {
+        if (queue.has(request) && request.tryAgain()) {
+          remove(request);
+        }
       }
+    } finally {
+      pumping = false;
     }
-    pumping = false;
   }
 
   function remove(request: QueuedRequest): void {
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -6,11 +6,13 @@
 import type {TimerService} from '@ibisbeam/library';
 import {
   type FleetTarget,
+  STAND_IN_BOUNDS,
   type StandInObjectStore,
   type TargetFault,
   reserveAddresses,
   startFleetTarget,
   startStandInObjectStore,
+  twoRouteConfiguration,
 } from '@ibisbeam/stand-ins';
 import {type Callers, createCallers} from './callers.js';
 import {type GatewayProcess, createGatewayProcess} from './gateway_process.js';
@@ -53,16 +55,6 @@
 const POLL_MS = 50;
 const SHORTEST_GAP_MS = 150;
 const LONGEST_GAP_MS = 1_200;
-const BOUNDS = {
-  drain_ms: 2_500,
-  config_apply_ms: 2_500,
-  grace_s: 6,
-  retry_budget_ratio: 0.2,
-  budget_window_s: 10,
-  retry_budget_slack: 58,
-  ttl_max_s: 5,
-  max_shift: 0.15,
-};
 const TARGET_FAULTS: readonly TargetFault[] = [
   'answer-lost',
   'extra-answer',
@@ -114,7 +106,7 @@
     store.put('servers', target.id, target.entry());
   }
 
-  store.put('config', 'main', configuration(version));
+  store.put('config', 'main', twoRouteConfiguration(HOST, version));
   for (let index = 0; index < TARGETS; index += 1) {
     await addTarget();
   }
@@ -194,7 +186,7 @@
       case 6:
         version += 1 + random.below(3);
         note(`configuration ${version}`);
-        store.put('config', 'main', configuration(version));
+        store.put('config', 'main', twoRouteConfiguration(HOST, version));
         return;
       case 7:
         note('history forgotten');
@@ -214,7 +206,7 @@
     }
     note(`SIGTERM ${vm.id}`);
     const fromMs = timers.nowMs();
-    const toMs = fromMs + BOUNDS.grace_s * 1_000;
+    const toMs = fromMs + STAND_IN_BOUNDS.grace_s * 1_000;
     disruptions.push({vm: vm.id, fromMs, toMs, kind: 'planned-stop'});
     vm.signal('SIGTERM');
   }
@@ -332,7 +324,7 @@
           heartbeat_ms: 1_500,
           platform: {address: `127.0.0.1:${proxy.port}`},
         },
-        terms: {bounds: BOUNDS},
+        terms: {bounds: STAND_IN_BOUNDS},
       },
       onEnd: () => {
         if (!ending) {
@@ -403,38 +395,3 @@
   }
   return violations;
 }
-
-function configuration(version: number): Record<string, unknown> {
-  const common = {
-    host: HOST,
-    timeout_ms: 1_000,
-    target_latency_ms: 200,
-    max_attempts: 2,
-    service: 'rooms',
-    sticky: true,
-  };
-  return {
-    version,
-    routes: [
-      {
-        ...common,
-        name: 'look-up',
-        path_prefix: '/rooms/',
-        route_type: 'idempotent',
-      },
-      {
-        ...common,
-        name: 'booking',
-        path_prefix: '/book/',
-        route_type: 'non_idempotent',
-      },
-    ],
-    services: [{name: 'rooms', health_path: '/health'}],
-    limits: {
-      max_header_bytes: 16_384,
-      max_body_bytes: 1_000_000,
-      header_timeout_ms: 3_000,
-      idle_timeout_ms: 15_000,
-    },
-  };
-}
--- a/packages/stand_ins/src/core/object_platform/local_fleet.ts
+++ b/packages/stand_ins/src/core/object_platform/local_fleet.ts
@@ -16,6 +16,7 @@
   type StandInObjectStore,
   startStandInObjectStore,
 } from './object_store.js';
+import {STAND_IN_BOUNDS} from './stand_in_deployment.js';
 
 export interface LocalGateway {
   readonly id: string;
@@ -48,19 +49,7 @@
   stop(): Promise<void>;
 }
 
-const BOUNDS = {
-  drain_ms: 2_500,
-  config_apply_ms: 2_500,
-  grace_s: 6,
-  retry_budget_ratio: 0.2,
-  budget_window_s: 10,
-  retry_budget_slack: 58,
-  ttl_max_s: 5,
-  max_shift: 0.15,
-};
-
-/** Gateways of one fleet differ by host, since their peer port is one. */
-let lastHostNumber = 10;
+const FIRST_HOST_NUMBER = 10;
 
 export async function startLocalFleet(
   options: LocalFleetOptions,
@@ -72,10 +61,12 @@
   const seeds: string[] = [];
   const [peerAddress] = await reserveAddresses(1);
   const peerPort = Number(peerAddress?.split(':')[1]);
+  let startedGateways = 0;
 
   async function addGateway(id: string, zone: string): Promise<LocalGateway> {
-    lastHostNumber += 1;
-    const host = `127.0.7.${lastHostNumber}`;
+    startedGateways += 1;
+    // The peer port is one for the fleet, so gateways differ by host.
+    const host = `127.0.7.${FIRST_HOST_NUMBER + startedGateways}`;
     const ports = (await reserveAddresses(3)).map(address =>
       Number(address.split(':')[1]),
     );
@@ -96,7 +87,7 @@
         heartbeat_ms: 1_500,
         platform: {address: `${store.host}:${store.port}`},
       },
-      terms: {bounds: {...BOUNDS, ...options.bounds}},
+      terms: {bounds: {...STAND_IN_BOUNDS, ...options.bounds}},
     });
     if (seeds.length < 3) {
       seeds.push(`${host}:1`);
--- a/packages/stand_ins/src/demonstration/platform_demonstration.ts
+++ b/packages/stand_ins/src/demonstration/platform_demonstration.ts
@@ -6,6 +6,7 @@
   type LocalFleet,
   type LocalGateway,
   startLocalFleet,
+  twoRouteConfiguration,
 } from '../core/object_platform/index.js';
 import type {Narrator} from './narrator.js';
 
@@ -38,7 +39,7 @@
   timers: TimerService,
   narrator: Narrator,
 ): Promise<void> {
-  fleet.configure(configuration());
+  fleet.configure(twoRouteConfiguration(HOST, 1));
   const targets: FleetTarget[] = [];
   for (const [index, zone] of ['riga-a', 'riga-b', 'kurz-a'].entries()) {
     targets.push(
@@ -88,41 +89,6 @@
   narrator.promise(left.length === 1, 'a stopped VM is no longer named');
 }
 
-function configuration(): Record<string, unknown> {
-  const common = {
-    host: HOST,
-    timeout_ms: 1_000,
-    target_latency_ms: 200,
-    max_attempts: 2,
-    service: 'rooms',
-    sticky: true,
-  };
-  return {
-    version: 1,
-    routes: [
-      {
-        ...common,
-        name: 'look-up',
-        path_prefix: '/rooms/',
-        route_type: 'idempotent',
-      },
-      {
-        ...common,
-        name: 'booking',
-        path_prefix: '/book/',
-        route_type: 'non_idempotent',
-      },
-    ],
-    services: [{name: 'rooms', health_path: '/health'}],
-    limits: {
-      max_header_bytes: 16_384,
-      max_body_bytes: 1_000_000,
-      header_timeout_ms: 3_000,
-      idle_timeout_ms: 15_000,
-    },
-  };
-}
-
 async function named(gateway: LocalGateway): Promise<readonly string[]> {
   const path = `/resolve?name=${HOST}&region=riga&zone=riga-a`;
   const answer = await exchange(gateway.directory, 'GET', path, {});
