Give up the ports of a gateway that could not start

Cause: a run of the two loopback test files hung. Both files gave their gateways the same hosts and reserved ports that nothing held any more; a gateway whose port is taken rejects its start but kept the listeners it had, and the harness kept the store and targets, so the file could not end. Ruled out: the split of the planned stop (both files pass alone). Before: the new test finds four listeners left over. After: none; hosts of a process are its own, and a harness that cannot start stops its fleet.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,7 @@
 import type {PeerMessage, VmRecord} from './peers/messages.js';
 import {createPeerMesh} from './peers/peer_mesh.js';
 import {createVmRegistration} from './peers/vm_registration.js';
+import {runPlannedStop} from './planned_stop.js';
 import {createRegionPlan} from './region_plan.js';
 import {STORE_KINDS, createStoreFollower} from './store/store_follower.js';
 
@@ -72,13 +73,6 @@
 const SPILLOVER_BURST = 5;
 /** Base of the time after which a refused client may come back. */
 const RETRY_AFTER_MS = 250;
-/** Kept of the stop's grace for ending the process. */
-const STOP_MARGIN_MS = 400;
-/** A stopping VM takes new connections for so long. */
-const STOP_NOTICE_MS = 2_200;
-/** Connections without a request are kept so long after the listener closed. */
-const STOP_LINGER_MS = 600;
-const STOP_POLL_MS = 50;
 const METRICS_PATH = '/metrics';
 
 export function createGateway(options: GatewayOptions): Gateway {
@@ -361,39 +355,16 @@
 
   async function stop(): Promise<void> {
     stopping = true;
-    const beganMs = timers.nowMs();
-    log.log('info', 'vm-stopping', {inFlight: callerServer.inFlight()});
-    mesh.broadcast(heartbeat());
-    // Clients hear meanwhile that this VM leaves and connect elsewhere.
-    await timers.sleep(STOP_NOTICE_MS);
-    void callerServer.close();
-    const lingerUntilMs = timers.nowMs() + STOP_LINGER_MS;
-    const boundMs = bounds.stopGraceMs - STOP_MARGIN_MS;
-    while (!isQuiet(lingerUntilMs)) {
-      if (timers.nowMs() - beganMs >= boundMs) {
-        log.log('warn', 'stop-bound-hit', {inFlight: callerServer.inFlight()});
-        break;
-      }
-      await timers.sleep(STOP_POLL_MS);
-    }
-    // Nothing is read from here on, so that nothing can be left unanswered.
-    void callerServer.abandon();
-    endParts();
-    log.log('info', 'vm-stopped', {
-      tookMs: Math.round(timers.nowMs() - beganMs),
+    await runPlannedStop({
+      callerServer,
+      timers,
+      log,
+      graceMs: bounds.stopGraceMs,
+      announce: () => mesh.broadcast(heartbeat()),
+      endParts,
     });
   }
 
-  /** A connection that is open may still bring its first request. */
-  function isQuiet(lingerUntilMs: number): boolean {
-    if (callerServer.inFlight() > 0) {
-      return false;
-    }
-    return (
-      callerServer.openConnections() === 0 || timers.nowMs() >= lingerUntilMs
-    );
-  }
-
   function endParts(): void {
     for (const handle of handles) {
       handle.cancel();
--- a/packages/stand_ins/src/core/object_platform/local_fleet.ts
+++ b/packages/stand_ins/src/core/object_platform/local_fleet.ts
@@ -51,6 +51,12 @@
 
 const FIRST_HOST_NUMBER = 10;
 
+/**
+ * Loopback network of this process: fleets of two test files that run at the
+ * same time may be given the same ports.
+ */
+const NETWORK = `127.${1 + ((process.pid >> 8) % 250)}.${process.pid % 256}`;
+
 export async function startLocalFleet(
   options: LocalFleetOptions,
 ): Promise<LocalFleet> {
@@ -66,7 +72,7 @@
   async function addGateway(id: string, zone: string): Promise<LocalGateway> {
     startedGateways += 1;
     // The peer port is one for the fleet, so gateways differ by host.
-    const host = `127.0.7.${FIRST_HOST_NUMBER + startedGateways}`;
+    const host = `${NETWORK}.${FIRST_HOST_NUMBER + startedGateways}`;
     const ports = (await reserveAddresses(3)).map(address =>
       Number(address.split(':')[1]),
     );
@@ -109,7 +115,13 @@
           timers,
           log,
         });
-        await gateway.start();
+        try {
+          await gateway.start();
+        } catch (error) {
+          await gateway.abandon();
+          client.close();
+          throw error;
+        }
         const local: LocalGateway = {
           id,
           gateway,
--- a/packages/stand_ins/test/object_platform/fleet.test.ts
+++ b/packages/stand_ins/test/object_platform/fleet.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {connect} from 'node:net';
+import {connect, createServer} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {
   type Harness,
@@ -13,6 +13,11 @@
   until,
 } from './harness.js';
 
+function listenerCount(): number {
+  const resources = process.getActiveResourcesInfo();
+  return resources.filter(name => name === 'TCPServerWrap').length;
+}
+
 describe('a fleet on the users’ platform', () => {
   let harness: Harness;
 
@@ -34,6 +39,30 @@
     return decoded.addresses;
   }
 
+  it('holds no port of a gateway that could not start', async () => {
+    const {
+      self: {ip},
+      network: {
+        internal_ports: [peerPort],
+      },
+    } = JSON.parse(harness.gateway.settingsText) as {
+      self: {ip: string};
+      network: {internal_ports: readonly number[]};
+    };
+    const [network, number] = [
+      ip.slice(0, ip.lastIndexOf('.')),
+      Number(ip.slice(ip.lastIndexOf('.') + 1)),
+    ];
+    const occupier = createServer();
+    await new Promise<void>(resolve => {
+      occupier.listen(peerPort, `${network}.${number + 1}`, resolve);
+    });
+    const before = listenerCount();
+    await assert.rejects(harness.fleet.addGateway('edge-2', 'riga-b'));
+    await until(() => listenerCount() === before);
+    await new Promise(resolve => occupier.close(resolve));
+  });
+
   it('sends a draining target nothing new', async () => {
     const [leaving] = harness.targets;
     assert.ok(leaving);
--- a/packages/stand_ins/test/object_platform/harness.ts
+++ b/packages/stand_ins/test/object_platform/harness.ts
@@ -118,6 +118,21 @@
     write: line => logLines.push(line),
   });
   const fleet = await startLocalFleet({timers, log, zones: ZONES});
+  try {
+    return await fillFleet(fleet, targetOptions, targetCount, logLines);
+  } catch (error) {
+    // Listeners that stay open would keep the test's process from ending.
+    await fleet.stop();
+    throw error;
+  }
+}
+
+async function fillFleet(
+  fleet: LocalFleet,
+  targetOptions: Partial<Parameters<LocalFleet['addTarget']>[0]>,
+  targetCount: number,
+  logLines: readonly string[],
+): Promise<Harness> {
   fleet.configure(configuration(1));
   const targets: FleetTarget[] = [];
   for (let index = 0; index < targetCount; index += 1) {
