Let late answers raise the expected wait at their target

The slowness of the target took the blame for its queue. Ruled out: cold keys (hits by a model of the targets' memory are 0.86) and processor time of the VMs (0.18 of 0.54 cores).

--- a/packages/decision/src/core/placement/affinity_placement.ts
+++ b/packages/decision/src/core/placement/affinity_placement.ts
@@ -29,7 +29,9 @@
   readonly expectedMs: number;
   /** Of that, the wait for a slot. */
   readonly waitMs: number;
-  /** Of that, the way there and back. */
+  /** Of that, what answers of late took longer than expected. */
+  readonly delayMs: number;
+  /** Of the whole, the way there and back. */
   readonly roundTripMs: number;
   /** The key was expected to be warm at the target. */
   readonly warm: boolean;
@@ -225,7 +227,8 @@
       const runMs = (warm ? warmMs : coldMs) * slowness;
       const occupied = load.estimate(life, nowMs);
       const queued = Math.max(0, occupied + 1 - entry.slots);
-      const waitMs = (queued / entry.slots) * warmMs * slowness;
+      const delayMs = load.delayMs(life, nowMs);
+      const waitMs = (queued / entry.slots) * warmMs * slowness + delayMs;
       const {roundTripMs, costMs} = distance(target, answerBytes);
       const expectedMs = roundTripMs + waitMs + runMs;
       const utilization = Math.min(1, occupied / entry.slots);
@@ -239,7 +242,7 @@
         occupied / entry.slots;
       if (cost < bestCost) {
         bestCost = cost;
-        best = {target, expectedMs, waitMs, roundTripMs, warm};
+        best = {target, expectedMs, waitMs, delayMs, roundTripMs, warm};
       }
     }
     return best;
--- a/packages/decision/src/core/placement/target_load.ts
+++ b/packages/decision/src/core/placement/target_load.ts
@@ -16,6 +16,11 @@
   estimate(life: string, nowMs: number): number;
   /** How many times slower than its service's usual pace; 1 if unknown. */
   slowness(life: string): number;
+  /**
+   * How much longer answers have taken of late than was expected, in
+   * milliseconds; loses weight with its age.
+   */
+  delayMs(life: string, nowMs: number): number;
   /** Share of recent requests that the target failed, 0 to 1. */
   failureShare(life: string): number;
   /** No new requests before this moment. */
@@ -32,8 +37,13 @@
    * @returns False if it had room by all that is known: it fails.
    */
   wasFull(life: string, slots: number, nowMs: number): boolean;
-  /** @param ratio Time taken against the time expected of an idle target. */
-  answered(life: string, ratio: number): void;
+  /**
+   * @param ratio Time taken against the time expected of an idle target;
+   *     absent if the target may have had a queue.
+   */
+  answered(life: string, ratio: number | undefined): void;
+  /** @param tookMs Time taken beyond what was expected, or less than 0. */
+  delayed(life: string, tookMs: number, nowMs: number): void;
   failed(life: string): void;
   /** The target did not take a connection, or broke one off. */
   unreachable(life: string, nowMs: number): void;
@@ -51,6 +61,13 @@
 const LONGEST_AVOIDANCE_MS = 1_600;
 /** A target that refused connections is taken for freshly started so long. */
 const RETURN_SPAN_MS = 4_000;
+/**
+ * What others send shows late in reports, so that a queue is longer than it
+ * looks; answers tell, and a queue changes within about this time.
+ */
+const DELAY_MEMORY_MS = 1_000;
+/** One answer counts for no more delay than this. */
+const MOST_DELAY_MS = 2_000;
 /** Slowness is kept in these bounds, so that one sample cannot exile. */
 const LEAST_SLOWNESS = 0.5;
 const MOST_SLOWNESS = 20;
@@ -60,6 +77,8 @@
   others: number;
   reportedAtMs: number;
   slowness: number;
+  delayMs: number;
+  delayedAtMs: number;
   failures: number;
   connectFailures: number;
   avoidUntilMs: number;
@@ -79,6 +98,8 @@
       others: 0,
       reportedAtMs: -Infinity,
       slowness: 1,
+      delayMs: 0,
+      delayedAtMs: -Infinity,
       failures: 0,
       connectFailures: 0,
       avoidUntilMs: -Infinity,
@@ -119,14 +140,34 @@
     return true;
   }
 
-  function answered(life: string, ratio: number): void {
+  function answered(life: string, ratio: number | undefined): void {
     const record = recordOf(life);
-    const sample = Math.min(MOST_SLOWNESS, Math.max(LEAST_SLOWNESS, ratio));
-    record.slowness += (sample - record.slowness) * SAMPLE_WEIGHT;
+    if (ratio !== undefined) {
+      const sample = Math.min(MOST_SLOWNESS, Math.max(LEAST_SLOWNESS, ratio));
+      record.slowness += (sample - record.slowness) * SAMPLE_WEIGHT;
+    }
     record.failures -= record.failures * SAMPLE_WEIGHT;
     record.connectFailures = 0;
   }
 
+  function delayMs(life: string, nowMs: number): number {
+    const record = records.get(life);
+    if (!record) {
+      return 0;
+    }
+    const ageMs = nowMs - record.delayedAtMs;
+    return Math.max(0, record.delayMs) * Math.exp(-ageMs / DELAY_MEMORY_MS);
+  }
+
+  function delayed(life: string, tookMs: number, nowMs: number): void {
+    const record = recordOf(life);
+    const sample = Math.min(MOST_DELAY_MS, tookMs);
+    const ageMs = nowMs - record.delayedAtMs;
+    const before = record.delayMs * Math.exp(-ageMs / DELAY_MEMORY_MS);
+    record.delayMs = before + (sample - before) * SAMPLE_WEIGHT;
+    record.delayedAtMs = nowMs;
+  }
+
   function unreachable(life: string, nowMs: number): void {
     const record = recordOf(life);
     const pauseMs = Math.min(
@@ -158,6 +199,8 @@
     reported,
     wasFull,
     answered,
+    delayMs,
+    delayed,
     failed: life => {
       const record = recordOf(life);
       record.failures += (1 - record.failures) * SAMPLE_WEIGHT;
--- /dev/null
+++ b/packages/decision/test/placement/target_load.test.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createTargetLoad} from '../../src/index.js';
+
+const LIFE = 'i-1@1@10.0.0.1:80';
+
+describe('a standing queue of requests that other VMs sent', () => {
+  it('shows within a few answers, and is forgotten within seconds', () => {
+    const load = createTargetLoad();
+    for (let answer = 0; answer < 10; answer += 1) {
+      load.delayed(LIFE, 100, answer * 20);
+    }
+    const delayMs = load.delayMs(LIFE, 200);
+    assert.ok(delayMs > 60 && delayMs <= 100, `${delayMs} ms`);
+    assert.ok(load.delayMs(LIFE, 4_200) < 5);
+  });
+
+  it('lets one late answer count for little, and early ones for nothing', () => {
+    const load = createTargetLoad();
+    load.delayed(LIFE, 170, 0);
+    assert.ok(load.delayMs(LIFE, 0) < 50);
+    const early = createTargetLoad();
+    for (let answer = 0; answer < 10; answer += 1) {
+      early.delayed(LIFE, -50, answer * 20);
+    }
+    assert.equal(early.delayMs(LIFE, 200), 0);
+  });
+
+  it('is not taken for a slow target', () => {
+    const load = createTargetLoad();
+    for (let answer = 0; answer < 10; answer += 1) {
+      load.answered(LIFE, undefined);
+    }
+    assert.equal(load.slowness(LIFE), 1);
+  });
+});
--- a/packages/gateway/src/forwarding/attempt_learning.ts
+++ b/packages/gateway/src/forwarding/attempt_learning.ts
@@ -50,7 +50,7 @@
   if (context.crashGuard.isWatching()) {
     context.crashGuard.answered(end.fingerprint());
   }
-  learnTimes(context, request, attempt, nowMs - (attempt.sentAtMs ?? nowMs));
+  learnTimes(context, end, nowMs - (attempt.sentAtMs ?? nowMs));
   if (request.affinityKey !== undefined) {
     const {service, affinityKey} = request;
     context.warmKeys.handled(life, service, affinityKey, nowMs);
@@ -59,13 +59,14 @@
 
 function learnTimes(
   context: ForwardingContext,
-  request: ExchangeRequest,
-  attempt: RunningAttempt,
+  end: AttemptEnd,
   tookMs: number,
 ): void {
   const {load, times} = context;
+  const {request, attempt, nowMs} = end;
   const {route, affinityKey} = request;
-  const {target, waitMs, roundTripMs} = attempt.placement;
+  const {target, roundTripMs, expectedMs, delayMs} = attempt.placement;
+  const waitMs = attempt.placement.waitMs - delayMs;
   const objectiveMs = route.latencyObjectiveMs;
   const slowness = load.slowness(target.life);
   const runMs = Math.max(0, tookMs - waitMs - roundTripMs);
@@ -73,8 +74,12 @@
     affinityKey === undefined ||
     times.looksWarm(route.name, objectiveMs, runMs, slowness);
   const usualMs = times.expectedMs(route.name, objectiveMs, warm);
-  load.answered(target.life, runMs / Math.max(1, usualMs));
-  if (attempt.inFlightBefore < target.entry.slots) {
+  load.delayed(target.life, tookMs - (expectedMs - delayMs), nowMs);
+  // With a queue at the target, a long answer tells of the queue.
+  const hadSlot = attempt.inFlightBefore < target.entry.slots;
+  const ratio = runMs / Math.max(1, usualMs);
+  load.answered(target.life, hadSlot ? ratio : undefined);
+  if (hadSlot) {
     times.learn(route.name, objectiveMs, warm, runMs / slowness);
   }
 }
