--- /dev/null
+++ b/packages/bench/src/day_reports/compare_reports.ts
@@ -0,0 +1,125 @@
+/** Tables that put days side by side: kinds, zones and the worst windows. */
+import type {DayReport, GroupFigures} from './read_report.js';
+
+export interface NamedReport {
+  readonly name: string;
+  readonly report: DayReport;
+}
+
+export interface Table {
+  readonly title: string;
+  readonly header: readonly string[];
+  readonly rows: readonly (readonly string[])[];
+}
+
+/** Windows and prices shown of each day. */
+const MOST_WINDOWS = 5;
+const MOST_PRICES = 5;
+
+export function compareReports(days: readonly NamedReport[]): readonly Table[] {
+  return [
+    overview(days),
+    groups('Kinds of requests', days, report => report.kinds),
+    groups('Zones of clients', days, report => report.zones),
+    groups('Worst windows', days, worstWindows),
+    {
+      title: 'Highest prices',
+      header: ['day', 'for', 'worth'],
+      rows: days.flatMap(({name, report}) =>
+        report.prices
+          .slice(0, MOST_PRICES)
+          .map(({of, worth}) => [name, of, worth.toFixed(4)]),
+      ),
+    },
+  ];
+}
+
+/** The windows that earned least, the worst first. */
+export function worstWindows(report: DayReport): readonly GroupFigures[] {
+  return [...report.windows]
+    .filter(window => window.requests > 0)
+    .sort((one, other) => one.earned - other.earned)
+    .slice(0, MOST_WINDOWS);
+}
+
+function overview(days: readonly NamedReport[]): Table {
+  return {
+    title: 'Days',
+    header: ['day', 'worth', 'worst kind', 'worst zone', 'broken rules'],
+    rows: days.map(({name, report}) => [
+      name,
+      report.worth.toFixed(3),
+      least(report.kinds),
+      least(report.zones),
+      report.brokenRules.join(' ') || 'none',
+    ]),
+  };
+}
+
+function least(found: readonly GroupFigures[]): string {
+  let worst: GroupFigures | undefined;
+  for (const group of found) {
+    if (!worst || group.earned < worst.earned) {
+      worst = group;
+    }
+  }
+  return worst ? `${worst.name} ${worst.earned.toFixed(3)}` : '-';
+}
+
+/** One row for each group that any day has, and for each day that has it. */
+function groups(
+  title: string,
+  days: readonly NamedReport[],
+  select: (report: DayReport) => readonly GroupFigures[],
+): Table {
+  const rows: string[][] = [];
+  const names = new Set<string>();
+  for (const {report} of days) {
+    for (const group of select(report)) {
+      names.add(group.name);
+    }
+  }
+  for (const groupName of names) {
+    for (const {name, report} of days) {
+      const group = select(report).find(one => one.name === groupName);
+      if (group) {
+        rows.push(rowOf(groupName, name, group));
+      }
+    }
+  }
+  return {
+    title,
+    header: [
+      'name',
+      'day',
+      'requests',
+      'in time',
+      'late',
+      'refused',
+      'failed',
+      'earned',
+      'median ms',
+      '99 % ms',
+    ],
+    rows,
+  };
+}
+
+function rowOf(groupName: string, day: string, group: GroupFigures): string[] {
+  return [
+    groupName,
+    day,
+    String(group.requests),
+    percent(group.inTime),
+    percent(group.late),
+    percent(group.refused),
+    percent(group.failed),
+    group.earned.toFixed(3),
+    group.medianMs.toFixed(0),
+    group.slowestMs.toFixed(0),
+  ];
+}
+
+function percent(share: number): string {
+  return `${(share * 100).toFixed(1)} %`;
+}
--- a/packages/command_line/src/commands/approval/list.ts
+++ b/packages/command_line/src/commands/approval/list.ts
@@ -2,7 +2,7 @@
 import {EitherAsync} from 'purify-ts';
 import {defineCommand} from '../../core/command.js';
 import {readAccepted} from '../../core/configuration_access.js';
-import {formatInstant, formatTable} from '../../core/table.js';
+import {formatInstant, formatTable} from '@ibisbeam/library';
 
 /** Lists approvals, requests for them and revocations. */
 export const approvalListCommand = defineCommand({
--- a/packages/command_line/src/commands/configuration/show.ts
+++ b/packages/command_line/src/commands/configuration/show.ts
@@ -2,7 +2,7 @@
 import {EitherAsync, Left} from 'purify-ts';
 import {defineCommand} from '../../core/command.js';
 import {readStored} from '../../core/configuration_access.js';
-import {formatInstant, formatTable} from '../../core/table.js';
+import {formatInstant, formatTable} from '@ibisbeam/library';
 
 /** Prints the accepted configuration: its sections, or one of them. */
 export const configurationShowCommand = defineCommand({
--- a/packages/command_line/src/commands/configuration/status.ts
+++ b/packages/command_line/src/commands/configuration/status.ts
@@ -4,7 +4,7 @@
 import {defineCommand} from '../../core/command.js';
 import {readAccepted} from '../../core/configuration_access.js';
 import {callPorts, portsOf} from '../../core/operator_client.js';
-import {formatInstant, formatSpan, formatTable} from '../../core/table.js';
+import {formatInstant, formatSpan, formatTable} from '@ibisbeam/library';
 
 interface VmGeneration {
   readonly vm: string | undefined;
--- a/packages/command_line/src/commands/drain/list.ts
+++ b/packages/command_line/src/commands/drain/list.ts
@@ -13,7 +13,7 @@
   formatPercent,
   formatSpan,
   formatTable,
-} from '../../core/table.js';
+} from '@ibisbeam/library';
 
 /** Lists planned and running drains with their progress. */
 export const drainListCommand = defineCommand({
--- a/packages/command_line/src/commands/drain/plan.ts
+++ b/packages/command_line/src/commands/drain/plan.ts
@@ -19,7 +19,7 @@
   parseInstant,
 } from '../../core/parse_inputs.js';
 import {type Session, requireOperator} from '../../core/session.js';
-import {formatInstant, formatTable} from '../../core/table.js';
+import {formatInstant, formatTable} from '@ibisbeam/library';
 import {type ScopeOptions, readScope} from './scope.js';
 
 /** Clocks of VMs may differ by about a second; a start in the past may not. */
--- a/packages/command_line/src/commands/drain/show.ts
+++ b/packages/command_line/src/commands/drain/show.ts
@@ -9,7 +9,7 @@
 import {defineCommand} from '../../core/command.js';
 import {readAccepted} from '../../core/configuration_access.js';
 import {gatherLoad} from '../../core/operator_client.js';
-import {formatInstant, formatTable} from '../../core/table.js';
+import {formatInstant, formatTable} from '@ibisbeam/library';
 import {findDrain} from './find_drain.js';
 import {describeDrain} from './list.js';
 
--- a/packages/command_line/src/commands/quarantine/list.ts
+++ b/packages/command_line/src/commands/quarantine/list.ts
@@ -3,7 +3,7 @@
 import {fleetPorts} from '../../core/ask_journals.js';
 import {defineCommand} from '../../core/command.js';
 import {callPorts} from '../../core/operator_client.js';
-import {formatSpan, formatTable} from '../../core/table.js';
+import {formatSpan, formatTable} from '@ibisbeam/library';
 
 /** Lists requests that crashed targets and are refused now. */
 export const quarantineListCommand = defineCommand({
--- a/packages/command_line/src/commands/status.ts
+++ b/packages/command_line/src/commands/status.ts
@@ -13,7 +13,7 @@
   formatPercent,
   formatSpan,
   formatTable,
-} from '../core/table.js';
+} from '@ibisbeam/library';
 
 /** Status from any one VM; with --all the load of every VM as well. */
 export const statusCommand = defineCommand({
--- a/packages/command_line/src/commands/token/inspect.ts
+++ b/packages/command_line/src/commands/token/inspect.ts
@@ -9,7 +9,7 @@
 import {defineCommand} from '../../core/command.js';
 import type {Errors} from '../../core/dependencies.js';
 import {type Session, describePrincipal} from '../../core/session.js';
-import {formatInstant} from '../../core/table.js';
+import {formatInstant} from '@ibisbeam/library';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
--- a/packages/command_line/src/commands/token/issue.ts
+++ b/packages/command_line/src/commands/token/issue.ts
@@ -15,7 +15,7 @@
   parseName,
 } from '../../core/parse_inputs.js';
 import {describePrincipal} from '../../core/session.js';
-import {formatInstant} from '../../core/table.js';
+import {formatInstant} from '@ibisbeam/library';
 
 const TOKEN_MODE = 0o600;
 const LONGEST_LIFETIME_MS = 90 * 86_400_000;
--- a/packages/command_line/src/commands/workspace/show.ts
+++ b/packages/command_line/src/commands/workspace/show.ts
@@ -7,7 +7,7 @@
 import {EitherAsync} from 'purify-ts';
 import {defineCommand} from '../../core/command.js';
 import {readStored} from '../../core/configuration_access.js';
-import {formatTable} from '../../core/table.js';
+import {formatTable} from '@ibisbeam/library';
 import {findWorkspace} from './workspace_change.js';
 
 /** Prints a workspace's parameters with unit, bounds and description. */
--- a/packages/command_line/src/core/burn_page/burn_page.ts
+++ b/packages/command_line/src/core/burn_page/burn_page.ts
@@ -6,7 +6,11 @@
   ServiceBurn,
 } from '@ibisbeam/decision';
 import {describeCoverage, formatRate} from '../burn_text.js';
-import {formatBudgetLeft, formatInstant, formatPercent} from '../table.js';
+import {
+  formatBudgetLeft,
+  formatInstant,
+  formatPercent,
+} from '@ibisbeam/library';
 import {escapeHtml, tableCells} from './html.js';
 import {plotBudget, plotHours, plotReasons} from './plots.js';
 import {BURN_PAGE_STYLES} from './styles.js';
--- a/packages/command_line/src/core/burn_page/plots.ts
+++ b/packages/command_line/src/core/burn_page/plots.ts
@@ -1,6 +1,6 @@
 /** Inline SVG plots, drawn for a width of 360 so that text stays readable. */
 import type {Budget, BurnHour} from '@ibisbeam/decision';
-import {formatPercent} from '../table.js';
+import {formatPercent} from '@ibisbeam/library';
 import {escapeHtml} from './html.js';
 
 const WIDTH = 360;
--- a/packages/command_line/src/core/burn_text.ts
+++ b/packages/command_line/src/core/burn_text.ts
@@ -10,7 +10,7 @@
   formatInstant,
   formatPercent,
   formatTable,
-} from './table.js';
+} from '@ibisbeam/library';
 
 export function describeBurnReport(report: BurnReport): string {
   const parts = [`Burn report at ${formatInstant(report.atMs)}`];
--- /dev/null
+++ b/packages/library/src/core/text/index.ts
@@ -0,0 +1,1 @@
+export * from './table.js';
--- a/packages/library/src/index.ts
+++ b/packages/library/src/index.ts
@@ -11,6 +11,7 @@
 export * from './core/operator_interface/index.js';
 export * from './core/platform/index.js';
 export * from './core/settings/index.js';
+export * from './core/text/index.js';
 export * from './core/timers/index.js';
 export * from './core/vm/index.js';
 export * from './plugins/burn/index.js';
