Trust that a key is warm away from its own target for 3 s, not 15 s

Keys that load had moved once counted as warm at two or three targets, were spread over them, and pushed out each other: the fuller the fleet, the colder. Ruled out: idle slots (in flight 10 to 12 at targets of 6 slots).

--- a/packages/decision/src/core/placement/warm_keys.ts
+++ b/packages/decision/src/core/placement/warm_keys.ts
@@ -5,8 +5,11 @@
   handled(life: string, service: string, key: string, nowMs: number): void;
 }
 
-/** Time after which a target is taken to have forgotten a key. */
-const WARM_SPAN_MS = 15_000;
+/**
+ * Time after which a target is taken to have forgotten a key: under overload
+ * new keys push out the ones used longest ago within about this time.
+ */
+const WARM_SPAN_MS = 3_000;
 /** Keys remembered; the ones unused for longest are dropped. */
 const MAXIMUM_KEYS = 10_000;
 
