Keep one link when two gateways dial each other at once

Both VMs dialled at the same moment, each took the link whose greeting came last, and that was another one at each end; the link that one of them sent on was silent for the other, which ended it after 1.5 s, and both dialled again at the same moment. Before: a test with 20 ms on the way sees a second link after 1.5 s. After: one link for its 3.2 s. Conclusion: both ends keep the link of the VM whose identifier sorts first, unless it has fallen silent or the process behind it is another one.

--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -38,6 +38,8 @@
 
 /** A link on which nothing came for so long is ended. */
 const LINK_SILENCE_MS = 1_500;
+/** A link silent for so long gives way to a new one; two heartbeats and more. */
+const LINK_DOUBT_MS = 900;
 const DIAL_TIMEOUT_MS = 600;
 const DIAL_INTERVAL_MS = 250;
 /** Pause after a failed dial, doubled with each further one. */
@@ -52,6 +54,8 @@
 interface Peer {
   record: VmRecord;
   link?: WebSocket;
+  /** Start of the process at the other end of the link. */
+  linkStartedWallMs?: number;
   dialing: boolean;
   failures: number;
   nextDialMs: number;
@@ -64,6 +68,7 @@
   const packer = new Packr({useRecords: false});
   const links = new Set<WebSocket>();
   const lastHeard = new WeakMap<WebSocket, number>();
+  const dialers = new WeakMap<WebSocket, string>();
   const seedDials = new Map<string, number>();
   let server: WebSocketServer | undefined;
   let ticker: TimerHandle | undefined;
@@ -98,7 +103,11 @@
     return {kind: 'hello', vm: self, known};
   }
 
-  function adopt(link: WebSocket, peerAddress: string): void {
+  function adopt(
+    link: WebSocket,
+    peerAddress: string,
+    dialedHere: boolean,
+  ): void {
     links.add(link);
     lastHeard.set(link, timers.nowMs());
     let from: VmRecord | undefined;
@@ -111,6 +120,7 @@
       }
       if (message.kind === 'hello') {
         from = message.vm;
+        dialers.set(link, dialedHere ? self.id : message.vm.id);
         onHello(link, message.vm, message.known);
         return;
       }
@@ -152,16 +162,45 @@
     if (!peer) {
       return;
     }
-    const wasLinked = peer.link !== undefined;
+    const before = peer.link;
+    if (before && before !== link) {
+      if (isKept(before, link, peer, vm)) {
+        link.terminate();
+        return;
+      }
+      before.terminate();
+    }
     peer.link = link;
+    peer.linkStartedWallMs = vm.startedWallMs;
     peer.failures = 0;
     peer.lastHeardMs = timers.nowMs();
-    if (!wasLinked) {
+    if (!before) {
       log.log('info', 'peer-connected', {peer: vm.id});
       options.onLinked(vm);
     }
   }
 
+  /**
+   * Of two links that VMs have dialled at the same moment, both keep the one
+   * of the VM whose identifier sorts first. Each would else send on the link
+   * that the other listens on no longer.
+   */
+  function isKept(
+    before: WebSocket,
+    link: WebSocket,
+    peer: Peer,
+    vm: VmRecord,
+  ): boolean {
+    if (peer.linkStartedWallMs !== vm.startedWallMs) {
+      return false;
+    }
+    const silentMs = timers.nowMs() - (lastHeard.get(before) ?? -Infinity);
+    if (silentMs > LINK_DOUBT_MS) {
+      return false;
+    }
+    return (dialers.get(before) ?? '') < (dialers.get(link) ?? '');
+  }
+
   function unlink(vmId: string, link: WebSocket): void {
     const peer = peers.get(vmId);
     if (peer?.link !== link) {
@@ -213,7 +252,7 @@
         link.terminate();
         return;
       }
-      adopt(link, host);
+      adopt(link, host, true);
       onDone(true);
     });
     link.on('error', () => {
@@ -288,7 +327,7 @@
       );
       server.once('error', reject);
       server.on('connection', (link, request) =>
-        adopt(link, request.socket.remoteAddress ?? 'unknown'),
+        adopt(link, request.socket.remoteAddress ?? 'unknown', false),
       );
       ticker = timers.every(DIAL_INTERVAL_MS, tick);
       tick();
