--- a/packages/command_line/src/commands/explain.ts
+++ b/packages/command_line/src/commands/explain.ts
@@ -1,9 +1,12 @@
 import {requestIdSchema} from '@ibisbeam/decision';
 import {operatorError} from '@ibisbeam/library';
-import {EitherAsync, Left} from 'purify-ts';
+import {type Either, EitherAsync, Left, Right} from 'purify-ts';
 import {askJournals} from '../core/ask_journals.js';
+import type {CommandAnswer} from '../core/answer.js';
 import {defineCommand} from '../core/command.js';
+import type {Dependencies, Errors} from '../core/dependencies.js';
 import {describeEntries, mergeEntries} from '../core/journal_text.js';
+import {describeStory, findStory} from '../core/log_story.js';
 import {parseName} from '../core/parse_inputs.js';
 
 /** Tells what the fleet did with one request, and why. */
@@ -11,12 +14,22 @@
   command: 'explain <request-id>',
   describe: 'What the VMs did with one request, and why',
   options: builder =>
-    builder.positional('request-id', {type: 'string', demandOption: true}),
+    builder
+      .positional('request-id', {type: 'string', demandOption: true})
+      .option('log', {
+        type: 'string',
+        describe: 'Read the log lines of this file, or - for standard input',
+      }),
   run: (session, options) =>
     EitherAsync(async ({liftEither, fromPromise}) => {
       const request = await liftEither(
         parseName('request-id', requestIdSchema, options.requestId),
       );
+      if (options.log !== undefined) {
+        return liftEither(
+          explainFromLog(session.dependencies, request, options.log),
+        );
+      }
       const path = `/v1/explain/${encodeURIComponent(request)}`;
       const what = `request ${request}`;
       const {answers, silent} = await fromPromise(
@@ -39,3 +52,27 @@
       };
     }),
 });
+
+/** Linux and macOS give standard input this name. */
+const STANDARD_INPUT = '/dev/stdin';
+
+function explainFromLog(
+  dependencies: Pick<Dependencies, 'readText'>,
+  request: string,
+  file: string,
+): Either<Errors, CommandAnswer> {
+  const from = file === '-' ? STANDARD_INPUT : file;
+  return dependencies.readText(from).chain(text => {
+    const story = findStory(text.split('\n'), request);
+    if (!story) {
+      const what = `request ${request}`;
+      const where = `the log ${file}`;
+      return Left([operatorError('NotFound', {what, where})]);
+    }
+    const plain = [...story.own, ...story.beliefs].map(line => ({
+      ...line,
+      fields: Object.fromEntries(line.fields),
+    }));
+    return Right({text: describeStory(story), data: {request, lines: plain}});
+  });
+}
--- a/packages/command_line/test/bad_input.test.ts
+++ b/packages/command_line/test/bad_input.test.ts
@@ -3,6 +3,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {after, test} from 'node:test';
+import {STAND_IN_BOUNDS} from '@ibisbeam/stand-ins';
 import {EXIT_STATUS, type ExitStatus} from '../src/index.js';
 import {createHarness} from './support.js';
 
@@ -50,6 +51,58 @@
   assert.match(run.errors, /bad:\d+: colour: expected no such key/);
 });
 
+test("settings check reads the format of the users' platform", async () => {
+  const harness = await createHarness();
+  const file = join(folder, 'platform');
+  const settings = {
+    self: {node: 'edge-1', ip: '10.0.0.1', zone: 'riga-a', region: 'riga'},
+    network: {
+      listen: {
+        front: '10.0.0.1:1',
+        ready: '10.0.0.1:2',
+        directory: '10.0.0.1:3',
+      },
+      internal_ports: [5, 6],
+      zones: {'riga-a': 'riga'},
+    },
+    platform: {heartbeat_ms: 1_500, platform: {address: '10.0.0.2:80'}},
+    terms: {bounds: STAND_IN_BOUNDS},
+  };
+  writeFileSync(file, JSON.stringify(settings));
+  const good = await harness.run('settings', 'check', file, '--platform');
+  assert.equal(good.status, EXIT_STATUS.done, good.errors);
+  assert.match(good.output, /for VM edge-1/);
+  writeFileSync(file, JSON.stringify({...settings, terms: {bounds: {}}}));
+  const bad = await harness.run('settings', 'check', file, '--platform');
+  assert.equal(bad.status, EXIT_STATUS.invalidInput);
+  assert.match(bad.errors, /drain_ms/);
+});
+
+test('explain tells one request from a log, with what the VM believed', async () => {
+  const harness = await createHarness();
+  const lines = [
+    'time=2026-12-04T01:00:00.000Z level=info event=target-added vm=edge-1 target=i-9 zone=riga-a',
+    'time=2026-12-04T01:00:01.000Z level=info event=target-cold vm=edge-1 target=i-7 coldMs=2981',
+    '  3.2 edge-1 time=2026-12-04T01:00:02.000Z level=info event=attempt-failed vm=edge-1 request=a1 target=i-7 outcome=broken detail="read ECONNRESET"',
+    'time=2026-12-04T01:00:02.010Z level=info event=request-finished vm=edge-1 request=a1 outcome=refused status=502 target=i-7',
+    'time=2026-12-04T01:00:03.000Z level=info event=target-removed vm=edge-1 target=i-7',
+    'no line of ours',
+  ];
+  const file = 'gateway.log';
+  harness.files.set(file, lines.join('\n'));
+  const found = await harness.run('explain', 'a1', '--log', file);
+  assert.equal(found.status, EXIT_STATUS.done, found.errors);
+  const told = found.output.split('\n');
+  assert.match(told[0] ?? '', /attempt-failed .*detail read ECONNRESET/);
+  assert.match(told[1] ?? '', /request-finished .*status 502/);
+  assert.match(told[3] ?? '', /target-cold .*coldMs 2981/);
+  assert.doesNotMatch(found.output, /i-9|target-removed/);
+  const absent = await harness.run('explain', 'a2', '--log', file);
+  assert.equal(absent.status, EXIT_STATUS.notFound);
+  const unreadable = await harness.run('explain', 'a1', '--log', `${file}-not`);
+  assert.match(unreadable.errors, /cannot be used/);
+});
+
 interface BadCall {
   readonly title: string;
   readonly call: readonly string[];
--- a/packages/library/src/core/settings/load_settings.ts
+++ b/packages/library/src/core/settings/load_settings.ts
@@ -8,10 +8,15 @@
 export function loadSettings(
   file: string,
 ): Either<readonly OperatorError[], Settings> {
-  return readText(file).chain(text => parseJsonc(text, file, settingsSchema));
+  return readSettingsFile(file).chain(text =>
+    parseJsonc(text, file, settingsSchema),
+  );
 }
 
-function readText(file: string): Either<readonly OperatorError[], string> {
+/** The text of a settings file, whatever its format. */
+export function readSettingsFile(
+  file: string,
+): Either<readonly OperatorError[], string> {
   try {
     return Right(readFileSync(file, 'utf8'));
   } catch (cause) {
@@ -31,7 +36,7 @@
   environment: Readonly<Record<string, string | undefined>>,
 ): Either<OperatorError, string> {
   if ('file' in reference) {
-    return readText(reference.file).mapLeft(problems =>
+    return readSettingsFile(reference.file).mapLeft(problems =>
       operatorError(
         'SecretMissing',
         {key, reference: `file ${reference.file}`},
--- /dev/null
+++ b/packages/library/test/core/parse_line.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {formatLine} from '../../src/core/logs/format_line.js';
+import {parseLine} from '../../src/index.js';
+
+describe('log lines', () => {
+  it('are read back as they were written', () => {
+    const value = fc.oneof(
+      fc.string({unit: 'binary'}),
+      fc.integer(),
+      fc.boolean(),
+    );
+    fc.assert(
+      fc.property(
+        fc.dictionary(fc.stringMatching(/^[a-z][A-Za-z0-9]{0,8}$/), value, {
+          maxKeys: 6,
+        }),
+        fields => {
+          fc.pre(!('time' in fields || 'level' in fields || 'event' in fields));
+          const time = '2026-12-04T01:00:00.000Z';
+          const line = parseLine(
+            formatLine(time, 'info', 'vm-started', fields),
+          );
+          assert.ok(line);
+          assert.equal(line.event, 'vm-started');
+          const expected = Object.entries(fields).map(([key, found]) => [
+            key,
+            String(found),
+          ]);
+          assert.deepEqual([...line.fields], expected);
+        },
+      ),
+    );
+  });
+
+  it('are not made up from other text, or from a line that was cut off', () => {
+    assert.equal(parseLine(''), undefined);
+    assert.equal(parseLine('time=1 level=info'), undefined);
+    assert.equal(parseLine('time=1 level=info event=x a="cut'), undefined);
+  });
+});
