--- a/packages/stand_ins/test/object_platform/forwarding.test.ts
+++ b/packages/stand_ins/test/object_platform/forwarding.test.ts
@@ -64,6 +64,26 @@
     assert.equal(runsOf(harness, 'once'), 1);
   });
 
+  it('trusts no connection that has been idle for long with a booking', async () => {
+    const connections = () =>
+      harness.targets.map(target => target.connectionCount());
+    const book = () =>
+      call(harness.gateway, {
+        method: 'POST',
+        path: '/book/7',
+        body: 'x',
+        key: '7',
+      });
+    const opened = (counts: readonly number[]) =>
+      counts.reduce((total, count) => total + count, 0);
+    await book();
+    await book();
+    assert.equal(opened(connections()), 1);
+    await timers.sleep(1_700);
+    await book();
+    assert.equal(opened(connections()), 2);
+  });
+
   it('tries a booking elsewhere after the target says that it has not run', async () => {
     planEverywhere('shed');
     const answer = await call(harness.gateway, {
