Mend three import circles and test what no test noticed

Taking mechanisms out on purpose showed two that no test noticed: watching idle connections for bytes that nobody asked for, and breaking the client's connection when a long answer breaks off. Both have a test now, seen to fail without the mechanism.

--- a/packages/decision/src/core/shifts/drained_targets.ts
+++ b/packages/decision/src/core/shifts/drained_targets.ts
@@ -1,5 +1,6 @@
 /** Drains of targets and zones, as functions of the configuration and time. */
-import {drainedFraction, scopeCoversTarget} from '../drains/index.js';
+import {drainedFraction} from '../drains/drain_progress.js';
+import {scopeCoversTarget} from '../drains/drain_scope.js';
 import type {Configuration, ServiceName, Target} from '../model/index.js';
 
 /**
--- a/packages/library/src/plugins/lookup/index.ts
+++ b/packages/library/src/plugins/lookup/index.ts
@@ -1,14 +1,8 @@
 /** The look-up plug-in: tells callers which entry VMs to use. */
-import type {BlockTableBuilder} from '@ibisbeam/decision';
-import type {CallerRoutes} from '../../core/http/index.js';
 import type {PlugInRegistry} from '../../core/kernel/index.js';
-import {createLookup} from './lookup.js';
+import {type LookupDependencies, createLookup} from './lookup.js';
 
-export interface LookupDependencies {
-  readonly routes: CallerRoutes;
-  /** Shared with forwarding, so that sections are parsed once. */
-  readonly blockTables: BlockTableBuilder;
-}
+export type {LookupDependencies} from './lookup.js';
 
 export function registerLookupPlugIn(
   registry: PlugInRegistry,
--- a/packages/library/src/plugins/lookup/lookup.ts
+++ b/packages/library/src/plugins/lookup/lookup.ts
@@ -4,6 +4,7 @@
  */
 import {
   type BlockTable,
+  type BlockTableBuilder,
   type Configuration,
   type LookupAnswer,
   type LookupQuery,
@@ -17,13 +18,13 @@
 import {type Either, Left, Right} from 'purify-ts';
 import type {Context, Middleware} from 'koa';
 import {
+  type CallerRoutes,
   type Refusal,
   bearerToken,
   writeRefusal,
 } from '../../core/http/index.js';
 import type {Task, TaskContext} from '../../core/kernel/index.js';
 import type {VmEvent} from '../../core/messages/index.js';
-import type {LookupDependencies} from './index.js';
 
 const LOOKUP_PATH = '/v1/entry-vms';
 const ROUTE_OWNER = 'lookup';
@@ -45,6 +46,12 @@
   }[];
 }
 
+export interface LookupDependencies {
+  readonly routes: CallerRoutes;
+  /** Shared with forwarding, so that sections are parsed once. */
+  readonly blockTables: BlockTableBuilder;
+}
+
 export function createLookup(
   context: TaskContext,
   dependencies: LookupDependencies,
--- a/packages/stand_ins/src/core/object_platform/fleet_target.ts
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -16,12 +16,16 @@
   | 'extra-answer'
   /** Sends a second answer a little later. */
   | 'extra-answer-late'
+  /** Likewise, and the second answer names no request. */
+  | 'extra-answer-unnamed'
   /** Ends the answer before its stated length. */
   | 'cut-short'
   /** States no length and resets the connection in the middle. */
   | 'unframed-reset'
   /** Likewise, with the reset seen together with the last bytes. */
   | 'unframed-reset-at-once'
+  /** Likewise, a while after all bytes were sent. */
+  | 'unframed-reset-later'
   /** States no length and ends the connection properly. */
   | 'unframed'
   | 'not-http'
@@ -211,6 +215,14 @@
           }
         });
         return;
+      case 'extra-answer-unnamed':
+        socket.write(whole);
+        timers.after(EXTRA_ANSWER_DELAY_MS, () => {
+          if (!socket.destroyed) {
+            socket.write('HTTP/1.1 200 Answer\r\nContent-Length: 1\r\n\r\nx');
+          }
+        });
+        return;
       case 'cut-short':
         socket.end(whole.slice(0, -5));
         return;
@@ -225,6 +237,10 @@
           holdUp(HELD_UP_MS);
         });
         return;
+      case 'unframed-reset-later':
+        socket.write(answer(200, attemptId, text, false));
+        timers.after(EXTRA_ANSWER_DELAY_MS, () => socket.resetAndDestroy());
+        return;
       case 'unframed':
         socket.end(answer(200, attemptId, text, false));
         return;
--- a/packages/stand_ins/src/demonstration/burn.ts
+++ b/packages/stand_ins/src/demonstration/burn.ts
@@ -4,7 +4,7 @@
   buildBurnReport,
   joinSummaries,
 } from '@ibisbeam/decision';
-import type {Demonstration} from './demonstrate.js';
+import type {Demonstration} from './demonstration.js';
 
 export async function printBurn(demonstration: Demonstration): Promise<void> {
   const {configuration, deployment, narrator, timers} = demonstration;
--- a/packages/stand_ins/src/demonstration/demonstrate.ts
+++ b/packages/stand_ins/src/demonstration/demonstrate.ts
@@ -1,6 +1,5 @@
 /** One user's part of the demonstration, step by step. */
 import {
-  type Configuration,
   type RequestRecord,
   compileConfiguration,
   generation,
@@ -8,14 +7,14 @@
 } from '@ibisbeam/decision';
 import type {Logger, TimerService} from '@ibisbeam/library';
 import {
-  type LocalDeployment,
   type LocalVm,
   startLocalDeployment,
 } from '../core/local_deployment/index.js';
 import {printBurn} from './burn.js';
-import {type Caller, type CallerAnswer, createCaller} from './caller.js';
+import {type CallerAnswer, createCaller} from './caller.js';
+import type {Demonstration} from './demonstration.js';
 import type {Narrator} from './narrator.js';
-import {type TraceRecorder, createTraceRecorder} from './trace_recorder.js';
+import {createTraceRecorder} from './trace_recorder.js';
 import type {UserFacts} from './user_facts.js';
 
 const READY_TIMEOUT_MS = 20_000;
@@ -25,17 +24,6 @@
 /** A target that drains gets no new work after this long. */
 const LEAVING_NOTICE_MS = 3_000;
 
-export interface Demonstration {
-  readonly facts: UserFacts;
-  readonly deployment: LocalDeployment;
-  readonly caller: Caller;
-  readonly trace: TraceRecorder;
-  readonly narrator: Narrator;
-  readonly timers: TimerService;
-  readonly configuration: Configuration;
-  readonly token: string;
-}
-
 export interface DemonstrationOptions {
   readonly facts: UserFacts;
   readonly timers: TimerService;
--- a/packages/stand_ins/src/demonstration/main.ts
+++ b/packages/stand_ins/src/demonstration/main.ts
@@ -6,11 +6,8 @@
   createSystemTimerService,
 } from '@ibisbeam/library';
 import {writeOperatorFolder} from '../core/operator_folder/index.js';
-import {
-  type Demonstration,
-  runDemonstration,
-  startDemonstration,
-} from './demonstrate.js';
+import {runDemonstration, startDemonstration} from './demonstrate.js';
+import type {Demonstration} from './demonstration.js';
 import {createNarrator} from './narrator.js';
 import {runPlatformDemonstration} from './platform_demonstration.js';
 import {ceoltoiri, daugava} from './user_facts.js';
--- a/packages/stand_ins/test/object_platform/forwarding.test.ts
+++ b/packages/stand_ins/test/object_platform/forwarding.test.ts
@@ -139,6 +139,35 @@
     });
   }
 
+  it('keeps no connection on which bytes came that nobody asked for', async () => {
+    for (let index = 0; index < 5; index += 1) {
+      planEverywhere('extra-answer-unnamed');
+      const attemptId = `own-unnamed-${index}`;
+      const answer = await call(harness.gateway, {attemptId, key: '7'});
+      const seal = String(answer.headers['x-ibisbeam-response-seal']);
+      assert.ok(seal.endsWith(attemptId), seal);
+      // The target sends its further bytes after 20 ms.
+      await timers.sleep(60);
+    }
+    const [target] = harness.targets.filter(({runs}) => runs.length > 0);
+    assert.equal(target?.connectionCount(), 5);
+  });
+
+  it('lets a long answer that breaks off on the way look broken', async () => {
+    const long = await startHarness({bodyBytes: 600_000}, 1);
+    try {
+      for (const fault of ['cut-short', 'unframed-reset-later'] as const) {
+        for (const target of long.targets) {
+          target.plan(fault);
+        }
+        const answer = await call(long.gateway, {path: '/packs/7'});
+        assert.equal(answer.whole, false, fault);
+      }
+    } finally {
+      await long.stop();
+    }
+  });
+
   it('does not take a reset for the end of a booking’s answer', async () => {
     planEverywhere('unframed-reset-at-once');
     const answer = await call(harness.gateway, {
