--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -25,7 +25,10 @@
 }
 
 export interface BeliefsOptions {
-  readonly protocol: GatewayProtocol;
+  readonly protocol: Pick<
+    GatewayProtocol,
+    'configurationName' | 'readTarget' | 'readConfiguration'
+  >;
   readonly zoneRegions: ReadonlyMap<string, string>;
   readonly timers: Pick<TimerService, 'nowMs'>;
   readonly log: Logger;
