Let a further SIGTERM change nothing in a planned stop

Ruled out: the stop's bound (its log ends in the middle, with no vm-stopped). Before: a second call of stop began a second stop. The new test fails without it. The soak's check of leaving targets now excuses only disruptions of the VM that took the call; it excused those of any VM before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -51,7 +51,10 @@
 
 export interface Gateway {
   start(): Promise<void>;
-  /** Planned stop; resolves when the last request has its answer. */
+  /**
+   * Planned stop; resolves when the last request has its answer. A further
+   * call changes nothing and waits for the same end.
+   */
   stop(): Promise<void>;
   /** Takes over changed bounds; what it listens on needs a restart. */
   applySettings(next: GatewaySettings): void;
@@ -94,6 +97,7 @@
       mesh.broadcast({kind: 'target-lost', fingerprint, target}),
   });
   let stopping = false;
+  let stopped: Promise<void> | undefined;
 
   const beliefs = createBeliefs({
     protocol,
@@ -353,9 +357,13 @@
     });
   }
 
-  async function stop(): Promise<void> {
+  function stop(): Promise<void> {
+    if (stopped) {
+      log.log('info', 'vm-stopping', {repeated: true});
+      return stopped;
+    }
     stopping = true;
-    await runPlannedStop({
+    stopped = runPlannedStop({
       callerServer,
       timers,
       log,
@@ -363,6 +371,7 @@
       announce: () => mesh.broadcast(heartbeat()),
       endParts,
     });
+    return stopped;
   }
 
   function endParts(): void {
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -67,7 +67,8 @@
         calls.push({
           attemptId,
           idempotent,
-          vm: gaveUp ? 'none' : vm.id,
+          vm: vm.id,
+          gaveUp,
           sentMs,
           endedMs,
           status,
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -2,42 +2,59 @@
 /** `npm run soak -- --seed N --seconds S`: prints a verdict for each seed. */
 import {createSystemTimerService} from '@ibisbeam/library';
 import yargs from 'yargs';
+import {REGRESSIONS} from './regressions.js';
 import {runSoak} from './run_soak.js';
 
+/** Violations of one seed that are shown. */
+const MOST_VIOLATIONS = 10;
+
 const options = await yargs(process.argv.slice(2))
   .scriptName('soak')
   .option('seed', {type: 'number', default: 1, describe: 'First seed'})
   .option('seeds', {type: 'number', default: 1, describe: 'Seeds in a row'})
   .option('seconds', {type: 'number', default: 20, describe: 'Faults, a seed'})
   .option('gateways', {type: 'number', default: 4, describe: 'Processes'})
+  .option('regressions', {
+    type: 'boolean',
+    default: false,
+    describe: 'Plays the seeds that failed once, and no others',
+  })
   .strict()
   .version(false)
   .parseAsync();
 
 const timers = createSystemTimerService();
 let failed = 0;
-for (let offset = 0; offset < options.seeds; offset += 1) {
-  const seed = options.seed + offset;
-  const result = await runSoak({
-    seed,
-    seconds: options.seconds,
-    gateways: options.gateways,
-    timers,
-  });
+
+async function play(seed: number, seconds: number): Promise<void> {
+  const {gateways} = options;
+  const result = await runSoak({seed, seconds, gateways, timers});
   const {violations, calls, answered, events} = result;
   const verdict = violations.length === 0 ? 'held' : 'BROKEN';
   process.stdout.write(
     `seed ${seed}: ${verdict}; ${answered} of ${calls} calls answered, ${events.length} faults\n`,
   );
-  if (violations.length > 0) {
-    failed += 1;
-    for (const {promise, detail} of violations.slice(0, 10)) {
-      process.stdout.write(`  ${promise}: ${detail}\n`);
-    }
-    for (const event of events) {
-      process.stdout.write(`    ${event}\n`);
-    }
-    process.stdout.write(`  logs: ${result.folder}\n`);
+  if (violations.length === 0) {
+    return;
+  }
+  failed += 1;
+  for (const {promise, detail} of violations.slice(0, MOST_VIOLATIONS)) {
+    process.stdout.write(`  ${promise}: ${detail}\n`);
+  }
+  for (const event of events) {
+    process.stdout.write(`    ${event}\n`);
+  }
+  process.stdout.write(`  logs: ${result.folder}\n`);
+}
+
+if (options.regressions) {
+  for (const {seed, seconds, cause} of REGRESSIONS) {
+    process.stdout.write(`seed ${seed} once found: ${cause}\n`);
+    await play(seed, seconds);
+  }
+} else {
+  for (let offset = 0; offset < options.seeds; offset += 1) {
+    await play(options.seed + offset, options.seconds);
   }
 }
 process.exit(failed > 0 ? 1 : 0);
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -8,6 +8,8 @@
   readonly attemptId: string;
   readonly idempotent: boolean;
   readonly vm: string;
+  /** The caller left at its deadline, without an answer. */
+  readonly gaveUp: boolean;
   readonly sentMs: number;
   readonly endedMs: number;
   /** 0 where the connection ended without an answer. */
@@ -99,14 +101,16 @@
 
 function lateForDepartures(seen: Observations): readonly Violation[] {
   const violations: Violation[] = [];
+  const vms = new Map(seen.calls.map(call => [call.attemptId, call.vm]));
   for (const {target, atMs} of seen.departures) {
     for (const run of seen.runs) {
       const isLate = run.target === target && run.atMs > atMs + DRAIN_BOUND_MS;
-      if (isLate && !isDisrupted(seen, atMs - STABLE_WINDOW_MS, run.atMs)) {
+      const vm = vms.get(run.attemptId);
+      if (isLate && !isDisrupted(seen, vm, atMs, run.atMs)) {
         const lateMs = Math.round(run.atMs - atMs);
         violations.push({
           promise: 'leaving targets get nothing new',
-          detail: `${run.attemptId} reached ${target} ${lateMs} ms after`,
+          detail: `${run.attemptId} reached ${target} from ${vm} ${lateMs} ms after`,
         });
       }
     }
@@ -114,17 +118,18 @@
   return violations;
 }
 
-/** Which VM sent a run is not seen, so that any disruption excuses. */
+/** Only disruptions of the VM that took the call excuse it. */
 function isDisrupted(
   seen: Observations,
+  vm: string | undefined,
   fromMs: number,
   toMs: number,
 ): boolean {
   return seen.disruptions.some(
     span =>
-      span.kind === 'other' &&
+      span.vm === vm &&
       span.fromMs < toMs &&
-      span.toMs + STABLE_WINDOW_MS > fromMs,
+      span.toMs + STABLE_WINDOW_MS > fromMs - STABLE_WINDOW_MS,
   );
 }
 
@@ -138,6 +143,7 @@
     for (const call of seen.calls) {
       const isMeant =
         call.vm === span.vm &&
+        !call.gaveUp &&
         call.status === 0 &&
         ran.has(call.attemptId) &&
         call.endedMs > span.fromMs &&
--- a/packages/stand_ins/test/object_platform/fleet.test.ts
+++ b/packages/stand_ins/test/object_platform/fleet.test.ts
@@ -165,6 +165,27 @@
     await stopped;
   });
 
+  it('changes nothing when it is told to stop once more', async () => {
+    for (const other of harness.targets) {
+      other.setWorkMs(800);
+    }
+    const pending = call(harness.gateway, {key: '7'});
+    const first = harness.gateway.gateway.stop();
+    await timers.sleep(300);
+    const again = harness.gateway.gateway.stop();
+    assert.equal((await pending).status, 200);
+    await Promise.all([first, again]);
+    const begun = harness.logLines.filter(line =>
+      line.includes('event=vm-stopping'),
+    );
+    assert.equal(begun.length, 2);
+    assert.match(begun[1] ?? '', /repeated=true/);
+    const ended = harness.logLines.filter(line =>
+      line.includes('event=vm-stopped'),
+    );
+    assert.equal(ended.length, 1);
+  });
+
   it('answers a first request late in a planned stop, and reads none after', async () => {
     const {host, port} = harness.gateway.caller;
     const stopped = harness.gateway.gateway.stop();
