--- a/packages/stand_ins/test/object_platform/forwarding.test.ts
+++ b/packages/stand_ins/test/object_platform/forwarding.test.ts
@@ -222,9 +222,11 @@
     }
     const answer = await call(harness.gateway, {leaveAfterMs: 60});
     assert.equal(answer.status, 0);
-    await until(() =>
-      harness.targets.some(target => target.runs.some(run => run.cancelled)),
-    );
+    // Half a second is allowed; on loopback it is there at once.
+    await timers.sleep(250);
+    const runs = harness.targets.flatMap(target => target.runs);
+    assert.equal(runs.length, 1);
+    assert.ok(runs.every(run => run.cancelled));
   });
 
   it('knows no route: 404; too long a body: 413; none of them forwarded', async () => {
