--- a/packages/decision/src/core/links/link_budgets.ts
+++ b/packages/decision/src/core/links/link_budgets.ts
@@ -49,7 +49,7 @@
   transactional: 0.9,
   bulk: 0.8,
 };
-/** Part of the remaining time in which a long answer shall be through. */
+/** Part of the remaining time in which a long answer has to be through. */
 const USED_TIME_FRACTION = 0.5;
 /** The bucket holds what flows in this time. */
 const BUCKET_MS = 200;
--- a/packages/decision/src/core/placement/affinity_placement.ts
+++ b/packages/decision/src/core/placement/affinity_placement.ts
@@ -101,6 +101,8 @@
 
 /** Targets that a request without a key is weighed against. */
 const MAXIMUM_SAMPLE = 24;
+/** Less than any difference in cost that matters. */
+const MOST_TIE_BREAK_MS = 10;
 const UINT32_RANGE = 2 ** 32;
 const BYTES_PER_KILOBYTE = 1_024;
 
@@ -296,5 +298,5 @@
 
 /** Keys that are cold everywhere go to the same targets at every VM. */
 function tieBreakMs(rank: number): number {
-  return Number.isFinite(rank) ? Math.min(rank, 10) : 0;
+  return Number.isFinite(rank) ? Math.min(rank, MOST_TIE_BREAK_MS) : 0;
 }
--- a/packages/decision/src/core/placement/target_load.ts
+++ b/packages/decision/src/core/placement/target_load.ts
@@ -52,6 +52,8 @@
 
 /** Weight of the newest sample in moving averages. */
 const SAMPLE_WEIGHT = 0.2;
+/** Weight of the newest report: one alone may have been made in a lull. */
+const REPORT_WEIGHT = 0.5;
 /** A report older than this says nothing of the present. */
 const REPORT_LIFETIME_MS = 500;
 /** Load assumed of a target that refuses for being full, in its slots. */
@@ -124,7 +126,8 @@
     const own = Math.max(0, record.inFlight - 1);
     const others = Math.max(0, report.running + report.waiting - own);
     const isFresh = nowMs - record.reportedAtMs < REPORT_LIFETIME_MS;
-    record.others = isFresh ? record.others * 0.5 + others * 0.5 : others;
+    const before = isFresh ? record.others : others;
+    record.others = before + (others - before) * REPORT_WEIGHT;
     record.reportedAtMs = nowMs;
   }
 
--- a/packages/decision/src/core/steering/placement.ts
+++ b/packages/decision/src/core/steering/placement.ts
@@ -1,4 +1,4 @@
-/** Which region shall run a request. */
+/** Which region runs a request. */
 import {assertNever} from '../model/index.js';
 import type {
   RefusalReason,
--- a/packages/decision/src/core/steering/requests.ts
+++ b/packages/decision/src/core/steering/requests.ts
@@ -28,7 +28,7 @@
   readonly facts: RequestFacts;
   readonly policy: ServicePolicy;
   readonly arrivedMs: number;
-  /** Region whose slots the request shall use. */
+  /** Region whose slots the request uses. */
   readonly region: RegionName;
   /** Comes from another region than its own, by a shift or a failover. */
   readonly foreign: boolean;
--- a/packages/decision/src/core/steering/suspects.ts
+++ b/packages/decision/src/core/steering/suspects.ts
@@ -10,7 +10,7 @@
 
 const RETRY_SUSPECT_MS = 250;
 
-/** Where a suspect shall go; undefined if the request is not suspected. */
+/** Where a suspect goes; undefined if the request is not suspected. */
 export function placeSuspect(
   state: SteeringState,
   facts: RequestFacts,
--- a/packages/gateway/src/core/protocol.ts
+++ b/packages/gateway/src/core/protocol.ts
@@ -17,7 +17,7 @@
   /** Milliseconds that the sender will still wait. */
   readonly deadlineMs: string;
   readonly affinityKey: string;
-  /** Identifier of the only target that shall run the request. */
+  /** Identifier of the only target that may run the request. */
   readonly expectedTarget: string;
   /** Present on answers that a target made. */
   readonly responseSeal: string;
--- a/packages/library/src/plugins/forwarding/sender.ts
+++ b/packages/library/src/plugins/forwarding/sender.ts
@@ -1,4 +1,4 @@
-/** Sends attempts to targets, or to the entry VM that shall relay them. */
+/** Sends attempts to targets, or to the entry VM that relays them. */
 import type {
   AttemptDestination,
   SteeringAction,
