--- a/packages/decision/src/core/placement/dispatch_rule.ts
+++ b/packages/decision/src/core/placement/dispatch_rule.ts
@@ -19,6 +19,8 @@
   readonly expectedMs: number;
   /** Of that, the wait for a slot at the target. */
   readonly waitMs: number;
+  /** Of the wait, what the requests known to be at the target need. */
+  readonly queueMs: number;
   readonly objectiveMs: number;
   /** Until the latency objective; negative when it has passed. */
   readonly objectiveLeftMs: number;
@@ -58,7 +60,8 @@
     return {kind: 'refuse'};
   }
   const urgency: Urgency = question.hasReturned ? 'returned' : 'late';
-  if (waitMs <= 0) {
+  // That past answers were a little late says nothing of the slots now free.
+  if (question.queueMs <= 0) {
     return {kind: 'send', urgency};
   }
   if (
--- a/packages/decision/test/placement/dispatch_queue.test.ts
+++ b/packages/decision/test/placement/dispatch_queue.test.ts
@@ -74,6 +74,7 @@
     const decision = decideDispatch({
       expectedMs: 400,
       waitMs: 100,
+      queueMs: 100,
       objectiveMs: 200,
       objectiveLeftMs: 100,
       deadlineLeftMs: 1_000,
--- a/packages/decision/test/placement/dispatch_rule.test.ts
+++ b/packages/decision/test/placement/dispatch_rule.test.ts
@@ -10,6 +10,7 @@
 const IDLE: DispatchQuestion = {
   expectedMs: 75,
   waitMs: 0,
+  queueMs: 0,
   objectiveMs: 200,
   objectiveLeftMs: 184,
   deadlineLeftMs: 1_000,
@@ -20,12 +21,17 @@
 
 describe('more work than slots', () => {
   it('sends what can be in time, also behind a short queue', () => {
-    const answer = decideDispatch({...IDLE, expectedMs: 170, waitMs: 95});
+    const answer = decideDispatch({
+      ...IDLE,
+      expectedMs: 170,
+      waitMs: 95,
+      queueMs: 95,
+    });
     assert.deepEqual(answer, {kind: 'send', urgency: 'in-time'});
   });
 
   it('does not let late work queue before work in time', () => {
-    const late = {...IDLE, expectedMs: 300, waitMs: 225};
+    const late = {...IDLE, expectedMs: 300, waitMs: 225, queueMs: 225};
     assert.equal(decideDispatch(late).kind, 'hold');
     assert.equal(decideDispatch({...late, heldMs: 400}).kind, 'refuse');
   });
@@ -35,6 +41,11 @@
     assert.deepEqual(answer, {kind: 'send', urgency: 'late'});
   });
 
+  it('serves it there too if past answers were a little late', () => {
+    const answer = decideDispatch({...IDLE, expectedMs: 265, waitMs: 5});
+    assert.deepEqual(answer, {kind: 'send', urgency: 'late'});
+  });
+
   it('refuses at once what cannot be answered before the deadline', () => {
     const answer = decideDispatch({
       ...IDLE,
@@ -50,6 +61,7 @@
       ...IDLE,
       expectedMs: 110,
       waitMs: 35,
+      queueMs: 35,
       objectiveLeftMs: -200,
       deadlineLeftMs: 600,
     };
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -335,6 +335,7 @@
     return decideDispatch({
       expectedMs: placement.expectedMs,
       waitMs: placement.waitMs,
+      queueMs: placement.waitMs - placement.delayMs,
       objectiveMs: route.latencyObjectiveMs,
       objectiveLeftMs:
         route.latencyObjectiveMs - CLIENT_WAY_MS - elapsedMs - heldMs,
