--- a/packages/stand_ins/test/object_platform/fleet.test.ts
+++ b/packages/stand_ins/test/object_platform/fleet.test.ts
@@ -81,6 +81,23 @@
     assert.equal(leaving.runs.length, before);
   });
 
+  it('has nothing run by another target at an address that is used again', async () => {
+    const {store} = harness.fleet;
+    for (const target of harness.targets) {
+      store.put('servers', `former-${target.id}`, target.entry());
+      store.put('servers', target.id, target.entry({state: 'draining'}));
+    }
+    await until(() => {
+      const lines = harness.logLines.filter(line =>
+        line.includes('event=target-draining'),
+      );
+      return lines.length === harness.targets.length;
+    });
+    const answer = await call(harness.gateway, {attemptId: 'former'});
+    assert.equal(answer.status, 503);
+    assert.equal(harness.targets.flatMap(target => target.runs).length, 0);
+  });
+
   it('sends nothing into an evacuated zone, and refuses when none is left', async () => {
     harness.fleet.store.put('evacuations', 'riga-a', {});
     await until(() =>
