--- a/packages/decision/test/placement/affinity_placement.test.ts
+++ b/packages/decision/test/placement/affinity_placement.test.ts
@@ -132,6 +132,21 @@
     assert.equal(elsewhere?.region, 'riga');
   });
 
+  it('leaves a full region only as far as its share allows', () => {
+    for (const [allowed, region] of [
+      [false, 'riga'],
+      [true, 'kurzeme'],
+    ] as const) {
+      const {placement, load, lifeOf} = startVm(allowed);
+      for (const id of ['a1', 'a2', 'b1', 'b2']) {
+        for (let running = 0; running < 30; running += 1) {
+          load.sent(lifeOf(id));
+        }
+      }
+      assert.equal(placement.choose(REQUEST, 0)?.target.region, region);
+    }
+  });
+
   it('keeps large answers in the zone, small ones with their key', () => {
     const {placement, times, warmKeys, lifeOf} = startVm();
     const key = keyAt(placement, 'b1');
