Measure event loop delays, and log when a client left an attempt behind

Lines of clients that left are at level warn, which has its own limit, so that a burst of answers does not crowd them out.

--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -5,6 +5,8 @@
 export interface GatewayMetrics {
   recordRequest(request: FinishedRequest): void;
   recordAttempt(service: string, outcome: string): void;
+  /** @param delayMs How late the event loop ran a timer. */
+  recordEventLoopDelay(delayMs: number): void;
   /** @param read Called on each scrape. */
   registerGauge(name: string, help: string, read: () => number): void;
   /** All metrics in the Prometheus text format. */
@@ -15,6 +17,7 @@
 const LATENCY_BUCKETS_SECONDS = [
   0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5, 10,
 ];
+const EVENT_LOOP_DELAY_BUCKETS_SECONDS = [0.01, 0.05, 0.1, 0.2, 0.5, 1, 2];
 const MILLISECONDS_PER_SECOND = 1_000;
 
 export function createGatewayMetrics(): GatewayMetrics {
@@ -40,12 +43,21 @@
     registers,
   });
 
+  const eventLoopDelay = new Histogram({
+    name: 'ibisbeam_event_loop_delay_seconds',
+    help: 'How late the event loop runs timers, sampled 20 times a second.',
+    buckets: EVENT_LOOP_DELAY_BUCKETS_SECONDS,
+    registers,
+  });
+
   return {
     recordRequest: ({service, outcome, status, tookMs}) => {
       requests.inc({service, outcome, status});
       latency.observe({service}, tookMs / MILLISECONDS_PER_SECOND);
     },
     recordAttempt: (service, outcome) => attempts.inc({service, outcome}),
+    recordEventLoopDelay: delayMs =>
+      eventLoopDelay.observe(delayMs / MILLISECONDS_PER_SECOND),
     registerGauge: (name, help, read) => {
       const gauge: Gauge = new Gauge({
         name,
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -29,6 +29,8 @@
   /** Number of attempts at targets. */
   readonly attempts: number;
   readonly tookMs: number;
+  /** Time since the last attempt started; undefined without one. */
+  readonly sinceLastAttemptMs: number | undefined;
   readonly affinityKey: string | undefined;
   /** Target and expected times of the last attempt; undefined without one. */
   readonly lastPlacement: Placement | undefined;
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -61,6 +61,7 @@
   let possiblyExecuted = 0;
   let isFinished = false;
   let lastPlacement: Placement | undefined;
+  let lastAttemptAtMs: number | undefined;
   let hedgeTimer: TimerHandle | undefined;
   const timeoutTimer = timers.at(respondByMs, onTimeout);
 
@@ -78,6 +79,7 @@
     if (hadAttempts) {
       context.admissionQueue.onSlotFreed(service);
     }
+    const nowMs = timers.nowMs();
     context.onRequestFinished({
       attemptId: request.attemptId,
       route: route.name,
@@ -86,7 +88,9 @@
       status,
       detail,
       attempts: attemptsStarted,
-      tookMs: timers.nowMs() - request.arrivedAtMs,
+      tookMs: nowMs - request.arrivedAtMs,
+      sinceLastAttemptMs:
+        lastAttemptAtMs === undefined ? undefined : nowMs - lastAttemptAtMs,
       affinityKey: request.affinityKey,
       lastPlacement,
     });
@@ -168,6 +172,7 @@
       inFlightAtStart: targetLoad.estimatedInFlight(incarnation, nowMs),
     };
     lastPlacement = placement;
+    lastAttemptAtMs = nowMs;
     excluded.add(incarnation);
     running.add(attempt);
     attemptsStarted += 1;
--- a/packages/gateway/src/forwarding/request_log.ts
+++ b/packages/gateway/src/forwarding/request_log.ts
@@ -7,7 +7,10 @@
   request: FinishedRequest,
 ): void {
   const {lastPlacement} = request;
-  log.log('info', 'request-finished', {
+  // Lines are limited per level, so those of callers that left are not crowded
+  // out by the others.
+  const level = request.outcome === 'client-left' ? 'warn' : 'info';
+  log.log(level, 'request-finished', {
     request: request.attemptId,
     route: request.route,
     outcome: request.outcome,
@@ -15,11 +18,16 @@
     detail: request.detail || undefined,
     tookMs: Math.round(request.tookMs),
     tried: request.attempts,
+    sinceAttemptMs: roundDefined(request.sinceLastAttemptMs),
     key: request.affinityKey,
     target: lastPlacement?.target.entry.id,
     zone: lastPlacement?.target.entry.zone,
-    expectedMs: lastPlacement && Math.round(lastPlacement.expectedMs),
-    waitMs: lastPlacement && Math.round(lastPlacement.waitMs),
+    expectedMs: roundDefined(lastPlacement?.expectedMs),
+    waitMs: roundDefined(lastPlacement?.waitMs),
     warm: lastPlacement?.warm,
   });
 }
+
+function roundDefined(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value);
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import {createFleetState} from './fleet_state.js';
 import {createControlServer} from './control/control_server.js';
 import {createVmDirectory} from './control/vm_directory.js';
+import {startEventLoopMonitor} from './core/event_loop_monitor.js';
 import {createGatewayMetrics, registerGauges} from './core/gateway_metrics.js';
 import type {GatewayProtocol} from './core/protocol.js';
 import type {GatewaySettings} from './core/settings.js';
@@ -359,6 +360,11 @@
     follower.start();
     registration.start();
     timerHandles.push(
+      startEventLoopMonitor({
+        timers,
+        log,
+        recordDelay: metrics.recordEventLoopDelay,
+      }),
       timers.every(HEARTBEAT_INTERVAL_MS, onHeartbeatDue),
       timers.every(REGISTRY_EXPIRY_INTERVAL_MS, () =>
         registry.expire(timers.nowMs()),
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -43,6 +43,7 @@
   | 'peer-backlog'
   | 'lines-dropped'
   | 'crash-suspected'
+  | 'event-loop-delayed'
   | 'settings-reloaded'
   | 'settings-rejected';
 
