--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -67,7 +67,7 @@
 /** Starts an attempt, which reports its outcome to `events.onEnd`. */
 export function startTargetAttempt(
   request: AttemptRequest,
-  protocol: GatewayProtocol,
+  protocol: Pick<GatewayProtocol, 'headers' | 'readLoadReport'>,
   timers: TimerService,
   events: AttemptEvents,
 ): TargetAttempt {
