Measure how long connections wait to be accepted

The event loop accepts one connection in each turn, so that connections wait unread while all turns are short. accept-backlog and ibisbeam_accept_backlog_seconds show it: the time in which every turn found a connection to accept.

--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -9,6 +9,8 @@
   recordEventLoopDelay(delayMs: number): void;
   /** @param read Called on each scrape. */
   registerGauge(name: string, help: string, read: () => number): void;
+  /** @param spanMs How long connections waited to be accepted. */
+  recordAcceptBacklog(spanMs: number): void;
   /** All metrics in the Prometheus text format. */
   text(): Promise<string>;
 }
@@ -49,6 +51,12 @@
     buckets: EVENT_LOOP_DELAY_BUCKETS_SECONDS,
     registers,
   });
+  const acceptBacklog = new Histogram({
+    name: 'ibisbeam_accept_backlog_seconds',
+    help: 'Spans in which every event loop turn found a connection to accept.',
+    buckets: EVENT_LOOP_DELAY_BUCKETS_SECONDS,
+    registers,
+  });
 
   return {
     recordRequest: ({service, outcome, status, tookMs}) => {
@@ -58,6 +66,8 @@
     recordAttempt: (service, outcome) => attempts.inc({service, outcome}),
     recordEventLoopDelay: delayMs =>
       eventLoopDelay.observe(delayMs / MILLISECONDS_PER_SECOND),
+    recordAcceptBacklog: spanMs =>
+      acceptBacklog.observe(spanMs / MILLISECONDS_PER_SECOND),
     registerGauge: (name, help, read) => {
       const gauge: Gauge = new Gauge({
         name,
--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -12,6 +12,7 @@
 import {announcesBody, readRequestBody} from '@ibisbeam/library';
 import type {HostAndPort} from '../core/settings.js';
 import {refuse} from './response_delivery.js';
+import type {AcceptBacklog} from './accept_backlog.js';
 import type {ForwardingContext} from './context.js';
 import {startExchange} from './exchange.js';
 import {headerValues} from './header_rules.js';
@@ -35,6 +36,7 @@
 export interface ClientFacingServerOptions {
   readonly address: HostAndPort;
   readonly context: ForwardingContext;
+  readonly acceptBacklog: Pick<AcceptBacklog, 'recordAccept'>;
   /** Undefined until the first configuration has been applied. */
   routes(): RouteTable | undefined;
 }
@@ -176,6 +178,7 @@
 
   server.on('connection', socket => {
     openCount += 1;
+    options.acceptBacklog.recordAccept();
     socket.on('close', () => {
       openCount -= 1;
     });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import {createGatewayMetrics, registerGauges} from './core/gateway_metrics.js';
 import type {GatewayProtocol} from './core/protocol.js';
 import type {GatewaySettings} from './core/settings.js';
+import {createAcceptBacklog} from './forwarding/accept_backlog.js';
 import {createClientFacingServer} from './forwarding/client_facing_server.js';
 import type {ForwardingContext} from './forwarding/context.js';
 import {createCrashGuard} from './forwarding/crash_guard.js';
@@ -243,6 +244,11 @@
   const clientFacingServer = createClientFacingServer({
     address: settings.listen.caller,
     context,
+    acceptBacklog: createAcceptBacklog({
+      timers,
+      log,
+      recordSpan: metrics.recordAcceptBacklog,
+    }),
     routes: fleet.routes,
   });
   const readinessServer = createControlServer(
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -31,6 +31,7 @@
   | 'access-refused'
   | 'burn-summary-written'
   | 'burn-summary-failed'
+  | 'accept-backlog'
   | 'attempt-failed'
   | 'target-added'
   | 'target-draining'
--- a/packages/library/src/core/timers/manual_timer_service.ts
+++ b/packages/library/src/core/timers/manual_timer_service.ts
@@ -70,6 +70,7 @@
     every: (intervalMs, callback) =>
       add(nowMs + intervalMs, callback, intervalMs),
     at: (momentMs, callback) => add(Math.max(nowMs, momentMs), callback),
+    atTurnEnd: callback => add(nowMs, callback),
     sleep: delayMs =>
       new Promise(resolve => {
         add(nowMs + Math.max(0, delayMs), resolve);
--- a/packages/library/src/core/timers/system_timer_service.ts
+++ b/packages/library/src/core/timers/system_timer_service.ts
@@ -14,12 +14,18 @@
     return {cancel: () => clearInterval(interval)};
   }
 
+  function atTurnEnd(callback: () => void): TimerHandle {
+    const immediate = setImmediate(callback);
+    return {cancel: () => clearImmediate(immediate)};
+  }
+
   return {
     nowMs: () => performance.now(),
     wallMs: () => Date.now(),
     after,
     every,
     at: (momentMs, callback) => after(momentMs - performance.now(), callback),
+    atTurnEnd,
     sleep: delayMs =>
       new Promise(resolve => {
         after(delayMs, resolve);
--- a/packages/library/src/core/timers/types.ts
+++ b/packages/library/src/core/timers/types.ts
@@ -17,6 +17,11 @@
    * synchronously, if it has passed.
    */
   at(momentMs: number, callback: () => void): TimerHandle;
+  /**
+   * Calls back at the end of the current turn of the event loop, after the
+   * callbacks of the sockets that were ready in it.
+   */
+  atTurnEnd(callback: () => void): TimerHandle;
   /** Resolves after the delay; never rejects. */
   sleep(delayMs: number): Promise<void>;
 }
