Send nothing to a target before the client's disconnect has been read

Cause: an action on input that is older than it looks. A request that waited unread, in the accept queue or in a socket, has its client's close right behind it. The gateway sent the request on when it read it and read the close a turn of the event loop later. A hedge or a held request did the same when its timer fired after a pause, before the sockets were read, and Node.js sent a request as soon as its connection opened. A close itself took one more turn, since only the end of the answer was listened to.

Three tests of client departure and one of attempts failed (a look-up and a booking ran once, a hedge made two runs of one, 70 bytes on a new connection).

An exchange listens to the end of its client's connection. A request is written when its connection is open and has been read, no longer by Node.js itself.

Why it works: what the client did before the request was read has arrived with it and is read in the next turn, before the send.

--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -84,6 +84,8 @@
 export interface GaugeSources {
   /** Number of client requests without a final response. */
   inFlight(): number;
+  /** Number of requests and attempts that wait for processor time. */
+  scheduledSends(): number;
   configurationVersion(): number | undefined;
   /** Time since the store last answered all of this VM's own watches. */
   storeConfirmationAgeMs(): number | undefined;
@@ -105,6 +107,11 @@
     'Requests that have no answer yet.',
     sources.inFlight,
   );
+  metrics.registerGauge(
+    'ibisbeam_scheduled_sends',
+    'Requests and attempts that wait for processor time.',
+    sources.scheduledSends,
+  );
   metrics.registerGauge(
     'ibisbeam_configuration_version',
     'Version of the configuration in force; -1 before the first.',
--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -179,6 +179,8 @@
   server.on('connection', socket => {
     openCount += 1;
     options.acceptBacklog.recordAccept();
+    // Each pipelined request listens for the end of the connection.
+    socket.setMaxListeners(0);
     socket.on('close', () => {
       openCount -= 1;
     });
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -15,6 +15,7 @@
 import type {CrashGuard} from './crash_guard.js';
 import type {TargetConnections} from './target_connections.js';
 import type {AdmissionQueue} from './admission_queue.js';
+import type {SendScheduler} from './send_scheduler.js';
 
 export interface FinishedRequest {
   readonly attemptId: string | undefined;
@@ -56,6 +57,7 @@
   readonly crashGuard: CrashGuard;
   readonly clientRetryDetector: ClientRetryDetector;
   readonly admissionQueue: AdmissionQueue;
+  readonly sendScheduler: SendScheduler;
   isStopping(): boolean;
   /**
    * Called for each request from a client of this VM.
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -55,6 +55,7 @@
     routeTimeoutAtMs,
     (request.clientDeadlineMs ?? Infinity) - RESPONSE_MARGIN_MS,
   );
+  const clientSocket = incoming.socket;
   const running = new Set<RunningAttempt>();
   const excluded = new Set<string>();
   let attemptsStarted = 0;
@@ -67,6 +68,7 @@
 
   function finish(outcome: string, status: number, detail = ''): void {
     isFinished = true;
+    clientSocket.removeListener('end', onClientDisconnect);
     timeoutTimer.cancel();
     hedgeTimer?.cancel();
     const hadAttempts = running.size > 0;
@@ -165,7 +167,7 @@
 
   function startAttempt(placement: Placement, nowMs: number): void {
     const {target} = placement;
-    const {incarnation, entry} = target;
+    const {incarnation} = target;
     const attempt: RunningAttempt = {
       placement,
       startedAtMs: nowMs,
@@ -178,6 +180,17 @@
     attemptsStarted += 1;
     targetLoad.recordSent(incarnation);
     context.onRequestSent(target, nowMs);
+    context.sendScheduler.schedule(() => send(attempt));
+    scheduleHedge(placement);
+  }
+
+  /** Sends the attempt to its target, unless it has ended meanwhile. */
+  function send(attempt: RunningAttempt): void {
+    if (!running.has(attempt)) {
+      return;
+    }
+    const {target} = attempt.placement;
+    const {incarnation, entry} = target;
     const maximumIdleMs = isRetryable(route.kind)
       ? RETRYABLE_MAXIMUM_IDLE_MS
       : NON_IDEMPOTENT_MAXIMUM_IDLE_MS;
@@ -187,7 +200,7 @@
         port: entry.port,
         method: incoming.method ?? 'GET',
         path: incoming.url ?? '/',
-        headers: attemptHeaders(context, request, target, nowMs),
+        headers: attemptHeaders(context, request, target, timers.nowMs()),
         body: request.body,
         attemptId: request.attemptId,
         agent: context.connections.agentFor(incarnation, maximumIdleMs),
@@ -197,7 +210,7 @@
             : CROSS_REGION_CONNECT_TIMEOUT_MS,
       },
       protocol,
-      timers,
+      {timers, sendScheduler: context.sendScheduler},
       {
         onSocket: socket => context.connections.markInUse(socket),
         onSent: () => {
@@ -211,7 +224,6 @@
         onEnd: (outcome, response) => onAttemptEnd(attempt, outcome, response),
       },
     );
-    scheduleHedge(placement);
   }
 
   function scheduleHedge(placement: Placement): void {
@@ -339,6 +351,8 @@
   }
 
   outgoing.on('close', onClientDisconnect);
+  // Comes a turn of the event loop before the 'close' event.
+  clientSocket.on('end', onClientDisconnect);
   context.retryBudget.recordRequest(service, request.arrivedAtMs);
   context.onRequestArrived(
     service,
@@ -393,7 +407,7 @@
     }
   }
 
-  if (outgoing.destroyed) {
+  if (outgoing.destroyed || clientSocket.readableEnded) {
     finish('client-left', 0);
     return;
   }
@@ -405,9 +419,11 @@
     );
     return;
   }
-  if (dispatch() === 'hold') {
-    context.admissionQueue.add(queuedRequest);
-  }
+  context.sendScheduler.schedule(() => {
+    if (!isFinished && dispatch() === 'hold') {
+      context.admissionQueue.add(queuedRequest);
+    }
+  });
 }
 
 /** Time since the client's first attempt, estimated from its stated timeout. */
--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -14,6 +14,7 @@
 import type {TimerHandle, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
 import {headerValues} from './header_rules.js';
+import type {SendScheduler} from './send_scheduler.js';
 
 /**
  * A response whose head has arrived. A short body is complete; of a longer one,
@@ -56,6 +57,11 @@
   onEnd(outcome: AttemptOutcome, response?: TargetResponse): void;
 }
 
+export interface AttemptDependencies {
+  readonly timers: Pick<TimerService, 'after'>;
+  readonly sendScheduler: Pick<SendScheduler, 'schedule'>;
+}
+
 export interface TargetAttempt {
   /** Ends the attempt and closes its connection. */
   cancel(): void;
@@ -68,9 +74,10 @@
 export function startTargetAttempt(
   request: AttemptRequest,
   protocol: Pick<GatewayProtocol, 'headers' | 'readLoadReport'>,
-  timers: TimerService,
+  dependencies: AttemptDependencies,
   events: AttemptEvents,
 ): TargetAttempt {
+  const {timers, sendScheduler} = dependencies;
   let ended = false;
   let sent = false;
   let connectTimer: TimerHandle | undefined;
@@ -121,13 +128,18 @@
     outgoing.destroy();
   }
 
-  function markSent(): void {
-    connectTimer?.cancel();
+  function send(): void {
     if (sent || ended) {
       return;
     }
     sent = true;
     events.onSent(outgoing.reusedSocket);
+    outgoing.end(request.body);
+  }
+
+  function onConnect(): void {
+    connectTimer?.cancel();
+    sendScheduler.schedule(send);
   }
 
   function onSocket(socket: Socket): void {
@@ -136,10 +148,10 @@
     // Runs before the listener of node:http, which completes the response.
     socket.prependListener('end', onConnectionEnd);
     if (!socket.connecting) {
-      markSent();
+      send();
       return;
     }
-    socket.once('connect', markSent);
+    socket.once('connect', onConnect);
     connectTimer = timers.after(request.connectTimeoutMs, () =>
       fail('no connection in time'),
     );
@@ -232,7 +244,6 @@
     streamedResponse?.destroy(error);
   });
   outgoing.on('close', () => fail('the connection was closed'));
-  outgoing.end(request.body);
 
   return {
     cancel: () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,6 +36,7 @@
 import {logFinishedRequest} from './forwarding/request_log.js';
 import {createTargetConnections} from './forwarding/target_connections.js';
 import {createAdmissionQueue} from './forwarding/admission_queue.js';
+import {createSendScheduler} from './forwarding/send_scheduler.js';
 import type {PeerMessage, VmRecord} from './peers/messages.js';
 import {createPeerMesh} from './peers/peer_mesh.js';
 import {createVmRegistration} from './peers/vm_registration.js';
@@ -217,6 +218,7 @@
     crashGuard,
     clientRetryDetector: createClientRetryDetector(),
     admissionQueue: createAdmissionQueue(timers),
+    sendScheduler: createSendScheduler(timers),
     isStopping: () => stopping,
     onRequestArrived: (service, expectedMs, nowMs) => {
       spilloverBudget.credit();
@@ -270,6 +272,7 @@
   );
   registerGauges(metrics, {
     inFlight: () => clientFacingServer.inFlight(),
+    scheduledSends: () => context.sendScheduler.length(),
     configurationVersion: () => fleet.routes()?.configuration.version,
     storeConfirmationAgeMs: () => follower.watchAgeMs(),
     liveVms: () => directory.liveVmIds().length,
--- a/packages/gateway/test/target_attempt.test.ts
+++ b/packages/gateway/test/target_attempt.test.ts
@@ -3,11 +3,9 @@
 import {type AddressInfo, type Server, createServer} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {createSystemTimerService} from '@ibisbeam/library';
+import {createSendScheduler} from '../src/forwarding/send_scheduler.js';
 import {startTargetAttempt} from '../src/forwarding/target_attempt.js';
 
-/** Listed in KNOWN-RED.txt. */
-const KNOWN_RED = {todo: 'issue 24'};
-
 describe('target attempt', () => {
   const timers = createSystemTimerService();
   let server: Server;
@@ -36,47 +34,43 @@
 
   // Guards against requests that are sent when a connection opens, before a
   // disconnect of the client that arrived in the same turn has been read.
-  it(
-    'sends nothing if it is cancelled in the turn in which its connection opens',
-    KNOWN_RED,
-    async () => {
-      const {port} = server.address() as AddressInfo;
-      const attempt = startTargetAttempt(
-        {
-          host: '127.0.0.1',
-          port,
-          method: 'GET',
-          path: '/rooms/7',
-          headers: ['Host', 'rooms.example'],
-          body: undefined,
-          attemptId: 'one',
-          agent: new Agent({keepAlive: true}),
-          connectTimeoutMs: 1_000,
-        },
-        {
-          headers: {
-            attemptId: 'x-attempt',
-            affinityKey: 'x-key',
-            deadlineMs: 'x-deadline',
-            expectedTarget: 'x-target',
-            responseSeal: 'x-seal',
-            notExecuted: 'x-not-executed',
-            loadReport: 'x-load',
-          },
-          readLoadReport: () => undefined,
+  it('sends nothing if it is cancelled in the turn in which its connection opens', async () => {
+    const {port} = server.address() as AddressInfo;
+    const attempt = startTargetAttempt(
+      {
+        host: '127.0.0.1',
+        port,
+        method: 'GET',
+        path: '/rooms/7',
+        headers: ['Host', 'rooms.example'],
+        body: undefined,
+        attemptId: 'one',
+        agent: new Agent({keepAlive: true}),
+        connectTimeoutMs: 1_000,
+      },
+      {
+        headers: {
+          attemptId: 'x-attempt',
+          affinityKey: 'x-key',
+          deadlineMs: 'x-deadline',
+          expectedTarget: 'x-target',
+          responseSeal: 'x-seal',
+          notExecuted: 'x-not-executed',
+          loadReport: 'x-load',
         },
-        timers,
-        {
-          onSocket: socket =>
-            socket.once('connect', () => setImmediate(() => attempt.cancel())),
-          onSent: () => {},
-          onLoadReport: () => {},
-          onResponseHead: () => {},
-          onEnd: () => {},
-        },
-      );
-      await connectionClosed;
-      assert.equal(receivedBytes, 0);
-    },
-  );
+        readLoadReport: () => undefined,
+      },
+      {timers, sendScheduler: createSendScheduler(timers)},
+      {
+        onSocket: socket =>
+          socket.once('connect', () => setImmediate(() => attempt.cancel())),
+        onSent: () => {},
+        onLoadReport: () => {},
+        onResponseHead: () => {},
+        onEnd: () => {},
+      },
+    );
+    await connectionClosed;
+    assert.equal(receivedBytes, 0);
+  });
 });
--- a/packages/stand_ins/test/object_platform/client_departure.test.ts
+++ b/packages/stand_ins/test/object_platform/client_departure.test.ts
@@ -12,8 +12,6 @@
 } from './harness.js';
 
 const KEY = 'room-7';
-/** Listed in KNOWN-RED.txt. */
-const KNOWN_RED = {todo: 'issue 24'};
 
 describe('work for clients that leave', () => {
   let harness: Harness;
@@ -66,41 +64,33 @@
   for (const {name, line, body} of requests) {
     // Guards against requests that are sent to a target before the client's
     // disconnect, which arrived with them, has been read.
-    it(
-      `sends no ${name} whose client left before the request was read`,
-      KNOWN_RED,
-      async () => {
-        const socket = await openClientConnection();
-        socket.write(requestText(line, 'left', body));
-        socket.destroy();
-        await waitUntilFinished('left');
-        await timers.sleep(100);
-        assert.equal(countRuns(harness, 'left'), 0);
-      },
-    );
-  }
-
-  // Guards against timers that start work after a pause of the process, before
-  // the disconnects of that time have been read.
-  it(
-    'starts no hedge for a client that left while the process was busy',
-    KNOWN_RED,
-    async () => {
-      for (const target of harness.targets) {
-        target.setWorkMs(900);
-      }
+    it(`sends no ${name} whose client left before the request was read`, async () => {
       const socket = await openClientConnection();
-      socket.write(requestText('GET /rooms/7', 'left'));
-      await waitUntil(() => countRuns(harness, 'left') === 1);
-      await timers.sleep(200);
+      socket.write(requestText(line, 'left', body));
       socket.destroy();
-      // Hedges start after twice the objective of 200 ms.
-      blockEventLoop(500);
       await waitUntilFinished('left');
       await timers.sleep(100);
-      assert.equal(countRuns(harness, 'left'), 1);
-    },
-  );
+      assert.equal(countRuns(harness, 'left'), 0);
+    });
+  }
+
+  // Guards against timers that start work after a pause of the process, before
+  // the disconnects of that time have been read.
+  it('starts no hedge for a client that left while the process was busy', async () => {
+    for (const target of harness.targets) {
+      target.setWorkMs(900);
+    }
+    const socket = await openClientConnection();
+    socket.write(requestText('GET /rooms/7', 'left'));
+    await waitUntil(() => countRuns(harness, 'left') === 1);
+    await timers.sleep(200);
+    socket.destroy();
+    // Hedges start after twice the objective of 200 ms.
+    blockEventLoop(500);
+    await waitUntilFinished('left');
+    await timers.sleep(100);
+    assert.equal(countRuns(harness, 'left'), 1);
+  });
 });
 
 function blockEventLoop(spanMs: number): void {
