Accept waiting connections before sending requests to targets

Cause: the event loop accepts one connection in each turn, so that long turns keep the others in the accept queue. A request there can be neither served nor refused.

Change: while connections wait, up to 10 ms of turns without sends come before each 10 ms of sends.

Why it works: a turn without sends takes a fraction of a millisecond, so that thousands of connections a second can be accepted and their requests refused or sent in time.

--- a/packages/gateway/src/forwarding/send_scheduler.ts
+++ b/packages/gateway/src/forwarding/send_scheduler.ts
@@ -3,9 +3,12 @@
  * more: after a pause of the process, a client's request or a due timer would
  * otherwise be handled before the client's disconnect, which is also there.
  * Sends take a bounded time of each event loop turn, so that sockets are read
- * often when there is more to send than the processor can do.
+ * often when there is more to send than the processor can do. While connections
+ * wait to be accepted, turns without sends come first: each turn accepts only
+ * one connection, and requests that are unread cannot be refused.
  */
 import type {TimerService} from '@ibisbeam/library';
+import type {AcceptBacklog} from './accept_backlog.js';
 
 export interface SendScheduler {
   /**
@@ -19,16 +22,25 @@
 
 /** Sends that take longer continue in the next turn of the event loop. */
 const MAXIMUM_SEND_TIME_PER_TURN_MS = 10;
+/** Longest time without sends while connections wait to be accepted. */
+const MAXIMUM_ACCEPT_TIME_MS = 10;
+
+export interface SendSchedulerOptions {
+  readonly timers: Pick<TimerService, 'nowMs' | 'atTurnEnd'>;
+  readonly acceptBacklog: Pick<AcceptBacklog, 'mayHaveMore'>;
+}
 
 export function createSendScheduler(
-  timers: Pick<TimerService, 'nowMs' | 'atTurnEnd'>,
+  options: SendSchedulerOptions,
 ): SendScheduler {
+  const {timers, acceptBacklog} = options;
   /** Scheduled before the sockets were last read, oldest first. */
   const ready: (() => void)[] = [];
   /** Scheduled since the sockets were last read, oldest first. */
   let scheduled: (() => void)[] = [];
   let isTurnEndAwaited = false;
   let isSending = false;
+  let lastSentAtMs = -Infinity;
 
   function awaitTurnEnd(): void {
     if (!isTurnEndAwaited) {
@@ -52,7 +64,14 @@
   }
 
   function runReadySends(): void {
-    const endsAtMs = timers.nowMs() + MAXIMUM_SEND_TIME_PER_TURN_MS;
+    const nowMs = timers.nowMs();
+    const isAcceptTurn =
+      acceptBacklog.mayHaveMore() &&
+      nowMs - lastSentAtMs < MAXIMUM_ACCEPT_TIME_MS;
+    if (isAcceptTurn) {
+      return;
+    }
+    const endsAtMs = nowMs + MAXIMUM_SEND_TIME_PER_TURN_MS;
     let sendCount = 0;
     isSending = true;
     try {
@@ -66,6 +85,7 @@
     } finally {
       isSending = false;
       ready.splice(0, sendCount);
+      lastSentAtMs = sendCount > 0 ? timers.nowMs() : lastSentAtMs;
     }
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -99,6 +99,11 @@
   );
   const timerHandles: TimerHandle[] = [];
   const metrics = createGatewayMetrics();
+  const acceptBacklog = createAcceptBacklog({
+    timers,
+    log,
+    recordSpan: metrics.recordAcceptBacklog,
+  });
   const crashGuard = createCrashGuard({
     timers,
     log,
@@ -218,7 +223,7 @@
     crashGuard,
     clientRetryDetector: createClientRetryDetector(),
     admissionQueue: createAdmissionQueue(timers),
-    sendScheduler: createSendScheduler(timers),
+    sendScheduler: createSendScheduler({timers, acceptBacklog}),
     isStopping: () => stopping,
     onRequestArrived: (service, expectedMs, nowMs) => {
       spilloverBudget.credit();
@@ -246,11 +251,7 @@
   const clientFacingServer = createClientFacingServer({
     address: settings.listen.caller,
     context,
-    acceptBacklog: createAcceptBacklog({
-      timers,
-      log,
-      recordSpan: metrics.recordAcceptBacklog,
-    }),
+    acceptBacklog,
     routes: fleet.routes,
   });
   const readinessServer = createControlServer(
--- a/packages/gateway/test/send_scheduler.test.ts
+++ b/packages/gateway/test/send_scheduler.test.ts
@@ -4,9 +4,24 @@
 import {createTurns} from './fixtures/turns.js';
 
 describe('send scheduler', () => {
-  it('sends only after the sockets have been read once more', () => {
+  function create() {
     const turns = createTurns();
-    const scheduler = createSendScheduler(turns.timers);
+    let hasConnections = false;
+    const scheduler = createSendScheduler({
+      timers: turns.timers,
+      acceptBacklog: {mayHaveMore: () => hasConnections},
+    });
+    return {
+      turns,
+      scheduler,
+      setConnectionsWaiting: (isWaiting: boolean) => {
+        hasConnections = isWaiting;
+      },
+    };
+  }
+
+  it('sends only after the sockets have been read once more', () => {
+    const {turns, scheduler} = create();
     const sent: string[] = [];
     scheduler.schedule(() => sent.push('first'));
     turns.endTurn();
@@ -21,8 +36,7 @@
   });
 
   it('runs what a send schedules within that send', () => {
-    const turns = createTurns();
-    const scheduler = createSendScheduler(turns.timers);
+    const {turns, scheduler} = create();
     const sent: string[] = [];
     scheduler.schedule(() => {
       scheduler.schedule(() => sent.push('attempt'));
@@ -36,8 +50,7 @@
   // Guards against turns that last so long under load that disconnects stay
   // unread.
   it('reads the sockets between slow sends, and keeps their order', () => {
-    const turns = createTurns();
-    const scheduler = createSendScheduler(turns.timers);
+    const {turns, scheduler} = create();
     const sent: number[] = [];
     for (const index of [0, 1, 2, 3, 4]) {
       scheduler.schedule(() => {
@@ -56,8 +69,7 @@
   });
 
   it('goes on after a send that throws', () => {
-    const turns = createTurns();
-    const scheduler = createSendScheduler(turns.timers);
+    const {turns, scheduler} = create();
     const sent: string[] = [];
     scheduler.schedule(() => {
       throw new Error('defect');
@@ -68,4 +80,32 @@
     turns.endTurn();
     assert.deepEqual(sent, ['next']);
   });
+
+  // Guards against connections that wait to be accepted, with their requests
+  // unread, until their clients leave.
+  it('lets waiting connections be accepted between sends', () => {
+    const {turns, scheduler, setConnectionsWaiting} = create();
+    const sent: number[] = [];
+    for (const index of [0, 1, 2]) {
+      scheduler.schedule(() => {
+        turns.spend(10);
+        sent.push(index);
+      });
+    }
+    setConnectionsWaiting(true);
+    turns.endTurn();
+    turns.endTurn();
+    assert.deepEqual(sent, [0]);
+    for (let turn = 0; turn < 9; turn += 1) {
+      turns.spend(1);
+      turns.endTurn();
+    }
+    assert.deepEqual(sent, [0]);
+    turns.spend(1);
+    turns.endTurn();
+    assert.deepEqual(sent, [0, 1]);
+    setConnectionsWaiting(false);
+    turns.endTurn();
+    assert.deepEqual(sent, [0, 1, 2]);
+  });
 });
--- a/packages/gateway/test/target_attempt.test.ts
+++ b/packages/gateway/test/target_attempt.test.ts
@@ -60,7 +60,13 @@
         },
         readLoadReport: () => undefined,
       },
-      {timers, sendScheduler: createSendScheduler(timers)},
+      {
+        timers,
+        sendScheduler: createSendScheduler({
+          timers,
+          acceptBacklog: {mayHaveMore: () => false},
+        }),
+      },
       {
         onSocket: socket =>
           socket.once('connect', () => setImmediate(() => attempt.cancel())),
