Check in the soak that callers that left cause no work

One caller in 25 leaves after 15 ms; no request of it may reach a target over half a second after that, from a VM without a fault.

--- a/packages/soak/src/load_generator.ts
+++ b/packages/soak/src/load_generator.ts
@@ -16,6 +16,9 @@
 
 const SEND_INTERVAL_MS = 8;
 const DEADLINE_MS = 1_200;
+/** One of this many callers leaves early. */
+const CALLS_PER_EARLY_LEAVER = 25;
+const EARLY_LEAVER_PATIENCE_MS = 15;
 const BOOKING_FRACTION = 0.4;
 const AFFINITY_KEYS = 60;
 const CONNECTIONS_PER_VM = 40;
@@ -38,6 +41,10 @@
     pending += 1;
     const attemptId = `call-${sent}`;
     const sentMs = timers.nowMs();
+    const patienceMs =
+      sent % CALLS_PER_EARLY_LEAVER === 0
+        ? EARLY_LEAVER_PATIENCE_MS
+        : DEADLINE_MS;
     return new Promise(resolve => {
       const outgoing = httpRequest({
         ...vm.caller,
@@ -51,7 +58,7 @@
           'X-Ibisbeam-Affinity-Key': String(random.below(AFFINITY_KEYS)),
         },
       });
-      const deadline = timers.after(DEADLINE_MS, () => outgoing.destroy());
+      const deadline = timers.after(patienceMs, () => outgoing.destroy());
       let ended = false;
 
       function finish(status: number, whole: boolean, seal?: string): void {
@@ -62,13 +69,13 @@
         pending -= 1;
         deadline.cancel();
         const endedMs = timers.nowMs();
-        // A caller that reaches its deadline was not cut off by the gateway.
-        const gaveUp = status === 0 && endedMs - sentMs >= DEADLINE_MS;
+        // A caller that leaves was not cut off by the gateway.
+        const hasLeft = status === 0 && endedMs - sentMs >= patienceMs;
         calls.push({
           attemptId,
           idempotent,
           vm: vm.id,
-          timedOut: gaveUp,
+          hasLeft,
           sentMs,
           endedMs,
           status,
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -1,15 +1,16 @@
 /**
  * Records of what callers and targets observed, and the invariants checked on
  * them: at-most-once execution, truthful refusals, complete responses to the
- * caller's own request, drained targets and planned stops. Pure functions.
+ * caller's own request, no work for callers that left, drained targets and
+ * planned stops. Pure functions.
  */
 
 export interface CallRecord {
   readonly attemptId: string;
   readonly idempotent: boolean;
   readonly vm: string;
-  /** The caller reached its deadline without a response. */
-  readonly timedOut: boolean;
+  /** The caller closed its connection before it got a response. */
+  readonly hasLeft: boolean;
   readonly sentMs: number;
   readonly endedMs: number;
   /** 0 if the connection ended without a response. */
@@ -56,6 +57,8 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Maximum time from a departure to the last request at the target. */
 const DRAIN_BOUND_MS = 2_500;
+/** Maximum time from a caller's leaving to the last request at a target. */
+const CALLER_LEFT_BOUND_MS = 500;
 /** Time bounds apply to a VM again this long after a disruption. */
 const SETTLING_MS = 3_000;
 
@@ -67,6 +70,7 @@
     ...findFalseRefusals(observations),
     ...findForeignAnswers(observations),
     ...findRunsAfterDeparture(observations),
+    ...findRunsForCallersThatLeft(observations),
     ...findCallsCutByPlannedStops(observations),
   ];
 }
@@ -126,6 +130,31 @@
   return violations;
 }
 
+function findRunsForCallersThatLeft(
+  observations: Observations,
+): readonly Violation[] {
+  const callsThatLeft = new Map(
+    observations.calls
+      .filter(call => call.hasLeft)
+      .map(call => [call.attemptId, call]),
+  );
+  const violations: Violation[] = [];
+  for (const run of observations.runs) {
+    const call = callsThatLeft.get(run.attemptId);
+    if (!call || run.atMs <= call.endedMs + CALLER_LEFT_BOUND_MS) {
+      continue;
+    }
+    if (!isDisrupted(observations, call.vm, call.sentMs, run.atMs)) {
+      const lateMs = Math.round(run.atMs - call.endedMs);
+      violations.push({
+        invariant: 'callers that left cause no work',
+        detail: `${call.attemptId} reached ${run.target} from ${call.vm} ${lateMs} ms after its caller had left`,
+      });
+    }
+  }
+  return violations;
+}
+
 /** Considers only disruptions of the VM that received the call. */
 function isDisrupted(
   observations: Observations,
@@ -153,7 +182,7 @@
     for (const call of observations.calls) {
       const wasCutOff =
         call.vm === span.vm &&
-        !call.timedOut &&
+        !call.hasLeft &&
         call.status === 0 &&
         ran.has(call.attemptId) &&
         call.endedMs > span.fromMs &&
--- a/packages/soak/test/observations.test.ts
+++ b/packages/soak/test/observations.test.ts
@@ -11,7 +11,7 @@
     attemptId: 'a',
     idempotent: false,
     vm: 'edge-0',
-    timedOut: false,
+    hasLeft: false,
     sentMs: 0,
     endedMs: 100,
     status: 200,
@@ -87,7 +87,7 @@
   });
 
   it('ignores a caller that timed out during a planned stop', () => {
-    const calls = [call({status: 0, timedOut: true, whole: false})];
+    const calls = [call({status: 0, hasLeft: true, whole: false})];
     const disruptions = [
       {vm: 'edge-0', fromMs: 10, toMs: 6_000, kind: 'planned-stop'} as const,
     ];
@@ -107,4 +107,17 @@
       ['planned stops abort no requests'],
     );
   });
+
+  it('reports work that starts over half a second after its caller left', () => {
+    const calls = [call({status: 0, hasLeft: true, whole: false})];
+    const late = {...RUN, atMs: 700};
+    assert.deepEqual(violatedInvariants(seen({calls, runs: [late]})), [
+      'callers that left cause no work',
+    ]);
+    const inTime = {...RUN, atMs: 500};
+    assert.deepEqual(violatedInvariants(seen({calls, runs: [inTime]})), []);
+    const paused = {vm: 'edge-0', fromMs: 0, toMs: 600, kind: 'other'} as const;
+    const observations = seen({calls, runs: [late], disruptions: [paused]});
+    assert.deepEqual(violatedInvariants(observations), []);
+  });
 });
