Let the soak tell callers that leave from callers that are cut off

The load generator took a call without an answer for abandoned if it had lasted for the caller's patience. The generator now records that it ended the call itself.

--- a/packages/soak/src/load_generator.ts
+++ b/packages/soak/src/load_generator.ts
@@ -58,7 +58,11 @@
           'X-Ibisbeam-Affinity-Key': String(random.below(AFFINITY_KEYS)),
         },
       });
-      const deadline = timers.after(patienceMs, () => outgoing.destroy());
+      const deadline = timers.after(patienceMs, () => {
+        leaves = true;
+        outgoing.destroy();
+      });
+      let leaves = false;
       let ended = false;
 
       function finish(status: number, whole: boolean, seal?: string): void {
@@ -69,13 +73,11 @@
         pending -= 1;
         deadline.cancel();
         const endedMs = timers.nowMs();
-        // A caller that leaves was not cut off by the gateway.
-        const hasLeft = status === 0 && endedMs - sentMs >= patienceMs;
         calls.push({
           attemptId,
           idempotent,
           vm: vm.id,
-          hasLeft,
+          hasLeft: leaves && status === 0,
           sentMs,
           endedMs,
           status,
