Run gateways of two builds beside each other in the soak

--beside names the gateway program of another build; every second gateway runs it, with the same store, peers and faults.

--- a/packages/soak/src/gateway_process.ts
+++ b/packages/soak/src/gateway_process.ts
@@ -21,13 +21,16 @@
 export interface GatewayProcessOptions {
   readonly id: string;
   readonly folder: string;
+  /** Path of the gateway program. */
+  readonly program: string;
   readonly settings: {readonly [key: string]: unknown};
   readonly caller: {readonly host: string; readonly port: number};
   readonly readiness: {readonly host: string; readonly port: number};
   onExit(): void;
 }
 
-const GATEWAY_MAIN_PATH = fileURLToPath(
+/** The gateway program of this build. */
+export const GATEWAY_PROGRAM = fileURLToPath(
   new URL('../../../../platform/dist/src/main.js', import.meta.url),
 );
 
@@ -44,7 +47,7 @@
   function start(): void {
     const log = openSync(logFile, 'a');
     exitExpected = false;
-    const started = spawn(process.execPath, [GATEWAY_MAIN_PATH], {
+    const started = spawn(process.execPath, [options.program], {
       env: {PATH: process.env['PATH'], IBISBEAM_BOOT: settingsFile},
       stdio: ['ignore', log, log],
     });
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -25,6 +25,11 @@
     default: 4,
     describe: 'Number of gateway processes',
   })
+  .option('beside', {
+    type: 'string',
+    describe:
+      'Gateway program of another build (its platform/dist/src/main.js), which every second gateway runs',
+  })
   .option('regressions', {
     type: 'boolean',
     default: false,
@@ -38,8 +43,14 @@
 let failed = 0;
 
 async function runSeed(seed: number, seconds: number): Promise<void> {
-  const {gateways} = options;
-  const result = await runSoak({seed, seconds, gateways, timers});
+  const {gateways, beside} = options;
+  const result = await runSoak({
+    seed,
+    seconds,
+    gateways,
+    otherProgram: beside,
+    timers,
+  });
   const {violations, calls, answered, events} = result;
   const verdict = violations.length === 0 ? 'passed' : 'FAILED';
   process.stdout.write(
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -18,7 +18,11 @@
   buildTwoRouteConfiguration,
 } from '@ibisbeam/stand-ins';
 import {type LoadGenerator, createLoadGenerator} from './load_generator.js';
-import {type GatewayProcess, createGatewayProcess} from './gateway_process.js';
+import {
+  GATEWAY_PROGRAM,
+  type GatewayProcess,
+  createGatewayProcess,
+} from './gateway_process.js';
 import {
   type Departure,
   type Disruption,
@@ -38,6 +42,8 @@
   readonly seconds: number;
   /** Number of gateway processes. */
   readonly gateways: number;
+  /** Gateway program of another build, which every second gateway runs. */
+  readonly otherProgram: string | undefined;
   readonly timers: TimerService;
 }
 
@@ -318,6 +324,10 @@
     const vm = createGatewayProcess({
       id: `edge-${index}`,
       folder,
+      program:
+        index % 2 === 0
+          ? GATEWAY_PROGRAM
+          : (options.otherProgram ?? GATEWAY_PROGRAM),
       caller: {host, port: front},
       readiness: {host, port: ready},
       settings: {
