Stop tasks that are still starting when the kernel stops

Cause: a VM of a local deployment finds one of its ports taken, and the deployment starts again with other ports. The other VMs were stopped in the middle of their start. A kernel stopped only tasks that had started; a task whose start ended later went on listening for good.

The new kernel test failed before.

Why it works: the start itself stops the task that it has just started if a stop came meanwhile.

--- a/packages/library/src/core/kernel/kernel.ts
+++ b/packages/library/src/core/kernel/kernel.ts
@@ -224,6 +224,11 @@
         return;
       }
       await entry.task.start();
+      if (stopping) {
+        // The stop did not include a task that was still starting.
+        await stopTask(entry);
+        return;
+      }
       entry.startedAtMs = timers.nowMs();
       flushStartQueue(entry);
       logger.log('debug', 'task-started', {task: entry.plugIn.name});
@@ -241,18 +246,22 @@
   async function stopAll(): Promise<void> {
     const started = [...running.values()].filter(entry => !entry.startQueue);
     for (const entry of started.reverse()) {
-      await entry.task.stop().catch(error =>
-        logger.log('error', 'task-failed', {
-          task: entry.plugIn.name,
-          error: describeError(error),
-        }),
-      );
-      entry.mailbox.clear();
+      await stopTask(entry);
     }
     running.clear();
     resolveEnded({fatal});
   }
 
+  async function stopTask(entry: RunningTask): Promise<void> {
+    await entry.task.stop().catch(error =>
+      logger.log('error', 'task-failed', {
+        task: entry.plugIn.name,
+        error: describeError(error),
+      }),
+    );
+    entry.mailbox.clear();
+  }
+
   return {start, stop, publish, post, ask, ended};
 }
 
--- a/packages/library/test/core/kernel/kernel.test.ts
+++ b/packages/library/test/core/kernel/kernel.test.ts
@@ -230,3 +230,31 @@
     '2 freshness-changed',
   ]);
 });
+
+// Guards against servers that stay open when a VM is stopped during its start.
+test('a task whose start ends after the stop is stopped as well', async () => {
+  const order: string[] = [];
+  let endStart = () => {};
+  const kernel = createKernel(
+    [
+      plugIn('peer_links', {
+        start: () =>
+          new Promise(resolve => {
+            endStart = resolve;
+          }),
+        stop: async () => void order.push('stop peer_links'),
+      }),
+      plugIn(
+        'forwarding',
+        {start: async () => void order.push('start forwarding')},
+        {dependsOn: ['peer_links']},
+      ),
+    ],
+    dependencies().kernelDependencies,
+  );
+  const started = kernel.start();
+  await kernel.stop();
+  endStart();
+  await started;
+  assert.deepEqual(order, ['stop peer_links']);
+});
