Give the VMs of a soak ports that differ

The soak reserved its ports in several calls, and a port that a call has freed may come again from the next. They are reserved in one call now, and the port after that for peers, which serves metrics, is none of them.

--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -60,6 +60,8 @@
 const ZONES = {'riga-a': 'riga', 'riga-b': 'riga', 'kurz-a': 'kurzeme'};
 const ZONE_NAMES = ['riga-a', 'riga-b', 'kurz-a'] as const;
 const TARGETS = 9;
+/** For clients, the readiness check and the directory. */
+const PORTS_PER_VM = 3;
 const START_TIMEOUT_MS = 10_000;
 /** Maximum time until every gateway serves again after the last fault. */
 const RECOVERY_TIMEOUT_MS = 15_000;
@@ -308,8 +310,7 @@
 ): Promise<Fleet> {
   const {timers} = options;
   const random: RandomSource = createRandomSource(options.seed + 1);
-  const [peerAddress] = await reserveAddresses(1);
-  const peerPort = Number(peerAddress?.split(':')[1]);
+  const {peerPort, vmPorts} = await reservePorts(options.gateways);
   const vms: GatewayProcess[] = [];
   const proxies: StoreProxy[] = [];
   let stopping = false;
@@ -318,9 +319,9 @@
     proxies.push(proxy);
     const host = `127.0.${8 + Math.floor(index / 200)}.${10 + (index % 200)}`;
     const zone = ZONE_NAMES[index % ZONE_NAMES.length] ?? 'riga-a';
-    const [front = 0, ready = 0, directory = 0] = (
-      await reserveAddresses(3)
-    ).map(address => Number(address.split(':')[1]));
+    const [front = 0, ready = 0, directory = 0] = vmPorts.slice(
+      index * PORTS_PER_VM,
+    );
     const vm = createGatewayProcess({
       id: `edge-${index}`,
       folder,
@@ -382,6 +383,25 @@
   };
 }
 
+interface ReservedPorts {
+  /** Used by all VMs, which differ in their hosts; the next one is free too. */
+  readonly peerPort: number;
+  readonly vmPorts: readonly number[];
+}
+
+/** Reserves all ports in one call: a second one may return the same again. */
+async function reservePorts(vmCount: number): Promise<ReservedPorts> {
+  for (;;) {
+    const addresses = await reserveAddresses(1 + vmCount * PORTS_PER_VM);
+    const [peerPort = 0, ...vmPorts] = addresses.map(address =>
+      Number(address.split(':')[1]),
+    );
+    if (!vmPorts.includes(peerPort + 1)) {
+      return {peerPort, vmPorts};
+    }
+  }
+}
+
 async function waitUntilReady(
   vms: readonly GatewayProcess[],
   load: LoadGenerator,
