Bound how fast requests move between other regions

Cause: a region's shares limited only the part that runs at home. How the rest is divided among the other regions was computed anew from their headroom at each update, without a limit. The first figures of real demand replace those assumed before it, and latgale has no headroom then.

The new test of region shares failed with 50.6 % moved in a second where 3 % is the bound. Spillover was ruled out: it is 8 % of the requests.

Change: the whole distribution moves towards the desired one by at most the bound. Regions without slots are left at once and get their planned part back when slots return, as before.

Why it works: the sum of what any region gains in a step is bounded, whichever regions gain and lose.

Tests of placement and gateway: 55 passed.

--- a/packages/decision/src/core/placement/region_shares.ts
+++ b/packages/decision/src/core/placement/region_shares.ts
@@ -46,49 +46,43 @@
 /** Utilization up to which a region runs all of its own requests. */
 const DESIRED_UTILIZATION = 0.6;
 
-interface RegionSplit {
-  updatedAtMs: number;
-  localShare: number;
-  /**
-   * How the requests that leave the region are divided among other regions. The
-   * fractions add up to 1; empty if no other region has had headroom.
-   */
-  remoteShares: ReadonlyMap<string, number>;
-  hasLocalSlots: boolean;
+/** Fraction of the requests that run in each region; they add up to 1. */
+type Distribution = ReadonlyMap<string, number>;
+
+interface ServiceShares {
+  readonly updatedAtMs: number;
+  /** Moves at a bounded rate; may name regions that have no slots any more. */
+  readonly planned: Distribution;
+  /** The planned distribution without regions that have no slots. */
+  readonly usable: Distribution;
 }
 
 export function createRegionShares(options: RegionSharesOptions): RegionShares {
-  const splits = new Map<string, RegionSplit>();
+  const {region: localRegion} = options;
+  const sharesByService = new Map<string, ServiceShares>();
 
   function update(
     service: string,
     measured: ReadonlyMap<string, RegionCapacity>,
     nowMs: number,
   ): void {
-    const before = splits.get(service);
+    const before = sharesByService.get(service);
     const capacities = hasDemand(measured)
       ? measured
       : withAssumedDemand(measured);
-    const local = capacities.get(options.region);
-    const hasLocalSlots = (local?.slots ?? 0) > 0;
-    const limit = utilizationLimit(capacities);
-    const remoteShares = remoteHeadroom(capacities, options.region, limit);
-    const desired = desiredLocalShare(local, limit, remoteShares.size > 0);
+    const desired = desiredDistribution(capacities, localRegion);
     const passedSeconds = before ? (nowMs - before.updatedAtMs) / 1_000 : 0;
-    const step = hasDemand(measured)
+    const maximumShift = hasDemand(measured)
       ? options.maximumShiftPerSecond * Math.min(1, passedSeconds)
       : 1;
-    // A VM that has just started adopts the share that the others have reached.
-    const from = before?.localShare ?? desired;
-    const localShare = Math.max(from - step, Math.min(from + step, desired));
-    splits.set(service, {
+    // A VM that has just started adopts the shares that the others have reached.
+    const planned = before
+      ? moveTowards(before.planned, desired, maximumShift)
+      : desired;
+    sharesByService.set(service, {
       updatedAtMs: nowMs,
-      localShare,
-      remoteShares:
-        remoteShares.size > 0
-          ? remoteShares
-          : (before?.remoteShares ?? remoteShares),
-      hasLocalSlots,
+      planned,
+      usable: withoutEmptyRegions(planned, measured) ?? desired,
     });
   }
 
@@ -97,17 +91,17 @@
     position: number,
     spread: number,
   ): string {
-    const split = splits.get(service);
-    if (!split || split.remoteShares.size === 0) {
-      return options.region;
-    }
-    if (split.hasLocalSlots && position < split.localShare) {
-      return options.region;
+    const local = localShare(service);
+    if (position < local) {
+      return localRegion;
     }
     let cumulativeShare = 0;
-    let last = options.region;
-    for (const [region, part] of split.remoteShares) {
-      cumulativeShare += part;
+    let last = localRegion;
+    for (const [region, fraction] of fractionsOf(service)) {
+      if (region === localRegion || fraction <= 0) {
+        continue;
+      }
+      cumulativeShare += fraction / (1 - local);
       last = region;
       if (spread < cumulativeShare) {
         return region;
@@ -116,11 +110,83 @@
     return last;
   }
 
-  return {
-    update,
-    regionFor,
-    localShare: service => splits.get(service)?.localShare ?? 1,
-  };
+  function localShare(service: string): number {
+    return sharesByService.has(service)
+      ? (fractionsOf(service).get(localRegion) ?? 0)
+      : 1;
+  }
+
+  function fractionsOf(service: string): Distribution {
+    return sharesByService.get(service)?.usable ?? new Map();
+  }
+
+  return {update, regionFor, localShare};
+}
+
+/** The distribution at which no region is above the utilization limit. */
+function desiredDistribution(
+  capacities: ReadonlyMap<string, RegionCapacity>,
+  localRegion: string,
+): Distribution {
+  const limit = utilizationLimit(capacities);
+  const remoteShares = remoteHeadroom(capacities, localRegion, limit);
+  const local = desiredLocalShare(
+    capacities.get(localRegion),
+    limit,
+    remoteShares.size > 0,
+  );
+  const fractions = new Map([[localRegion, local]]);
+  for (const [region, share] of remoteShares) {
+    fractions.set(region, (1 - local) * share);
+  }
+  return fractions;
+}
+
+/**
+ * Divides the fractions of regions without slots among the others; undefined if
+ * none is left.
+ */
+function withoutEmptyRegions(
+  fractions: Distribution,
+  capacities: ReadonlyMap<string, RegionCapacity>,
+): Distribution | undefined {
+  const left = new Map<string, number>();
+  let total = 0;
+  for (const [region, fraction] of fractions) {
+    if ((capacities.get(region)?.slots ?? 0) > 0) {
+      left.set(region, fraction);
+      total += fraction;
+    }
+  }
+  if (total <= 0) {
+    return undefined;
+  }
+  for (const [region, fraction] of left) {
+    left.set(region, fraction / total);
+  }
+  return left;
+}
+
+/** Moves at most `maximumShift` of the requests to another region. */
+function moveTowards(
+  from: Distribution,
+  to: Distribution,
+  maximumShift: number,
+): Distribution {
+  const regions = [...new Set([...from.keys(), ...to.keys()])].sort();
+  let distance = 0;
+  for (const region of regions) {
+    const change = (to.get(region) ?? 0) - (from.get(region) ?? 0);
+    distance += Math.max(0, change);
+  }
+  const step = distance > maximumShift ? maximumShift / distance : 1;
+  const fractions = new Map<string, number>();
+  for (const region of regions) {
+    const before = from.get(region) ?? 0;
+    const change = (to.get(region) ?? 0) - before;
+    fractions.set(region, before + change * step);
+  }
+  return fractions;
 }
 
 /** Utilization assumed before any request has arrived. */
--- a/packages/decision/test/placement/region_shares.test.ts
+++ b/packages/decision/test/placement/region_shares.test.ts
@@ -59,6 +59,56 @@
     assert.ok(shares.localShare('rooms') < 0.4);
   });
 
+  // Guards against requests that move from one remote region to another all at
+  // once when the headroom there changes.
+  it('shift no faster than the bound between other regions', () => {
+    const shares = kurzeme();
+    const demand = {riga: 20, kurzeme: 25, latgale: 0};
+    shares.update('rooms', capacities(demand), 0);
+    let before = keyFractions(shares);
+    assert.ok((before.get('latgale') ?? 0) > 0.3);
+    for (let second = 1; second <= 30; second += 1) {
+      const changed = {riga: 5, kurzeme: 25, latgale: 22};
+      shares.update('rooms', capacities(changed), second * 1_000);
+      const now = keyFractions(shares);
+      let moved = 0;
+      for (const region of ['riga', 'kurzeme', 'latgale']) {
+        const change = (now.get(region) ?? 0) - (before.get(region) ?? 0);
+        moved += Math.max(0, change);
+      }
+      assert.ok(
+        moved <= MAXIMUM_SHIFT_PER_SECOND + 0.005,
+        `${moved} in a second`,
+      );
+      before = now;
+    }
+    assert.ok((before.get('latgale') ?? 0) < 0.05);
+  });
+
+  it('leave a region without slots at once', () => {
+    const shares = kurzeme();
+    const demand = {riga: 20, kurzeme: 25, latgale: 0};
+    shares.update('rooms', capacities(demand), 0);
+    const without = new Map(capacities(demand));
+    without.set('latgale', {demand: 0, slots: 0});
+    shares.update('rooms', without, 400);
+    assert.equal(keyFractions(shares).get('latgale'), undefined);
+    assert.ok((keyFractions(shares).get('riga') ?? 0) > 0.3);
+  });
+
+  it('return to a region whose slots come back', () => {
+    const shares = kurzeme();
+    const demand = {riga: 20, kurzeme: 25, latgale: 0};
+    shares.update('rooms', capacities(demand), 0);
+    const usual = keyFractions(shares).get('latgale') ?? 0;
+    const without = new Map(capacities(demand));
+    without.set('latgale', {demand: 0, slots: 0});
+    shares.update('rooms', without, 400);
+    shares.update('rooms', capacities(demand), 800);
+    const now = keyFractions(shares).get('latgale') ?? 0;
+    assert.ok(usual - now < 0.05, `${usual} before, ${now} after`);
+  });
+
   it('move further keys without moving back those already away', () => {
     const shares = kurzeme();
     shares.update('rooms', capacities({kurzeme: 8}), 0);
