--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -19,7 +19,7 @@
 const LATENCY_BUCKETS_SECONDS = [
   0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5, 10,
 ];
-const EVENT_LOOP_DELAY_BUCKETS_SECONDS = [0.01, 0.05, 0.1, 0.2, 0.5, 1, 2];
+const DELAY_BUCKETS_SECONDS = [0.01, 0.05, 0.1, 0.2, 0.5, 1, 2];
 const MILLISECONDS_PER_SECOND = 1_000;
 
 export function createGatewayMetrics(): GatewayMetrics {
@@ -48,13 +48,13 @@
   const eventLoopDelay = new Histogram({
     name: 'ibisbeam_event_loop_delay_seconds',
     help: 'How late the event loop runs timers, sampled 20 times a second.',
-    buckets: EVENT_LOOP_DELAY_BUCKETS_SECONDS,
+    buckets: DELAY_BUCKETS_SECONDS,
     registers,
   });
   const acceptBacklog = new Histogram({
     name: 'ibisbeam_accept_backlog_seconds',
     help: 'Spans in which every event loop turn found a connection to accept.',
-    buckets: EVENT_LOOP_DELAY_BUCKETS_SECONDS,
+    buckets: DELAY_BUCKETS_SECONDS,
     registers,
   });
 
