--- a/packages/soak/src/load_generator.ts
+++ b/packages/soak/src/load_generator.ts
@@ -58,11 +58,11 @@
           'X-Ibisbeam-Affinity-Key': String(random.below(AFFINITY_KEYS)),
         },
       });
+      let isLeaving = false;
       const deadline = timers.after(patienceMs, () => {
-        leaves = true;
+        isLeaving = true;
         outgoing.destroy();
       });
-      let leaves = false;
       let ended = false;
 
       function finish(status: number, whole: boolean, seal?: string): void {
@@ -77,7 +77,7 @@
           attemptId,
           idempotent,
           vm: vm.id,
-          hasLeft: leaves && status === 0,
+          hasLeft: isLeaving && status === 0,
           sentMs,
           endedMs,
           status,
