--- a/packages/decision/src/core/placement/region_shares.ts
+++ b/packages/decision/src/core/placement/region_shares.ts
@@ -1,9 +1,9 @@
 /**
  * Decides which fraction of a region's requests runs in other regions. A region
  * with more demand than capacity assigns ranges of the affinity key space to
- * regions with headroom, and takes them back later. The fraction changes at a
- * bounded rate, so that a step in traffic does not move many keys at once and
- * a key that has moved keeps its warm cache.
+ * regions with headroom, and takes them back later. The fractions of all regions
+ * change at one bounded rate, so that a step in traffic does not move many keys
+ * at once and a key that has moved keeps its warm cache.
  */
 
 /** Demand and capacity of a region for one service. */
