Show rate limits that targets state in logs and metrics

Now target-rate-limit lines tell when a VM hears of a limit, from whom, and how many requests it sends to the target while it is in force; ibisbeam_limited_targets and ibisbeam_limited_sends_total add them up. An ignored limit shows as sends that do not fall, one kept by each VM alone as sends up to the limit at each VM, one heard of late as sends before the first line. No request is treated otherwise.

Build, lint and the tests of rate limits and the target attempt passed.

--- /dev/null
+++ b/packages/decision/src/core/rate_limits/index.ts
@@ -0,0 +1,1 @@
+export * from './stated_rate_limits.js';
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -12,6 +12,7 @@
 export * from './core/objectives/index.js';
 export * from './core/quarantine/index.js';
 export * from './core/random/index.js';
+export * from './core/rate_limits/index.js';
 export * from './core/retries/index.js';
 export * from './core/rollout/index.js';
 export * from './core/routing/index.js';
--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -5,6 +5,8 @@
 export interface GatewayMetrics {
   recordRequest(request: FinishedRequest): void;
   recordAttempt(service: string, outcome: string): void;
+  /** Counts a request sent to a target that states a rate limit. */
+  countLimitedSend(service: string): void;
   /** @param delayMs How late the event loop ran a timer. */
   recordEventLoopDelay(delayMs: number): void;
   /** @param read Called on each scrape. */
@@ -44,6 +46,12 @@
     labelNames: ['service', 'outcome'] as const,
     registers,
   });
+  const limitedSends = new Counter({
+    name: 'ibisbeam_limited_sends_total',
+    help: 'Requests sent to targets while they state a rate limit.',
+    labelNames: ['service'] as const,
+    registers,
+  });
 
   const eventLoopDelay = new Histogram({
     name: 'ibisbeam_event_loop_delay_seconds',
@@ -64,6 +72,7 @@
       latency.observe({service}, tookMs / MILLISECONDS_PER_SECOND);
     },
     recordAttempt: (service, outcome) => attempts.inc({service, outcome}),
+    countLimitedSend: service => limitedSends.inc({service}),
     recordEventLoopDelay: delayMs =>
       eventLoopDelay.observe(delayMs / MILLISECONDS_PER_SECOND),
     recordAcceptBacklog: spanMs =>
@@ -93,6 +102,8 @@
   liveVms(): number;
   /** Number of registered targets. */
   targets(): number;
+  /** Number of targets that state a rate limit. */
+  limitedTargets(): number;
 }
 
 /** Reported while a value is not known. */
@@ -133,4 +144,9 @@
     sources.liveVms,
   );
   metrics.registerGauge('ibisbeam_targets', 'Targets listed.', sources.targets);
+  metrics.registerGauge(
+    'ibisbeam_limited_targets',
+    'Targets that state a rate limit.',
+    sources.limitedTargets,
+  );
 }
--- a/packages/gateway/src/core/protocol.ts
+++ b/packages/gateway/src/core/protocol.ts
@@ -26,6 +26,8 @@
   readonly notExecuted: string;
   /** Load report of a target. */
   readonly loadReport: string;
+  /** Requests per second that a target in need takes from all VMs together. */
+  readonly rateLimit: string;
 }
 
 /** Kinds of objects in the platform's store. */
@@ -57,6 +59,8 @@
   readConfiguration(value: unknown): Either<string, RoutingConfiguration>;
   /** Returns undefined if the header value is malformed. */
   readLoadReport(header: string): LoadReport | undefined;
+  /** Requests per second; undefined if the header value is malformed. */
+  readRateLimit(header: string): number | undefined;
   readDirectoryQuery(query: URLSearchParams): DirectoryQuery;
   /** Returns the response body in JSON. */
   writeDirectoryResponse(
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -68,6 +68,11 @@
   /** Returns the Retry-After time for refused requests. */
   retryAfterMs(service: string): number;
   onRequestSent(target: RegisteredTarget, nowMs: number): void;
+  /** @param perSecond Rate limit that the target states; undefined if none. */
+  onRateLimitAnswer(
+    target: RegisteredTarget,
+    perSecond: number | undefined,
+  ): void;
   onAttemptEnded(service: string, outcome: AttemptOutcome['kind']): void;
   onRequestFinished(request: FinishedRequest): void;
 }
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -219,6 +219,7 @@
         },
         onLoadReport: report =>
           targetLoad.recordReport(incarnation, report, timers.nowMs()),
+        onRateLimit: perSecond => context.onRateLimitAnswer(target, perSecond),
         onResponseHead: (sent, response) =>
           context.connections.recordKeepAlive(sent, response),
         onEnd: (outcome, response) => onAttemptEnd(attempt, outcome, response),
--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -52,6 +52,12 @@
   /** The connection is established; the target may now run the request. */
   onSent(reusedConnection: boolean): void;
   onLoadReport(report: LoadReport): void;
+  /**
+   * The target has answered this request.
+   *
+   * @param perSecond The rate limit that it states; undefined without one.
+   */
+  onRateLimit(perSecond: number | undefined): void;
   onResponseHead(request: ClientRequest, response: IncomingMessage): void;
   /** Called once, unless the attempt is cancelled first. */
   onEnd(outcome: AttemptOutcome, response?: TargetResponse): void;
@@ -73,7 +79,10 @@
 /** Starts an attempt, which reports its outcome to `events.onEnd`. */
 export function startTargetAttempt(
   request: AttemptRequest,
-  protocol: Pick<GatewayProtocol, 'headers' | 'readLoadReport'>,
+  protocol: Pick<
+    GatewayProtocol,
+    'headers' | 'readLoadReport' | 'readRateLimit'
+  >,
   dependencies: AttemptDependencies,
   events: AttemptEvents,
 ): TargetAttempt {
@@ -162,6 +171,7 @@
       attemptId: attemptIdName,
       loadReport,
       notExecuted,
+      rateLimit,
     } = protocol.headers;
     const echoed = headerValues(response.rawHeaders, attemptIdName);
     const [loadHeader] = headerValues(response.rawHeaders, loadReport);
@@ -176,6 +186,14 @@
     }
     events.onResponseHead(outgoing, response);
     const status = response.statusCode ?? 0;
+    if (status !== 421) {
+      const [limitHeader] = headerValues(response.rawHeaders, rateLimit);
+      events.onRateLimit(
+        limitHeader === undefined
+          ? undefined
+          : protocol.readRateLimit(limitHeader),
+      );
+    }
     const isNotExecuted =
       status === 421 ||
       headerValues(response.rawHeaders, notExecuted).length > 0;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,6 +42,10 @@
 import {createVmRegistration} from './peers/vm_registration.js';
 import {runGracefulStop} from './graceful_stop.js';
 import {createRegionPlan} from './region_plan.js';
+import {
+  RATE_LIMIT_REPORT_INTERVAL_MS,
+  createTargetRateLimits,
+} from './target_rate_limits.js';
 import {STORE_KINDS, createStoreFollower} from './store/store_follower.js';
 
 export interface GatewayOptions {
@@ -104,6 +108,11 @@
     log,
     recordSpan: metrics.recordAcceptBacklog,
   });
+  const rateLimits = createTargetRateLimits({
+    timers,
+    log,
+    countLimitedSend: metrics.countLimitedSend,
+  });
   const crashGuard = createCrashGuard({
     timers,
     log,
@@ -123,6 +132,7 @@
       crashGuard.recordTargetDeath(incarnation);
       connections.removePool(incarnation);
       targetLoad.remove(incarnation);
+      rateLimits.removeTarget(incarnation);
     },
   });
   const {registry} = fleet;
@@ -232,6 +242,7 @@
     retryAfterMs: () => REFUSED_RETRY_AFTER_MS,
     onRequestSent: (target, nowMs) => {
       const {incarnation, entry} = target;
+      rateLimits.recordSent(target);
       if (
         registry.isCold(target, nowMs) ||
         targetLoad.isRecovering(incarnation, nowMs)
@@ -240,6 +251,7 @@
         coldStartLimiter.takeToken(target, perSecond, nowMs);
       }
     },
+    onRateLimitAnswer: rateLimits.recordAnswer,
     onAttemptEnded: (service, outcome) =>
       metrics.recordAttempt(service, outcome),
     onRequestFinished: request => {
@@ -278,6 +290,7 @@
     storeConfirmationAgeMs: () => follower.watchAgeMs(),
     liveVms: () => directory.liveVmIds().length,
     targets: () => registry.all().length,
+    limitedTargets: rateLimits.count,
   });
 
   function isServing(): boolean {
@@ -379,6 +392,7 @@
       timers.every(REGISTRY_EXPIRY_INTERVAL_MS, () =>
         registry.expire(timers.nowMs()),
       ),
+      timers.every(RATE_LIMIT_REPORT_INTERVAL_MS, rateLimits.report),
     );
     log.log('info', 'vm-started', {
       zone: vm.zone,
--- a/packages/gateway/test/target_attempt.test.ts
+++ b/packages/gateway/test/target_attempt.test.ts
@@ -57,8 +57,10 @@
           responseSeal: 'x-seal',
           notExecuted: 'x-not-executed',
           loadReport: 'x-load',
+          rateLimit: 'x-limit',
         },
         readLoadReport: () => undefined,
+        readRateLimit: () => undefined,
       },
       {
         timers,
@@ -72,6 +74,7 @@
           socket.once('connect', () => setImmediate(() => attempt.cancel())),
         onSent: () => {},
         onLoadReport: () => {},
+        onRateLimit: () => {},
         onResponseHead: () => {},
         onEnd: () => {},
       },
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -36,6 +36,7 @@
   | 'target-added'
   | 'target-draining'
   | 'target-cold'
+  | 'target-rate-limit'
   | 'target-removed'
   | 'target-entry-refused'
   | 'evacuations-changed'
