Reproduce requests beyond the rate that a target states

Stand-in targets can state Server-Limit and record what reaches them; findRateLimitViolations judges that by the users' rule. Seven VMs on loopback send 174 requests in 4 s to a target that states 6 a second, where 41 are allowed. Each VM alone sends 2 to 4 a second, so the test also fails if every VM keeps to the limit by itself.

--- a/packages/stand_ins/src/core/object_platform/fleet_target.ts
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -6,6 +6,7 @@
 import {type IncomingMessage, createServer} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {TimerService} from '@ibisbeam/library';
+import type {LimitStatement, TargetArrival} from './rate_limit_rule.js';
 
 /** Fault applied to one request. */
 export type TargetFault =
@@ -61,11 +62,21 @@
   /** Returns the entry of the target in the store, with the given changes. */
   entry(changes?: Readonly<Record<string, unknown>>): Record<string, unknown>;
   readonly runs: readonly TargetRun[];
+  /** Requests that reached the target, whether it ran them or not. */
+  readonly arrivals: readonly TargetArrival[];
+  readonly limitStatements: readonly LimitStatement[];
   /** Number of connections accepted so far. */
   readonly connectionCount: () => number;
   /** Queues faults for the next requests, one each. */
   plan(...faults: readonly TargetFault[]): void;
   setWorkMs(workMs: number): void;
+  /**
+   * States the limit in all answers from now on. The target does not enforce
+   * it.
+   *
+   * @param perSecond Requests per second of all VMs; undefined for no limit.
+   */
+  setRateLimit(perSecond: number | undefined): void;
   close(): Promise<void>;
 }
 
@@ -99,6 +110,8 @@
   const {id, timers, slots} = options;
   const host = options.host ?? '127.0.0.1';
   const runs: TargetRun[] = [];
+  const arrivals: TargetArrival[] = [];
+  const limitStatements: LimitStatement[] = [];
   const faults: TargetFault[] = [];
   const warm = new Set<string>();
   const queue: (() => void)[] = [];
@@ -106,6 +119,7 @@
   let running = 0;
   let workMs = options.workMs ?? DEFAULT_WORK_MS;
   let connections = 0;
+  let rateLimit: number | undefined;
 
   const server = createServer((incoming, outgoing) => {
     const chunks: Buffer[] = [];
@@ -121,6 +135,7 @@
       outgoing.end();
       return;
     }
+    arrivals.push({attemptId, atMs: timers.nowMs()});
     const fault = faults.shift() ?? 'none';
     if (fault === 'early') {
       writeAnswer(incoming.socket, 'early', attemptId);
@@ -133,6 +148,7 @@
         outgoing.writeHead(503, {
           'X-Ibisbeam-Not-Executed': '1',
           'X-Ibisbeam-Attempt-Id': attemptId,
+          ...rateLimitHeader(attemptId),
         });
         outgoing.end();
         return;
@@ -142,6 +158,20 @@
     });
   });
 
+  function rateLimitHeader(
+    attemptId: string,
+  ): Readonly<Record<string, string>> {
+    if (rateLimit === undefined) {
+      return {};
+    }
+    limitStatements.push({
+      attemptId,
+      perSecond: rateLimit,
+      atMs: timers.nowMs(),
+    });
+    return {'Server-Limit': String(rateLimit)};
+  }
+
   function queueLimit(): number {
     return options.queueLength ?? slots * 3;
   }
@@ -294,6 +324,9 @@
       `X-Ibisbeam-Response-Seal: seal-${id}-${attemptId}`,
       `X-Ibisbeam-Server-Load: ${running},${queue.length},${slots}`,
       'Keep-Alive: timeout=10',
+      ...Object.entries(rateLimitHeader(attemptId)).map(
+        ([name, value]) => `${name}: ${value}`,
+      ),
       ...(framed ? [`Content-Length: ${text.length}`] : []),
     ];
     return `${head.join('\r\n')}\r\n\r\n${text}`;
@@ -328,6 +361,8 @@
       ...changes,
     }),
     runs,
+    arrivals,
+    limitStatements,
     connectionCount: () => connections,
     plan: (...planned) => {
       faults.push(...planned);
@@ -335,6 +370,9 @@
     setWorkMs: next => {
       workMs = next;
     },
+    setRateLimit: perSecond => {
+      rateLimit = perSecond;
+    },
     close: () =>
       new Promise(resolve => {
         server.close(() => resolve());
