Count VMs out of reach among those that share the fleet's bounds

Cause: the rate of a cold target (and of one that states a limit) was divided among the VMs heard from in the last 1.8 s. A VM that was cut off, and each of several that started at once, took the whole rate for itself. The slack of the retry budget went whole to every VM that had not heard of others yet.

Change: VMs that are out of reach count, unless the VM still hears from most of those that it heard from in the last 25 s. Until 5 s after its start a VM counts all that it has heard of, and at least one for each zone of its settings. The retry budget counts these VMs too.

Why it works: at most one group of VMs can hold most of them, so that only one may take over the parts of the others; all other VMs keep to the parts that they had. A fleet of one still uses the whole rate after 5 s.

What cannot be told: a VM that hears from no other for more than a minute and cannot list the VMs in the store counts itself alone.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import {
   DEFAULT_PLACEMENT_PARAMETERS,
   type RateLimitReport,
+  type SharingVm,
   createAffinityPlacement,
   createClientRetryDetector,
   createColdStartLimiter,
@@ -16,6 +17,7 @@
   createWarmKeys,
   createWatcherSelection,
   hash32,
+  vmsThatShare,
 } from '@ibisbeam/decision';
 import type {
   Logger,
@@ -74,6 +76,8 @@
 const REGISTRY_EXPIRY_INTERVAL_MS = 100;
 /** Demand reported by a peer counts until the peer is silent for longer. */
 const PEER_DEMAND_LIFETIME_MS = 3_000;
+/** Peers that were silent for longer count as gone unless all are silent. */
+const RECENT_PEER_SPAN_MS = 25_000;
 /** Number of VMs that always watch the store. */
 const STORE_WATCHER_COUNT = 2;
 /**
@@ -122,6 +126,9 @@
     notifyPeers: (fingerprint, target) =>
       mesh.broadcast({kind: 'target-lost', fingerprint, target}),
   });
+  const startedAtMs = timers.nowMs();
+  /** The other VMs that share the bounds of the fleet with this one. */
+  let sharingVms: readonly SharingVm[] = [];
   let stopping = false;
   let stopCompletion: Promise<void> | undefined;
 
@@ -232,7 +239,8 @@
       windowMs: bounds.retryWindowMs,
       ratio: () => bounds.retryRatio,
       slack: () => bounds.retrySlack,
-      vmCount: () => mesh.knownPeers().length + 1,
+      // A VM that has just ended may have used its part within the window.
+      vmCount: () => Math.max(sharingVms.length, mesh.knownPeers().length) + 1,
     }),
     connections,
     crashGuard,
@@ -380,14 +388,26 @@
     broadcastHeartbeat();
     const liveVmIds = directory.liveVmIds();
     watcherSelection.setVms(liveVmIds);
-    const livePeers = directory.livePeers();
-    coldStartLimiter.setVms(livePeers);
-    rateLimits.setVms(livePeers);
+    updateSharingVms();
     const services = fleet.routes()?.configuration.services.keys() ?? [];
     regionPlan.update(services, mesh.peersHeardWithin(PEER_DEMAND_LIFETIME_MS));
   }
 
+  function updateSharingVms(): void {
+    sharingVms = vmsThatShare({
+      self: vm,
+      zoneRegions: settings.zoneRegions,
+      live: directory.livePeers(),
+      recent: mesh.peersHeardWithin(RECENT_PEER_SPAN_MS),
+      known: mesh.knownPeers(),
+      uptimeMs: timers.nowMs() - startedAtMs,
+    });
+    coldStartLimiter.setVms(sharingVms);
+    rateLimits.setVms(sharingVms);
+  }
+
   async function start(): Promise<void> {
+    updateSharingVms();
     await Promise.all([
       clientFacingServer.listen(),
       readinessServer.listen(),
