Let targets state rate limits in the soak

One target after the other states 1 to 8 requests a second for 5 to 8 s, in every run, besides all other faults; findRequestsBeyondLimits judges it by the users' rule, without VMs that were disrupted. The limits have a random source of their own, so that the other faults of a seed stay the same.

--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -1,9 +1,14 @@
 /**
  * Records of what callers and targets observed, and the invariants checked on
  * them: at-most-once execution, truthful refusals, complete responses to the
- * caller's own request, no work for callers that left, drained targets and
- * planned stops. Pure functions.
+ * caller's own request, no work for callers that left, drained targets, rate
+ * limits and planned stops. Pure functions.
  */
+import {
+  type LimitStatement,
+  type TargetArrival,
+  findRateLimitViolations,
+} from '@ibisbeam/stand-ins';
 
 export interface CallRecord {
   readonly attemptId: string;
@@ -41,11 +46,19 @@
   readonly atMs: number;
 }
 
+/** Period in which a target stated a rate limit. */
+export interface LimitedPeriod {
+  readonly target: string;
+  readonly arrivals: readonly TargetArrival[];
+  readonly statements: readonly LimitStatement[];
+}
+
 export interface Observations {
   readonly calls: readonly CallRecord[];
   readonly runs: readonly RunRecord[];
   readonly disruptions: readonly Disruption[];
   readonly departures: readonly Departure[];
+  readonly limitedPeriods: readonly LimitedPeriod[];
 }
 
 export interface Violation {
@@ -72,6 +85,7 @@
     ...findRunsAfterDeparture(observations),
     ...findRunsForCallersThatLeft(observations),
     ...findCallsCutByPlannedStops(observations),
+    ...findRequestsBeyondLimits(observations),
   ];
 }
 
@@ -155,6 +169,32 @@
   return violations;
 }
 
+function findRequestsBeyondLimits(
+  observations: Observations,
+): readonly Violation[] {
+  const vms = new Map(
+    observations.calls.map(call => [call.attemptId, call.vm]),
+  );
+  const violations: Violation[] = [];
+  for (const {target, arrivals, statements} of observations.limitedPeriods) {
+    const found = findRateLimitViolations({
+      arrivals,
+      statements,
+      vmOf: (attemptId, atMs) => {
+        const vm = vms.get(attemptId);
+        return isDisrupted(observations, vm, atMs, atMs) ? undefined : vm;
+      },
+    });
+    for (const {arrived, allowed} of found) {
+      violations.push({
+        invariant: 'rate limits of targets hold for all VMs together',
+        detail: `${target} received ${arrived} requests in 4 s, allowed ${allowed}`,
+      });
+    }
+  }
+  return violations;
+}
+
 /** Considers only disruptions of the VM that received the call. */
 function isDisrupted(
   observations: Observations,
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -6,7 +6,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {type RandomSource, createRandomSource} from '@ibisbeam/decision';
-import type {TimerService} from '@ibisbeam/library';
+import type {TimerHandle, TimerService} from '@ibisbeam/library';
 import {
   type FleetTarget,
   STAND_IN_BOUNDS,
@@ -26,6 +26,7 @@
 import {
   type Departure,
   type Disruption,
+  type LimitedPeriod,
   type RunRecord,
   type Violation,
   findViolations,
@@ -56,6 +57,13 @@
   readonly folder: string;
 }
 
+interface RateLimitInForce {
+  readonly target: FleetTarget;
+  readonly fromMs: number;
+  /** Ends the limit. */
+  readonly timer: TimerHandle;
+}
+
 const HOST = 'rooms.example';
 const ZONES = {'riga-a': 'riga', 'riga-b': 'riga', 'kurz-a': 'kurzeme'};
 const ZONE_NAMES = ['riga-a', 'riga-b', 'kurz-a'] as const;
@@ -72,6 +80,10 @@
 const RESTART_DELAY_RANGE_MS = 800;
 const MINIMUM_FAULT_INTERVAL_MS = 150;
 const MAXIMUM_FAULT_INTERVAL_MS = 1_200;
+/** In requests per second. */
+const MAXIMUM_RATE_LIMIT = 8;
+const MINIMUM_LIMITED_MS = 5_000;
+const LIMITED_RANGE_MS = 3_000;
 const TARGET_FAULTS: readonly TargetFault[] = [
   'answer-lost',
   'extra-answer',
@@ -100,8 +112,12 @@
   const events: string[] = [];
   const disruptions: Disruption[] = [];
   const departures: Departure[] = [];
+  const limitedPeriods: LimitedPeriod[] = [];
+  // Separate, so that the other faults of a seed stay the same.
+  const limitRandom = createRandomSource(options.seed + 2);
   const targets: FleetTarget[] = [];
   const startedMs = timers.nowMs();
+  let rateLimit: RateLimitInForce | undefined;
   let version = 1;
   let startedTargets = 0;
 
@@ -132,6 +148,7 @@
   try {
     await waitUntilReady(fleet.vms, load, timers);
     load.start();
+    startRateLimit();
     const faultsEndMs = timers.nowMs() + options.seconds * 1_000;
     while (timers.nowMs() < faultsEndMs) {
       injectFault();
@@ -144,6 +161,7 @@
     await clearFaults();
     const violations = [...(await findUnrecoveredVms(fleet.vms, load, timers))];
     await load.stop();
+    endRateLimit();
     for (const vm of fleet.vms) {
       if (vm.unexpectedExits() > 0) {
         violations.push({
@@ -159,6 +177,7 @@
         runs: targets.flatMap(collectRuns),
         disruptions,
         departures,
+        limitedPeriods,
       }),
     );
     return {
@@ -169,6 +188,7 @@
       folder,
     };
   } finally {
+    endRateLimit();
     fleet.end();
     for (const target of targets) {
       await target.close();
@@ -277,6 +297,41 @@
     void addTarget();
   }
 
+  /** A target states a rate limit for some time, then another one does. */
+  function startRateLimit(): void {
+    const target = targets[limitRandom.below(targets.length)];
+    if (!target) {
+      return;
+    }
+    const perSecond = 1 + limitRandom.below(MAXIMUM_RATE_LIMIT);
+    const durationMs = MINIMUM_LIMITED_MS + limitRandom.below(LIMITED_RANGE_MS);
+    recordEvent(`${target.id} states ${perSecond} requests per second`);
+    target.setRateLimit(perSecond);
+    rateLimit = {
+      target,
+      fromMs: timers.nowMs(),
+      timer: timers.after(durationMs, () => {
+        endRateLimit();
+        startRateLimit();
+      }),
+    };
+  }
+
+  function endRateLimit(): void {
+    if (!rateLimit) {
+      return;
+    }
+    const {target, fromMs, timer} = rateLimit;
+    timer.cancel();
+    rateLimit = undefined;
+    target.setRateLimit(undefined);
+    limitedPeriods.push({
+      target: target.id,
+      arrivals: target.arrivals.filter(({atMs}) => atMs >= fromMs),
+      statements: target.limitStatements.filter(({atMs}) => atMs >= fromMs),
+    });
+  }
+
   async function clearFaults(): Promise<void> {
     recordEvent('all faults end');
     for (const proxy of fleet.proxies) {
--- a/packages/soak/test/observations.test.ts
+++ b/packages/soak/test/observations.test.ts
@@ -22,7 +22,14 @@
 }
 
 function seen(changes: Partial<Observations>): Observations {
-  return {calls: [], runs: [], disruptions: [], departures: [], ...changes};
+  return {
+    calls: [],
+    runs: [],
+    disruptions: [],
+    departures: [],
+    limitedPeriods: [],
+    ...changes,
+  };
 }
 
 function violatedInvariants(observations: Observations): readonly string[] {
@@ -120,4 +127,25 @@
     const observations = seen({calls, runs: [late], disruptions: [paused]});
     assert.deepEqual(violatedInvariants(observations), []);
   });
+
+  it('reports requests beyond a stated rate limit, but not of a paused VM', () => {
+    const calls = Array.from({length: 200}, (_unused, index) =>
+      call({attemptId: `${index}`, idempotent: true, seal: `-${index}`}),
+    );
+    const arrivals = calls.map(({attemptId}, index) => ({
+      attemptId,
+      atMs: index * 50,
+    }));
+    const statements = arrivals.map(arrival => ({...arrival, perSecond: 4}));
+    const limitedPeriods = [{target: 'worker', arrivals, statements}];
+    const [violated] = violatedInvariants(seen({calls, limitedPeriods}));
+    assert.equal(violated, 'rate limits of targets hold for all VMs together');
+    const disruptions = [
+      {vm: 'edge-0', fromMs: 0, toMs: 10_000, kind: 'other'} as const,
+    ];
+    assert.deepEqual(
+      violatedInvariants(seen({calls, limitedPeriods, disruptions})),
+      [],
+    );
+  });
 });
