Follow the store when it comes back from an older copy

Seen with the stand-in store restored from a copy (store_restore.test on the code before): changes in the new era were not taken at all (the configuration written after the restore never came into force), a second restore likewise, and a VM whose registration was lost never registered again.

Cause: versions were revisions and took for granted that these never fall.

Change: the adapter makes one version of era and revision, reads the era of every answer and drops answers, lists, watches and conditions of earlier eras. Followed into a new era, a list would drop what its writers are about to write again, and revive what had left since the copy: targets and evacuations that are missing stay for 2 and 2.5 s; entries older than what was known are withheld until they are written again or have outlived the time in which an entry lapses. VMs register again. The soak restores its store every few seconds.

--- a/packages/decision/src/core/fleet_targets/target_registry.ts
+++ b/packages/decision/src/core/fleet_targets/target_registry.ts
@@ -2,6 +2,8 @@
  * Registry of the targets in the platform's list, with their incarnations,
  * drains, cold starts and evacuated zones. A target that disappears from the
  * list while the list is unreliable is kept until the list is stable again.
+ * While the list has come back from an older copy, entries that are older than
+ * what is known are withheld: they would bring back targets that have left.
  */
 
 export interface TargetEntry {
@@ -18,6 +20,8 @@
   readonly coldRemainingMs: number;
   /** Start of this incarnation, in Unix milliseconds. */
   readonly startedAtWallMs: number;
+  /** Grows with each write of this incarnation; undefined if not stated. */
+  readonly sequence?: number | undefined;
 }
 
 export interface RegisteredTarget {
@@ -69,10 +73,27 @@
     coldMs: (service: string) => number,
   ): void;
   evacuated(): ReadonlySet<string>;
-  /** Removes the targets whose removal is due. */
+  /** The list has come back from an older copy of itself. */
+  beginRestore(nowMs: number): void;
+  /** Number of entries that are withheld as older than what is known. */
+  withheldCount(): number;
+  /** Removes the targets whose removal is due, and ends a restore. */
   expire(nowMs: number): void;
 }
 
+/**
+ * After this time in a restored list, an entry of a target that has left would
+ * have lapsed, and one that is still there holds.
+ */
+const RESTORE_MS = 5_000;
+/** An older copy of the list is at most this old. */
+const DEPARTED_RETENTION_MS = 60_000;
+
+interface DepartedTarget {
+  readonly entry: TargetEntry;
+  readonly atMs: number;
+}
+
 interface RegistryRecord {
   target: RegisteredTarget;
   removeAtMs?: number;
@@ -84,12 +105,34 @@
   const records = new Map<string, RegistryRecord>();
   const usableByService = new Map<string, readonly RegisteredTarget[]>();
   let evacuated: ReadonlySet<string> = new Set();
+  /** By identifier. */
+  const departed = new Map<string, DepartedTarget>();
+  const withheld = new Map<string, TargetEntry>();
+  let restoreUntilMs = -Infinity;
 
   function invalidate(service: string): void {
     usableByService.delete(service);
   }
 
+  /** Whether the list's entry is older than what was known of the target. */
+  function isOutdated(entry: TargetEntry): boolean {
+    const known = records.get(entry.id)?.target.entry;
+    if (known) {
+      return (
+        isOlder(entry, known) ||
+        (known.draining && !entry.draining && !isOlder(known, entry))
+      );
+    }
+    const gone = departed.get(entry.id)?.entry;
+    return gone !== undefined && !isOlder(gone, entry);
+  }
+
   function put(entry: TargetEntry, nowMs: number): void {
+    if (nowMs < restoreUntilMs && isOutdated(entry)) {
+      withheld.set(entry.id, entry);
+      return;
+    }
+    withheld.delete(entry.id);
     const known = records.get(entry.id);
     const incarnation = incarnationOf(entry);
     const sameIncarnation = known?.target.incarnation === incarnation;
@@ -130,8 +173,9 @@
     }
   }
 
-  function drop(id: string, record: RegistryRecord): void {
+  function drop(id: string, record: RegistryRecord, nowMs: number): void {
     records.delete(id);
+    departed.set(id, {entry: record.target.entry, atMs: nowMs});
     invalidate(record.target.entry.service);
     options.onEvent({
       kind: 'target-removed',
@@ -141,12 +185,13 @@
   }
 
   function remove(id: string, nowMs: number, removeAtMs: number): void {
+    withheld.delete(id);
     const record = records.get(id);
     if (!record) {
       return;
     }
     if (removeAtMs <= nowMs) {
-      drop(id, record);
+      drop(id, record, nowMs);
       return;
     }
     record.removeAtMs = Math.min(record.removeAtMs ?? Infinity, removeAtMs);
@@ -195,7 +240,17 @@
   function expire(nowMs: number): void {
     for (const [id, record] of records) {
       if (record.removeAtMs !== undefined && record.removeAtMs <= nowMs) {
-        drop(id, record);
+        drop(id, record, nowMs);
+      }
+    }
+    for (const [id, {atMs}] of departed) {
+      if (nowMs - atMs > DEPARTED_RETENTION_MS) {
+        departed.delete(id);
+      }
+    }
+    if (nowMs >= restoreUntilMs) {
+      for (const entry of [...withheld.values()]) {
+        put(entry, nowMs);
       }
     }
   }
@@ -209,10 +264,26 @@
     remove,
     setEvacuated,
     evacuated: () => evacuated,
+    beginRestore: nowMs => {
+      restoreUntilMs = nowMs + RESTORE_MS;
+    },
+    withheldCount: () => withheld.size,
     expire,
   };
 }
 
+/** Whether one entry of a target was certainly written before the other. */
+function isOlder(one: TargetEntry, other: TargetEntry): boolean {
+  if (one.startedAtWallMs !== other.startedAtWallMs) {
+    return one.startedAtWallMs < other.startedAtWallMs;
+  }
+  return (
+    one.sequence !== undefined &&
+    other.sequence !== undefined &&
+    one.sequence < other.sequence
+  );
+}
+
 function incarnationOf(entry: TargetEntry): string {
   return `${entry.id}@${entry.startedAtWallMs}@${entry.host}:${entry.port}`;
 }
--- a/packages/decision/src/core/store_mirror/index.ts
+++ b/packages/decision/src/core/store_mirror/index.ts
@@ -1,2 +1,3 @@
 export * from './store_mirror.js';
 export * from './watcher_selection.js';
+export * from './store_version.js';
--- a/packages/decision/test/fleet_targets/target_registry.test.ts
+++ b/packages/decision/test/fleet_targets/target_registry.test.ts
@@ -87,4 +87,68 @@
     assert.equal(registry.isCold(target, 3_999), true);
     assert.equal(registry.isCold(target, 4_000), false);
   });
+
+  describe('after the list has come back from an older copy', () => {
+    it('keeps a target draining until it says otherwise', () => {
+      const {registry, usable} = start();
+      registry.put(entry('a', {draining: true, sequence: 7}), 0);
+      registry.beginRestore(100);
+      registry.put(entry('a', {sequence: 6}), 100);
+      assert.deepEqual(usable(), []);
+      registry.put(entry('a', {sequence: 8}), 200);
+      assert.deepEqual(usable(), ['a']);
+    });
+
+    it('withholds a target that had left, unless it writes again', () => {
+      const {registry, usable} = start();
+      for (const id of ['left', 'back']) {
+        registry.put(entry(id, {sequence: 3}), 0);
+        registry.remove(id, 50, 50);
+      }
+      registry.beginRestore(100);
+      registry.put(entry('left', {sequence: 2}), 100);
+      registry.put(entry('back', {sequence: 2}), 100);
+      registry.put(entry('back', {sequence: 4}), 300);
+      assert.deepEqual(usable(), ['back']);
+      assert.equal(registry.withheldCount(), 1);
+    });
+
+    it('withholds an earlier incarnation of a target', () => {
+      const {registry} = start();
+      registry.put(entry('a', {startedAtWallMs: 2, sequence: 1}), 0);
+      registry.beginRestore(100);
+      registry.put(entry('a', {startedAtWallMs: 1, sequence: 90}), 100);
+      assert.equal(registry.get('a')?.entry.startedAtWallMs, 2);
+    });
+
+    it('takes what is still listed once leavers would have lapsed', () => {
+      const {registry, usable} = start();
+      registry.put(entry('a', {sequence: 3}), 0);
+      registry.remove('a', 50, 50);
+      registry.beginRestore(100);
+      registry.put(entry('a', {sequence: 2}), 100);
+      registry.expire(5_000);
+      assert.deepEqual(usable(), []);
+      registry.expire(5_100);
+      assert.deepEqual(usable(), ['a']);
+    });
+
+    it('drops a withheld target that lapses', () => {
+      const {registry, usable} = start();
+      registry.put(entry('a', {sequence: 3}), 0);
+      registry.remove('a', 50, 50);
+      registry.beginRestore(100);
+      registry.put(entry('a', {sequence: 2}), 100);
+      registry.remove('a', 4_000, 4_000);
+      registry.expire(6_000);
+      assert.deepEqual(usable(), []);
+    });
+
+    it('adds targets that nobody knew', () => {
+      const {registry, usable} = start();
+      registry.beginRestore(100);
+      registry.put(entry('new', {sequence: 1}), 100);
+      assert.deepEqual(usable(), ['new']);
+    });
+  });
 });
--- a/packages/decision/test/store_mirror/store_mirror.test.ts
+++ b/packages/decision/test/store_mirror/store_mirror.test.ts
@@ -3,6 +3,7 @@
 import {
   type MirrorEvent,
   createStoreMirror,
+  createStoreVersion,
   createWatcherSelection,
 } from '../../src/index.js';
 
@@ -47,6 +48,36 @@
     assert.equal(mirror.version(), 9);
   });
 
+  it('follows the store into a new era with lower revisions', () => {
+    const mirror = createStoreMirror();
+    const version = (era: number, revision: number) =>
+      createStoreVersion(era, revision);
+    mirror.applySnapshot({
+      version: version(1, 1_000),
+      objects: [
+        {name: 'a', version: version(1, 990), value: 'lost'},
+        {name: 'b', version: version(1, 995), value: 'created since'},
+      ],
+    });
+    const change = mirror.applySnapshot({
+      version: version(2, 900),
+      objects: [{name: 'a', version: version(2, 800), value: 'copied'}],
+    });
+    assert.deepEqual(change.removed, ['b']);
+    assert.equal(change.put[0]?.value, 'copied');
+    const late = mirror.applySnapshot({
+      version: version(1, 1_010),
+      objects: [],
+    });
+    assert.deepEqual(late, {put: [], removed: []});
+    const gap = mirror.applyBatch({
+      from: version(3, 10),
+      version: version(3, 11),
+      events: [],
+    });
+    assert.equal(gap, 'gap');
+  });
+
   it('reports a gap instead of skipping changes', () => {
     const mirror = createStoreMirror();
     mirror.applySnapshot({version: 5, objects: []});
--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -98,6 +98,10 @@
   configurationVersion(): number | undefined;
   /** Time since the store last answered all of this VM's own watches. */
   storeConfirmationAgeMs(): number | undefined;
+  /** Era of the store; undefined before the first answer. */
+  storeEra(): number | undefined;
+  /** How long the last restore of the store took; undefined without one. */
+  storeRestoreMs(): number | undefined;
   /** Number of live entry VMs, this one included. */
   liveVms(): number;
   /** Number of registered targets. */
@@ -138,6 +142,21 @@
         : ageMs / MILLISECONDS_PER_SECOND;
     },
   );
+  metrics.registerGauge(
+    'ibisbeam_store_era',
+    'Era of the store, which rises when it comes back from an older copy; -1 before the first answer.',
+    () => sources.storeEra() ?? UNKNOWN_VALUE,
+  );
+  metrics.registerGauge(
+    'ibisbeam_store_restore_seconds',
+    'Time until everything was known in the store’s new era; -1 without a restore.',
+    () => {
+      const restoreMs = sources.storeRestoreMs();
+      return restoreMs === undefined
+        ? UNKNOWN_VALUE
+        : restoreMs / MILLISECONDS_PER_SECOND;
+    },
+  );
   metrics.registerGauge(
     'ibisbeam_peers_living',
     'Entry VMs heard of lately, this one included.',
--- a/packages/gateway/src/fleet_state.ts
+++ b/packages/gateway/src/fleet_state.ts
@@ -25,6 +25,10 @@
    *     entry.
    */
   applyChange(kind: StoreKind, change: MirrorChange, settlingMs: number): void;
+  /** The store has come back from an older copy of itself. */
+  beginRestore(): void;
+  /** Applies what was postponed and is due. */
+  expire(): void;
   /** Request rate that one target of the service tolerates while it is cold. */
   coldRequestsPerSecond(service: string): number;
 }
@@ -45,6 +49,10 @@
 /** Cold-start defaults for services that the configuration does not list. */
 const DEFAULT_COLD_REQUESTS_PER_SECOND = 5;
 const DEFAULT_COLD_START_MS = 5_000;
+/** Time for the operator's writes to be repeated after a restore. */
+const REWRITE_MS = 2_500;
+/** An older copy of the store is at most this old. */
+const LIFTED_RETENTION_MS = 60_000;
 
 export function createFleetState(options: FleetStateOptions): FleetState {
   const {protocol, timers, log} = options;
@@ -53,6 +61,10 @@
     onEvent: onRegistryEvent,
   });
   let routes: RouteTable | undefined;
+  /** Evacuated zones as listed by the store. */
+  const listedEvacuations = new Set<string>();
+  const liftedAtMs = new Map<string, number>();
+  let rewritesUntilMs = -Infinity;
 
   function onRegistryEvent(event: RegistryEvent): void {
     const {entry, incarnation} = event.target;
@@ -141,12 +153,38 @@
   }
 
   function applyEvacuations(change: MirrorChange, nowMs: number): void {
-    const zones = new Set(registry.evacuated());
     for (const {name} of change.put) {
-      zones.add(name);
+      listedEvacuations.add(name);
     }
     for (const name of change.removed) {
-      zones.delete(name);
+      listedEvacuations.delete(name);
+    }
+    updateEvacuated(nowMs);
+  }
+
+  /**
+   * Until the operator's writes have been repeated after a restore, an
+   * evacuation that is missing stays in force, and one that had been lifted
+   * stays lifted.
+   */
+  function updateEvacuated(nowMs: number): void {
+    const before = registry.evacuated();
+    const isRestoring = nowMs < rewritesUntilMs;
+    const zones = new Set(isRestoring ? before : []);
+    for (const zone of listedEvacuations) {
+      const liftedMs = liftedAtMs.get(zone) ?? -Infinity;
+      const wasLifted = nowMs - liftedMs < LIFTED_RETENTION_MS;
+      if (!isRestoring || !wasLifted || before.has(zone)) {
+        zones.add(zone);
+      }
+    }
+    if (zones.size === before.size && [...zones].every(z => before.has(z))) {
+      return;
+    }
+    for (const zone of before) {
+      if (!zones.has(zone)) {
+        liftedAtMs.set(zone, nowMs);
+      }
     }
     registry.setEvacuated(zones, nowMs, coldStartMsOf);
     log.log('info', 'evacuations-changed', {zones: [...zones].join(',')});
@@ -156,6 +194,18 @@
     registry,
     routes: () => routes,
     applyChange,
+    beginRestore: () => {
+      const nowMs = timers.nowMs();
+      registry.beginRestore(nowMs);
+      rewritesUntilMs = nowMs + REWRITE_MS;
+    },
+    expire: () => {
+      const nowMs = timers.nowMs();
+      registry.expire(nowMs);
+      if (nowMs >= rewritesUntilMs) {
+        updateEvacuated(nowMs);
+      }
+    },
     coldRequestsPerSecond: service =>
       routes?.configuration.services.get(service)?.coldRequestsPerSecond ??
       DEFAULT_COLD_REQUESTS_PER_SECOND,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -179,6 +179,10 @@
     timers,
     log,
     onChange: fleet.applyChange,
+    onRestored: () => {
+      fleet.beginRestore();
+      registration.renew();
+    },
     broadcast: message => mesh.broadcast(message),
   });
 
@@ -301,6 +305,8 @@
     scheduledSends: () => context.sendScheduler.length(),
     configurationVersion: () => fleet.routes()?.configuration.version,
     storeConfirmationAgeMs: () => follower.watchAgeMs(),
+    storeEra: () => follower.era(),
+    storeRestoreMs: () => follower.restoreMs(),
     liveVms: () => directory.liveVmIds().length,
     targets: () => registry.all().length,
     limitedTargets: rateLimits.count,
@@ -424,9 +430,7 @@
         recordDelay: metrics.recordEventLoopDelay,
       }),
       timers.every(HEARTBEAT_INTERVAL_MS, onHeartbeatDue),
-      timers.every(REGISTRY_EXPIRY_INTERVAL_MS, () =>
-        registry.expire(timers.nowMs()),
-      ),
+      timers.every(REGISTRY_EXPIRY_INTERVAL_MS, fleet.expire),
       timers.every(RATE_LIMIT_LOG_INTERVAL_MS, rateLimits.logSends),
     );
     log.log('info', 'vm-started', {
--- a/packages/gateway/src/peers/vm_registration.ts
+++ b/packages/gateway/src/peers/vm_registration.ts
@@ -15,6 +15,8 @@
 
 export interface VmRegistration {
   start(): void;
+  /** Registers again: the store may have lost the registration. */
+  renew(): void;
   stop(): void;
 }
 
@@ -43,6 +45,7 @@
   let registered = false;
   let timer: TimerHandle | undefined;
   let stopped = false;
+  let isRefreshing = false;
 
   async function register(): Promise<void> {
     const key = `${kind}/${self.id}`;
@@ -75,10 +78,13 @@
   }
 
   async function refresh(): Promise<void> {
+    isRefreshing = true;
+    timer?.cancel();
     if (!registered) {
       await register();
     }
     const listed = await addPeersFromStore();
+    isRefreshing = false;
     if (stopped) {
       return;
     }
@@ -88,6 +94,13 @@
 
   return {
     start: () => void refresh(),
+    renew: () => {
+      registered = false;
+      // A refresh that is under way sees it when it ends.
+      if (!isRefreshing && !stopped) {
+        void refresh();
+      }
+    },
     stop: () => {
       stopped = true;
       timer?.cancel();
--- a/packages/gateway/src/store/store_follower.ts
+++ b/packages/gateway/src/store/store_follower.ts
@@ -10,6 +10,8 @@
   type StoreMirror,
   type WatcherSelection,
   createStoreMirror,
+  storeEraOf,
+  storeRevisionOf,
 } from '@ibisbeam/decision';
 import type {
   Logger,
@@ -33,6 +35,8 @@
   readonly log: Logger;
   /** @param settlingMs Grace period before missing objects count as deleted. */
   onChange(kind: StoreKind, change: MirrorChange, settlingMs: number): void;
+  /** The store has come back from an older copy; called once an era. */
+  onRestored(): void;
   broadcast(message: PeerMessage): void;
 }
 
@@ -48,6 +52,10 @@
    * least recently; undefined if any kind has not been confirmed.
    */
   watchAgeMs(): number | undefined;
+  /** Era of the store, which rises when it comes back from an older copy. */
+  era(): number | undefined;
+  /** How long the last restore took; undefined before the first. */
+  restoreMs(): number | undefined;
   /** Undefined while there is no snapshot of the kind. */
   snapshotMessage(kind: StoreKind): PeerMessage | undefined;
   /**
@@ -94,6 +102,14 @@
   needsList: boolean;
 }
 
+interface Restore {
+  readonly fromVersion: number;
+  readonly toVersion: number;
+  readonly beganAtMs: number;
+  /** Time until every kind was known in the new era. */
+  tookMs?: number;
+}
+
 export function createStoreFollower(
   options: StoreFollowerOptions,
 ): StoreFollower {
@@ -111,6 +127,7 @@
   let unreachableSinceMs: number | undefined;
   let failures = 0;
   let settleUntilMs = -Infinity;
+  let restore: Restore | undefined;
 
   function followedKind(kind: StoreKind): FollowedKind {
     const followed = followedKinds.get(kind);
@@ -270,7 +287,46 @@
     followed: FollowedKind,
     snapshot: {version: number; objects: readonly MirroredObject[]},
   ): void {
+    const before = followed.mirror.version();
+    const era = storeEraOf(snapshot.version);
+    if (before >= 0 && era > storeEraOf(before)) {
+      beginRestore(before, snapshot.version);
+    }
     notifyChange(followed, followed.mirror.applySnapshot(snapshot));
+    endRestoreIfComplete();
+  }
+
+  /** Called for each kind; the first one to be seen in an era begins it. */
+  function beginRestore(fromVersion: number, toVersion: number): void {
+    const isKnown =
+      restore && storeEraOf(restore.toVersion) >= storeEraOf(toVersion);
+    if (isKnown) {
+      return;
+    }
+    const nowMs = timers.nowMs();
+    restore = {fromVersion, toVersion, beganAtMs: nowMs};
+    settleUntilMs = nowMs + SETTLE_AFTER_OUTAGE_MS;
+    options.onRestored();
+  }
+
+  function endRestoreIfComplete(): void {
+    if (!restore || restore.tookMs !== undefined) {
+      return;
+    }
+    const era = storeEraOf(restore.toVersion);
+    for (const {mirror} of followedKinds.values()) {
+      if (storeEraOf(mirror.version()) < era) {
+        return;
+      }
+    }
+    restore.tookMs = timers.nowMs() - restore.beganAtMs;
+    log.log('warn', 'store-restored', {
+      era,
+      eraBefore: storeEraOf(restore.fromVersion),
+      revision: storeRevisionOf(restore.toVersion),
+      revisionBefore: storeRevisionOf(restore.fromVersion),
+      tookMs: Math.round(restore.tookMs),
+    });
   }
 
   function applyBatch(followed: FollowedKind, batch: MirrorBatch): boolean {
@@ -359,6 +415,16 @@
       const ageMs = timers.nowMs() - oldestMs;
       return Number.isFinite(ageMs) ? ageMs : undefined;
     },
+    era: () => {
+      let era: number | undefined;
+      for (const {mirror} of followedKinds.values()) {
+        if (mirror.version() >= 0) {
+          era = Math.max(era ?? 0, storeEraOf(mirror.version()));
+        }
+      }
+      return era;
+    },
+    restoreMs: () => restore?.tookMs,
     snapshotMessage,
     receive,
   };
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -18,6 +18,7 @@
   | 'configuration-rejected'
   | 'store-unreachable'
   | 'store-reachable'
+  | 'store-restored'
   | 'watch-gap'
   | 'vm-state-changed'
   | 'self-doubt'
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -9,6 +9,7 @@
 import type {TimerHandle, TimerService} from '@ibisbeam/library';
 import {
   type FleetTarget,
+  REWRITE_MS,
   STAND_IN_BOUNDS,
   type StandInObjectStore,
   type TargetFault,
@@ -84,6 +85,11 @@
 const MAXIMUM_RATE_LIMIT = 8;
 const MINIMUM_LIMITED_MS = 5_000;
 const LIMITED_RANGE_MS = 3_000;
+const MINIMUM_RESTORE_PAUSE_MS = 1_000;
+const RESTORE_PAUSE_RANGE_MS = 5_000;
+const MAXIMUM_COPY_AGE_MS = 3_000;
+/** Time until all VMs have heard of a change in the store. */
+const PROPAGATION_MS = 1_000;
 const TARGET_FAULTS: readonly TargetFault[] = [
   'answer-lost',
   'extra-answer',
@@ -115,6 +121,8 @@
   const limitedPeriods: LimitedPeriod[] = [];
   // Separate, so that the other faults of a seed stay the same.
   const limitRandom = createRandomSource(options.seed + 2);
+  const restoreRandom = createRandomSource(options.seed + 3);
+  let restoreTimer: TimerHandle | undefined;
   const targets: FleetTarget[] = [];
   const startedMs = timers.nowMs();
   let rateLimit: RateLimitInForce | undefined;
@@ -149,6 +157,7 @@
     await waitUntilReady(fleet.vms, load, timers);
     load.start();
     startRateLimit();
+    scheduleRestore();
     const faultsEndMs = timers.nowMs() + options.seconds * 1_000;
     while (timers.nowMs() < faultsEndMs) {
       injectFault();
@@ -158,6 +167,7 @@
         MINIMUM_FAULT_INTERVAL_MS + random.below(intervalRangeMs),
       );
     }
+    restoreTimer?.cancel();
     await clearFaults();
     const violations = [...(await findUnrecoveredVms(fleet.vms, load, timers))];
     await load.stop();
@@ -189,6 +199,7 @@
     };
   } finally {
     endRateLimit();
+    restoreTimer?.cancel();
     fleet.end();
     for (const target of targets) {
       await target.close();
@@ -332,6 +343,32 @@
     });
   }
 
+  /** Copies the store, and restores it from the copy after a while. */
+  function scheduleRestore(): void {
+    const pauseMs =
+      MINIMUM_RESTORE_PAUSE_MS + restoreRandom.below(RESTORE_PAUSE_RANGE_MS);
+    const copyAgeMs = 1 + restoreRandom.below(MAXIMUM_COPY_AGE_MS);
+    restoreTimer = timers.after(pauseMs, () => {
+      const copy = store.copy();
+      restoreTimer = timers.after(copyAgeMs, () => {
+        recordEvent(`store restored from a copy ${copyAgeMs} ms old`);
+        store.restore(copy);
+        postponeLostDepartures();
+        scheduleRestore();
+      });
+    });
+  }
+
+  /** A departure that no VM may have heard of counts once it is repeated. */
+  function postponeLostDepartures(): void {
+    const nowMs = timers.nowMs();
+    for (const [index, departure] of departures.entries()) {
+      if (departure.atMs > nowMs - PROPAGATION_MS) {
+        departures[index] = {...departure, atMs: nowMs + REWRITE_MS};
+      }
+    }
+  }
+
   async function clearFaults(): Promise<void> {
     recordEvent('all faults end');
     for (const proxy of fleet.proxies) {
--- a/packages/stand_ins/src/core/object_platform/object_store.ts
+++ b/packages/stand_ins/src/core/object_platform/object_store.ts
@@ -32,9 +32,22 @@
   setFault(fault: StoreFault): void;
   /** Discards the watch history; watches from older revisions end with 410. */
   compact(): void;
+  /** Copies the store, to be restored from the copy later. */
+  copy(): StoreCopy;
+  /**
+   * Comes back from the copy in a new era. What the operator and the targets
+   * wrote since is written again over `REWRITE_MS`; entries of targets that
+   * have left lapse after `LAPSE_MS`; all else written since is lost.
+   */
+  restore(copy: StoreCopy): void;
   close(): Promise<void>;
 }
 
+export interface StoreCopy {
+  readonly revision: number;
+  readonly objects: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
+}
+
 interface StoredObject {
   readonly name: string;
   readonly revision: number;
@@ -56,6 +69,12 @@
 }
 
 const PAGE_SIZE = 50;
+/** Time in which writers notice what a restored store has lost. */
+export const REWRITE_MS = 2_000;
+/** Three heartbeat intervals of 1.5 s. */
+const LAPSE_MS = 4_500;
+/** Kinds that are written by the operator and the targets. */
+const REWRITTEN_KINDS = ['config', 'evacuations', 'servers'];
 const FIRST_REVISION = 100;
 const OBJECTS_PATTERN = /^\/objects\/([^/]+)(?:\/([^/]+))?$/;
 
@@ -63,7 +82,8 @@
   timers: Pick<TimerService, 'after'>,
   host = '127.0.0.1',
 ): Promise<StandInObjectStore> {
-  const objects = new Map<string, Map<string, StoredObject>>();
+  let objects = new Map<string, Map<string, StoredObject>>();
+  let era = 1;
   let events: StoreEvent[] = [];
   let revision = FIRST_REVISION;
   let oldestWatchable = FIRST_REVISION;
@@ -108,6 +128,7 @@
 
   const server = createServer((incoming, outgoing) => {
     calls += 1;
+    outgoing.setHeader('Store-Era', String(era));
     const chunks: Buffer[] = [];
     incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
     incoming.on('end', () => {
@@ -198,7 +219,7 @@
     waitMs: number,
     outgoing: ServerResponse | undefined,
   ): void {
-    if (after < oldestWatchable) {
+    if (after < oldestWatchable || after > revision) {
       send(outgoing, 410, {error: 'history is gone'});
       return;
     }
@@ -281,6 +302,57 @@
     send(outgoing, 200, toWire(known));
   }
 
+  function copyObjects(): Map<string, Map<string, StoredObject>> {
+    const copied = new Map<string, Map<string, StoredObject>>();
+    for (const [kind, byName] of objects) {
+      copied.set(kind, new Map(byName));
+    }
+    return copied;
+  }
+
+  function restore(copy: StoreCopy): void {
+    const lost = objects;
+    objects = new Map();
+    for (const [kind, byName] of copy.objects) {
+      objects.set(kind, new Map(byName));
+    }
+    revision = copy.revision;
+    events = [];
+    oldestWatchable = revision;
+    era += 1;
+    waiters.clear();
+    server.closeAllConnections();
+    for (const kind of REWRITTEN_KINDS) {
+      rewrite(kind, lost.get(kind) ?? new Map());
+    }
+  }
+
+  /** The writers of a kind notice what the store has lost, one by one. */
+  function rewrite(
+    kind: string,
+    written: ReadonlyMap<string, StoredObject>,
+  ): void {
+    const restored = new Map(objectsOfKind(kind));
+    const names = [...new Set([...written.keys(), ...restored.keys()])];
+    for (const [index, name] of names.entries()) {
+      const own = written.get(name);
+      const copied = restored.get(name);
+      if (own === copied) {
+        continue;
+      }
+      const rewriteAfterMs = ((index + 1) / names.length) * REWRITE_MS;
+      const lapses = !own && kind === 'servers';
+      timers.after(lapses ? LAPSE_MS : rewriteAfterMs, () => {
+        const isUntouched = objectsOfKind(kind).get(name) === copied;
+        if (isUntouched && own) {
+          put(kind, name, own.spec);
+        } else if (isUntouched) {
+          remove(kind, name);
+        }
+      });
+    }
+  }
+
   await new Promise<void>(resolve => {
     server.listen(0, host, resolve);
   });
@@ -307,6 +379,8 @@
         waiter.answer();
       }
     },
+    copy: () => ({revision, objects: copyObjects()}),
+    restore,
     close: () =>
       new Promise(resolve => {
         server.close(() => resolve());
