Divide the connections that a target accepts among the VMs

With 32 VMs these are 768, where the users' targets accept 330 and reset the rest. The figure was read from the configuration and not used.

--- a/packages/decision/src/core/rate_limits/index.ts
+++ b/packages/decision/src/core/rate_limits/index.ts
@@ -1,3 +1,4 @@
+export * from './connection_shares.js';
 export * from './fleet_rate_limiter.js';
 export * from './sharing_vms.js';
 export * from './stated_rate_limits.js';
--- a/packages/gateway/src/fleet_state.ts
+++ b/packages/gateway/src/fleet_state.ts
@@ -31,6 +31,8 @@
   expire(): void;
   /** Request rate that one target of the service tolerates while it is cold. */
   coldRequestsPerSecond(service: string): number;
+  /** Connections that one target of the service accepts from all VMs. */
+  maximumConnections(service: string): number;
 }
 
 export interface FleetStateOptions {
@@ -49,6 +51,7 @@
 /** Cold-start defaults for services that the configuration does not list. */
 const DEFAULT_COLD_REQUESTS_PER_SECOND = 5;
 const DEFAULT_COLD_START_MS = 5_000;
+const DEFAULT_MAXIMUM_CONNECTIONS = 100;
 /** Time for the operator's writes to be repeated after a restore. */
 const REWRITE_MS = 2_500;
 /** An older copy of the store is at most this old. */
@@ -209,5 +212,8 @@
     coldRequestsPerSecond: service =>
       routes?.configuration.services.get(service)?.coldRequestsPerSecond ??
       DEFAULT_COLD_REQUESTS_PER_SECOND,
+    maximumConnections: service =>
+      routes?.configuration.services.get(service)?.maximumConnections ??
+      DEFAULT_MAXIMUM_CONNECTIONS,
   };
 }
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -59,6 +59,8 @@
   readonly admissionQueue: AdmissionQueue;
   readonly sendScheduler: SendScheduler;
   isStopping(): boolean;
+  /** Idle connections that this VM may keep to one target of the service. */
+  maximumIdleConnections(service: string): number;
   /**
    * Called for each request from a client of this VM.
    *
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -203,7 +203,10 @@
         headers: attemptHeaders(context, request, target, timers.nowMs()),
         body: request.body,
         attemptId: request.attemptId,
-        agent: context.connections.agentFor(incarnation, maximumIdleMs),
+        agent: context.connections.agentFor(incarnation, {
+          maximumIdleMs,
+          maximumCount: context.maximumIdleConnections(entry.service),
+        }),
         connectTimeoutMs:
           target.region === context.region
             ? CONNECT_TIMEOUT_MS
--- a/packages/gateway/src/forwarding/target_connections.ts
+++ b/packages/gateway/src/forwarding/target_connections.ts
@@ -7,12 +7,19 @@
 import type {Socket} from 'node:net';
 import type {TimerService} from '@ibisbeam/library';
 
+export interface IdleConnectionLimits {
+  /** Idle time after which a connection is not used again. */
+  readonly maximumIdleMs: number;
+  /** Idle connections that this VM may keep to the target. */
+  readonly maximumCount: number;
+}
+
 export interface TargetConnections {
   /**
-   * Returns the target's agent after closing its connections that have been
-   * idle for longer than `maximumIdleMs` or the target's own idle timeout.
+   * Returns the target's agent after closing its idle connections beyond the
+   * limits, and those beyond the target's own idle timeout.
    */
-  agentFor(incarnation: string, maximumIdleMs: number): Agent;
+  agentFor(incarnation: string, limits: IdleConnectionLimits): Agent;
   /** Marks a socket as used by a request, which expects to receive bytes. */
   markInUse(socket: Socket): void;
   /** Records the idle timeout that the target states in Keep-Alive. */
@@ -24,7 +31,6 @@
   close(): void;
 }
 
-const MAXIMUM_IDLE_CONNECTIONS_PER_TARGET = 24;
 /** Idle limit for targets that state no idle timeout. */
 const DEFAULT_IDLE_LIMIT_MS = 4_000;
 /** Subtracted from the idle timeout that a target states. */
@@ -57,11 +63,11 @@
     return state;
   }
 
-  function createAgent(): Agent {
+  function createAgent(maximumCount: number): Agent {
     const agent = new Agent({
       keepAlive: true,
       noDelay: true,
-      maxFreeSockets: MAXIMUM_IDLE_CONNECTIONS_PER_TARGET,
+      maxFreeSockets: maximumCount,
       scheduling: 'fifo',
     });
     agent.on('free', (socket: Socket) => {
@@ -72,20 +78,27 @@
     return agent;
   }
 
-  function agentFor(incarnation: string, maximumIdleMs: number): Agent {
+  function agentFor(
+    incarnation: string,
+    {maximumIdleMs, maximumCount}: IdleConnectionLimits,
+  ): Agent {
     const known = agents.get(incarnation);
     if (!known) {
-      const agent = createAgent();
+      const agent = createAgent(maximumCount);
       agents.set(incarnation, agent);
       return agent;
     }
+    known.maxFreeSockets = maximumCount;
     const nowMs = timers.nowMs();
+    let kept = 0;
     for (const sockets of Object.values(known.freeSockets)) {
       for (const socket of sockets ?? []) {
         const state = idleStateOf(socket as Socket);
         const limitMs = Math.min(state.limitMs, maximumIdleMs);
-        if (nowMs - state.freedAtMs > limitMs) {
+        if (nowMs - state.freedAtMs > limitMs || kept >= maximumCount) {
           socket.destroy();
+        } else {
+          kept += 1;
         }
       }
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
   createWarmKeys,
   createWatcherSelection,
   hash32,
+  maximumIdleConnections,
   vmsThatShare,
 } from '@ibisbeam/decision';
 import type {
@@ -252,6 +253,11 @@
     admissionQueue: createAdmissionQueue(timers),
     sendScheduler: createSendScheduler({timers, acceptBacklog}),
     isStopping: () => stopping,
+    maximumIdleConnections: service =>
+      maximumIdleConnections(
+        fleet.maximumConnections(service),
+        sharingVms.length + 1,
+      ),
     onRequestArrived: (service, expectedMs, nowMs) => {
       spilloverBudget.credit();
       regionPlan.demandMeter.recordArrival(service, expectedMs, nowMs);
