Tell VMs that connect later which requests have crashed targets

Callers' targets would see: a request that is refused everywhere because it has crashed two targets runs again at a VM that has started since, or was cut off, and crashes more (BUDGET allows three in all).

The bound on crashes holds for all VMs together, and a VM that starts anew counts from nothing: a loss was told once, to the VMs connected at that moment.

Evidence: the new test of the loopback fleet does not end its wait for the reports without the change to the gateway (taken out of the build).

Change: a VM tells each peer that connects the newest losses with their age, so that a quarantine ends at the same time everywhere.

--- a/packages/gateway/src/forwarding/crash_guard.ts
+++ b/packages/gateway/src/forwarding/crash_guard.ts
@@ -26,8 +26,20 @@
   recordTargetDeath(incarnation: string): void;
   /** Called when a target has answered the request with a status below 500. */
   answered(fingerprint: string): void;
-  /** Called when a peer reports that a target died running the request. */
-  recordPeerReport(fingerprint: string, target: string): void;
+  /**
+   * Called when a peer reports that a target died running the request.
+   *
+   * @param ageMs Time since the target died.
+   */
+  recordPeerReport(fingerprint: string, target: string, ageMs: number): void;
+  /** The newest known losses, for a VM that has just connected. */
+  recentLosses(): readonly ReportedLoss[];
+}
+
+export interface ReportedLoss {
+  readonly fingerprint: string;
+  readonly target: string;
+  readonly ageMs: number;
 }
 
 export interface CrashGuardOptions {
@@ -50,12 +62,17 @@
   });
   let anySuspicion = false;
 
-  function suspect(fingerprint: string, target: string, from: string): void {
+  function suspect(
+    fingerprint: string,
+    target: string,
+    from: string,
+    ageMs: number,
+  ): void {
     anySuspicion = true;
     const isNew = suspicions.recordLoss(
       fingerprint,
       targetId(target),
-      timers.nowMs(),
+      timers.nowMs() - ageMs,
     );
     if (isNew) {
       log.log('warn', 'crash-suspected', {
@@ -92,13 +109,21 @@
         incarnation,
         timers.nowMs(),
       )) {
-        suspect(fingerprint, target, 'own');
+        suspect(fingerprint, target, 'own', 0);
         options.notifyPeers(fingerprint, target);
       }
     },
     answered: fingerprint => suspicions.recordResponse(fingerprint),
-    recordPeerReport: (fingerprint, target) =>
-      suspect(fingerprint, target, 'peer'),
+    recordPeerReport: (fingerprint, target, ageMs) =>
+      suspect(fingerprint, target, 'peer', ageMs),
+    recentLosses: () =>
+      suspicions.recent().flatMap(({fingerprint, targets, lastLossMs}) =>
+        targets.map(target => ({
+          fingerprint,
+          target,
+          ageMs: Math.max(0, timers.nowMs() - lastLossMs),
+        })),
+      ),
   };
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -345,6 +345,9 @@
       }
     }
     mesh.send(peer.id, heartbeatMessage(rateLimits.reports()));
+    for (const loss of crashGuard.recentLosses()) {
+      mesh.send(peer.id, {kind: 'target-lost', ...loss});
+    }
   }
 
   function onMessage(from: VmRecord, message: PeerMessage): void {
@@ -375,7 +378,11 @@
         }
         return;
       case 'target-lost':
-        crashGuard.recordPeerReport(message.fingerprint, message.target);
+        crashGuard.recordPeerReport(
+          message.fingerprint,
+          message.target,
+          message.ageMs ?? 0,
+        );
         return;
     }
   }
--- a/packages/gateway/test/crash_guard.test.ts
+++ b/packages/gateway/test/crash_guard.test.ts
@@ -9,16 +9,22 @@
 describe('a request that crashes the targets that run it', () => {
   let notifications: string[];
   let guard: CrashGuard;
+  let nowMs: number;
 
   beforeEach(() => {
     notifications = [];
-    guard = createCrashGuard({
-      timers: {nowMs: () => 0},
+    nowMs = 0;
+    guard = createGuard();
+  });
+
+  function createGuard(): CrashGuard {
+    return createCrashGuard({
+      timers: {nowMs: () => nowMs},
       log: createKeyValueLogger({level: 'error', fields: {}, write: () => {}}),
       notifyPeers: (fingerprint, target) =>
         notifications.push(`${fingerprint} ${target}`),
     });
-  });
+  }
 
   function crash(incarnation: string, fingerprint = 'a1'): void {
     guard.recordBrokenConnection(incarnation, fingerprint);
@@ -37,10 +43,27 @@
     crash('i-1@1');
     assert.equal(notifications.length, 1);
     assert.ok(notifications[0]?.startsWith('a1 '));
-    guard.recordPeerReport('a1', 'life-2');
+    guard.recordPeerReport('a1', 'life-2', 0);
     assert.equal(guard.isQuarantined('a1'), true);
   });
 
+  // Guards against a VM that starts later and runs the request again.
+  it('is quarantined at a VM that hears of the losses later, and no longer than elsewhere', () => {
+    crash('i-1@1');
+    crash('i-2@1');
+    nowMs = 50_000;
+    const losses = guard.recentLosses();
+    assert.equal(losses.length, 2);
+    const later = createGuard();
+    for (const {fingerprint, target, ageMs} of losses) {
+      later.recordPeerReport(fingerprint, target, ageMs);
+    }
+    assert.equal(later.isQuarantined('a1'), true);
+    nowMs = 60_001;
+    assert.equal(guard.isQuarantined('a1'), false);
+    assert.equal(later.isQuarantined('a1'), false);
+  });
+
   it('is not suspected for a lost response if the target lives', () => {
     guard.recordBrokenConnection('i-1@1', 'a1');
     guard.recordBrokenConnection('i-2@1', 'a1');
--- a/packages/stand_ins/test/object_platform/fleet.test.ts
+++ b/packages/stand_ins/test/object_platform/fleet.test.ts
@@ -151,6 +151,50 @@
     assert.equal((await call(harness.gateway)).status, 200);
   });
 
+  // Guards against a VM that starts later and lets the request crash more.
+  it('refuses at a new VM what has crashed two targets before its start', async () => {
+    const {store} = harness.fleet;
+    for (const target of harness.targets) {
+      target.plan('silent');
+    }
+    const pending = call(harness.gateway, {path: '/rooms/crash'});
+    for (const count of [1, 2]) {
+      await waitUntil(() => crashed().length === count);
+      const target = crashed().find(({id}) =>
+        store.names('servers').includes(id),
+      );
+      assert.ok(target);
+      await target.close();
+      store.remove('servers', target.id);
+    }
+    await pending;
+    await waitUntil(
+      () =>
+        harness.logLines.filter(line => line.includes('crash-suspected'))
+          .length === 2,
+    );
+    const spare = await harness.fleet.addTarget({
+      id: 'i-spare',
+      service: 'availability',
+      zone: 'riga-a',
+      slots: 4,
+    });
+    const second = await harness.fleet.addGateway('edge-riga-b-1', 'riga-b');
+    await waitUntil(() => isReady(second));
+    await waitUntil(
+      () =>
+        harness.logLines.filter(line => line.includes('from=peer')).length ===
+        2,
+    );
+    const answer = await call(second, {path: '/rooms/crash'});
+    assert.equal(answer.status, 503);
+    assert.equal(spare.runs.length, 0);
+
+    function crashed() {
+      return harness.targets.filter(({runs}) => runs.length > 0);
+    }
+  });
+
   it('names only VMs that live', async () => {
     const second = await harness.fleet.addGateway('edge-riga-b-1', 'riga-b');
     const {directory} = harness.gateway;
