Remove registrations of VMs that are gone

What could be seen: repeats allowed ever less often. Every VM in the store's list counted among those that share the slack of the retry budget, for good.

Change: a VM that has not been heard from for ten minutes is taken off the list, one at a list, on the condition of its version. A VM that no longer finds itself in the list registers again, which also covers a store that lost it.

--- a/packages/gateway/src/peers/vm_registration.ts
+++ b/packages/gateway/src/peers/vm_registration.ts
@@ -3,6 +3,7 @@
  * objects of other VMs. Objects of VMs that are gone stay in the store, so a
  * listed VM counts as live only once it has been reached.
  */
+import {createRegistrationAges} from '@ibisbeam/decision';
 import type {
   Logger,
   PlatformObject,
@@ -33,27 +34,30 @@
 const LIST_INTERVAL_MS = 15_000;
 const RETRY_INTERVAL_MS = 1_000;
 const CALL_TIMEOUT_MS = 1_500;
+/** Registrations of VMs that are silent for longer are removed. */
+const REGISTRATION_LIFETIME_MS = 600_000;
 
 export function createVmRegistration(
   options: VmRegistrationOptions,
 ): VmRegistration {
   const {self, store, kind, timers, log, mesh} = options;
+  const ownKey = `${kind}/${self.id}`;
   const callOptions = {
     purpose: 'vm-registration',
     timeoutMs: CALL_TIMEOUT_MS,
   } as const;
+  const ages = createRegistrationAges(REGISTRATION_LIFETIME_MS);
   let registered = false;
   let timer: TimerHandle | undefined;
   let stopped = false;
   let isRefreshing = false;
 
   async function register(): Promise<void> {
-    const key = `${kind}/${self.id}`;
-    const created = await store.create(key, self, callOptions).run();
+    const created = await store.create(ownKey, self, callOptions).run();
     const error = created.swap().toMaybe().extract();
     if (error?.kind === 'conflict' && error.current) {
       const replaced = await store
-        .update(key, error.current.version, self, callOptions)
+        .update(ownKey, error.current.version, self, callOptions)
         .run();
       registered = replaced.isRight();
       return;
@@ -72,11 +76,36 @@
       Left: () => false,
       Right: ({objects}) => {
         mesh.addPeers(objects.flatMap(readRecord));
+        // Another VM may have taken this one for gone, or the store lost it.
+        registered &&= objects.some(({key}) => key === ownKey);
+        void removeStale(objects);
         return true;
       },
     });
   }
 
+  /** Removes at most one at a time, as all VMs do the same. */
+  async function removeStale(
+    objects: readonly PlatformObject[],
+  ): Promise<void> {
+    const heard = new Set(
+      mesh.peersHeardWithin(LIST_INTERVAL_MS).map(vm => `${kind}/${vm.id}`),
+    );
+    heard.add(ownKey);
+    const [stale] = ages.findStale(
+      objects.map(({key}) => key),
+      heard,
+      timers.nowMs(),
+    );
+    const object = objects.find(({key}) => key === stale);
+    if (!object) {
+      return;
+    }
+    log.log('info', 'registration-removed', {peer: object.key});
+    // A VM that has registered again meanwhile has another version.
+    await store.delete(object.key, object.version, callOptions).run();
+  }
+
   async function refresh(): Promise<void> {
     isRefreshing = true;
     timer?.cancel();
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -42,6 +42,7 @@
   | 'target-entry-refused'
   | 'evacuations-changed'
   | 'registration-failed'
+  | 'registration-removed'
   | 'peer-link-failed'
   | 'peer-backlog'
   | 'lines-dropped'
