Forget a stated rate limit when no answer states it any more

Cause: only an answer of the target ends a limit. Where other targets are as good (their keys are warm, nothing waits), the few requests that the limit allows may all go to them. The limit would have been forgotten after 30 s at the latest.

Change: a limit that no VM has heard of for 8 s is forgotten, with a log line. If the target still needs it, its next answer states it again.

--- a/packages/decision/src/core/rate_limits/stated_rate_limits.ts
+++ b/packages/decision/src/core/rate_limits/stated_rate_limits.ts
@@ -38,8 +38,11 @@
   reports(nowMs: number): readonly RateLimitReport[];
   /** What this VM heard from targets since the last call. */
   takeNews(nowMs: number): readonly RateLimitReport[];
-  /** Forgets limits that no VM has heard of for a long time. */
-  expire(nowMs: number): void;
+  /**
+   * Forgets limits that no VM has heard of for a long time; returns the targets
+   * concerned.
+   */
+  expire(nowMs: number): readonly string[];
   remove(incarnation: string): void;
 }
 
@@ -48,8 +51,11 @@
  * stated it: answers overtake each other, and VMs hear from peers with a delay.
  */
 const LIFT_DELAY_MS = 1_000;
-/** A limit that is not stated again by then is no longer kept. */
-const LIMIT_LIFETIME_MS = 30_000;
+/**
+ * A limit that is not stated again by then is no longer kept: requests may all
+ * go to other targets that are as good, and no answer would tell of its end.
+ */
+const LIMIT_LIFETIME_MS = 8_000;
 /** Smaller changes are not reported as changes. */
 const CHANGE_RATIO = 1.1;
 
@@ -146,11 +152,17 @@
       return news;
     },
     expire: nowMs => {
-      for (const [incarnation, {saidAtMs}] of statements) {
-        if (nowMs - saidAtMs > LIMIT_LIFETIME_MS) {
-          statements.delete(incarnation);
+      const expired: string[] = [];
+      for (const [incarnation, {saidAtMs, perSecond}] of statements) {
+        if (nowMs - saidAtMs <= LIMIT_LIFETIME_MS) {
+          continue;
+        }
+        statements.delete(incarnation);
+        if (perSecond !== undefined) {
+          expired.push(incarnation);
         }
       }
+      return expired;
     },
     remove: incarnation => {
       statements.delete(incarnation);
--- a/packages/gateway/src/target_rate_limits.ts
+++ b/packages/gateway/src/target_rate_limits.ts
@@ -96,7 +96,12 @@
   }
 
   function logSends(): void {
-    limits.expire(timers.nowMs());
+    for (const incarnation of limits.expire(timers.nowMs())) {
+      log.log('info', 'target-rate-limit', {
+        target: incarnation,
+        change: 'expired',
+      });
+    }
     for (const incarnation of limits.limited()) {
       log.log('info', 'target-rate-limit', {
         target: incarnation,
