Tell a VM that starts during a store's restore what the copy lacks

Callers would have seen: for up to 4.5 s after a restore, a VM that starts then sends requests to targets that have left, and for 2 s it serves the routes of the copy's older configuration.

Cause: such a VM knows nothing but the copy.

Change: while entries are withheld, a VM tells each peer that connects, and those that started in the last 10 s when it sees the new era, what it knows: targets in use and departed, evacuations in force and lifted, and the configuration in force. The other VM takes what is newer; targets that its own list lacks go after 2 s, as everywhere. Without a restore nothing is sent.

--- a/packages/decision/src/core/fleet_targets/target_registry.ts
+++ b/packages/decision/src/core/fleet_targets/target_registry.ts
@@ -73,8 +73,20 @@
     coldMs: (service: string) => number,
   ): void;
   evacuated(): ReadonlySet<string>;
-  /** The list has come back from an older copy of itself. */
-  beginRestore(nowMs: number): void;
+  /**
+   * The list has come back from an older copy of itself.
+   *
+   * @param leftMs Time for which outdated entries are withheld.
+   */
+  beginRestore(nowMs: number, leftMs?: number): void;
+  /** Time until a restore ends; 0 if there is none. */
+  restoreLeftMs(nowMs: number): number;
+  /** Entries of targets that left in the last minute. */
+  departedEntries(): readonly TargetEntry[];
+  /** Withholds the target unless its entry is newer than that of the leaver. */
+  learnDeparted(entry: TargetEntry, nowMs: number): void;
+  /** Takes another VM's entry of a target that is listed, if it is newer. */
+  learnListed(entry: TargetEntry, nowMs: number, removeAtMs: number): void;
   /** Number of entries that are withheld as older than what is known. */
   withheldCount(): number;
   /** Removes the targets whose removal is due, and ends a restore. */
@@ -197,6 +209,35 @@
     record.removeAtMs = Math.min(record.removeAtMs ?? Infinity, removeAtMs);
   }
 
+  function learnDeparted(entry: TargetEntry, nowMs: number): void {
+    const record = records.get(entry.id);
+    if (record && isOlder(entry, record.target.entry)) {
+      return;
+    }
+    if (record) {
+      withheld.set(entry.id, record.target.entry);
+      drop(entry.id, record, nowMs);
+    }
+    departed.set(entry.id, {entry, atMs: nowMs});
+  }
+
+  function learnListed(
+    entry: TargetEntry,
+    nowMs: number,
+    removeAtMs: number,
+  ): void {
+    const known = records.get(entry.id)?.target.entry;
+    if (!known) {
+      put(entry, nowMs);
+      remove(entry.id, nowMs, removeAtMs);
+      return;
+    }
+    const startsDraining = entry.draining && !known.draining;
+    if (isOlder(known, entry) || (startsDraining && !isOlder(entry, known))) {
+      put(entry, nowMs);
+    }
+  }
+
   function setEvacuated(
     zones: ReadonlySet<string>,
     nowMs: number,
@@ -264,9 +305,13 @@
     remove,
     setEvacuated,
     evacuated: () => evacuated,
-    beginRestore: nowMs => {
-      restoreUntilMs = nowMs + RESTORE_MS;
+    beginRestore: (nowMs, leftMs = RESTORE_MS) => {
+      restoreUntilMs = Math.max(restoreUntilMs, nowMs + leftMs);
     },
+    restoreLeftMs: nowMs => Math.max(0, restoreUntilMs - nowMs),
+    departedEntries: () => [...departed.values()].map(({entry}) => entry),
+    learnDeparted,
+    learnListed,
     withheldCount: () => withheld.size,
     expire,
   };
--- a/packages/decision/test/fleet_targets/target_registry.test.ts
+++ b/packages/decision/test/fleet_targets/target_registry.test.ts
@@ -144,6 +144,33 @@
       assert.deepEqual(usable(), []);
     });
 
+    it('withholds what another VM knows to have left, unless it is newer', () => {
+      const {registry, usable} = start();
+      registry.put(entry('left', {sequence: 2}), 0);
+      registry.put(entry('rewritten', {sequence: 9}), 0);
+      registry.beginRestore(0, 3_000);
+      registry.learnDeparted(entry('left', {sequence: 3}), 10);
+      registry.learnDeparted(entry('rewritten', {sequence: 3}), 10);
+      assert.deepEqual(usable(), ['rewritten']);
+      registry.expire(3_000);
+      assert.deepEqual(usable(), ['rewritten', 'left']);
+    });
+
+    it('takes what another VM knows better, until the list has it', () => {
+      const {registry, usable} = start();
+      registry.put(entry('draining', {sequence: 2}), 0);
+      registry.beginRestore(0, 3_000);
+      const draining = entry('draining', {sequence: 4, draining: true});
+      registry.learnListed(draining, 10, 2_000);
+      registry.learnListed(entry('listed again'), 10, 2_000);
+      registry.learnListed(entry('gone'), 10, 2_000);
+      assert.deepEqual(usable(), ['listed again', 'gone']);
+      registry.put(entry('listed again', {sequence: 5}), 1_000);
+      registry.expire(2_000);
+      assert.deepEqual(usable(), ['listed again']);
+      assert.equal(registry.get('draining')?.entry.draining, true);
+    });
+
     it('adds targets that nobody knew', () => {
       const {registry, usable} = start();
       registry.beginRestore(100);
--- a/packages/gateway/src/fleet_state.ts
+++ b/packages/gateway/src/fleet_state.ts
@@ -13,7 +13,7 @@
 } from '@ibisbeam/decision';
 import type {Logger, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from './core/protocol.js';
-import type {StoreKind} from './peers/messages.js';
+import type {RestoreMemory, StoreKind} from './peers/messages.js';
 
 export interface FleetState {
   readonly registry: TargetRegistry;
@@ -27,6 +27,10 @@
   applyChange(kind: StoreKind, change: MirrorChange, settlingMs: number): void;
   /** The store has come back from an older copy of itself. */
   beginRestore(): void;
+  /** For a VM that may have started from the copy; undefined otherwise. */
+  restoreMemory(): RestoreMemory | undefined;
+  /** Takes what another VM knows better than a store that was restored. */
+  learn(memory: RestoreMemory): void;
   /** Applies what was postponed and is due. */
   expire(): void;
   /** Request rate that one target of the service tolerates while it is cold. */
@@ -54,6 +58,8 @@
 const DEFAULT_MAXIMUM_CONNECTIONS = 100;
 /** Time for the operator's writes to be repeated after a restore. */
 const REWRITE_MS = 2_500;
+/** Time for a live target that the copy lacks to be listed again. */
+const RELIST_MS = 2_000;
 /** An older copy of the store is at most this old. */
 const LIFTED_RETENTION_MS = 60_000;
 
@@ -64,6 +70,8 @@
     onEvent: onRegistryEvent,
   });
   let routes: RouteTable | undefined;
+  /** The configuration in force, as its writer wrote it. */
+  let inForce: {readonly value: unknown; readonly version: number} | undefined;
   /** Evacuated zones as listed by the store. */
   const listedEvacuations = new Set<string>();
   const liftedAtMs = new Map<string, number>();
@@ -146,6 +154,7 @@
           return;
         }
         routes = createRouteTable(configuration);
+        inForce = {value, version: storeVersion};
         log.log('info', 'configuration-in-force', {
           version: configuration.version,
           storeVersion,
@@ -193,8 +202,64 @@
     log.log('info', 'evacuations-changed', {zones: [...zones].join(',')});
   }
 
+  function restoreMemory(): RestoreMemory | undefined {
+    const nowMs = timers.nowMs();
+    const leftMs = registry.restoreLeftMs(nowMs);
+    if (leftMs === 0) {
+      return undefined;
+    }
+    const lifted: string[] = [];
+    for (const [zone, atMs] of liftedAtMs) {
+      if (nowMs - atMs < LIFTED_RETENTION_MS) {
+        lifted.push(zone);
+      }
+    }
+    return {
+      leftMs,
+      listed: registry.all().map(({entry}) => entry),
+      departed: [...registry.departedEntries()],
+      evacuated: [...registry.evacuated()],
+      lifted,
+      configuration: inForce,
+    };
+  }
+
+  function learn(memory: RestoreMemory): void {
+    const nowMs = timers.nowMs();
+    registry.beginRestore(nowMs, memory.leftMs);
+    rewritesUntilMs = Math.max(
+      rewritesUntilMs,
+      nowMs + Math.min(memory.leftMs, REWRITE_MS),
+    );
+    for (const entry of memory.departed) {
+      registry.learnDeparted(entry, nowMs);
+    }
+    const removeAtMs = nowMs + Math.min(memory.leftMs, RELIST_MS);
+    for (const entry of memory.listed) {
+      registry.learnListed(entry, nowMs, removeAtMs);
+    }
+    const zones = new Set([...registry.evacuated(), ...memory.evacuated]);
+    for (const zone of memory.lifted) {
+      if (!memory.evacuated.includes(zone)) {
+        zones.delete(zone);
+        liftedAtMs.set(zone, nowMs);
+      }
+    }
+    registry.setEvacuated(zones, nowMs, coldStartMsOf);
+    if (memory.configuration) {
+      const {value, version} = memory.configuration;
+      applyConfiguration(value, version);
+    }
+    log.log('info', 'restore-learned', {
+      targets: memory.listed.length,
+      departed: memory.departed.length,
+    });
+  }
+
   return {
     registry,
+    restoreMemory,
+    learn,
     routes: () => routes,
     applyChange,
     beginRestore: () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -77,6 +77,8 @@
 const REGISTRY_EXPIRY_INTERVAL_MS = 100;
 /** Demand reported by a peer counts until the peer is silent for longer. */
 const PEER_DEMAND_LIFETIME_MS = 3_000;
+/** A VM that started before has seen the store as it was before a restore. */
+const RECENT_START_MS = 10_000;
 /** Peers that were silent for longer count as gone unless all are silent. */
 const RECENT_PEER_SPAN_MS = 25_000;
 /** Number of VMs that always watch the store. */
@@ -183,6 +185,7 @@
     onRestored: () => {
       fleet.beginRestore();
       registration.renew();
+      tellStartedVms();
     },
     broadcast: message => mesh.broadcast(message),
   });
@@ -345,11 +348,29 @@
       }
     }
     mesh.send(peer.id, heartbeatMessage(rateLimits.reports()));
+    tellRestoreMemory(peer);
     for (const loss of crashGuard.recentLosses()) {
       mesh.send(peer.id, {kind: 'target-lost', ...loss});
     }
   }
 
+  function tellRestoreMemory(peer: VmRecord): void {
+    const memory = fleet.restoreMemory();
+    if (memory) {
+      mesh.send(peer.id, {kind: 'restore-memory', memory});
+    }
+  }
+
+  /** VMs that started lately may have taken the copy before this one saw it. */
+  function tellStartedVms(): void {
+    const sinceWallMs = timers.wallMs() - RECENT_START_MS;
+    for (const peer of mesh.knownPeers()) {
+      if (peer.startedWallMs > sinceWallMs) {
+        tellRestoreMemory(peer);
+      }
+    }
+  }
+
   function onMessage(from: VmRecord, message: PeerMessage): void {
     switch (message.kind) {
       case 'hello':
@@ -377,6 +398,9 @@
           mesh.send(from.id, {kind: 'want-snapshot', of: message.of});
         }
         return;
+      case 'restore-memory':
+        fleet.learn(message.memory);
+        return;
       case 'target-lost':
         crashGuard.recordPeerReport(
           message.fingerprint,
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -35,6 +35,32 @@
   ageMs: z.number().nonnegative(),
 });
 
+const targetEntrySchema = z.object({
+  id: z.string().max(512),
+  service: z.string().max(256),
+  host: z.string().max(64),
+  port: z.number(),
+  zone: z.string().max(64),
+  slots: z.number().positive(),
+  draining: z.boolean(),
+  coldRemainingMs: z.number().nonnegative(),
+  startedAtWallMs: z.number(),
+  sequence: z.number().optional(),
+});
+
+/** What a VM knows better than a store that has come back from a copy. */
+const restoreMemorySchema = z.object({
+  /** Time until the store's list is taken as it is. */
+  leftMs: z.number().nonnegative(),
+  listed: z.array(targetEntrySchema).max(20_000),
+  departed: z.array(targetEntrySchema).max(20_000),
+  evacuated: z.array(z.string().max(64)).max(1_000),
+  /** Zones whose evacuation was lifted in the last minute. */
+  lifted: z.array(z.string().max(64)).max(1_000),
+  /** The configuration in force, as its writer wrote it. */
+  configuration: z.object({value: z.unknown(), version: z.number()}).optional(),
+});
+
 const storeKindSchema = z.enum(['targets', 'configuration', 'evacuations']);
 
 export const peerMessageSchema = z.discriminatedUnion('kind', [
@@ -73,6 +99,10 @@
     events: z.array(mirrorEventSchema),
     settlingMs: z.number().nonnegative(),
   }),
+  z.object({
+    kind: z.literal('restore-memory'),
+    memory: restoreMemorySchema,
+  }),
   z.object({
     kind: z.literal('target-lost'),
     /** Identifies the request that the target was running. */
@@ -84,5 +114,6 @@
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
+export type RestoreMemory = z.infer<typeof restoreMemorySchema>;
 export type VmRecord = z.infer<typeof vmRecordSchema>;
 export type StoreKind = z.infer<typeof storeKindSchema>;
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -19,6 +19,7 @@
   | 'store-unreachable'
   | 'store-reachable'
   | 'store-restored'
+  | 'restore-learned'
   | 'watch-gap'
   | 'vm-state-changed'
   | 'self-doubt'
--- a/packages/stand_ins/test/object_platform/store_restore.test.ts
+++ b/packages/stand_ins/test/object_platform/store_restore.test.ts
@@ -161,4 +161,33 @@
     await waitUntil(() => hasLine(/in-force.*version=9/));
     assert.deepEqual(await sendFor(500), new Set([200]));
   });
+
+  // Guards against a VM that starts from the copy and knows no better.
+  it('is told apart from its copy by a VM that starts meanwhile', async () => {
+    const {store} = harness.fleet;
+    const [leaving, staying] = harness.targets;
+    assert.ok(leaving && staying);
+    const {routes} = createConfiguration(5) as {routes: {name: string}[]};
+    harness.fleet.configure(
+      createConfiguration(5, {
+        routes: routes.filter(({name}) => name !== 'pack'),
+      }),
+    );
+    store.remove('servers', leaving.id);
+    await waitUntil(() => hasLine(/in-force.*version=5/));
+    await waitUntil(() => hasLine(/target-removed/));
+    const arrivedBefore = leaving.arrivals.length;
+    store.restore(copy);
+    const second = await harness.fleet.addGateway('edge-riga-b-1', 'riga-b');
+    await waitUntil(() => isReady(second));
+    await waitUntil(() => hasLine(/event=restore-learned/));
+    const dropped = await call(second, {path: '/packs/1'});
+    assert.equal(dropped.status, 404);
+    for (let index = 0; index < 40; index += 1) {
+      const answer = await call(second, {key: String(index)});
+      assert.equal(answer.status, 200);
+    }
+    assert.equal(leaving.arrivals.length, arrivedBefore);
+    assert.ok(staying.runs.length > 0);
+  });
 });
