--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,6 @@
  */
 import {
   DEFAULT_PLACEMENT_PARAMETERS,
-  type RateLimitReport,
   type SharingVm,
   createAffinityPlacement,
   createClientRetryDetector,
@@ -41,7 +40,8 @@
 import {createTargetConnections} from './forwarding/target_connections.js';
 import {createAdmissionQueue} from './forwarding/admission_queue.js';
 import {createSendScheduler} from './forwarding/send_scheduler.js';
-import type {PeerMessage, VmRecord} from './peers/messages.js';
+import type {VmRecord} from './peers/messages.js';
+import {createPeerConversation} from './peers/peer_conversation.js';
 import {createPeerMesh} from './peers/peer_mesh.js';
 import {createVmRegistration} from './peers/vm_registration.js';
 import {runGracefulStop} from './graceful_stop.js';
@@ -50,7 +50,7 @@
   RATE_LIMIT_LOG_INTERVAL_MS,
   createTargetRateLimits,
 } from './target_rate_limits.js';
-import {STORE_KINDS, createStoreFollower} from './store/store_follower.js';
+import {createStoreFollower} from './store/store_follower.js';
 
 export interface GatewayOptions {
   readonly settings: GatewaySettings;
@@ -77,8 +77,6 @@
 const REGISTRY_EXPIRY_INTERVAL_MS = 100;
 /** Demand reported by a peer counts until the peer is silent for longer. */
 const PEER_DEMAND_LIFETIME_MS = 3_000;
-/** A VM that started before has seen the store as it was before a restore. */
-const RECENT_START_MS = 10_000;
 /** Peers that were silent for longer count as gone unless all are silent. */
 const RECENT_PEER_SPAN_MS = 25_000;
 /** Number of VMs that always watch the store. */
@@ -120,7 +118,7 @@
     self: vm,
     timers,
     log,
-    onNews: broadcastHeartbeat,
+    onNews: () => peerConversation.broadcastHeartbeat(),
     countLimitedSend: metrics.countLimitedSend,
   });
   const crashGuard = createCrashGuard({
@@ -185,7 +183,7 @@
     onRestored: () => {
       fleet.beginRestore();
       registration.renew();
-      tellStartedVms();
+      peerConversation.tellStartedVms();
     },
     broadcast: message => mesh.broadcast(message),
   });
@@ -196,8 +194,8 @@
     seeds: settings.seeds,
     timers,
     log,
-    onPeerConnected,
-    onMessage,
+    onPeerConnected: peer => peerConversation.onPeerConnected(peer),
+    onMessage: (from, message) => peerConversation.onMessage(from, message),
   });
 
   const directory = createVmDirectory({self, mesh, timers, isServing});
@@ -210,6 +208,19 @@
     mesh,
   });
 
+  const peerConversation = createPeerConversation({
+    mesh,
+    directory,
+    follower,
+    fleet,
+    regionPlan,
+    rateLimits,
+    crashGuard,
+    watcherSelection,
+    timers,
+    isServing,
+  });
+
   const context: ForwardingContext = {
     timers,
     log,
@@ -341,94 +352,8 @@
     };
   }
 
-  function onPeerConnected(peer: VmRecord): void {
-    for (const kind of STORE_KINDS) {
-      if (follower.isMissing(kind)) {
-        mesh.send(peer.id, {kind: 'want-snapshot', of: kind});
-      }
-    }
-    mesh.send(peer.id, heartbeatMessage(rateLimits.reports()));
-    tellRestoreMemory(peer);
-    for (const loss of crashGuard.recentLosses()) {
-      mesh.send(peer.id, {kind: 'target-lost', ...loss});
-    }
-  }
-
-  function tellRestoreMemory(peer: VmRecord): void {
-    const memory = fleet.restoreMemory();
-    if (memory) {
-      mesh.send(peer.id, {kind: 'restore-memory', memory});
-    }
-  }
-
-  /** VMs that started lately may have taken the copy before this one saw it. */
-  function tellStartedVms(): void {
-    const sinceWallMs = timers.wallMs() - RECENT_START_MS;
-    for (const peer of mesh.knownPeers()) {
-      if (peer.startedWallMs > sinceWallMs) {
-        tellRestoreMemory(peer);
-      }
-    }
-  }
-
-  function onMessage(from: VmRecord, message: PeerMessage): void {
-    switch (message.kind) {
-      case 'hello':
-        return;
-      case 'heartbeat':
-        directory.recordHeartbeat(from.id, message.serving);
-        regionPlan.recordPeerDemand(from.id, new Map(message.demand));
-        rateLimits.recordPeerReports(from.id, message.rateLimits ?? []);
-        if (message.watchAgeMs !== undefined) {
-          watcherSelection.recordPeerConfirmation(
-            timers.nowMs() - message.watchAgeMs,
-          );
-        }
-        return;
-      case 'want-snapshot': {
-        const snapshot = follower.snapshotMessage(message.of);
-        if (snapshot) {
-          mesh.send(from.id, snapshot);
-        }
-        return;
-      }
-      case 'snapshot':
-      case 'batch':
-        if (!follower.receive(message)) {
-          mesh.send(from.id, {kind: 'want-snapshot', of: message.of});
-        }
-        return;
-      case 'restore-memory':
-        fleet.learn(message.memory);
-        return;
-      case 'target-lost':
-        crashGuard.recordPeerReport(
-          message.fingerprint,
-          message.target,
-          message.ageMs ?? 0,
-        );
-        return;
-    }
-  }
-
-  function broadcastHeartbeat(): void {
-    mesh.broadcast(heartbeatMessage(rateLimits.takeNews()));
-  }
-
-  function heartbeatMessage(
-    rateLimitReports: readonly RateLimitReport[],
-  ): PeerMessage {
-    return {
-      kind: 'heartbeat',
-      serving: isServing(),
-      watchAgeMs: follower.watchAgeMs(),
-      demand: [...regionPlan.demandMeter.demandByService(timers.nowMs())],
-      rateLimits: [...rateLimitReports],
-    };
-  }
-
   function onHeartbeatDue(): void {
-    broadcastHeartbeat();
+    peerConversation.broadcastHeartbeat();
     const liveVmIds = directory.liveVmIds();
     watcherSelection.setVms(liveVmIds);
     updateSharingVms();
@@ -488,7 +413,7 @@
       timers,
       log,
       graceMs: bounds.stopGraceMs,
-      announceStop: broadcastHeartbeat,
+      announceStop: peerConversation.broadcastHeartbeat,
       stopComponents,
     });
     return stopCompletion;
--- /dev/null
+++ b/packages/gateway/src/peers/peer_conversation.ts
@@ -0,0 +1,140 @@
+/**
+ * What gateways tell each other over their links, and what they take from it:
+ * heartbeats, store snapshots, rate limits of targets, targets lost to a
+ * request, and what a VM knows better than a restored store.
+ */
+import type {RateLimitReport, WatcherSelection} from '@ibisbeam/decision';
+import type {TimerService} from '@ibisbeam/library';
+import type {VmDirectory} from '../control/vm_directory.js';
+import type {FleetState} from '../fleet_state.js';
+import type {CrashGuard} from '../forwarding/crash_guard.js';
+import type {RegionPlan} from '../region_plan.js';
+import {STORE_KINDS, type StoreFollower} from '../store/store_follower.js';
+import type {TargetRateLimits} from '../target_rate_limits.js';
+import type {PeerMessage, VmRecord} from './messages.js';
+import type {PeerMesh} from './peer_mesh.js';
+
+export interface PeerConversation {
+  onPeerConnected(peer: VmRecord): void;
+  onMessage(from: VmRecord, message: PeerMessage): void;
+  broadcastHeartbeat(): void;
+  /** Tells VMs that have just started what a restored store lacks. */
+  tellStartedVms(): void;
+}
+
+export interface PeerConversationOptions {
+  readonly mesh: PeerMesh;
+  readonly directory: VmDirectory;
+  readonly follower: StoreFollower;
+  readonly fleet: FleetState;
+  readonly regionPlan: RegionPlan;
+  readonly rateLimits: TargetRateLimits;
+  readonly crashGuard: CrashGuard;
+  readonly watcherSelection: WatcherSelection;
+  readonly timers: Pick<TimerService, 'nowMs' | 'wallMs'>;
+  isServing(): boolean;
+}
+
+/** A VM that started before has seen the store as it was before a restore. */
+const RECENT_START_MS = 10_000;
+
+export function createPeerConversation(
+  options: PeerConversationOptions,
+): PeerConversation {
+  const {mesh, follower, fleet, rateLimits, crashGuard, timers} = options;
+
+  function onPeerConnected(peer: VmRecord): void {
+    for (const kind of STORE_KINDS) {
+      if (follower.isMissing(kind)) {
+        mesh.send(peer.id, {kind: 'want-snapshot', of: kind});
+      }
+    }
+    mesh.send(peer.id, heartbeatMessage(rateLimits.reports()));
+    tellRestoreMemory(peer);
+    for (const loss of crashGuard.recentLosses()) {
+      mesh.send(peer.id, {kind: 'target-lost', ...loss});
+    }
+  }
+
+  function tellRestoreMemory(peer: VmRecord): void {
+    const memory = fleet.restoreMemory();
+    if (memory) {
+      mesh.send(peer.id, {kind: 'restore-memory', memory});
+    }
+  }
+
+  function onMessage(from: VmRecord, message: PeerMessage): void {
+    switch (message.kind) {
+      case 'hello':
+        return;
+      case 'heartbeat':
+        onHeartbeat(from, message);
+        return;
+      case 'want-snapshot': {
+        const snapshot = follower.snapshotMessage(message.of);
+        if (snapshot) {
+          mesh.send(from.id, snapshot);
+        }
+        return;
+      }
+      case 'snapshot':
+      case 'batch':
+        if (!follower.receive(message)) {
+          mesh.send(from.id, {kind: 'want-snapshot', of: message.of});
+        }
+        return;
+      case 'restore-memory':
+        fleet.learn(message.memory);
+        return;
+      case 'target-lost':
+        crashGuard.recordPeerReport(
+          message.fingerprint,
+          message.target,
+          message.ageMs ?? 0,
+        );
+        return;
+    }
+  }
+
+  function onHeartbeat(
+    from: VmRecord,
+    message: Extract<PeerMessage, {kind: 'heartbeat'}>,
+  ): void {
+    options.directory.recordHeartbeat(from.id, message.serving);
+    options.regionPlan.recordPeerDemand(from.id, new Map(message.demand));
+    rateLimits.recordPeerReports(from.id, message.rateLimits ?? []);
+    if (message.watchAgeMs !== undefined) {
+      options.watcherSelection.recordPeerConfirmation(
+        timers.nowMs() - message.watchAgeMs,
+      );
+    }
+  }
+
+  function heartbeatMessage(
+    rateLimitReports: readonly RateLimitReport[],
+  ): PeerMessage {
+    const {demandMeter} = options.regionPlan;
+    return {
+      kind: 'heartbeat',
+      serving: options.isServing(),
+      watchAgeMs: follower.watchAgeMs(),
+      demand: [...demandMeter.demandByService(timers.nowMs())],
+      rateLimits: [...rateLimitReports],
+    };
+  }
+
+  return {
+    onPeerConnected,
+    onMessage,
+    broadcastHeartbeat: () =>
+      mesh.broadcast(heartbeatMessage(rateLimits.takeNews())),
+    tellStartedVms: () => {
+      const sinceWallMs = timers.wallMs() - RECENT_START_MS;
+      for (const peer of mesh.knownPeers()) {
+        if (peer.startedWallMs > sinceWallMs) {
+          tellRestoreMemory(peer);
+        }
+      }
+    },
+  };
+}
