--- a/packages/decision/src/core/rate_limits/sharing_vms.ts
+++ b/packages/decision/src/core/rate_limits/sharing_vms.ts
@@ -12,7 +12,7 @@
   readonly zoneRegions: ReadonlyMap<string, string>;
   /** VMs heard from just now. */
   readonly live: readonly SharingVm[];
-  /** VMs heard from in the last half minute. */
+  /** VMs heard from lately, whether they still answer or not. */
   readonly recent: readonly SharingVm[];
   /** All VMs heard of, including those never reached. */
   readonly known: readonly SharingVm[];
