--- a/packages/gateway/test/vm_registration.test.ts
+++ b/packages/gateway/test/vm_registration.test.ts
@@ -20,7 +20,7 @@
 };
 const REFRESHES_IN_TEN_MINUTES = 41;
 
-/** Runs the pending refresh and lets its store calls end. */
+/** A VM that registers in a store that is held in memory. */
 function createFixture() {
   const objects = new Map<string, PlatformObject>();
   let nowMs = 0;
@@ -82,6 +82,7 @@
     put,
     registration,
     settle,
+    /** Runs the pending refresh and lets its store calls end. */
     runNext: async () => {
       assert.ok(due);
       nowMs = due.atMs;
