Let a VM that hears from nobody remove no registrations

A VM that is cut off from all others, but not from the store, took them all for gone after ten minutes and removed one at each list; they registered again. The new case of vm_registration.test failed before (run without the condition: the other VM's registration was gone).

--- a/packages/gateway/src/peers/vm_registration.ts
+++ b/packages/gateway/src/peers/vm_registration.ts
@@ -98,7 +98,8 @@
       timers.nowMs(),
     );
     const object = objects.find(({key}) => key === stale);
-    if (!object) {
+    // A VM that hears from nobody may be the one that is cut off.
+    if (!object || heard.size === 1) {
       return;
     }
     log.log('info', 'registration-removed', {peer: object.key});
--- a/packages/gateway/test/vm_registration.test.ts
+++ b/packages/gateway/test/vm_registration.test.ts
@@ -21,7 +21,7 @@
 const REFRESHES_IN_TEN_MINUTES = 41;
 
 /** A VM that registers in a store that is held in memory. */
-function createFixture() {
+function createFixture(heardIds: readonly string[] = ['live']) {
   const objects = new Map<string, PlatformObject>();
   let nowMs = 0;
   let due: {readonly atMs: number; readonly run: () => void} | undefined;
@@ -67,7 +67,7 @@
     log: createKeyValueLogger({level: 'error', fields: {}, write: () => {}}),
     mesh: {
       addPeers: () => {},
-      peersHeardWithin: () => [{...SELF, id: 'live'}],
+      peersHeardWithin: () => heardIds.map(id => ({...SELF, id})),
     } as unknown as PeerMesh,
   });
 
@@ -110,6 +110,17 @@
     ]);
   });
 
+  it('removes nobody while it hears from nobody', async () => {
+    const {objects, put, registration, settle, runNext} = createFixture([]);
+    put(`${KIND}/other`, {...SELF, id: 'other'});
+    registration.start();
+    await settle();
+    for (let count = 0; count < REFRESHES_IN_TEN_MINUTES; count += 1) {
+      await runNext();
+    }
+    assert.ok(objects.has(`${KIND}/other`));
+  });
+
   it('is repeated when the store no longer lists this VM', async () => {
     const {objects, registration, settle, runNext} = createFixture();
     registration.start();
