--- a/packages/gateway/src/store/store_follower.ts
+++ b/packages/gateway/src/store/store_follower.ts
@@ -11,7 +11,6 @@
   type WatcherSelection,
   createStoreMirror,
   storeEraOf,
-  storeRevisionOf,
 } from '@ibisbeam/decision';
 import type {
   Logger,
@@ -20,6 +19,7 @@
   TimerService,
 } from '@ibisbeam/library';
 import type {PeerMessage, StoreKind} from '../peers/messages.js';
+import {createRestoreProgress} from './restore_progress.js';
 import {
   toMirrorEvent,
   toMirroredObject,
@@ -102,14 +102,6 @@
   needsList: boolean;
 }
 
-interface Restore {
-  readonly fromVersion: number;
-  readonly toVersion: number;
-  readonly beganAtMs: number;
-  /** Time until every kind was known in the new era. */
-  tookMs?: number;
-}
-
 export function createStoreFollower(
   options: StoreFollowerOptions,
 ): StoreFollower {
@@ -127,7 +119,15 @@
   let unreachableSinceMs: number | undefined;
   let failures = 0;
   let settleUntilMs = -Infinity;
-  let restore: Restore | undefined;
+
+  const restoreProgress = createRestoreProgress({
+    timers,
+    log,
+    onRestored: () => {
+      settleUntilMs = timers.nowMs() + SETTLE_AFTER_OUTAGE_MS;
+      options.onRestored();
+    },
+  });
 
   function followedKind(kind: StoreKind): FollowedKind {
     const followed = followedKinds.get(kind);
@@ -287,46 +287,13 @@
     followed: FollowedKind,
     snapshot: {version: number; objects: readonly MirroredObject[]},
   ): void {
-    const before = followed.mirror.version();
-    const era = storeEraOf(snapshot.version);
-    if (before >= 0 && era > storeEraOf(before)) {
-      beginRestore(before, snapshot.version);
-    }
+    restoreProgress.onSnapshot(followed.mirror.version(), snapshot.version);
     notifyChange(followed, followed.mirror.applySnapshot(snapshot));
-    endRestoreIfComplete();
-  }
-
-  /** Called for each kind; the first one to be seen in an era begins it. */
-  function beginRestore(fromVersion: number, toVersion: number): void {
-    const isKnown =
-      restore && storeEraOf(restore.toVersion) >= storeEraOf(toVersion);
-    if (isKnown) {
-      return;
-    }
-    const nowMs = timers.nowMs();
-    restore = {fromVersion, toVersion, beganAtMs: nowMs};
-    settleUntilMs = nowMs + SETTLE_AFTER_OUTAGE_MS;
-    options.onRestored();
+    restoreProgress.onApplied(mirrorVersions());
   }
 
-  function endRestoreIfComplete(): void {
-    if (!restore || restore.tookMs !== undefined) {
-      return;
-    }
-    const era = storeEraOf(restore.toVersion);
-    for (const {mirror} of followedKinds.values()) {
-      if (storeEraOf(mirror.version()) < era) {
-        return;
-      }
-    }
-    restore.tookMs = timers.nowMs() - restore.beganAtMs;
-    log.log('warn', 'store-restored', {
-      era,
-      eraBefore: storeEraOf(restore.fromVersion),
-      revision: storeRevisionOf(restore.toVersion),
-      revisionBefore: storeRevisionOf(restore.fromVersion),
-      tookMs: Math.round(restore.tookMs),
-    });
+  function mirrorVersions(): readonly number[] {
+    return [...followedKinds.values()].map(({mirror}) => mirror.version());
   }
 
   function applyBatch(followed: FollowedKind, batch: MirrorBatch): boolean {
@@ -416,15 +383,10 @@
       return Number.isFinite(ageMs) ? ageMs : undefined;
     },
     era: () => {
-      let era: number | undefined;
-      for (const {mirror} of followedKinds.values()) {
-        if (mirror.version() >= 0) {
-          era = Math.max(era ?? 0, storeEraOf(mirror.version()));
-        }
-      }
-      return era;
+      const newest = Math.max(...mirrorVersions());
+      return newest >= 0 ? storeEraOf(newest) : undefined;
     },
-    restoreMs: () => restore?.tookMs,
+    restoreMs: restoreProgress.tookMs,
     snapshotMessage,
     receive,
   };
