--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -154,6 +154,7 @@
       incoming,
       outgoing,
       route,
+      configurationVersion: routes.configuration.version,
       service,
       attemptId,
       affinityKey: route.sticky ? affinityKey : undefined,
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -20,6 +20,8 @@
 export interface FinishedRequest {
   readonly attemptId: string | undefined;
   readonly route: string;
+  /** Version of the configuration that the route was taken from. */
+  readonly configurationVersion: number;
   readonly service: string;
   /** `answered`, `refused` or `client-left`. */
   readonly outcome: string;
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -85,6 +85,7 @@
     context.onRequestFinished({
       attemptId: request.attemptId,
       route: route.name,
+      configurationVersion: request.configurationVersion,
       service,
       outcome,
       status,
--- a/packages/gateway/src/forwarding/exchange_types.ts
+++ b/packages/gateway/src/forwarding/exchange_types.ts
@@ -7,6 +7,8 @@
   readonly incoming: IncomingMessage;
   readonly outgoing: ServerResponse;
   readonly route: Route;
+  /** Version of the configuration that the route was taken from. */
+  readonly configurationVersion: number;
   /** The service that the route's traffic split chose for this request. */
   readonly service: string;
   readonly attemptId: string | undefined;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -218,6 +218,7 @@
     crashGuard,
     watcherSelection,
     timers,
+    log,
     isServing,
   });
 
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -63,6 +63,13 @@
 
 const storeKindSchema = z.enum(['targets', 'configuration', 'evacuations']);
 
+/** Version of the sender's copy of each kind; absent without a copy. */
+const copyVersionsSchema = z.object({
+  targets: z.number().optional(),
+  configuration: z.number().optional(),
+  evacuations: z.number().optional(),
+});
+
 export const peerMessageSchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('hello'),
@@ -80,6 +87,8 @@
     demand: z.array(z.tuple([z.string().max(256), z.number()])).max(500),
     /** Rate limits that targets state; absent from VMs that do not read them. */
     rateLimits: z.array(rateLimitReportSchema).max(5_000).optional(),
+    /** Absent from VMs that do not tell it. */
+    copyVersions: copyVersionsSchema.optional(),
   }),
   z.object({kind: z.literal('want-snapshot'), of: storeKindSchema}),
   z.object({
@@ -116,4 +125,5 @@
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
 export type RestoreMemory = z.infer<typeof restoreMemorySchema>;
 export type VmRecord = z.infer<typeof vmRecordSchema>;
+export type CopyVersions = z.infer<typeof copyVersionsSchema>;
 export type StoreKind = z.infer<typeof storeKindSchema>;
--- a/packages/gateway/src/peers/peer_conversation.ts
+++ b/packages/gateway/src/peers/peer_conversation.ts
@@ -4,13 +4,14 @@
  * request, and what a VM knows better than a restored store.
  */
 import type {RateLimitReport, WatcherSelection} from '@ibisbeam/decision';
-import type {TimerService} from '@ibisbeam/library';
+import type {Logger, TimerService} from '@ibisbeam/library';
 import type {VmDirectory} from '../control/vm_directory.js';
 import type {FleetState} from '../fleet_state.js';
 import type {CrashGuard} from '../forwarding/crash_guard.js';
 import type {RegionPlan} from '../region_plan.js';
 import {STORE_KINDS, type StoreFollower} from '../store/store_follower.js';
 import type {TargetRateLimits} from '../target_rate_limits.js';
+import {createCopyComparison} from './copy_comparison.js';
 import type {PeerMessage, VmRecord} from './messages.js';
 import type {PeerMesh} from './peer_mesh.js';
 
@@ -32,6 +33,7 @@
   readonly crashGuard: CrashGuard;
   readonly watcherSelection: WatcherSelection;
   readonly timers: Pick<TimerService, 'nowMs' | 'wallMs'>;
+  readonly log: Logger;
   isServing(): boolean;
 }
 
@@ -42,6 +44,11 @@
   options: PeerConversationOptions,
 ): PeerConversation {
   const {mesh, follower, fleet, rateLimits, crashGuard, timers} = options;
+  const copyComparison = createCopyComparison({
+    follower,
+    timers,
+    log: options.log,
+  });
 
   function onPeerConnected(peer: VmRecord): void {
     for (const kind of STORE_KINDS) {
@@ -103,6 +110,7 @@
     options.directory.recordHeartbeat(from.id, message.serving);
     options.regionPlan.recordPeerDemand(from.id, new Map(message.demand));
     rateLimits.recordPeerReports(from.id, message.rateLimits ?? []);
+    copyComparison.compare(from.id, message.copyVersions ?? {});
     if (message.watchAgeMs !== undefined) {
       options.watcherSelection.recordPeerConfirmation(
         timers.nowMs() - message.watchAgeMs,
@@ -120,6 +128,7 @@
       watchAgeMs: follower.watchAgeMs(),
       demand: [...demandMeter.demandByService(timers.nowMs())],
       rateLimits: [...rateLimitReports],
+      copyVersions: follower.copyVersions(),
     };
   }
 
--- a/packages/gateway/src/store/store_follower.ts
+++ b/packages/gateway/src/store/store_follower.ts
@@ -18,7 +18,7 @@
   PlatformStore,
   TimerService,
 } from '@ibisbeam/library';
-import type {PeerMessage, StoreKind} from '../peers/messages.js';
+import type {CopyVersions, PeerMessage, StoreKind} from '../peers/messages.js';
 import {createRestoreProgress} from './restore_progress.js';
 import {
   toMirrorEvent,
@@ -27,7 +27,7 @@
 } from './mirror_objects.js';
 
 export interface StoreFollowerOptions {
-  readonly store: PlatformStore;
+  readonly store: Pick<PlatformStore, 'list' | 'watch'>;
   /** The platform's name of each kind. */
   readonly kindNames: Readonly<Record<StoreKind, string>>;
   readonly watcherSelection: WatcherSelection;
@@ -56,6 +56,7 @@
   era(): number | undefined;
   /** How long the last restore took; undefined before the first. */
   restoreMs(): number | undefined;
+  copyVersions(): CopyVersions;
   /** Undefined while there is no snapshot of the kind. */
   snapshotMessage(kind: StoreKind): PeerMessage | undefined;
   /**
@@ -387,6 +388,15 @@
       return newest >= 0 ? storeEraOf(newest) : undefined;
     },
     restoreMs: restoreProgress.tookMs,
+    copyVersions: () => {
+      const versions: CopyVersions = {};
+      for (const {kind, mirror} of followedKinds.values()) {
+        if (mirror.version() >= 0) {
+          versions[kind] = mirror.version();
+        }
+      }
+      return versions;
+    },
     snapshotMessage,
     receive,
   };
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -48,6 +48,7 @@
   | 'peer-backlog'
   | 'lines-dropped'
   | 'crash-suspected'
+  | 'copy-behind'
   | 'event-loop-delayed'
   | 'settings-reloaded'
   | 'settings-rejected';
