Hold requests after a pause until the copies of the store are confirmed

Now a pause of a second or more, seen at the first socket or timer that runs, makes the copies unconfirmed. The VM asks the store and all peers; only an answer to a question asked after the pause counts. Until then it is not ready, sends nothing and holds requests for up to 0.6 s. A starting VM is held the same way, so that it does not serve by the copy of a peer that is itself behind. Two tests added to store_copies.test.ts.

--- a/packages/decision/src/core/store_mirror/index.ts
+++ b/packages/decision/src/core/store_mirror/index.ts
@@ -1,4 +1,5 @@
 export * from './store_mirror.js';
 export * from './watcher_selection.js';
+export * from './copy_freshness.js';
 export * from './missed_changes.js';
 export * from './store_version.js';
--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -100,22 +100,38 @@
       refuse(outgoing, 400, malformation, undefined, true);
       return;
     }
-    const routes = options.routes();
-    if (!routes) {
+    if (!options.routes()) {
       const reason = 'no configuration yet';
       refuse(outgoing, 503, reason, UNCONFIGURED_RETRY_AFTER_MS, true);
       return;
     }
+    context.copyGuard.whenUsable(isUsable => {
+      const routes = options.routes();
+      if (!routes || !isUsable) {
+        const reason = 'the configuration is not confirmed';
+        refuse(outgoing, 503, reason, UNCONFIGURED_RETRY_AFTER_MS, true);
+        return;
+      }
+      route(incoming, outgoing, routes, arrivedAtMs);
+    });
+  }
+
+  function route(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    routes: RouteTable,
+    arrivedAtMs: number,
+  ): void {
     const path = incoming.url ?? '/';
-    const route = routes.find(incoming.headers.host ?? '', path);
-    if (!route) {
+    const found = routes.find(incoming.headers.host ?? '', path);
+    if (!found) {
       refuse(outgoing, 404, 'no route', undefined, announcesBody(incoming));
       return;
     }
     if (!announcesBody(incoming)) {
       const isEmpty = incoming.headers['content-length'] === '0';
       const body = isEmpty ? EMPTY_BODY : undefined;
-      forward(incoming, outgoing, routes, route, body, arrivedAtMs);
+      forward(incoming, outgoing, routes, found, body, arrivedAtMs);
       return;
     }
     void readRequestBody(incoming, limits.bodyBytes).then(result =>
@@ -126,7 +142,7 @@
           }
         },
         Right: body =>
-          forward(incoming, outgoing, routes, route, body, arrivedAtMs),
+          forward(incoming, outgoing, routes, found, body, arrivedAtMs),
       }),
     );
   }
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -12,6 +12,7 @@
 } from '@ibisbeam/decision';
 import type {Logger, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
+import type {CopyGuard} from '../store/copy_guard.js';
 import type {CrashGuard} from './crash_guard.js';
 import type {TargetConnections} from './target_connections.js';
 import type {AdmissionQueue} from './admission_queue.js';
@@ -61,6 +62,8 @@
   readonly admissionQueue: AdmissionQueue;
   readonly sendScheduler: SendScheduler;
   isStopping(): boolean;
+  /** Requests are sent only while the copies of the store are confirmed. */
+  readonly copyGuard: Pick<CopyGuard, 'state' | 'whenUsable'>;
   /** Idle connections that this VM may keep to one target of the service. */
   maximumIdleConnections(service: string): number;
   /**
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -153,6 +153,9 @@
   }
 
   function choosePlacement(nowMs: number): Placement | undefined {
+    if (context.copyGuard.state() === 'unconfirmed') {
+      return undefined;
+    }
     return context.placement.choose(
       {
         route: route.name,
@@ -392,6 +395,9 @@
 
   /** Sends or refuses the request; returns 'hold' if it has to wait. */
   function dispatch(): 'done' | 'hold' {
+    if (context.copyGuard.state() === 'unconfirmed') {
+      return 'hold';
+    }
     const nowMs = timers.nowMs();
     const placement = choosePlacement(nowMs);
     if (!placement) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -50,6 +50,7 @@
   RATE_LIMIT_LOG_INTERVAL_MS,
   createTargetRateLimits,
 } from './target_rate_limits.js';
+import {createCopyGuard} from './store/copy_guard.js';
 import {createStoreFollower} from './store/store_follower.js';
 
 export interface GatewayOptions {
@@ -188,6 +189,14 @@
     broadcast: message => mesh.broadcast(message),
   });
 
+  const copyGuard = createCopyGuard({
+    follower,
+    timers,
+    log,
+    send: (peerId, message) => mesh.send(peerId, message),
+    broadcast: message => mesh.broadcast(message),
+  });
+
   const mesh = createPeerMesh({
     self,
     listen: settings.listen.peers,
@@ -212,6 +221,7 @@
     mesh,
     directory,
     follower,
+    copyGuard,
     fleet,
     regionPlan,
     rateLimits,
@@ -268,6 +278,7 @@
     admissionQueue: createAdmissionQueue(timers),
     sendScheduler: createSendScheduler({timers, acceptBacklog}),
     isStopping: () => stopping,
+    copyGuard,
     maximumIdleConnections: service =>
       maximumIdleConnections(
         fleet.maximumConnections(service),
@@ -335,7 +346,12 @@
   });
 
   function isServing(): boolean {
-    return fleet.routes() !== undefined && follower.isComplete() && !stopping;
+    return (
+      fleet.routes() !== undefined &&
+      follower.isComplete() &&
+      copyGuard.state() === 'confirmed' &&
+      !stopping
+    );
   }
 
   function resolveDirectory(url: URL) {
@@ -386,6 +402,7 @@
       mesh.listen(),
     ]);
     follower.start();
+    copyGuard.start();
     registration.start();
     timerHandles.push(
       startEventLoopMonitor({
@@ -426,6 +443,7 @@
       handle.cancel();
     }
     follower.stop();
+    copyGuard.stop();
     registration.stop();
     mesh.close();
     readinessServer.close();
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -91,6 +91,18 @@
     copyVersions: copyVersionsSchema.optional(),
   }),
   z.object({kind: z.literal('want-snapshot'), of: storeKindSchema}),
+  /** Asks whether the sender's copies of the store are current. */
+  z.object({
+    kind: z.literal('confirm-copies'),
+    /** On the sender's clock; repeated in the answer. */
+    askedAtMs: z.number(),
+  }),
+  z.object({
+    kind: z.literal('copies-confirmed'),
+    askedAtMs: z.number(),
+    /** Copies that are at least as new are current. */
+    copyVersions: copyVersionsSchema,
+  }),
   z.object({
     kind: z.literal('snapshot'),
     of: storeKindSchema,
--- a/packages/gateway/src/peers/peer_conversation.ts
+++ b/packages/gateway/src/peers/peer_conversation.ts
@@ -9,6 +9,7 @@
 import type {FleetState} from '../fleet_state.js';
 import type {CrashGuard} from '../forwarding/crash_guard.js';
 import type {RegionPlan} from '../region_plan.js';
+import type {CopyGuard} from '../store/copy_guard.js';
 import {STORE_KINDS, type StoreFollower} from '../store/store_follower.js';
 import type {TargetRateLimits} from '../target_rate_limits.js';
 import {createCopyComparison} from './copy_comparison.js';
@@ -29,6 +30,7 @@
   readonly mesh: PeerMesh;
   readonly directory: VmDirectory;
   readonly follower: StoreFollower;
+  readonly copyGuard: CopyGuard;
   readonly fleet: FleetState;
   readonly regionPlan: RegionPlan;
   readonly rateLimits: TargetRateLimits;
@@ -56,6 +58,7 @@
 
   function onPeerConnected(peer: VmRecord): void {
     copyComparison.recordNewLink(peer.id);
+    options.copyGuard.onPeerConnected(peer.id);
     for (const kind of STORE_KINDS) {
       if (follower.isMissing(kind)) {
         mesh.send(peer.id, {kind: 'want-snapshot', of: kind});
@@ -76,6 +79,7 @@
   }
 
   function onMessage(from: VmRecord, message: PeerMessage): void {
+    options.copyGuard.checkPause();
     switch (message.kind) {
       case 'hello':
         return;
@@ -95,6 +99,12 @@
           mesh.send(from.id, {kind: 'want-snapshot', of: message.of});
         }
         return;
+      case 'confirm-copies':
+        options.copyGuard.onQuestion(from.id, message);
+        return;
+      case 'copies-confirmed':
+        options.copyGuard.onAnswer(from.id, message);
+        return;
       case 'restore-memory':
         fleet.learn(message.memory);
         return;
--- /dev/null
+++ b/packages/gateway/src/store/copy_guard.ts
@@ -0,0 +1,186 @@
+/**
+ * Keeps a VM that has just started or resumed from acting on copies of the
+ * store that may be outdated. It asks the store and all peers; requests wait
+ * until one of them has confirmed the copies.
+ */
+import {type CopyState, createCopyFreshness} from '@ibisbeam/decision';
+import type {Logger, TimerHandle, TimerService} from '@ibisbeam/library';
+import type {CopyVersions, PeerMessage} from '../peers/messages.js';
+import {STORE_KINDS, type StoreFollower} from './store_follower.js';
+
+export interface CopyGuard {
+  start(): void;
+  stop(): void;
+  /** Detects a pause of the process; also called by `state` and `whenUsable`. */
+  checkPause(): void;
+  state(): CopyState;
+  /**
+   * Calls back once the copies may be acted on, at once if they may be now, or
+   * with false after a limited wait.
+   */
+  whenUsable(callback: (isUsable: boolean) => void): void;
+  onPeerConnected(peerId: string): void;
+  onQuestion(
+    peerId: string,
+    message: Extract<PeerMessage, {kind: 'confirm-copies'}>,
+  ): void;
+  onAnswer(
+    peerId: string,
+    message: Extract<PeerMessage, {kind: 'copies-confirmed'}>,
+  ): void;
+}
+
+export interface CopyGuardOptions {
+  readonly follower: Pick<StoreFollower, 'copyVersions' | 'listAll'>;
+  readonly timers: TimerService;
+  readonly log: Logger;
+  send(peerId: string, message: PeerMessage): void;
+  broadcast(message: PeerMessage): void;
+}
+
+interface WaitingCall {
+  readonly callback: (isUsable: boolean) => void;
+  readonly timer: TimerHandle;
+}
+
+const CHECK_INTERVAL_MS = 100;
+const REPEAT_INTERVAL_MS = 700;
+/** A process that did not run for longer doubts its copies. */
+const PAUSE_MS = 1_000;
+/** A caller that waits for longer is better served by another VM. */
+const MAXIMUM_WAIT_MS = 600;
+
+export function createCopyGuard(options: CopyGuardOptions): CopyGuard {
+  const {follower, timers, log} = options;
+  let lastRunMs = timers.nowMs();
+  let lastAskedMs = -Infinity;
+  const freshness = createCopyFreshness(lastRunMs);
+  const waiting = new Set<WaitingCall>();
+  let ticker: TimerHandle | undefined;
+
+  function checkPause(): void {
+    const nowMs = timers.nowMs();
+    const pausedMs = nowMs - lastRunMs;
+    lastRunMs = nowMs;
+    if (pausedMs < PAUSE_MS) {
+      return;
+    }
+    freshness.recordPause(nowMs);
+    log.log('warn', 'copies-unconfirmed', {pausedMs: Math.round(pausedMs)});
+    ask();
+  }
+
+  function ask(): void {
+    const askedAtMs = timers.nowMs();
+    lastAskedMs = askedAtMs;
+    options.broadcast(question());
+    void follower.listAll(askedAtMs).then(isListed => {
+      if (isListed) {
+        confirm(askedAtMs, 'store');
+      }
+    });
+  }
+
+  function onCheckDue(): void {
+    const isOverdue = timers.nowMs() - lastAskedMs >= REPEAT_INTERVAL_MS;
+    if (state() === 'unconfirmed' && isOverdue) {
+      ask();
+    }
+  }
+
+  function question(): PeerMessage {
+    return {kind: 'confirm-copies', askedAtMs: timers.nowMs()};
+  }
+
+  function confirm(askedAtMs: number, from: string): void {
+    const before = freshness.state(timers.nowMs());
+    freshness.recordConfirmation(askedAtMs);
+    if (before === 'unconfirmed' && state() === 'confirmed') {
+      log.log('info', 'copies-confirmed', {
+        from,
+        tookMs: Math.round(timers.nowMs() - askedAtMs),
+      });
+      releaseWaiting();
+    }
+  }
+
+  function state(): CopyState {
+    checkPause();
+    return freshness.state(timers.nowMs());
+  }
+
+  function releaseWaiting(): void {
+    for (const call of waiting) {
+      waiting.delete(call);
+      call.timer.cancel();
+      call.callback(true);
+    }
+  }
+
+  function whenUsable(callback: (isUsable: boolean) => void): void {
+    if (state() === 'confirmed') {
+      callback(true);
+      return;
+    }
+    const call: WaitingCall = {
+      callback,
+      timer: timers.after(MAXIMUM_WAIT_MS, () => {
+        waiting.delete(call);
+        callback(state() === 'confirmed');
+      }),
+    };
+    waiting.add(call);
+  }
+
+  return {
+    start: () => {
+      lastRunMs = timers.nowMs();
+      ticker = timers.every(CHECK_INTERVAL_MS, onCheckDue);
+      ask();
+    },
+    stop: () => {
+      ticker?.cancel();
+    },
+    checkPause,
+    state,
+    whenUsable,
+    onPeerConnected: peerId => {
+      if (state() === 'unconfirmed') {
+        options.send(peerId, question());
+      }
+    },
+    onQuestion: (peerId, {askedAtMs}) => {
+      if (state() === 'confirmed') {
+        const copyVersions = follower.copyVersions();
+        options.send(peerId, {
+          kind: 'copies-confirmed',
+          askedAtMs,
+          copyVersions,
+        });
+      }
+    },
+    onAnswer: (peerId, {askedAtMs, copyVersions}) => {
+      const outdated = olderKinds(follower.copyVersions(), copyVersions);
+      if (outdated.length === 0) {
+        confirm(askedAtMs, peerId);
+        return;
+      }
+      if (state() === 'confirmed') {
+        return;
+      }
+      for (const kind of outdated) {
+        options.send(peerId, {kind: 'want-snapshot', of: kind});
+      }
+      // Answered after the snapshots, which are sent over the same link.
+      options.send(peerId, question());
+    },
+  };
+}
+
+/** Kinds of which the first copies are older than the others. */
+function olderKinds(
+  own: CopyVersions,
+  others: CopyVersions,
+): readonly (typeof STORE_KINDS)[number][] {
+  return STORE_KINDS.filter(kind => (own[kind] ?? -1) < (others[kind] ?? -1));
+}
--- a/packages/gateway/src/store/store_follower.ts
+++ b/packages/gateway/src/store/store_follower.ts
@@ -15,9 +15,11 @@
 import type {
   Logger,
   PlatformError,
+  PlatformListing,
   PlatformStore,
   TimerService,
 } from '@ibisbeam/library';
+import type {Either} from 'purify-ts';
 import type {CopyVersions, PeerMessage, StoreKind} from '../peers/messages.js';
 import {createRestoreProgress} from './restore_progress.js';
 import {
@@ -43,6 +45,13 @@
 export interface StoreFollower {
   start(): void;
   stop(): void;
+  /**
+   * Lists every kind, whether or not this VM is selected to watch. Resolves to
+   * false if the store did not answer for all of them.
+   *
+   * @param sinceMs Lists in progress count if they were asked for since then.
+   */
+  listAll(sinceMs: number): Promise<boolean>;
   /** Whether every kind was listed from the store or received from a peer. */
   isComplete(): boolean;
   /** Whether there is no snapshot of the kind yet. */
@@ -96,9 +105,17 @@
 /** Consecutive failures after which only the configuration is polled. */
 const FAILURES_BEFORE_SINGLE_PROBE = 3;
 
+type ListingResult = Either<PlatformError, PlatformListing>;
+
+interface PendingListing {
+  readonly startedAtMs: number;
+  readonly result: Promise<ListingResult>;
+}
+
 interface FollowedKind {
   readonly kind: StoreKind;
   readonly mirror: StoreMirror;
+  pendingListing?: PendingListing;
   confirmedAtMs: number;
   needsList: boolean;
 }
@@ -217,25 +234,65 @@
     }
   }
 
+  /** Joins a call in progress that was made at `sinceMs` or later. */
+  function fetchListing(
+    followed: FollowedKind,
+    sinceMs = -Infinity,
+  ): Promise<ListingResult> {
+    const {pendingListing} = followed;
+    if (pendingListing && pendingListing.startedAtMs >= sinceMs) {
+      return pendingListing.result;
+    }
+    const started: PendingListing = {
+      startedAtMs: timers.nowMs(),
+      result: store
+        .list(options.kindNames[followed.kind], {
+          purpose: 'store-follow',
+          timeoutMs: LIST_TIMEOUT_MS,
+        })
+        .run()
+        .finally(() => {
+          if (followed.pendingListing === started) {
+            followed.pendingListing = undefined;
+          }
+        }),
+    };
+    followed.pendingListing = started;
+    return started.result;
+  }
+
+  function applyListing(
+    followed: FollowedKind,
+    listing: PlatformListing,
+  ): void {
+    onSuccess(followed);
+    followed.needsList = false;
+    applySnapshot(followed, {
+      version: listing.version,
+      objects: listing.objects.map(toMirroredObject),
+    });
+  }
+
+  async function listAll(sinceMs: number): Promise<boolean> {
+    const listed = await Promise.all(
+      [...followedKinds.values()].map(async followed => {
+        const result = await fetchListing(followed, sinceMs);
+        result.ifRight(listing => applyListing(followed, listing));
+        return result.isRight();
+      }),
+    );
+    return listed.every(isListed => isListed);
+  }
+
   async function list(followed: FollowedKind): Promise<number> {
-    const result = await store
-      .list(options.kindNames[followed.kind], {
-        purpose: 'store-follow',
-        timeoutMs: LIST_TIMEOUT_MS,
-      })
-      .run();
+    const result = await fetchListing(followed);
     return result.caseOf({
       Left: error => {
         onFailure(followed, error);
         return backoffMs();
       },
       Right: listing => {
-        onSuccess(followed);
-        followed.needsList = false;
-        applySnapshot(followed, {
-          version: listing.version,
-          objects: listing.objects.map(toMirroredObject),
-        });
+        applyListing(followed, listing);
         const message = snapshotMessage(followed.kind);
         if (message) {
           options.broadcast(message);
@@ -366,6 +423,7 @@
     stop: () => {
       stopped = true;
     },
+    listAll,
     isComplete: () => {
       for (const {mirror} of followedKinds.values()) {
         if (mirror.version() < 0) {
--- a/packages/gateway/test/store_copies.test.ts
+++ b/packages/gateway/test/store_copies.test.ts
@@ -35,13 +35,21 @@
   let store: MemoryStore;
   let vms: readonly FollowedVm[];
   let follower: FollowedVm;
+  let isStoreReached: boolean;
 
   beforeEach(async () => {
     network = createMemoryNetwork();
     store = createMemoryStore();
     store.put('configuration', 'main', createConfiguration(1));
+    isStoreReached = true;
     const start = (id: string): FollowedVm =>
-      startFollowedVm({id, watchers: ['edge-1', 'edge-2'], network, store});
+      startFollowedVm({
+        id,
+        watchers: ['edge-1', 'edge-2'],
+        network,
+        store,
+        reachesStore: () => id !== 'edge-3' || isStoreReached,
+      });
     follower = start('edge-3');
     vms = [start('edge-1'), start('edge-2'), follower];
     network.link('edge-3');
@@ -89,6 +97,42 @@
     assert.deepEqual([...follower.fleet.registry.evacuated()], ['riga-a']);
   });
 
+  // Guards against requests that are routed by a replaced configuration right
+  // after a pause, before anybody has told the VM of the new one.
+  it('are not acted on after a pause until they are confirmed', async () => {
+    follower.freeze();
+    await pass(LINK_IDLE_MS);
+    network.unlink(follower.id);
+    store.put('configuration', 'main', createConfiguration(2));
+    await pass(4_000);
+    follower.wake();
+    let routedBy: number | undefined;
+    follower.copyGuard.whenUsable(isUsable => {
+      routedBy = isUsable ? versionAt(follower) : undefined;
+    });
+    assert.equal(routedBy, undefined);
+    await pass(100);
+    assert.equal(routedBy, 2);
+  });
+
+  // Guards against a VM that cannot reach the store and resumes with what it
+  // reads from its sockets, which is as old as its pause.
+  it('are confirmed by peers after a pause if the store is away', async () => {
+    isStoreReached = false;
+    follower.freeze();
+    await pass(LINK_IDLE_MS);
+    network.unlink(follower.id);
+    store.put('configuration', 'main', createConfiguration(2));
+    await pass(4_000);
+    follower.wake();
+    await pass(100);
+    assert.equal(follower.copyGuard.state(), 'unconfirmed');
+    network.link(follower.id);
+    await pass(100);
+    assert.equal(follower.copyGuard.state(), 'confirmed');
+    assert.equal(versionAt(follower), 2);
+  });
+
   it('tell in the log that they lack a change', async () => {
     network.unlink(follower.id);
     store.put('configuration', 'main', createConfiguration(2));
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -49,6 +49,8 @@
   | 'lines-dropped'
   | 'crash-suspected'
   | 'copy-behind'
+  | 'copies-unconfirmed'
+  | 'copies-confirmed'
   | 'event-loop-delayed'
   | 'settings-reloaded'
   | 'settings-rejected';
