Bind retries, hedges and waiting requests by homes that came meanwhile

Now the homes of the arrival and those in force both bind when a target is chosen; if they have no region in common the request is refused at once. homes.test.ts, on the code before: a retry and a hedge ran in a second region (500 and 504 where 200 from the home was due), and 10 requests left the waiting line for other regions; all three hold now.

--- a/packages/decision/src/core/route_table/index.ts
+++ b/packages/decision/src/core/route_table/index.ts
@@ -1,2 +1,3 @@
+export * from './home_regions.js';
 export * from './route_table.js';
 export * from './types.js';
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -1,10 +1,12 @@
 /** Dependencies and state shared by all exchanges of a gateway. */
+import type {IncomingMessage} from 'node:http';
 import type {
   AffinityPlacement,
   AttemptOutcome,
   ClientRetryDetector,
   Placement,
   RegisteredTarget,
+  Route,
   WindowedRetryBudget,
   ServiceTimes,
   TargetLoad,
@@ -62,6 +64,8 @@
   readonly admissionQueue: AdmissionQueue;
   readonly sendScheduler: SendScheduler;
   isStopping(): boolean;
+  /** Route of the request in the configuration that is in force now. */
+  findRoute(incoming: IncomingMessage): Route | undefined;
   /** Requests are sent only while the copies of the store are confirmed. */
   readonly copyGuard: Pick<CopyGuard, 'state' | 'whenUsable'>;
   /** Idle connections that this VM may keep to one target of the service. */
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -6,6 +6,7 @@
   type AttemptOutcome,
   type DispatchDecision,
   type Placement,
+  commonHomeRegions,
   decideDispatch,
   maximumHoldMs,
   isRetryable,
@@ -152,8 +153,20 @@
     return true;
   }
 
+  /**
+   * The homes of the request's arrival and those of a configuration that came
+   * into force since bind its retries, its hedges and its wait for a slot.
+   *
+   * @returns Undefined if no region may run the request anymore.
+   */
+  function homeRegionsInForce(): readonly string[] | undefined {
+    const current = context.findRoute(incoming) ?? route;
+    return commonHomeRegions(route.homeRegions, current.homeRegions);
+  }
+
   function choosePlacement(nowMs: number): Placement | undefined {
-    if (context.copyGuard.state() === 'unconfirmed') {
+    const homeRegions = homeRegionsInForce();
+    if (!homeRegions || context.copyGuard.state() === 'unconfirmed') {
       return undefined;
     }
     return context.placement.choose(
@@ -162,7 +175,7 @@
         service,
         latencyObjectiveMs: route.latencyObjectiveMs,
         affinityKey: request.affinityKey,
-        homeRegions: route.homeRegions,
+        homeRegions,
         excludedIncarnations: excluded,
       },
       nowMs,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -278,6 +278,8 @@
     admissionQueue: createAdmissionQueue(timers),
     sendScheduler: createSendScheduler({timers, acceptBacklog}),
     isStopping: () => stopping,
+    findRoute: incoming =>
+      fleet.routes()?.find(incoming.headers.host ?? '', incoming.url ?? '/'),
     copyGuard,
     maximumIdleConnections: service =>
       maximumIdleConnections(
