Refuse requests at a VM that changes of the store may not reach

If the store has answered neither the VM nor any VM that it hears from for 3 s, it counts: hearing from a minority of those it heard before, it isn't ready and refuses requests (503, connection closed); most VMs go on, since then the store is away for all. What this costs: with most VMs lost while the store is away, the rest refuse until either is back.

--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -108,7 +108,7 @@
     context.copyGuard.whenUsable(isUsable => {
       const routes = options.routes();
       if (!routes || !isUsable) {
-        const reason = 'the configuration is not confirmed';
+        const reason = 'the configuration may be outdated';
         refuse(outgoing, 503, reason, UNCONFIGURED_RETRY_AFTER_MS, true);
         return;
       }
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -166,7 +166,7 @@
 
   function choosePlacement(nowMs: number): Placement | undefined {
     const homeRegions = homeRegionsInForce();
-    if (!homeRegions || context.copyGuard.state() === 'unconfirmed') {
+    if (!homeRegions || context.copyGuard.state() !== 'confirmed') {
       return undefined;
     }
     return context.placement.choose(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -375,6 +375,11 @@
   function onHeartbeatDue(): void {
     peerConversation.broadcastHeartbeat();
     const liveVmIds = directory.liveVmIds();
+    copyGuard.observeContacts({
+      confirmedAtMs: follower.lastConfirmedMs(),
+      heardPeers: directory.livePeers().length,
+      recentPeers: mesh.peersHeardWithin(RECENT_PEER_SPAN_MS).length,
+    });
     watcherSelection.setVms(liveVmIds);
     updateSharingVms();
     const services = fleet.routes()?.configuration.services.keys() ?? [];
--- a/packages/gateway/src/store/copy_guard.ts
+++ b/packages/gateway/src/store/copy_guard.ts
@@ -1,22 +1,33 @@
 /**
- * Keeps a VM that has just started or resumed from acting on copies of the
- * store that may be outdated. It asks the store and all peers; requests wait
- * until one of them has confirmed the copies.
+ * Keeps a VM from acting on copies of the store that may be outdated. A VM that
+ * has just started or resumed asks the store and all peers, and requests wait
+ * until one of them has confirmed the copies. A VM that is cut off from the
+ * store and most peers refuses requests.
  */
-import {type CopyState, createCopyFreshness} from '@ibisbeam/decision';
+import {
+  type Contacts,
+  type CopyState,
+  createCopyFreshness,
+  createIsolationDetector,
+} from '@ibisbeam/decision';
 import type {Logger, TimerHandle, TimerService} from '@ibisbeam/library';
 import type {CopyVersions, PeerMessage} from '../peers/messages.js';
 import {STORE_KINDS, type StoreFollower} from './store_follower.js';
 
+/** `isolated`: changes of the store may not reach this VM. */
+export type GuardState = CopyState | 'isolated';
+
 export interface CopyGuard {
   start(): void;
   stop(): void;
+  /** Judges whether changes of the store still reach this VM. */
+  observeContacts(contacts: Contacts): void;
   /** Detects a pause of the process; also called by `state` and `whenUsable`. */
   checkPause(): void;
-  state(): CopyState;
+  state(): GuardState;
   /**
-   * Calls back once the copies may be acted on, at once if they may be now, or
-   * with false after a limited wait.
+   * Calls back once the copies may be acted on, at once if they may be now. The
+   * callback gets false after a limited wait, and at once at an isolated VM.
    */
   whenUsable(callback: (isUsable: boolean) => void): void;
   onPeerConnected(peerId: string): void;
@@ -55,6 +66,7 @@
   let lastRunMs = timers.nowMs();
   let lastAskedMs = -Infinity;
   const freshness = createCopyFreshness(lastRunMs);
+  const isolation = createIsolationDetector(lastRunMs);
   const waiting = new Set<WaitingCall>();
   let ticker: TimerHandle | undefined;
 
@@ -66,6 +78,7 @@
       return;
     }
     freshness.recordPause(nowMs);
+    isolation.recordPause(nowMs);
     log.log('warn', 'copies-unconfirmed', {pausedMs: Math.round(pausedMs)});
     ask();
   }
@@ -104,11 +117,32 @@
     }
   }
 
-  function state(): CopyState {
+  function state(): GuardState {
     checkPause();
+    if (isolation.isIsolated()) {
+      return 'isolated';
+    }
     return freshness.state(timers.nowMs());
   }
 
+  function observeContacts(contacts: Contacts): void {
+    checkPause();
+    const wasIsolated = isolation.isIsolated();
+    isolation.observe(contacts, timers.nowMs());
+    if (isolation.isIsolated() === wasIsolated) {
+      return;
+    }
+    log.log('warn', wasIsolated ? 'vm-reconnected' : 'vm-isolated', {
+      heard: contacts.heardPeers,
+      recent: contacts.recentPeers,
+      confirmedMs: Math.round(timers.nowMs() - contacts.confirmedAtMs),
+    });
+    if (wasIsolated) {
+      freshness.recordPause(timers.nowMs());
+      ask();
+    }
+  }
+
   function releaseWaiting(): void {
     for (const call of waiting) {
       waiting.delete(call);
@@ -118,8 +152,9 @@
   }
 
   function whenUsable(callback: (isUsable: boolean) => void): void {
-    if (state() === 'confirmed') {
-      callback(true);
+    const now = state();
+    if (now !== 'unconfirmed') {
+      callback(now === 'confirmed');
       return;
     }
     const call: WaitingCall = {
@@ -141,6 +176,7 @@
     stop: () => {
       ticker?.cancel();
     },
+    observeContacts,
     checkPause,
     state,
     whenUsable,
--- a/packages/gateway/src/store/store_follower.ts
+++ b/packages/gateway/src/store/store_follower.ts
@@ -61,6 +61,8 @@
    * least recently; undefined if any kind has not been confirmed.
    */
   watchAgeMs(): number | undefined;
+  /** When the store last answered this VM or one of its peers. */
+  lastConfirmedMs(): number;
   /** Era of the store, which rises when it comes back from an older copy. */
   era(): number | undefined;
   /** How long the last restore took; undefined before the first. */
@@ -441,6 +443,7 @@
       const ageMs = timers.nowMs() - oldestMs;
       return Number.isFinite(ageMs) ? ageMs : undefined;
     },
+    lastConfirmedMs,
     era: () => {
       const newest = Math.max(...mirrorVersions());
       return newest >= 0 ? storeEraOf(newest) : undefined;
--- a/packages/gateway/test/store_copies.test.ts
+++ b/packages/gateway/test/store_copies.test.ts
@@ -36,19 +36,21 @@
   let vms: readonly FollowedVm[];
   let follower: FollowedVm;
   let isStoreReached: boolean;
+  let isStoreAway: boolean;
 
   beforeEach(async () => {
     network = createMemoryNetwork();
     store = createMemoryStore();
     store.put('configuration', 'main', createConfiguration(1));
     isStoreReached = true;
+    isStoreAway = false;
     const start = (id: string): FollowedVm =>
       startFollowedVm({
         id,
         watchers: ['edge-1', 'edge-2'],
         network,
         store,
-        reachesStore: () => id !== 'edge-3' || isStoreReached,
+        reachesStore: () => !isStoreAway && (id !== 'edge-3' || isStoreReached),
       });
     follower = start('edge-3');
     vms = [start('edge-1'), start('edge-2'), follower];
@@ -133,6 +135,28 @@
     assert.equal(versionAt(follower), 2);
   });
 
+  // Guards against a VM that is cut off from the store and its peers, and goes
+  // on routing by a configuration that was replaced.
+  it('are not acted on while neither the store nor most VMs are reached', async () => {
+    isStoreReached = false;
+    network.unlink(follower.id);
+    store.put('configuration', 'main', createConfiguration(2));
+    await pass(4_000);
+    const answers: boolean[] = [];
+    follower.copyGuard.whenUsable(isUsable => answers.push(isUsable));
+    assert.deepEqual(answers, [false]);
+    network.link(follower.id);
+    await pass(1_000);
+    assert.equal(follower.copyGuard.state(), 'confirmed');
+    assert.equal(versionAt(follower), 2);
+  });
+
+  it('are acted on while the store is away for all VMs', async () => {
+    isStoreAway = true;
+    await pass(10_000);
+    assert.equal(follower.copyGuard.state(), 'confirmed');
+  });
+
   it('tell in the log that they lack a change', async () => {
     network.unlink(follower.id);
     store.put('configuration', 'main', createConfiguration(2));
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -51,6 +51,8 @@
   | 'copy-behind'
   | 'copies-unconfirmed'
   | 'copies-confirmed'
+  | 'vm-isolated'
+  | 'vm-reconnected'
   | 'event-loop-delayed'
   | 'settings-reloaded'
   | 'settings-rejected';
