Name VMs in the homes of a host where a region has none

Clients state the host that they ask for; the directory now prefers VMs in the regions that are home to all of that host's routes, and names all only if there are none. vm_directory.test.ts: without the preference three VMs are named where one is in the home.

--- a/packages/decision/src/core/route_table/route_table.ts
+++ b/packages/decision/src/core/route_table/route_table.ts
@@ -1,10 +1,13 @@
 /** Route look-up and weighted traffic splits. */
+import {commonHomeRegions} from './home_regions.js';
 import type {Route, RoutingConfiguration} from './types.js';
 
 export interface RouteTable {
   readonly configuration: RoutingConfiguration;
   /** Longest-prefix match of the path among the routes of the host. */
   find(host: string, path: string): Route | undefined;
+  /** Regions that are home to every route of the host; empty if there are none. */
+  homeRegionsOf(host: string): readonly string[];
   /**
    * Next service of the traffic split, by smooth weighted round robin.
    *
@@ -43,6 +46,14 @@
     return undefined;
   }
 
+  function homeRegionsOf(host: string): readonly string[] {
+    let common: readonly string[] = [];
+    for (const route of byHost.get(normalizeHost(host))?.values() ?? []) {
+      common = commonHomeRegions(common, route.homeRegions) ?? [];
+    }
+    return common;
+  }
+
   function nextService(route: Route): string | undefined {
     const [only] = route.trafficSplit;
     if (route.trafficSplit.length <= 1) {
@@ -70,7 +81,7 @@
     return route.trafficSplit[best]?.service;
   }
 
-  return {configuration, find, nextService};
+  return {configuration, find, homeRegionsOf, nextService};
 }
 
 /** Lower-case host without the port. */
--- a/packages/gateway/src/control/vm_directory.ts
+++ b/packages/gateway/src/control/vm_directory.ts
@@ -13,12 +13,15 @@
   livePeers(): readonly VmRecord[];
   /**
    * Returns addresses of serving VMs as HOST:PORT: those in the client's region
-   * or, if it has none, those in all regions.
+   * or, if it has none, those in the home regions of the host's routes, or else
+   * those in all regions.
    *
+   * @param homeRegions Empty if the host's routes have no homes in common.
    * @param maximumLifetimeMs Upper bound of the returned lifetime.
    */
   resolve(
     query: DirectoryQuery,
+    homeRegions: readonly string[],
     maximumLifetimeMs: number,
   ): {readonly addresses: readonly string[]; readonly lifetimeSeconds: number};
 }
@@ -57,10 +60,11 @@
       self.id,
       ...mesh.peersHeardWithin(LIVENESS_TIMEOUT_MS).map(vm => vm.id),
     ],
-    resolve: (query, maximumLifetimeMs) => {
+    resolve: (query, homeRegions, maximumLifetimeMs) => {
       const all = candidates();
       const inRegion = all.filter(vm => vm.region === query.region);
-      const chosen = inRegion.length > 0 ? inRegion : all;
+      const atHome = all.filter(vm => homeRegions.includes(vm.region));
+      const chosen = [inRegion, atHome].find(vms => vms.length > 0) ?? all;
       return {
         addresses: chosen
           .slice(0, MAXIMUM_ADDRESSES)
--- a/packages/gateway/src/core/protocol.ts
+++ b/packages/gateway/src/core/protocol.ts
@@ -40,8 +40,10 @@
   readonly entryVms: string;
 }
 
-/** Location that a client states; absent parts are unknown. */
+/** What a client states; absent parts are unknown. */
 export interface DirectoryQuery {
+  /** Host of the requests that the client is going to send. */
+  readonly host?: string;
   readonly region?: string;
   readonly zone?: string;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -358,7 +358,12 @@
 
   function resolveDirectory(url: URL) {
     const query = protocol.readDirectoryQuery(url.searchParams);
-    const resolution = directory.resolve(query, bounds.directoryLifetimeMs);
+    const homeRegions = fleet.routes()?.homeRegionsOf(query.host ?? '') ?? [];
+    const resolution = directory.resolve(
+      query,
+      homeRegions,
+      bounds.directoryLifetimeMs,
+    );
     if (resolution.addresses.length === 0) {
       return {status: 503};
     }
