Log and count what a VM's connections to targets show

target-connections tells once a second, while connections fail, how many failed to how many targets and zones, and what was made or answered meanwhile. vm-serving tells when the VM becomes ready or stops to be. ibisbeam_target_connections_total counts connections by outcome.

--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -7,6 +7,8 @@
   recordAttempt(service: string, outcome: string): void;
   /** Counts a request sent to a target that states a rate limit. */
   countLimitedSend(service: string): void;
+  /** Counts a new connection to a target, or an attempt to make one. */
+  countTargetConnection(outcome: 'made' | 'failed'): void;
   /** @param delayMs How late the event loop ran a timer. */
   recordEventLoopDelay(delayMs: number): void;
   /** @param read Called on each scrape. */
@@ -52,6 +54,12 @@
     labelNames: ['service'] as const,
     registers,
   });
+  const targetConnections = new Counter({
+    name: 'ibisbeam_target_connections_total',
+    help: 'New connections to targets, by outcome.',
+    labelNames: ['outcome'] as const,
+    registers,
+  });
 
   const eventLoopDelay = new Histogram({
     name: 'ibisbeam_event_loop_delay_seconds',
@@ -73,6 +81,7 @@
     },
     recordAttempt: (service, outcome) => attempts.inc({service, outcome}),
     countLimitedSend: service => limitedSends.inc({service}),
+    countTargetConnection: outcome => targetConnections.inc({outcome}),
     recordEventLoopDelay: delayMs =>
       eventLoopDelay.observe(delayMs / MILLISECONDS_PER_SECOND),
     recordAcceptBacklog: spanMs =>
--- a/packages/gateway/src/forwarding/attempt_recording.ts
+++ b/packages/gateway/src/forwarding/attempt_recording.ts
@@ -18,7 +18,8 @@
 ): void {
   const {targetLoad, crashGuard} = context;
   const {outcome, nowMs} = end;
-  const {incarnation, entry} = end.attempt.placement.target;
+  const {target} = end.attempt.placement;
+  const {incarnation, entry} = target;
   switch (outcome.kind) {
     case 'answered':
       if (outcome.status >= 500) {
@@ -33,6 +34,7 @@
       }
       return;
     case 'not-sent':
+      context.reachEvidence.recordConnectionFailure(target);
       targetLoad.recordConnectionFailure(incarnation, nowMs);
       context.connections.closeIdle(incarnation);
       crashGuard.recordTargetDeath(incarnation);
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -12,6 +12,7 @@
 } from '@ibisbeam/decision';
 import type {Logger, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
+import type {ReachEvidence} from '../target_reach.js';
 import type {CrashGuard} from './crash_guard.js';
 import type {TargetConnections} from './target_connections.js';
 import type {AdmissionQueue} from './admission_queue.js';
@@ -55,6 +56,7 @@
   readonly retryBudget: WindowedRetryBudget;
   readonly connections: TargetConnections;
   readonly crashGuard: CrashGuard;
+  readonly reachEvidence: ReachEvidence;
   readonly clientRetryDetector: ClientRetryDetector;
   readonly admissionQueue: AdmissionQueue;
   readonly sendScheduler: SendScheduler;
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -216,15 +216,20 @@
       {timers, sendScheduler: context.sendScheduler},
       {
         onSocket: socket => context.connections.markInUse(socket),
-        onSent: () => {
+        onSent: isReused => {
+          if (!isReused) {
+            context.reachEvidence.recordConnection(target);
+          }
           possiblyExecuted += 1;
           attempt.sentAtMs = timers.nowMs();
         },
         onLoadReport: report =>
           targetLoad.recordReport(incarnation, report, timers.nowMs()),
         onRateLimit: perSecond => context.onRateLimitAnswer(target, perSecond),
-        onResponseHead: (sent, response) =>
-          context.connections.recordKeepAlive(sent, response),
+        onResponseHead: (sent, response) => {
+          context.reachEvidence.recordAnswer();
+          context.connections.recordKeepAlive(sent, response);
+        },
         onEnd: (outcome, response) => onAttemptEnd(attempt, outcome, response),
       },
     );
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -51,6 +51,10 @@
   createTargetRateLimits,
 } from './target_rate_limits.js';
 import {createStoreFollower} from './store/store_follower.js';
+import {
+  REACH_LOG_INTERVAL_MS,
+  createTargetReachability,
+} from './target_reach.js';
 
 export interface GatewayOptions {
   readonly settings: GatewaySettings;
@@ -121,6 +125,11 @@
     onNews: () => peerConversation.broadcastHeartbeat(),
     countLimitedSend: metrics.countLimitedSend,
   });
+  const reachability = createTargetReachability({
+    log,
+    countConnection: metrics.countTargetConnection,
+    listedTargets: () => registry.all().length,
+  });
   const crashGuard = createCrashGuard({
     timers,
     log,
@@ -131,6 +140,7 @@
   /** The other VMs that share the bounds of the fleet with this one. */
   let sharingVms: readonly SharingVm[] = [];
   let stopping = false;
+  let wasServing = false;
   let stopCompletion: Promise<void> | undefined;
 
   const fleet = createFleetState({
@@ -263,6 +273,7 @@
     }),
     connections,
     crashGuard,
+    reachEvidence: reachability.evidence,
     clientRetryDetector: createClientRetryDetector(),
     admissionQueue: createAdmissionQueue(timers),
     sendScheduler: createSendScheduler({timers, acceptBacklog}),
@@ -336,6 +347,14 @@
     return fleet.routes() !== undefined && follower.isComplete() && !stopping;
   }
 
+  function logServingChange(): void {
+    const serving = isServing();
+    if (serving !== wasServing) {
+      wasServing = serving;
+      log.log('info', 'vm-serving', {serving});
+    }
+  }
+
   function resolveDirectory(url: URL) {
     const query = protocol.readDirectoryQuery(url.searchParams);
     const resolution = directory.resolve(query, bounds.directoryLifetimeMs);
@@ -353,6 +372,7 @@
   }
 
   function onHeartbeatDue(): void {
+    logServingChange();
     peerConversation.broadcastHeartbeat();
     const liveVmIds = directory.liveVmIds();
     watcherSelection.setVms(liveVmIds);
@@ -394,6 +414,7 @@
       timers.every(HEARTBEAT_INTERVAL_MS, onHeartbeatDue),
       timers.every(REGISTRY_EXPIRY_INTERVAL_MS, fleet.expire),
       timers.every(RATE_LIMIT_LOG_INTERVAL_MS, rateLimits.logSends),
+      timers.every(REACH_LOG_INTERVAL_MS, reachability.logFailures),
     );
     log.log('info', 'vm-started', {
       zone: vm.zone,
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -1,5 +1,6 @@
 /** Names of log events, documented in `docs/operators/logs.md`. */
 export type LogEvent =
+  | 'vm-serving'
   | 'vm-started'
   | 'vm-stopping'
   | 'vm-stopped'
@@ -38,6 +39,7 @@
   | 'target-added'
   | 'target-draining'
   | 'target-cold'
+  | 'target-connections'
   | 'target-rate-limit'
   | 'target-removed'
   | 'target-entry-refused'
