Reproduce a VM that is partitioned from all targets

Gateways of a stand-in fleet can connect to targets through relays of their own, so that one gateway or a zone of them is cut from all targets while the store, the clients and the other gateways reach it: connections hang, are reset, or live on while new ones are refused.

--- a/packages/gateway/src/forwarding/target_connections.ts
+++ b/packages/gateway/src/forwarding/target_connections.ts
@@ -14,6 +14,14 @@
   readonly maximumCount: number;
 }
 
+export interface TargetAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Opens a connection to a target. */
+export type ConnectToTarget = (address: TargetAddress) => Socket;
+
 export interface TargetConnections {
   /**
    * Returns the target's agent after closing its idle connections beyond the
@@ -45,6 +53,7 @@
 
 export function createTargetConnections(
   timers: Pick<TimerService, 'nowMs'>,
+  connect?: ConnectToTarget,
 ): TargetConnections {
   const agents = new Map<string, Agent>();
   const idleStates = new WeakMap<Socket, IdleState>();
@@ -70,6 +79,12 @@
       maxFreeSockets: maximumCount,
       scheduling: 'fifo',
     });
+    if (connect) {
+      Object.assign(agent, {
+        createConnection: ({host, port}: TargetAddress) =>
+          connect({host, port}),
+      });
+    }
     agent.on('free', (socket: Socket) => {
       const state = idleStateOf(socket);
       state.freedAtMs = timers.nowMs();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,7 +37,10 @@
 import type {ForwardingContext} from './forwarding/context.js';
 import {createCrashGuard} from './forwarding/crash_guard.js';
 import {logFinishedRequest} from './forwarding/request_log.js';
-import {createTargetConnections} from './forwarding/target_connections.js';
+import {
+  type ConnectToTarget,
+  createTargetConnections,
+} from './forwarding/target_connections.js';
 import {createAdmissionQueue} from './forwarding/admission_queue.js';
 import {createSendScheduler} from './forwarding/send_scheduler.js';
 import type {VmRecord} from './peers/messages.js';
@@ -62,6 +65,8 @@
   readonly store: PlatformStore;
   readonly timers: TimerService;
   readonly log: Logger;
+  /** Default: a TCP connection. */
+  readonly connectToTarget?: ConnectToTarget;
 }
 
 export interface Gateway {
@@ -105,7 +110,7 @@
   const targetLoad = createTargetLoad();
   const serviceTimes = createServiceTimes();
   const warmKeys = createWarmKeys();
-  const connections = createTargetConnections(timers);
+  const connections = createTargetConnections(timers, options.connectToTarget);
   const coldStartLimiter = createColdStartLimiter(vm);
   const spilloverBudget = createFractionalTokenBucket(
     SPILLOVER_FRACTION,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,3 +2,7 @@
 export * from './core/protocol.js';
 export * from './core/settings.js';
 export * from './gateway.js';
+export type {
+  ConnectToTarget,
+  TargetAddress,
+} from './forwarding/target_connections.js';
--- a/packages/stand_ins/src/core/object_platform/local_fleet.ts
+++ b/packages/stand_ins/src/core/object_platform/local_fleet.ts
@@ -17,6 +17,7 @@
   startStandInObjectStore,
 } from './object_store.js';
 import {STAND_IN_BOUNDS} from './stand_in_deployment.js';
+import {type TargetLinks, createTargetLinks} from './target_links.js';
 
 export interface LocalGateway {
   readonly id: string;
@@ -26,6 +27,8 @@
   readonly directory: {readonly host: string; readonly port: number};
   /** Settings in the format that the platform writes. */
   readonly settingsText: string;
+  /** Present if the fleet's links can be cut. */
+  readonly targetLinks?: TargetLinks;
   /** Stops it like a killed process, without draining. */
   terminate(): Promise<void>;
 }
@@ -36,6 +39,8 @@
   /** Region of each availability zone. */
   readonly zones: Readonly<Record<string, string>>;
   readonly bounds?: Readonly<Record<string, number>>;
+  /** Lets gateways be partitioned from the targets. Default: false. */
+  readonly hasTargetLinks?: boolean;
 }
 
 export interface LocalFleet {
@@ -72,6 +77,7 @@
 
   async function addGateway(id: string, zone: string): Promise<LocalGateway> {
     startedGateways += 1;
+    const targetLinks = await createLinks();
     // All gateways of a fleet share the peer port, so each needs its own host.
     const host = `${LOOPBACK_NETWORK}.${FIRST_HOST_NUMBER + startedGateways}`;
     const ports = (await reserveAddresses(3)).map(address =>
@@ -115,11 +121,13 @@
           store: client,
           timers,
           log,
+          connectToTarget: targetLinks?.connect,
         });
         try {
           await gateway.start();
         } catch (error) {
           await gateway.terminate();
+          targetLinks?.close();
           client.close();
           throw error;
         }
@@ -130,9 +138,11 @@
           readiness: {host, port: ready},
           directory: {host, port: directory},
           settingsText,
+          targetLinks,
           terminate: async () => {
             gateways.splice(gateways.indexOf(localGateway), 1);
             await gateway.terminate();
+            targetLinks?.close();
             client.close();
           },
         };
@@ -142,11 +152,25 @@
     });
   }
 
+  async function createLinks(): Promise<TargetLinks | undefined> {
+    if (options.hasTargetLinks !== true) {
+      return undefined;
+    }
+    const links = createTargetLinks();
+    for (const target of targets) {
+      await links.addTarget(target);
+    }
+    return links;
+  }
+
   async function addTarget(
     targetOptions: Omit<Parameters<typeof startFleetTarget>[0], 'timers'>,
   ): Promise<FleetTarget> {
     const target = await startFleetTarget({...targetOptions, timers});
     targets.push(target);
+    for (const {targetLinks} of gateways) {
+      await targetLinks?.addTarget(target);
+    }
     store.put('servers', target.id, target.entry());
     return target;
   }
--- a/packages/stand_ins/test/object_platform/harness.ts
+++ b/packages/stand_ins/test/object_platform/harness.ts
@@ -112,6 +112,7 @@
 export async function startHarness(
   targetOptions: Partial<Parameters<LocalFleet['addTarget']>[0]> = {},
   targetCount = 2,
+  fleetOptions: Partial<Parameters<typeof startLocalFleet>[0]> = {},
 ): Promise<Harness> {
   const logLines: string[] = [];
   const log = createKeyValueLogger({
@@ -119,7 +120,12 @@
     fields: {},
     write: line => logLines.push(line),
   });
-  const fleet = await startLocalFleet({timers, log, zones: REGION_BY_ZONE});
+  const fleet = await startLocalFleet({
+    timers,
+    log,
+    zones: REGION_BY_ZONE,
+    ...fleetOptions,
+  });
   try {
     return await populateFleet(fleet, targetOptions, targetCount, logLines);
   } catch (error) {
@@ -260,3 +266,7 @@
   }
   return runs;
 }
+
+export function countLogLines(harness: Harness, pattern: RegExp): number {
+  return harness.logLines.filter(line => pattern.test(line)).length;
+}
