Blame no target and no request for a cut of this VM's own

A VM whose connections to targets are reset records the requests that ran on them, then finds the targets refusing connections and takes them for dead: it suspects its requests, tells all VMs, and two such targets quarantine a request in the whole fleet for a minute.

That a target refuses connections now counts as its death only once another target has been reached since, or after 2 s if the VM does not count as cut off by then. A VM that is cut off records no failures of targets and forgets the connections that broke.

--- a/packages/decision/src/core/quarantine/crash_tracker.ts
+++ b/packages/decision/src/core/quarantine/crash_tracker.ts
@@ -14,6 +14,8 @@
   ): void;
   /** Records a crash; returns the fingerprints of the suspected requests. */
   recordCrash(incarnation: string, nowMs: number): readonly string[];
+  /** Forgets all broken connections. */
+  clear(): void;
 }
 
 /** A request is suspected if the crash is detected this soon after it broke. */
@@ -48,5 +50,6 @@
       }
       return suspects;
     },
+    clear: () => brokenByIncarnation.clear(),
   };
 }
--- a/packages/gateway/src/forwarding/attempt_recording.ts
+++ b/packages/gateway/src/forwarding/attempt_recording.ts
@@ -35,11 +35,16 @@
       return;
     case 'not-sent':
       context.reachEvidence.recordConnectionFailure(target);
+      if (context.targetReach() === 'cut-off') {
+        return;
+      }
       targetLoad.recordConnectionFailure(incarnation, nowMs);
       context.connections.closeIdle(incarnation);
-      crashGuard.recordTargetDeath(incarnation);
       return;
     case 'broken':
+      if (context.targetReach() === 'cut-off') {
+        return;
+      }
       targetLoad.recordFailure(incarnation);
       crashGuard.recordBrokenConnection(incarnation, end.fingerprint());
       return;
--- a/packages/gateway/src/forwarding/crash_guard.ts
+++ b/packages/gateway/src/forwarding/crash_guard.ts
@@ -24,6 +24,8 @@
   recordBrokenConnection(incarnation: string, fingerprint: string): void;
   /** Called when a target refuses connections, has restarted or was removed. */
   recordTargetDeath(incarnation: string): void;
+  /** Forgets broken connections that were not the targets' fault. */
+  forgetBrokenConnections(): void;
   /** Called when a target has answered the request with a status below 500. */
   answered(fingerprint: string): void;
   /**
@@ -113,6 +115,7 @@
         options.notifyPeers(fingerprint, target);
       }
     },
+    forgetBrokenConnections: crashTracker.clear,
     answered: fingerprint => suspicions.recordResponse(fingerprint),
     recordPeerReport: (fingerprint, target, ageMs) =>
       suspect(fingerprint, target, 'peer', ageMs),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -141,7 +141,11 @@
     listedTargets: () => (hasState() ? registry.all() : undefined),
     hasPeers: () => directory.livePeers().length > 0,
     peerReachedAtMs: () => directory.peerReachedTargetsAtMs(),
-    onCutOff: connections.closeAllIdle,
+    onTargetDeath: crashGuard.recordTargetDeath,
+    onCutOff: () => {
+      connections.closeAllIdle();
+      crashGuard.forgetBrokenConnections();
+    },
     onReadyChange: () => {
       logServingChange();
       peerConversation.broadcastHeartbeat();
--- a/packages/gateway/src/target_reach.ts
+++ b/packages/gateway/src/target_reach.ts
@@ -9,6 +9,7 @@
   createTargetReachability,
 } from '@ibisbeam/decision';
 import type {Logger, TimerHandle, TimerService} from '@ibisbeam/library';
+import {createConfirmedDeaths} from './confirmed_deaths.js';
 import type {ConnectToTarget} from './forwarding/target_connections.js';
 import {probeTarget} from './forwarding/target_probe.js';
 
@@ -44,6 +45,8 @@
   hasPeers(): boolean;
   /** Newest time at which a serving peer reached a target. */
   peerReachedAtMs(): number | undefined;
+  /** A target refuses connections, and this VM is not the cause. */
+  onTargetDeath(incarnation: string): void;
   onCutOff(): void;
   /** The VM has begun or ceased to be ready. */
   onReadyChange(): void;
@@ -58,6 +61,7 @@
 ): TargetReachMonitor {
   const {timers, log} = options;
   const reachability = createTargetReachability();
+  const deaths = createConfirmedDeaths(options.onTargetDeath);
   const handles: TimerHandle[] = [];
   const failedTargets = new Set<string>();
   const failedZones = new Set<string>();
@@ -110,6 +114,7 @@
     if (decision.reach !== reach) {
       onReachChange(decision.reach, peerReachedAtMs);
     }
+    deaths.update(reach, reachability.reachedAtMs(), nowMs);
     if (isReady !== wasReady) {
       options.onReadyChange();
     }
@@ -182,6 +187,7 @@
         countFailure(target);
         const nowMs = timers.nowMs();
         reachability.recordConnectionFailure(target.incarnation, nowMs);
+        deaths.add(target.incarnation, nowMs);
       },
       recordAnswer: () => {
         answers += 1;
--- a/packages/gateway/test/crash_guard.test.ts
+++ b/packages/gateway/test/crash_guard.test.ts
@@ -64,6 +64,14 @@
     assert.equal(later.isQuarantined('a1'), false);
   });
 
+  // Guards against blame for connections that a partition of the VM broke.
+  it('is not suspected for connections that were forgotten', () => {
+    guard.recordBrokenConnection('i-1@1', 'a1');
+    guard.forgetBrokenConnections();
+    guard.recordTargetDeath('i-1@1');
+    assert.deepEqual(notifications, []);
+  });
+
   it('is not suspected for a lost response if the target lives', () => {
     guard.recordBrokenConnection('i-1@1', 'a1');
     guard.recordBrokenConnection('i-2@1', 'a1');
--- a/packages/stand_ins/test/object_platform/cut_off.test.ts
+++ b/packages/stand_ins/test/object_platform/cut_off.test.ts
@@ -171,6 +171,27 @@
     assert.equal((await call(gateway)).status, 200);
   });
 
+  // Guards against quarantines of requests that ran when the VM was cut.
+  it('blames neither targets nor requests for its resets', async () => {
+    await addSecond();
+    for (const target of harness.targets) {
+      target.setWorkMs(300);
+    }
+    const running: Promise<unknown>[] = [];
+    for (let index = 0; index < 12; index += 1) {
+      running.push(call(harness.gateway, {key: `${index}`}));
+    }
+    await timers.sleep(100);
+    harness.gateway.targetLinks?.cut('reset');
+    for (let index = 0; index < 12; index += 1) {
+      running.push(call(harness.gateway, {key: `${index}`}));
+    }
+    await Promise.all(running);
+    await waitUntil(async () => !(await isReady(harness.gateway)));
+    await timers.sleep(2_500);
+    assert.equal(countLogLines(harness, /event=crash-suspected/), 0);
+  });
+
   // Guards against a fleet that steps out because its targets are down.
   it('stays ready while the others reach none either', async () => {
     const second = await addSecond();
