--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -7,6 +7,8 @@
   recordAttempt(service: string, outcome: string): void;
   /** Counts a request sent to a target that states a rate limit. */
   countLimitedSend(service: string): void;
+  /** Counts a new connection to a target, or an attempt to make one. */
+  countTargetConnection(outcome: 'made' | 'failed'): void;
   /** @param delayMs How late the event loop ran a timer. */
   recordEventLoopDelay(delayMs: number): void;
   /** @param read Called on each scrape. */
@@ -52,6 +54,12 @@
     labelNames: ['service'] as const,
     registers,
   });
+  const targetConnections = new Counter({
+    name: 'ibisbeam_target_connections_total',
+    help: 'New connections to targets, by outcome.',
+    labelNames: ['outcome'] as const,
+    registers,
+  });
 
   const eventLoopDelay = new Histogram({
     name: 'ibisbeam_event_loop_delay_seconds',
@@ -73,6 +81,7 @@
     },
     recordAttempt: (service, outcome) => attempts.inc({service, outcome}),
     countLimitedSend: service => limitedSends.inc({service}),
+    countTargetConnection: outcome => targetConnections.inc({outcome}),
     recordEventLoopDelay: delayMs =>
       eventLoopDelay.observe(delayMs / MILLISECONDS_PER_SECOND),
     recordAcceptBacklog: spanMs =>
@@ -110,6 +119,8 @@
   targets(): number;
   /** Number of targets that state a rate limit. */
   limitedTargets(): number;
+  /** Whether this VM is cut off from targets that others reach. */
+  isCutOff(): boolean;
 }
 
 /** Reported while a value is not known. */
@@ -175,4 +186,9 @@
     'Targets that state a rate limit.',
     sources.limitedTargets,
   );
+  metrics.registerGauge(
+    'ibisbeam_cut_off',
+    '1 while this VM reaches no target and other VMs do.',
+    () => (sources.isCutOff() ? 1 : 0),
+  );
 }
--- a/packages/gateway/src/forwarding/attempt_recording.ts
+++ b/packages/gateway/src/forwarding/attempt_recording.ts
@@ -18,7 +18,8 @@
 ): void {
   const {targetLoad, crashGuard} = context;
   const {outcome, nowMs} = end;
-  const {incarnation, entry} = end.attempt.placement.target;
+  const {target} = end.attempt.placement;
+  const {incarnation, entry} = target;
   switch (outcome.kind) {
     case 'answered':
       if (outcome.status >= 500) {
@@ -33,11 +34,17 @@
       }
       return;
     case 'not-sent':
+      context.reachEvidence.recordConnectionFailure(target);
+      if (context.targetReach() === 'cut-off') {
+        return;
+      }
       targetLoad.recordConnectionFailure(incarnation, nowMs);
       context.connections.closeIdle(incarnation);
-      crashGuard.recordTargetDeath(incarnation);
       return;
     case 'broken':
+      if (context.targetReach() === 'cut-off') {
+        return;
+      }
       targetLoad.recordFailure(incarnation);
       crashGuard.recordBrokenConnection(incarnation, end.fingerprint());
       return;
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -7,6 +7,7 @@
   Placement,
   RegisteredTarget,
   Route,
+  TargetReach,
   WindowedRetryBudget,
   ServiceTimes,
   TargetLoad,
@@ -15,6 +16,7 @@
 import type {Logger, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
 import type {CopyGuard} from '../store/copy_guard.js';
+import type {ReachEvidence} from '../target_reach.js';
 import type {CrashGuard} from './crash_guard.js';
 import type {TargetConnections} from './target_connections.js';
 import type {AdmissionQueue} from './admission_queue.js';
@@ -60,6 +62,7 @@
   readonly retryBudget: WindowedRetryBudget;
   readonly connections: TargetConnections;
   readonly crashGuard: CrashGuard;
+  readonly reachEvidence: ReachEvidence;
   readonly clientRetryDetector: ClientRetryDetector;
   readonly admissionQueue: AdmissionQueue;
   readonly sendScheduler: SendScheduler;
@@ -68,6 +71,8 @@
   findRoute(incoming: IncomingMessage): Route | undefined;
   /** Requests are sent only while the copies of the store are confirmed. */
   readonly copyGuard: Pick<CopyGuard, 'state' | 'whenUsable'>;
+  /** Whether this VM reaches targets, as far as it can tell. */
+  targetReach(): TargetReach;
   /** Idle connections that this VM may keep to one target of the service. */
   maximumIdleConnections(service: string): number;
   /**
--- a/packages/gateway/src/forwarding/target_connections.ts
+++ b/packages/gateway/src/forwarding/target_connections.ts
@@ -14,6 +14,14 @@
   readonly maximumCount: number;
 }
 
+export interface TargetAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Opens a connection to a target. */
+export type ConnectToTarget = (address: TargetAddress) => Socket;
+
 export interface TargetConnections {
   /**
    * Returns the target's agent after closing its idle connections beyond the
@@ -26,6 +34,8 @@
   recordKeepAlive(request: ClientRequest, response: IncomingMessage): void;
   /** Closes the idle connections to a target. */
   closeIdle(incarnation: string): void;
+  /** Closes all idle connections. */
+  closeAllIdle(): void;
   /** Removes the pool; connections in use close after their requests. */
   removePool(incarnation: string): void;
   close(): void;
@@ -45,6 +55,7 @@
 
 export function createTargetConnections(
   timers: Pick<TimerService, 'nowMs'>,
+  connect?: ConnectToTarget,
 ): TargetConnections {
   const agents = new Map<string, Agent>();
   const idleStates = new WeakMap<Socket, IdleState>();
@@ -70,6 +81,12 @@
       maxFreeSockets: maximumCount,
       scheduling: 'fifo',
     });
+    if (connect) {
+      Object.assign(agent, {
+        createConnection: ({host, port}: TargetAddress) =>
+          connect({host, port}),
+      });
+    }
     agent.on('free', (socket: Socket) => {
       const state = idleStateOf(socket);
       state.freedAtMs = timers.nowMs();
@@ -147,6 +164,11 @@
     },
     recordKeepAlive,
     closeIdle,
+    closeAllIdle: () => {
+      for (const incarnation of agents.keys()) {
+        closeIdle(incarnation);
+      }
+    },
     removePool,
     close: () => {
       for (const incarnation of [...agents.keys()]) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,7 +37,10 @@
 import type {ForwardingContext} from './forwarding/context.js';
 import {createCrashGuard} from './forwarding/crash_guard.js';
 import {logFinishedRequest} from './forwarding/request_log.js';
-import {createTargetConnections} from './forwarding/target_connections.js';
+import {
+  type ConnectToTarget,
+  createTargetConnections,
+} from './forwarding/target_connections.js';
 import {createAdmissionQueue} from './forwarding/admission_queue.js';
 import {createSendScheduler} from './forwarding/send_scheduler.js';
 import type {VmRecord} from './peers/messages.js';
@@ -52,6 +55,7 @@
 } from './target_rate_limits.js';
 import {createCopyGuard} from './store/copy_guard.js';
 import {createStoreFollower} from './store/store_follower.js';
+import {createTargetReachMonitor} from './target_reach.js';
 
 export interface GatewayOptions {
   readonly settings: GatewaySettings;
@@ -59,6 +63,8 @@
   readonly store: PlatformStore;
   readonly timers: TimerService;
   readonly log: Logger;
+  /** Default: a TCP connection. */
+  readonly connectToTarget?: ConnectToTarget;
 }
 
 export interface Gateway {
@@ -102,7 +108,7 @@
   const targetLoad = createTargetLoad();
   const serviceTimes = createServiceTimes();
   const warmKeys = createWarmKeys();
-  const connections = createTargetConnections(timers);
+  const connections = createTargetConnections(timers, options.connectToTarget);
   const coldStartLimiter = createColdStartLimiter(vm);
   const spilloverBudget = createFractionalTokenBucket(
     SPILLOVER_FRACTION,
@@ -128,10 +134,29 @@
     notifyPeers: (fingerprint, target) =>
       mesh.broadcast({kind: 'target-lost', fingerprint, target}),
   });
+  const reachMonitor = createTargetReachMonitor({
+    timers,
+    log,
+    connect: options.connectToTarget,
+    countConnection: metrics.countTargetConnection,
+    listedTargets: () => (hasState() ? registry.all() : undefined),
+    hasPeers: () => directory.livePeers().length > 0,
+    peerReachedAtMs: () => directory.peerReachedTargetsAtMs(),
+    onTargetDeath: crashGuard.recordTargetDeath,
+    onCutOff: () => {
+      connections.closeAllIdle();
+      crashGuard.forgetBrokenConnections();
+    },
+    onReadyChange: () => {
+      logServingChange();
+      peerConversation.broadcastHeartbeat();
+    },
+  });
   const startedAtMs = timers.nowMs();
   /** The other VMs that share the bounds of the fleet with this one. */
   let sharingVms: readonly SharingVm[] = [];
   let stopping = false;
+  let wasServing = false;
   let stopCompletion: Promise<void> | undefined;
 
   const fleet = createFleetState({
@@ -230,6 +255,7 @@
     timers,
     log,
     isServing,
+    targetReach: reachMonitor,
   });
 
   const context: ForwardingContext = {
@@ -274,6 +300,7 @@
     }),
     connections,
     crashGuard,
+    reachEvidence: reachMonitor.evidence,
     clientRetryDetector: createClientRetryDetector(),
     admissionQueue: createAdmissionQueue(timers),
     sendScheduler: createSendScheduler({timers, acceptBacklog}),
@@ -281,6 +308,7 @@
     findRoute: incoming =>
       fleet.routes()?.find(incoming.headers.host ?? '', incoming.url ?? '/'),
     copyGuard,
+    targetReach: reachMonitor.reach,
     maximumIdleConnections: service =>
       maximumIdleConnections(
         fleet.maximumConnections(service),
@@ -345,17 +373,31 @@
     liveVms: () => directory.liveVmIds().length,
     targets: () => registry.all().length,
     limitedTargets: rateLimits.count,
+    isCutOff: () => reachMonitor.reach() === 'cut-off',
   });
 
+  /** Whether configuration and targets are known. */
+  function hasState(): boolean {
+    return fleet.routes() !== undefined && follower.isComplete();
+  }
+
   function isServing(): boolean {
     return (
-      fleet.routes() !== undefined &&
-      follower.isComplete() &&
+      hasState() &&
       copyGuard.state() === 'confirmed' &&
+      reachMonitor.isReady() &&
       !stopping
     );
   }
 
+  function logServingChange(): void {
+    const serving = isServing();
+    if (serving !== wasServing) {
+      wasServing = serving;
+      log.log('info', 'vm-serving', {serving});
+    }
+  }
+
   function resolveDirectory(url: URL) {
     const query = protocol.readDirectoryQuery(url.searchParams);
     const homeRegions = fleet.routes()?.homeRegionsOf(query.host ?? '') ?? [];
@@ -378,6 +420,7 @@
   }
 
   function onHeartbeatDue(): void {
+    logServingChange();
     peerConversation.broadcastHeartbeat();
     const liveVmIds = directory.liveVmIds();
     copyGuard.observeContacts({
@@ -416,6 +459,7 @@
     follower.start();
     copyGuard.start();
     registration.start();
+    reachMonitor.start();
     timerHandles.push(
       startEventLoopMonitor({
         timers,
@@ -457,6 +501,7 @@
     follower.stop();
     copyGuard.stop();
     registration.stop();
+    reachMonitor.stop();
     mesh.close();
     readinessServer.close();
     directoryServer.close();
--- a/packages/gateway/src/peers/peer_conversation.ts
+++ b/packages/gateway/src/peers/peer_conversation.ts
@@ -11,6 +11,7 @@
 import type {RegionPlan} from '../region_plan.js';
 import type {CopyGuard} from '../store/copy_guard.js';
 import {STORE_KINDS, type StoreFollower} from '../store/store_follower.js';
+import type {TargetReachMonitor} from '../target_reach.js';
 import type {TargetRateLimits} from '../target_rate_limits.js';
 import {createCopyComparison} from './copy_comparison.js';
 import type {PeerMessage, VmRecord} from './messages.js';
@@ -39,6 +40,7 @@
   readonly timers: Pick<TimerService, 'nowMs' | 'wallMs'>;
   readonly log: Logger;
   isServing(): boolean;
+  readonly targetReach: Pick<TargetReachMonitor, 'reach' | 'reachedAgeMs'>;
 }
 
 /** A VM that started before has seen the store as it was before a restore. */
@@ -122,7 +124,13 @@
     from: VmRecord,
     message: Extract<PeerMessage, {kind: 'heartbeat'}>,
   ): void {
-    options.directory.recordHeartbeat(from.id, message.serving);
+    const reachAgeMs = message.targetReach?.ageMs;
+    options.directory.recordHeartbeat(from.id, {
+      isServing: message.serving,
+      isCutOff: message.targetReach?.cutOff === true,
+      reachedTargetsAtMs:
+        reachAgeMs === undefined ? undefined : timers.nowMs() - reachAgeMs,
+    });
     options.regionPlan.recordPeerDemand(from.id, new Map(message.demand));
     rateLimits.recordPeerReports(from.id, message.rateLimits ?? []);
     copyComparison.compare(from.id, message.copyVersions ?? {});
@@ -137,6 +145,8 @@
     rateLimitReports: readonly RateLimitReport[],
   ): PeerMessage {
     const {demandMeter} = options.regionPlan;
+    const {targetReach} = options;
+    const isCutOff = targetReach.reach() === 'cut-off';
     return {
       kind: 'heartbeat',
       serving: options.isServing(),
@@ -144,6 +154,7 @@
       demand: [...demandMeter.demandByService(timers.nowMs())],
       rateLimits: [...rateLimitReports],
       copyVersions: follower.copyVersions(),
+      targetReach: {cutOff: isCutOff, ageMs: targetReach.reachedAgeMs()},
     };
   }
 
--- /dev/null
+++ b/packages/gateway/src/target_reach.ts
@@ -0,0 +1,215 @@
+/**
+ * Watches whether this VM reaches targets, from its own connections, probes and
+ * what peers say of theirs, and tells what follows from a change.
+ */
+import {
+  type ProbeTarget,
+  type RegisteredTarget,
+  type TargetReach,
+  createTargetReachability,
+} from '@ibisbeam/decision';
+import type {Logger, TimerHandle, TimerService} from '@ibisbeam/library';
+import {createConfirmedDeaths} from './confirmed_deaths.js';
+import type {ConnectToTarget} from './forwarding/target_connections.js';
+import {probeTarget} from './forwarding/target_probe.js';
+
+export type ConnectionOutcome = 'made' | 'failed';
+
+/** Told by everything that connects to targets. */
+export interface ReachEvidence {
+  /** A new connection to the target is established. */
+  recordConnection(target: RegisteredTarget): void;
+  recordConnectionFailure(target: RegisteredTarget): void;
+  /** A target has answered a request, on whatever connection. */
+  recordAnswer(): void;
+}
+
+export interface TargetReachMonitor {
+  readonly evidence: ReachEvidence;
+  reach(): TargetReach;
+  /** Whether the VM may accept clients, as far as targets are concerned. */
+  isReady(): boolean;
+  /** Time since a target was reached; undefined while that is in doubt. */
+  reachedAgeMs(): number | undefined;
+  start(): void;
+  stop(): void;
+}
+
+export interface TargetReachMonitorOptions {
+  readonly timers: TimerService;
+  readonly log: Logger;
+  readonly connect: ConnectToTarget | undefined;
+  countConnection(outcome: ConnectionOutcome): void;
+  /** Undefined until the targets are known. */
+  listedTargets(): readonly RegisteredTarget[] | undefined;
+  hasPeers(): boolean;
+  /** Newest time at which a serving peer reached a target. */
+  peerReachedAtMs(): number | undefined;
+  /** A target refuses connections, and this VM is not the cause. */
+  onTargetDeath(incarnation: string): void;
+  onCutOff(): void;
+  /** The VM has begun or ceased to be ready. */
+  onReadyChange(): void;
+}
+
+/** Interval of the log lines about failed connections. */
+const LOG_INTERVAL_MS = 1_000;
+const UPDATE_INTERVAL_MS = 50;
+
+export function createTargetReachMonitor(
+  options: TargetReachMonitorOptions,
+): TargetReachMonitor {
+  const {timers, log} = options;
+  const reachability = createTargetReachability();
+  const deaths = createConfirmedDeaths(options.onTargetDeath);
+  const handles: TimerHandle[] = [];
+  const failedTargets = new Set<string>();
+  const failedZones = new Set<string>();
+  let made = 0;
+  let failed = 0;
+  let answers = 0;
+  let reach: TargetReach = 'suspect';
+  let isReady = false;
+
+  function countFailure({incarnation, entry}: RegisteredTarget): void {
+    failed += 1;
+    failedTargets.add(incarnation);
+    failedZones.add(entry.zone);
+    options.countConnection('failed');
+  }
+
+  function countConnection(): void {
+    made += 1;
+    options.countConnection('made');
+  }
+
+  function update(): void {
+    const targets = options.listedTargets();
+    if (!targets) {
+      return;
+    }
+    const nowMs = timers.nowMs();
+    const byIncarnation = new Map<string, RegisteredTarget>();
+    const candidates: ProbeTarget[] = [];
+    for (const target of targets) {
+      if (!target.entry.draining) {
+        const {incarnation, entry} = target;
+        byIncarnation.set(incarnation, target);
+        candidates.push({incarnation, zone: entry.zone});
+      }
+    }
+    const peerReachedAtMs = options.peerReachedAtMs();
+    const decision = reachability.update(
+      {targets: candidates, hasPeers: options.hasPeers(), peerReachedAtMs},
+      nowMs,
+    );
+    for (const {incarnation} of decision.probes) {
+      const target = byIncarnation.get(incarnation);
+      if (target) {
+        probe(target);
+      }
+    }
+    const wasReady = isReady;
+    isReady = decision.isReady;
+    if (decision.reach !== reach) {
+      onReachChange(decision.reach, peerReachedAtMs);
+    }
+    deaths.update(reach, reachability.reachedAtMs(), nowMs);
+    if (isReady !== wasReady) {
+      options.onReadyChange();
+    }
+  }
+
+  function onReachChange(
+    next: TargetReach,
+    peerReachedAtMs: number | undefined,
+  ): void {
+    const nowMs = timers.nowMs();
+    const isNotable = next === 'cut-off' || reach === 'cut-off';
+    log.log(isNotable ? 'warn' : 'info', 'target-reach', {
+      from: reach,
+      to: next,
+      ...reachability.summary(nowMs),
+      peerReachedAgeMs:
+        peerReachedAtMs === undefined
+          ? undefined
+          : Math.round(nowMs - peerReachedAtMs),
+    });
+    reach = next;
+    if (next === 'cut-off') {
+      options.onCutOff();
+    }
+  }
+
+  function probe(target: RegisteredTarget): void {
+    const {host, port} = target.entry;
+    probeTarget(
+      {host, port},
+      timers,
+      connected => {
+        if (connected) {
+          countConnection();
+        } else {
+          countFailure(target);
+        }
+        reachability.recordProbe(target.incarnation, connected, timers.nowMs());
+        update();
+      },
+      options.connect,
+    );
+  }
+
+  function logFailures(): void {
+    if (failed > 0) {
+      log.log('info', 'target-connections', {
+        failed,
+        failedTargets: failedTargets.size,
+        failedZones: failedZones.size,
+        made,
+        answers,
+        listed: options.listedTargets()?.length ?? 0,
+      });
+    }
+    made = 0;
+    failed = 0;
+    answers = 0;
+    failedTargets.clear();
+    failedZones.clear();
+  }
+
+  return {
+    evidence: {
+      recordConnection: () => {
+        countConnection();
+        reachability.recordConnection(timers.nowMs());
+      },
+      recordConnectionFailure: target => {
+        countFailure(target);
+        const nowMs = timers.nowMs();
+        reachability.recordConnectionFailure(target.incarnation, nowMs);
+        deaths.add(target.incarnation, nowMs);
+      },
+      recordAnswer: () => {
+        answers += 1;
+        reachability.recordAnswer(timers.nowMs());
+      },
+    },
+    reach: () => reach,
+    isReady: () => isReady,
+    reachedAgeMs: () => {
+      const atMs = reachability.reachedAtMs();
+      return atMs === undefined ? undefined : timers.nowMs() - atMs;
+    },
+    start: () => {
+      handles.push(
+        timers.every(UPDATE_INTERVAL_MS, update),
+        timers.every(LOG_INTERVAL_MS, logFailures),
+      );
+    },
+    stop: () => {
+      for (const handle of handles) {
+        handle.cancel();
+      }
+    },
+  };
+}
