Allow for requests in flight when homes come into force in a test

'leaves the waiting line only for its homes' failed twice in a run of all files beside other work: 5 and 6 requests arrived 1 to 2 ms after the configuration, traced with their delays; they had been sent in the same turn of the event loop. Arrivals within 50 ms of it don't count now; nothing else changed.

--- a/packages/stand_ins/test/object_platform/homes.test.ts
+++ b/packages/stand_ins/test/object_platform/homes.test.ts
@@ -13,6 +13,8 @@
 /** Long enough for requests to be held until slots are free again. */
 const LONG_TIMEOUT_MS = 20_000;
 const WORK_MS = 400;
+/** What was sent before a change may arrive so long after it. */
+const DELIVERY_MS = 50;
 
 describe('a request whose route gets home regions while it is being served', () => {
   let harness: Harness;
@@ -100,8 +102,11 @@
     await Promise.all(pending);
     const late = harness.targets
       .flatMap(({arrivals}) => arrivals)
-      .filter(({atMs}) => atMs > inForceMs);
-    assert.equal(late.length, 0);
+      .filter(({atMs}) => atMs > inForceMs + DELIVERY_MS);
+    assert.deepEqual(
+      late.map(({atMs}) => Math.round(atMs - inForceMs)),
+      [],
+    );
     assert.ok(home.runs.some(({atMs}) => atMs > inForceMs));
   });
 });
