Compare with peers only after the VM's own probes failed

Suspicion counted from the oldest failure that was still remembered, up to two seconds back. If one target had failed then and all targets failed later, a peer that reached one in between counted as proof that this VM is cut off. Now a peer counts if it reached a target 200 ms after the first round was sent in which all probes failed.

The play also sends each cut VM sixteen requests at once, so that new connections are needed at all; with fewer requests nothing shows the cut and established connections serve them.

--- a/packages/decision/src/core/target_reachability/target_reachability.ts
+++ b/packages/decision/src/core/target_reachability/target_reachability.ts
@@ -1,8 +1,8 @@
 /**
  * Decides whether this VM reaches targets. Only new connections count against
  * it: an established one may live on while no other can be made. A VM is cut
- * off only if another one has reached targets since its own connections began
- * to fail; otherwise the targets are down.
+ * off only if another one has reached targets since all of its own probes
+ * failed; otherwise the targets are down.
  */
 import {chooseProbes} from './probe_choice.js';
 import type {
@@ -37,12 +37,12 @@
 const SUSPICIOUS_TARGETS = 2;
 /** Probes in one round of a suspicion. */
 const ROUND_PROBES = 4;
-/** Least time between the rounds of two suspicions. */
+/** Least time between rounds that follow from failed connections. */
 const FIRST_ROUND_DELAY_MS = 200;
 const SUSPECT_ROUND_INTERVAL_MS = 400;
 const CUT_OFF_ROUND_INTERVAL_MS = 250;
 /**
- * A peer counts if it reached targets this long after the first failure here:
+ * A peer counts if it reached targets this long after the probes were sent:
  * its message takes some time, and targets may have failed for all.
  */
 const PEER_MARGIN_MS = 200;
@@ -58,6 +58,11 @@
 /** After a longer pause of the process, failures may be its own fault. */
 const PAUSE_MS = 300;
 
+interface FailureSpan {
+  readonly firstMs: number;
+  readonly lastMs: number;
+}
+
 interface Round {
   readonly pending: Set<string>;
   connected: number;
@@ -69,13 +74,14 @@
   let isProven = false;
   let connectedAtMs = -Infinity;
   let answeredAtMs = -Infinity;
-  /** Time of the last failure by target, since the last connection. */
-  const failures = new Map<string, number>();
+  /** Failures by target since the last connection. */
+  const failures = new Map<string, FailureSpan>();
   let suspectSinceMs: number | undefined;
   let round: Round | undefined;
   let lastRoundAtMs = -Infinity;
   let roundCount = 0;
-  let hasFailedRound = false;
+  /** Start of the first round of this suspicion in which all probes failed. */
+  let failedRoundAtMs: number | undefined;
   let goodRounds = 0;
   let neededRounds = RETURN_ROUNDS;
   let returnedAtMs = -Infinity;
@@ -93,12 +99,13 @@
   function setReaching(): void {
     reach = 'reaching';
     suspectSinceMs = undefined;
-    hasFailedRound = false;
+    failedRoundAtMs = undefined;
     failures.clear();
   }
 
   function recordConnectionFailure(incarnation: string, nowMs: number): void {
-    failures.set(incarnation, nowMs);
+    const firstMs = failures.get(incarnation)?.firstMs ?? nowMs;
+    failures.set(incarnation, {firstMs, lastMs: nowMs});
   }
 
   function recordProbe(
@@ -123,7 +130,9 @@
 
   function endRound({connected, failed}: Round): void {
     round = undefined;
-    hasFailedRound ||= reach === 'suspect' && connected === 0;
+    if (reach === 'suspect' && connected === 0) {
+      failedRoundAtMs ??= lastRoundAtMs;
+    }
     goodRounds = connected > failed ? goodRounds + 1 : 0;
   }
 
@@ -136,7 +145,7 @@
     if (updatedAtMs !== undefined && nowMs - updatedAtMs > PAUSE_MS) {
       failures.clear();
       round = undefined;
-      hasFailedRound = false;
+      failedRoundAtMs = undefined;
       goodRounds = 0;
       if (reach === 'suspect') {
         suspectSinceMs = nowMs;
@@ -150,13 +159,13 @@
       case 'reaching':
         if (isSuspicious(surroundings.targets.length, nowMs)) {
           reach = 'suspect';
-          suspectSinceMs = Math.min(...failures.values());
+          suspectSinceMs = firstFailureMs();
           round = undefined;
         }
         return;
       case 'suspect':
         suspectSinceMs ??= nowMs;
-        if (hasFailedRound && peerReachesSince(suspectSinceMs, surroundings)) {
+        if (peerReachesAfterFailedRound(surroundings)) {
           setCutOff(nowMs);
         }
         return;
@@ -167,8 +176,8 @@
   }
 
   function isSuspicious(targetCount: number, nowMs: number): boolean {
-    for (const [incarnation, atMs] of failures) {
-      if (nowMs - atMs > FAILURE_LIFETIME_MS) {
+    for (const [incarnation, {lastMs}] of failures) {
+      if (nowMs - lastMs > FAILURE_LIFETIME_MS) {
         failures.delete(incarnation);
       }
     }
@@ -178,17 +187,25 @@
     return failures.size > 0 && failures.size >= needed;
   }
 
+  function firstFailureMs(): number | undefined {
+    let earliestMs: number | undefined;
+    for (const {firstMs} of failures.values()) {
+      earliestMs = Math.min(firstMs, earliestMs ?? Infinity);
+    }
+    return earliestMs;
+  }
+
   function isSilent(nowMs: number): boolean {
     return nowMs - reachedAtMs() > EVIDENCE_LIFETIME_MS;
   }
 
-  function peerReachesSince(
-    sinceMs: number,
-    {peerReachedAtMs}: ReachSurroundings,
-  ): boolean {
+  function peerReachesAfterFailedRound({
+    peerReachedAtMs,
+  }: ReachSurroundings): boolean {
     return (
+      failedRoundAtMs !== undefined &&
       peerReachedAtMs !== undefined &&
-      peerReachedAtMs > sinceMs + PEER_MARGIN_MS
+      peerReachedAtMs > failedRoundAtMs + PEER_MARGIN_MS
     );
   }
 
@@ -214,7 +231,7 @@
     if (nowMs - (peerReachedAtMs ?? -Infinity) > PEER_LIFETIME_MS) {
       reach = 'suspect';
       suspectSinceMs = nowMs;
-      hasFailedRound = false;
+      failedRoundAtMs = undefined;
     }
   }
 
@@ -228,7 +245,8 @@
     const waitedMs = nowMs - (suspectSinceMs ?? nowMs);
     isProven =
       targets.length === 0 ||
-      (hasFailedRound && (!hasPeers || waitedMs > START_PATIENCE_MS));
+      (failedRoundAtMs !== undefined &&
+        (!hasPeers || waitedMs > START_PATIENCE_MS));
     if (targets.length === 0) {
       setReaching();
     }
@@ -244,7 +262,7 @@
     const sinceRoundMs = nowMs - lastRoundAtMs;
     switch (reach) {
       case 'reaching':
-        return isSilent(nowMs) && sinceRoundMs > EVIDENCE_LIFETIME_MS
+        return sinceRoundMs > reachingRoundIntervalMs(nowMs)
           ? startRound(targets, 1, nowMs)
           : [];
       case 'suspect':
@@ -258,8 +276,17 @@
     }
   }
 
+  function reachingRoundIntervalMs(nowMs: number): number {
+    if (failures.size > 0) {
+      return FIRST_ROUND_DELAY_MS;
+    }
+    return isSilent(nowMs) ? EVIDENCE_LIFETIME_MS : Infinity;
+  }
+
   function suspectRoundIntervalMs(): number {
-    return hasFailedRound ? SUSPECT_ROUND_INTERVAL_MS : FIRST_ROUND_DELAY_MS;
+    return failedRoundAtMs !== undefined
+      ? SUSPECT_ROUND_INTERVAL_MS
+      : FIRST_ROUND_DELAY_MS;
   }
 
   function startRound(
@@ -306,9 +333,7 @@
       reach === 'reaching' && Number.isFinite(reachedAtMs())
         ? reachedAtMs()
         : undefined,
-    failingSinceMs: () =>
-      suspectSinceMs ??
-      (failures.size > 0 ? Math.min(...failures.values()) : undefined),
+    failingSinceMs: () => suspectSinceMs ?? firstFailureMs(),
     summary: nowMs => ({
       failedTargets: failures.size,
       sinceConnectionMs: finiteOrUndefined(nowMs - connectedAtMs),
--- a/packages/decision/test/target_reachability/target_reachability.test.ts
+++ b/packages/decision/test/target_reachability/target_reachability.test.ts
@@ -86,6 +86,14 @@
     assert.equal(probeCount, 0);
   });
 
+  it('is probed once more for a connection that failed', () => {
+    probeCount = 0;
+    reachability.recordConnectionFailure('a1', nowMs);
+    run(3_000, () => reachability.recordAnswer(nowMs));
+    assert.equal(probeCount, 1);
+    assert.equal(decision.reach, 'reaching');
+  });
+
   it('is probed at most twice a second without traffic', () => {
     probeCount = 0;
     run(10_000);
--- a/packages/stand_ins/test/object_platform/cut_off.test.ts
+++ b/packages/stand_ins/test/object_platform/cut_off.test.ts
@@ -24,6 +24,7 @@
 
 const CUT_MS = 6_000;
 const SLOW_WORK_MS = 100;
+const BURST = 16;
 /** The VM is out by then. */
 const DETECTION_MS = 1_500;
 /** The VM is back by then. */
@@ -77,12 +78,16 @@
     fault: LinkFault,
   ): Promise<Partition> {
     const fromMs = timers.nowMs();
-    // Requests that take longer need more connections than were open.
+    // More requests at a time need more connections than were open.
+    const burst: Promise<unknown>[] = [];
     for (const target of targets) {
       target.setWorkMs(SLOW_WORK_MS);
     }
-    for (const {targetLinks} of vms) {
-      targetLinks?.cut(fault);
+    for (const vm of vms) {
+      vm.targetLinks?.cut(fault);
+      for (let index = 0; index < BURST; index += 1) {
+        burst.push(call(vm, {key: `burst-${index}`}));
+      }
     }
     await timers.sleep(DETECTION_MS);
     const readyThere = await countReady(vms);
@@ -94,6 +99,7 @@
       targetLinks?.restore();
     }
     const untilMs = timers.nowMs();
+    await Promise.all(burst);
     await timers.sleep(RETURN_MS);
     const partition = {vms: new Set(vms.map(({id}) => id)), fromMs, untilMs};
     assert.deepEqual(
