Forget at a VM's return the failures that were its own

When a VM is back, targets without failed connections before the cut are as before it. Those that failed before and those that are cold by the store's word stay so.

target_load.test.ts has a new case (no such function existed before).

--- a/packages/decision/src/core/placement/target_load.ts
+++ b/packages/decision/src/core/placement/target_load.ts
@@ -56,6 +56,11 @@
   recordFailure(incarnation: string): void;
   /** Records that the target refused or dropped a connection. */
   recordConnectionFailure(incarnation: string, nowMs: number): void;
+  /**
+   * Forgets the failures of targets that had none before `sinceMs`: they were
+   * this VM's.
+   */
+  forgetFailures(sinceMs: number): void;
   remove(incarnation: string): void;
 }
 
@@ -93,6 +98,8 @@
   delayedAtMs: number;
   failures: number;
   connectFailures: number;
+  /** Time of the first failed connection since the target was well. */
+  failingSinceMs: number | undefined;
   backoffUntilMs: number;
   recoveringUntilMs: number;
 }
@@ -114,6 +121,7 @@
       delayedAtMs: -Infinity,
       failures: 0,
       connectFailures: 0,
+      failingSinceMs: undefined,
       backoffUntilMs: -Infinity,
       recoveringUntilMs: -Infinity,
     };
@@ -209,11 +217,27 @@
       MAXIMUM_BACKOFF_MS,
       INITIAL_BACKOFF_MS * 2 ** record.connectFailures,
     );
+    if (record.connectFailures === 0 && nowMs >= record.recoveringUntilMs) {
+      record.failingSinceMs = nowMs;
+    }
     record.connectFailures += 1;
     record.backoffUntilMs = Math.max(record.backoffUntilMs, nowMs + pauseMs);
     record.recoveringUntilMs = record.backoffUntilMs + RECOVERY_MS;
   }
 
+  function forgetFailures(sinceMs: number): void {
+    for (const record of records.values()) {
+      const {failingSinceMs} = record;
+      if (failingSinceMs !== undefined && failingSinceMs >= sinceMs) {
+        record.failures = 0;
+        record.connectFailures = 0;
+        record.failingSinceMs = undefined;
+        record.backoffUntilMs = -Infinity;
+        record.recoveringUntilMs = -Infinity;
+      }
+    }
+  }
+
   return {
     inFlight: incarnation => records.get(incarnation)?.inFlight ?? 0,
     estimatedInFlight,
@@ -242,6 +266,7 @@
       record.failures += (1 - record.failures) * SAMPLE_WEIGHT;
     },
     recordConnectionFailure,
+    forgetFailures,
     remove: incarnation => {
       records.delete(incarnation);
     },
--- a/packages/decision/test/placement/target_load.test.ts
+++ b/packages/decision/test/placement/target_load.test.ts
@@ -34,3 +34,23 @@
     assert.equal(load.slowdown(INCARNATION), 1);
   });
 });
+
+describe('failures that were this VM’s own', () => {
+  // Guards against treating all targets as cold after a VM was cut off.
+  it('are forgotten, and those of before are not', () => {
+    const load = createTargetLoad();
+    load.recordConnectionFailure('dead', 900);
+    load.recordConnectionFailure('dead', 1_200);
+    load.recordConnectionFailure('well', 1_100);
+    load.recordConnectionFailure('well', 1_500);
+    load.recordFailure('well');
+    load.recordResponse('well', undefined);
+    load.forgetFailures(1_000);
+    assert.equal(load.isRecovering('well', 1_600), false);
+    assert.equal(load.backoffUntilMs('well'), -Infinity);
+    assert.equal(load.failureRate('well'), 0);
+    assert.equal(load.isRecovering('dead', 1_600), true);
+    load.recordConnectionFailure('well', 1_600);
+    assert.equal(load.backoffUntilMs('well'), 1_800);
+  });
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -146,6 +146,7 @@
       connections.closeAllIdle();
       crashGuard.forgetBrokenConnections();
     },
+    onReturn: targetLoad.forgetFailures,
     onReadyChange: () => {
       logServingChange();
       peerConversation.broadcastHeartbeat();
--- a/packages/gateway/src/target_reach.ts
+++ b/packages/gateway/src/target_reach.ts
@@ -48,12 +48,16 @@
   /** A target refuses connections, and this VM is not the cause. */
   onTargetDeath(incarnation: string): void;
   onCutOff(): void;
+  /** @param sinceMs When connections began to fail. */
+  onReturn(sinceMs: number): void;
   /** The VM has begun or ceased to be ready. */
   onReadyChange(): void;
 }
 
 /** Interval of the log lines about failed connections. */
 const LOG_INTERVAL_MS = 1_000;
+/** The first failures may have been recorded just before. */
+const FAILURE_MARGIN_MS = 100;
 const UPDATE_INTERVAL_MS = 50;
 
 export function createTargetReachMonitor(
@@ -70,6 +74,7 @@
   let answers = 0;
   let reach: TargetReach = 'suspect';
   let isReady = false;
+  let cutSinceMs: number | undefined;
 
   function countFailure({incarnation, entry}: RegisteredTarget): void {
     failed += 1;
@@ -99,6 +104,7 @@
       }
     }
     const peerReachedAtMs = options.peerReachedAtMs();
+    const failingSinceMs = reachability.failingSinceMs();
     const decision = reachability.update(
       {targets: candidates, hasPeers: options.hasPeers(), peerReachedAtMs},
       nowMs,
@@ -112,7 +118,7 @@
     const wasReady = isReady;
     isReady = decision.isReady;
     if (decision.reach !== reach) {
-      onReachChange(decision.reach, peerReachedAtMs);
+      onReachChange(decision.reach, failingSinceMs ?? nowMs, peerReachedAtMs);
     }
     deaths.update(reach, reachability.reachedAtMs(), nowMs);
     if (isReady !== wasReady) {
@@ -122,6 +128,7 @@
 
   function onReachChange(
     next: TargetReach,
+    failingSinceMs: number,
     peerReachedAtMs: number | undefined,
   ): void {
     const nowMs = timers.nowMs();
@@ -137,7 +144,11 @@
     });
     reach = next;
     if (next === 'cut-off') {
+      cutSinceMs = failingSinceMs;
       options.onCutOff();
+    } else if (next === 'reaching' && cutSinceMs !== undefined) {
+      options.onReturn(cutSinceMs - FAILURE_MARGIN_MS);
+      cutSinceMs = undefined;
     }
   }
 
