Count no demand and no share of a VM that is cut off

Requests that a cut VM refuses come again at other VMs, which tell of them: they counted twice in the demand by which regions divide their work. And the parts of shared bounds (cold targets, stated limits, idle connections) that a cut VM holds lay idle. A VM that is cut off reports no demand, and the others divide the bounds without it, as without a VM that is silent.

vm_directory.test.ts: the case on working VMs is new. The heartbeat and the shares are not tested by themselves.

--- a/packages/gateway/src/control/vm_directory.ts
+++ b/packages/gateway/src/control/vm_directory.ts
@@ -20,6 +20,8 @@
   liveVmIds(): readonly string[];
   /** Other VMs heard from within the liveness timeout. */
   livePeers(): readonly VmRecord[];
+  /** Live peers without those that are cut off from targets. */
+  workingPeers(): readonly VmRecord[];
   /** Live, serving peers that have just reached targets, the newest first. */
   peersReachingTargets(): readonly VmRecord[];
   /**
@@ -86,6 +88,10 @@
     recordHeartbeat: (vmId, state) => {
       stateByVmId.set(vmId, state);
     },
+    workingPeers: () =>
+      mesh
+        .peersHeardWithin(LIVENESS_TIMEOUT_MS)
+        .filter(vm => stateByVmId.get(vm.id)?.isCutOff !== true),
     peersReachingTargets,
     peerReachedTargetsAtMs: () => {
       const [newest] = peersReachingTargets();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -303,6 +303,9 @@
       ),
     onRequestArrived: (service, expectedMs, nowMs) => {
       spilloverBudget.credit();
+      if (reachMonitor.reach() === 'cut-off') {
+        return;
+      }
       regionPlan.demandMeter.recordArrival(service, expectedMs, nowMs);
     },
     retryAfterMs: () => REFUSED_RETRY_AFTER_MS,
@@ -409,7 +412,7 @@
     sharingVms = vmsThatShare({
       self: vm,
       zoneRegions: settings.zoneRegions,
-      live: directory.livePeers(),
+      live: directory.workingPeers(),
       recent: mesh.peersHeardWithin(RECENT_PEER_SPAN_MS),
       known: mesh.knownPeers(),
       uptimeMs: timers.nowMs() - startedAtMs,
--- a/packages/gateway/src/peers/peer_conversation.ts
+++ b/packages/gateway/src/peers/peer_conversation.ts
@@ -128,7 +128,8 @@
       kind: 'heartbeat',
       serving: options.isServing(),
       watchAgeMs: follower.watchAgeMs(),
-      demand: [...demandMeter.demandByService(timers.nowMs())],
+      // Its clients go to other VMs, which tell of them.
+      demand: isCutOff ? [] : [...demandMeter.demandByService(timers.nowMs())],
       rateLimits: [...rateLimitReports],
       targetReach: {cutOff: isCutOff, ageMs: targetReach.reachedAgeMs()},
     };
--- a/packages/gateway/test/vm_directory.test.ts
+++ b/packages/gateway/test/vm_directory.test.ts
@@ -52,6 +52,20 @@
     assert.deepEqual(addresses(), ['b:80', 'c:80']);
   });
 
+  // Guards against parts of shared bounds that nobody can use.
+  it('counts VMs that are cut off as living, but not as working', () => {
+    directory.recordHeartbeat('a', {
+      isServing: false,
+      isCutOff: true,
+      reachedTargetsAtMs: undefined,
+    });
+    assert.equal(directory.livePeers().length, 3);
+    assert.deepEqual(
+      directory.workingPeers().map(({id}) => id),
+      ['b', 'c'],
+    );
+  });
+
   it('takes only what serving peers have just said of targets', () => {
     directory.recordHeartbeat('a', {...SERVING, isServing: false});
     directory.recordHeartbeat('b', {...SERVING, reachedTargetsAtMs: 7_000});
