--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -147,6 +147,7 @@
       connections.closeAllIdle();
       crashGuard.forgetBrokenConnections();
     },
+    onReturn: targetLoad.forgetFailures,
     onReadyChange: () => {
       logServingChange();
       peerConversation.broadcastHeartbeat();
@@ -316,6 +317,9 @@
       ),
     onRequestArrived: (service, expectedMs, nowMs) => {
       spilloverBudget.credit();
+      if (reachMonitor.reach() === 'cut-off') {
+        return;
+      }
       regionPlan.demandMeter.recordArrival(service, expectedMs, nowMs);
     },
     retryAfterMs: () => REFUSED_RETRY_AFTER_MS,
@@ -438,7 +442,7 @@
     sharingVms = vmsThatShare({
       self: vm,
       zoneRegions: settings.zoneRegions,
-      live: directory.livePeers(),
+      live: directory.workingPeers(),
       recent: mesh.peersHeardWithin(RECENT_PEER_SPAN_MS),
       known: mesh.knownPeers(),
       uptimeMs: timers.nowMs() - startedAtMs,
