Part the sending of an attempt from the exchange

exchange.ts has to learn of attempts that do not go to targets. The code that sends an attempt to its target moves to target_send.ts, the limits of connections to attempt_connections.ts. No change of behaviour: forwarding and client_departure tests, 32 pass.

--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -14,28 +14,16 @@
 import type {TimerHandle} from '@ibisbeam/library';
 import {deliverResponse, refuse} from './response_delivery.js';
 import type {ForwardingContext} from './context.js';
-import {attemptHeaders} from './attempt_headers.js';
 import {recordEndedAttempt} from './attempt_recording.js';
 import type {ExchangeRequest, RunningAttempt} from './exchange_types.js';
 import type {QueuedRequest} from './admission_queue.js';
-import {type TargetResponse, startTargetAttempt} from './target_attempt.js';
+import type {TargetResponse} from './target_attempt.js';
+import {sendToTarget} from './target_send.js';
 
-/** A target in this region that takes longer counts as unreachable. */
-const CONNECT_TIMEOUT_MS = 150;
-/** The round trip to another region takes about 40 ms. */
-const CROSS_REGION_CONNECT_TIMEOUT_MS = 300;
-/**
- * Idle time after which a pooled connection is not used for a non-idempotent
- * request: the target may be about to close it, and the request could not be
- * repeated.
- */
-const NON_IDEMPOTENT_MAXIMUM_IDLE_MS = 1_500;
 /** Retry-After for quarantined requests, which are not worth repeating soon. */
 const QUARANTINE_RETRY_AFTER_MS = 30_000;
 /** Network time of a request and its response between client and VM. */
 const CLIENT_ROUND_TRIP_MS = 16;
-/** Idle limit of pooled connections for requests that can be repeated. */
-const RETRYABLE_MAXIMUM_IDLE_MS = 60_000;
 /** Time reserved to send the final response before the client's deadline. */
 const RESPONSE_MARGIN_MS = 10;
 /** A hedge starts no earlier than this multiple of the expected time. */
@@ -48,7 +36,7 @@
   context: ForwardingContext,
   request: ExchangeRequest,
 ): void {
-  const {timers, targetLoad, log, protocol} = context;
+  const {timers, targetLoad, log} = context;
   const {route, incoming, outgoing, service} = request;
   const routeTimeoutAtMs = request.arrivedAtMs + route.timeoutMs;
   const respondByMs = Math.min(
@@ -189,45 +177,13 @@
     if (!running.has(attempt)) {
       return;
     }
-    const {target} = attempt.placement;
-    const {incarnation, entry} = target;
-    const maximumIdleMs = isRetryable(route.kind)
-      ? RETRYABLE_MAXIMUM_IDLE_MS
-      : NON_IDEMPOTENT_MAXIMUM_IDLE_MS;
-    attempt.handle = startTargetAttempt(
-      {
-        host: entry.host,
-        port: entry.port,
-        method: incoming.method ?? 'GET',
-        path: incoming.url ?? '/',
-        headers: attemptHeaders(context, request, target, timers.nowMs()),
-        body: request.body,
-        attemptId: request.attemptId,
-        agent: context.connections.agentFor(incarnation, {
-          maximumIdleMs,
-          maximumCount: context.maximumIdleConnections(entry.service),
-        }),
-        connectTimeoutMs:
-          target.region === context.region
-            ? CONNECT_TIMEOUT_MS
-            : CROSS_REGION_CONNECT_TIMEOUT_MS,
+    attempt.handle = sendToTarget(context, request, attempt, {
+      onSent: () => {
+        possiblyExecuted += 1;
+        attempt.sentAtMs = timers.nowMs();
       },
-      protocol,
-      {timers, sendScheduler: context.sendScheduler},
-      {
-        onSocket: socket => context.connections.markInUse(socket),
-        onSent: () => {
-          possiblyExecuted += 1;
-          attempt.sentAtMs = timers.nowMs();
-        },
-        onLoadReport: report =>
-          targetLoad.recordReport(incarnation, report, timers.nowMs()),
-        onRateLimit: perSecond => context.onRateLimitAnswer(target, perSecond),
-        onResponseHead: (sent, response) =>
-          context.connections.recordKeepAlive(sent, response),
-        onEnd: (outcome, response) => onAttemptEnd(attempt, outcome, response),
-      },
-    );
+      onEnd: (outcome, response) => onAttemptEnd(attempt, outcome, response),
+    });
   }
 
   function scheduleHedge(placement: Placement): void {
--- /dev/null
+++ b/packages/gateway/src/forwarding/target_send.ts
@@ -0,0 +1,57 @@
+/** Sends an attempt to its target and records what the target tells. */
+import type {AttemptOutcome} from '@ibisbeam/decision';
+import {connectTimeoutMs, maximumIdleMs} from './attempt_connections.js';
+import {attemptHeaders} from './attempt_headers.js';
+import type {ForwardingContext} from './context.js';
+import type {ExchangeRequest, RunningAttempt} from './exchange_types.js';
+import {
+  type TargetAttempt,
+  type TargetResponse,
+  startTargetAttempt,
+} from './target_attempt.js';
+
+export interface TargetSendEvents {
+  /** The target may now run the request. */
+  onSent(): void;
+  onEnd(outcome: AttemptOutcome, response?: TargetResponse): void;
+}
+
+export function sendToTarget(
+  context: ForwardingContext,
+  request: ExchangeRequest,
+  attempt: RunningAttempt,
+  events: TargetSendEvents,
+): TargetAttempt {
+  const {timers, targetLoad, connections} = context;
+  const {incoming, route} = request;
+  const {target} = attempt.placement;
+  const {incarnation, entry} = target;
+  return startTargetAttempt(
+    {
+      host: entry.host,
+      port: entry.port,
+      method: incoming.method ?? 'GET',
+      path: incoming.url ?? '/',
+      headers: attemptHeaders(context, request, target, timers.nowMs()),
+      body: request.body,
+      attemptId: request.attemptId,
+      agent: connections.agentFor(incarnation, {
+        maximumIdleMs: maximumIdleMs(route.kind),
+        maximumCount: context.maximumIdleConnections(entry.service),
+      }),
+      connectTimeoutMs: connectTimeoutMs(context.region, target.region),
+    },
+    context.protocol,
+    context,
+    {
+      onSocket: socket => connections.markInUse(socket),
+      onSent: events.onSent,
+      onLoadReport: report =>
+        targetLoad.recordReport(incarnation, report, timers.nowMs()),
+      onRateLimit: perSecond => context.onRateLimitAnswer(target, perSecond),
+      onResponseHead: (sent, response) =>
+        connections.recordKeepAlive(sent, response),
+      onEnd: events.onEnd,
+    },
+  );
+}
