--- a/packages/decision/src/core/attempt_policy/attempt_policy.ts
+++ b/packages/decision/src/core/attempt_policy/attempt_policy.ts
@@ -40,7 +40,7 @@
 const MINIMUM_ATTEMPT_TIME_MS = 30;
 
 /** Statuses that tell the client that the request was not executed. */
-const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([
+export const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([
   408, 421, 429, 503,
 ]);
 
--- /dev/null
+++ b/packages/decision/src/core/relay/index.ts
@@ -0,0 +1,2 @@
+export * from './peer_choice.js';
+export * from './relay_policy.js';
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -24,3 +24,4 @@
 export * from './core/route_table/index.js';
 export * from './core/store_mirror/index.js';
 export * from './core/attempt_policy/index.js';
+export * from './core/relay/index.js';
