Relay requests to a peer while a VM reaches no targets

The VM now passes their requests on to a peer's caller port, with startTargetAttempt: at once while targetReach() is 'cut-off', otherwise when no target took a connection for the request. The state is 'reaching' until the VM finds it out itself; GatewayOptions.targetReach sets it in tests.

X-Ibisbeam-Relayed-For marks the request, so that it is never relayed again, and carries the client's address for the crash guard. Peers name the request in their own answers to relayed requests, else startTargetAttempt would take them for answers to another one. The VM that the client asked counts demand, the retry budget's requests and clients' retries; the VM that sends to targets counts what concerns targets.

target_attempt.test.ts: its header names get the new one.

--- a/packages/gateway/src/control/vm_directory.ts
+++ b/packages/gateway/src/control/vm_directory.ts
@@ -11,6 +11,8 @@
   liveVmIds(): readonly string[];
   /** Other VMs heard from within the liveness timeout. */
   livePeers(): readonly VmRecord[];
+  /** Live peers that accept clients. */
+  servingPeers(): readonly VmRecord[];
   /**
    * Returns addresses of serving VMs as HOST:PORT: those in the client's region
    * or, if it has none, those in all regions.
@@ -41,10 +43,14 @@
   const {self, mesh} = options;
   const servingByVmId = new Map<string, boolean>();
 
-  function candidates(): readonly VmRecord[] {
-    const peers = mesh
+  function servingPeers(): readonly VmRecord[] {
+    return mesh
       .peersHeardWithin(LIVENESS_TIMEOUT_MS)
       .filter(vm => servingByVmId.get(vm.id) === true);
+  }
+
+  function candidates(): readonly VmRecord[] {
+    const peers = servingPeers();
     return options.isServing() ? [self, ...peers] : peers;
   }
 
@@ -53,6 +59,7 @@
       servingByVmId.set(vmId, isServing);
     },
     livePeers: () => mesh.peersHeardWithin(LIVENESS_TIMEOUT_MS),
+    servingPeers,
     liveVmIds: () => [
       self.id,
       ...mesh.peersHeardWithin(LIVENESS_TIMEOUT_MS).map(vm => vm.id),
--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -5,6 +5,8 @@
 export interface GatewayMetrics {
   recordRequest(request: FinishedRequest): void;
   recordAttempt(service: string, outcome: string): void;
+  /** Counts a request passed on to a peer VM. */
+  recordRelay(service: string, outcome: string): void;
   /** Counts a request sent to a target that states a rate limit. */
   countLimitedSend(service: string): void;
   /** @param delayMs How late the event loop ran a timer. */
@@ -46,6 +48,12 @@
     labelNames: ['service', 'outcome'] as const,
     registers,
   });
+  const relays = new Counter({
+    name: 'ibisbeam_relayed_requests_total',
+    help: 'Requests passed on to a peer VM that have ended, by outcome.',
+    labelNames: ['service', 'outcome'] as const,
+    registers,
+  });
   const limitedSends = new Counter({
     name: 'ibisbeam_limited_sends_total',
     help: 'Requests sent to targets while they state a rate limit.',
@@ -72,6 +80,7 @@
       latency.observe({service}, tookMs / MILLISECONDS_PER_SECOND);
     },
     recordAttempt: (service, outcome) => attempts.inc({service, outcome}),
+    recordRelay: (service, outcome) => relays.inc({service, outcome}),
     countLimitedSend: service => limitedSends.inc({service}),
     recordEventLoopDelay: delayMs =>
       eventLoopDelay.observe(delayMs / MILLISECONDS_PER_SECOND),
--- a/packages/gateway/src/core/protocol.ts
+++ b/packages/gateway/src/core/protocol.ts
@@ -20,6 +20,8 @@
   readonly affinityKey: string;
   /** Identifier of the only target that may execute the request. */
   readonly expectedTarget: string;
+  /** Marks a request that another VM relays; the address of its client. */
+  readonly relayedFor: string;
   /** Present on responses produced by a target. */
   readonly responseSeal: string;
   /** Present when the target has not executed the request. */
--- a/packages/gateway/src/forwarding/attempt_headers.ts
+++ b/packages/gateway/src/forwarding/attempt_headers.ts
@@ -8,7 +8,7 @@
 const MINIMUM_DEADLINE_MS = 1;
 
 /**
- * The client's end-to-end headers and those set by the gateway.
+ * The client's end-to-end headers and those that the gateway sets for a target.
  *
  * @returns A flat list of names and values.
  */
@@ -18,25 +18,49 @@
   target: RegisteredTarget,
   nowMs: number,
 ): readonly string[] {
-  const {headers} = context.protocol;
-  const {route, incoming, body} = request;
+  const {expectedTarget} = context.protocol.headers;
   const deadlineAtMs = Math.min(
-    request.arrivedAtMs + route.timeoutMs,
+    request.arrivedAtMs + request.route.timeoutMs,
     request.clientDeadlineMs ?? Infinity,
   );
-  const timeLeftMs = Math.max(
-    MINIMUM_DEADLINE_MS,
-    Math.floor(deadlineAtMs - nowMs),
-  );
+  return [
+    ...forwardedHeaders(context, request, deadlineAtMs - nowMs),
+    expectedTarget,
+    target.entry.id,
+  ];
+}
+
+/**
+ * The client's end-to-end headers and those that the gateway sets for a peer.
+ *
+ * @param timeLeftMs Time until this VM answers in the peer's place.
+ * @returns A flat list of names and values.
+ */
+export function relayHeaders(
+  context: ForwardingContext,
+  request: ExchangeRequest,
+  timeLeftMs: number,
+): readonly string[] {
+  const {relayedFor} = context.protocol.headers;
+  return [
+    ...forwardedHeaders(context, request, timeLeftMs),
+    relayedFor,
+    request.clientAddress,
+  ];
+}
+
+function forwardedHeaders(
+  context: ForwardingContext,
+  {incoming, body}: ExchangeRequest,
+  timeLeftMs: number,
+): string[] {
   const rawHeaders = endToEndRawHeaders(
     incoming.rawHeaders,
     context.droppedHeaders,
   );
   rawHeaders.push(
-    headers.deadlineMs,
-    String(timeLeftMs),
-    headers.expectedTarget,
-    target.entry.id,
+    context.protocol.headers.deadlineMs,
+    String(Math.max(MINIMUM_DEADLINE_MS, Math.floor(timeLeftMs))),
   );
   if (body !== undefined) {
     rawHeaders.push('Content-Length', String(body.length));
--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -95,6 +95,7 @@
       outgoing.shouldKeepAlive = false;
     }
     const arrivedAtMs = context.timers.nowMs();
+    nameRelayedRequest(incoming, outgoing);
     const malformation = findMalformation(incoming);
     if (malformation) {
       refuse(outgoing, 400, malformation, undefined, true);
@@ -131,6 +132,22 @@
     );
   }
 
+  /**
+   * Sets the attempt identifier in the answer to a relayed request, so that the
+   * relaying VM knows for which request this VM refuses. The headers of a
+   * target's answer replace it.
+   */
+  function nameRelayedRequest(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): void {
+    const {attemptId, relayedFor} = context.protocol.headers;
+    const [value] = headerValues(incoming.rawHeaders, attemptId);
+    if (value !== undefined && incoming.headers[relayedFor] !== undefined) {
+      outgoing.setHeader(attemptId, value);
+    }
+  }
+
   function forward(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
@@ -150,6 +167,10 @@
       incoming.rawHeaders,
       headers.affinityKey,
     );
+    // A client may set this header as well. That only forgoes the relay, and
+    // the address only distinguishes requests that crash targets, which the
+    // client can also do through the path.
+    const [relayedFor] = headerValues(incoming.rawHeaders, headers.relayedFor);
     startExchange(context, {
       incoming,
       outgoing,
@@ -160,6 +181,8 @@
       body,
       arrivedAtMs,
       clientDeadlineMs: clientDeadlineMsOf(incoming, arrivedAtMs),
+      isRelayed: relayedFor !== undefined,
+      clientAddress: relayedFor ?? incoming.socket.remoteAddress ?? '',
     });
   }
 
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -5,6 +5,7 @@
   ClientRetryDetector,
   Placement,
   RegisteredTarget,
+  RelayOutcome,
   WindowedRetryBudget,
   ServiceTimes,
   TargetLoad,
@@ -12,6 +13,7 @@
 } from '@ibisbeam/decision';
 import type {Logger, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
+import type {VmRecord} from '../peers/messages.js';
 import type {CrashGuard} from './crash_guard.js';
 import type {TargetConnections} from './target_connections.js';
 import type {AdmissionQueue} from './admission_queue.js';
@@ -35,13 +37,19 @@
   readonly affinityKey: string | undefined;
   /** Target and expected times of the last attempt; undefined without one. */
   readonly lastPlacement: Placement | undefined;
+  /** VM to which the request was relayed last; undefined without a relay. */
+  readonly lastPeer: string | undefined;
 }
 
+/** Whether this VM reaches targets; `suspect` until a cut is confirmed. */
+export type TargetReach = 'reaching' | 'suspect' | 'cut-off';
+
 export interface ForwardingContext {
   readonly timers: TimerService;
   readonly log: Logger;
   readonly protocol: GatewayProtocol;
-  /** Region of this VM. */
+  /** Location of this VM. */
+  readonly zone: string;
   readonly region: string;
   /**
    * Names, in lower case, of client headers that are not forwarded: the gateway
@@ -54,11 +62,16 @@
   readonly warmKeys: WarmKeys;
   readonly retryBudget: WindowedRetryBudget;
   readonly connections: TargetConnections;
+  /** Connections to the caller ports of peers, in one pool. */
+  readonly peerConnections: TargetConnections;
   readonly crashGuard: CrashGuard;
   readonly clientRetryDetector: ClientRetryDetector;
   readonly admissionQueue: AdmissionQueue;
   readonly sendScheduler: SendScheduler;
   isStopping(): boolean;
+  targetReach(): TargetReach;
+  /** Other VMs that serve clients. */
+  servingPeers(): readonly VmRecord[];
   /** Idle connections that this VM may keep to one target of the service. */
   maximumIdleConnections(service: string): number;
   /**
@@ -76,5 +89,10 @@
     perSecond: number | undefined,
   ): void;
   onAttemptEnded(service: string, outcome: AttemptOutcome['kind']): void;
+  /** @param outcome `cancelled` if the request ended first. */
+  onRelayEnded(
+    service: string,
+    outcome: RelayOutcome['kind'] | 'cancelled',
+  ): void;
   onRequestFinished(request: FinishedRequest): void;
 }
--- a/packages/gateway/src/forwarding/crash_guard.ts
+++ b/packages/gateway/src/forwarding/crash_guard.ts
@@ -13,7 +13,7 @@
 
 export interface CrashGuard {
   /** Equal on all VMs for the same request from the same client address. */
-  fingerprint(incoming: IncomingMessage, body: Buffer | undefined): string;
+  fingerprint(request: CrashGuardRequest): string;
   /**
    * Whether any request has ever been suspected. Until then, no fingerprints
    * need to be computed.
@@ -36,6 +36,12 @@
   recentLosses(): readonly ReportedLoss[];
 }
 
+export interface CrashGuardRequest {
+  readonly incoming: Pick<IncomingMessage, 'method' | 'url'>;
+  readonly clientAddress: string;
+  readonly body: Buffer | undefined;
+}
+
 export interface ReportedLoss {
   readonly fingerprint: string;
   readonly target: string;
@@ -85,9 +91,8 @@
   }
 
   return {
-    fingerprint: (incoming, body) => {
-      const {method, url, socket} = incoming;
-      const clientAddress = socket.remoteAddress ?? '';
+    fingerprint: ({incoming, clientAddress, body}) => {
+      const {method, url} = incoming;
       const text = `${method} ${url} ${clientAddress} ${body?.toString('latin1') ?? ''}`;
       return (
         hash32(text).toString(HEXADECIMAL_RADIX) +
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -1,11 +1,14 @@
 /**
  * One client request, from arrival to final response: chooses targets, starts
- * attempts, and delivers the first acceptable response.
+ * attempts, and delivers the first acceptable response. A VM that reaches no
+ * targets relays the request to a peer.
  */
 import {
   type AttemptOutcome,
   type DispatchDecision,
   type Placement,
+  type RelayOutcome,
+  decideAfterRelay,
   decideDispatch,
   maximumHoldMs,
   isRetryable,
@@ -15,8 +18,14 @@
 import {deliverResponse, refuse} from './response_delivery.js';
 import type {ForwardingContext} from './context.js';
 import {recordEndedAttempt} from './attempt_recording.js';
-import type {ExchangeRequest, RunningAttempt} from './exchange_types.js';
+import type {
+  ExchangeRequest,
+  RunningAttempt,
+  RunningRelay,
+} from './exchange_types.js';
 import type {QueuedRequest} from './admission_queue.js';
+import {retryAfterMsOf} from './relay_send.js';
+import {createRelays} from './relays.js';
 import type {TargetResponse} from './target_attempt.js';
 import {sendToTarget} from './target_send.js';
 
@@ -44,14 +53,20 @@
     (request.clientDeadlineMs ?? Infinity) - RESPONSE_MARGIN_MS,
   );
   const clientSocket = incoming.socket;
-  const running = new Set<RunningAttempt>();
+  const running = new Set<RunningAttempt | RunningRelay>();
   const excluded = new Set<string>();
   let attemptsStarted = 0;
+  /** Whether any target or peer may have received the request. */
+  let wasSent = false;
   let possiblyExecuted = 0;
   let isFinished = false;
   let lastPlacement: Placement | undefined;
   let lastAttemptAtMs: number | undefined;
   let hedgeTimer: TimerHandle | undefined;
+  const relays = createRelays(context, request, respondByMs, {
+    onSent,
+    onEnd: onRelayEnd,
+  });
   const timeoutTimer = timers.at(respondByMs, onTimeout);
 
   function finish(outcome: string, status: number, detail = ''): void {
@@ -62,7 +77,9 @@
     const hadAttempts = running.size > 0;
     for (const attempt of running) {
       attempt.handle?.cancel();
-      targetLoad.recordEnd(attempt.placement.target.incarnation);
+      if (attempt.kind === 'target') {
+        targetLoad.recordEnd(attempt.placement.target.incarnation);
+      }
     }
     running.clear();
     context.admissionQueue.remove(queuedRequest);
@@ -83,11 +100,12 @@
         lastAttemptAtMs === undefined ? undefined : nowMs - lastAttemptAtMs,
       affinityKey: request.affinityKey,
       lastPlacement,
+      lastPeer: relays.lastPeer(),
     });
   }
 
   function fingerprint(): string {
-    return context.crashGuard.fingerprint(incoming, request.body);
+    return context.crashGuard.fingerprint(request);
   }
 
   function fail(status: number, reason: string, retryAfterMs?: number): void {
@@ -110,8 +128,11 @@
     finish('client-left', 0);
   }
 
-  /** Returns false if no target can answer in time. */
+  /** Returns false if no target or peer can answer in time. */
   function startNextAttempt(isHedge: boolean): boolean {
+    if (context.targetReach() === 'cut-off') {
+      return startRelay();
+    }
     const nowMs = timers.nowMs();
     const placement = choosePlacement(nowMs);
     if (!placement) {
@@ -130,6 +151,9 @@
    * targets are full.
    */
   function startNextAttemptAfterRefusal(): boolean {
+    if (context.targetReach() === 'cut-off') {
+      return startRelay();
+    }
     const nowMs = timers.nowMs();
     const placement = choosePlacement(nowMs);
     if (!placement || decide(placement, nowMs).kind !== 'send') {
@@ -157,6 +181,7 @@
     const {target} = placement;
     const {incarnation} = target;
     const attempt: RunningAttempt = {
+      kind: 'target',
       placement,
       startedAtMs: nowMs,
       inFlightAtStart: targetLoad.estimatedInFlight(incarnation, nowMs),
@@ -178,14 +203,81 @@
       return;
     }
     attempt.handle = sendToTarget(context, request, attempt, {
-      onSent: () => {
-        possiblyExecuted += 1;
-        attempt.sentAtMs = timers.nowMs();
-      },
+      onSent: () => onSent(attempt),
       onEnd: (outcome, response) => onAttemptEnd(attempt, outcome, response),
     });
   }
 
+  function onSent(attempt: RunningAttempt | RunningRelay): void {
+    wasSent = true;
+    possiblyExecuted += 1;
+    attempt.sentAtMs = timers.nowMs();
+  }
+
+  /** Returns false if no peer may take the request. */
+  function startRelay(): boolean {
+    const relay = relays.start();
+    if (!relay) {
+      return false;
+    }
+    hedgeTimer?.cancel();
+    running.add(relay);
+    return true;
+  }
+
+  function onRelayEnd(
+    relay: RunningRelay,
+    outcome: RelayOutcome,
+    response?: TargetResponse,
+  ): void {
+    if (isFinished || !running.delete(relay)) {
+      return;
+    }
+    const nowMs = timers.nowMs();
+    if (outcome.kind === 'not-executed') {
+      possiblyExecuted -= 1;
+    }
+    const step = decideAfterRelay(outcome, {
+      routeKind: route.kind,
+      maximumAttempts: route.maximumAttempts,
+      possiblyExecuted,
+      tried: relays.tried(),
+      replayable: true,
+      timeLeftMs: respondByMs - nowMs,
+    });
+    if (step.kind === 'deliver') {
+      deliver(response);
+      return;
+    }
+    if (running.size > 0) {
+      return;
+    }
+    if (
+      step.kind === 'try-another' &&
+      (!step.costsBudget || context.retryBudget.takeRetry(service, nowMs)) &&
+      startRelay()
+    ) {
+      return;
+    }
+    failAfterRelay(outcome, response);
+  }
+
+  function failAfterRelay(
+    outcome: RelayOutcome,
+    response: TargetResponse | undefined,
+  ): void {
+    const reason =
+      'cause' in outcome ? outcome.cause : `peer said ${outcome.status}`;
+    if (possiblyExecuted === 0) {
+      const statedMs = retryAfterMsOf(response);
+      fail(503, reason, statedMs ?? context.retryAfterMs(service));
+      return;
+    }
+    const isTimeout =
+      outcome.kind === 'failed-at-peer' && outcome.status === 504;
+    fail(isTimeout ? 504 : 502, reason);
+  }
+
   function scheduleHedge(placement: Placement): void {
     hedgeTimer?.cancel();
     if (!isRetryable(route.kind)) {
@@ -286,6 +378,10 @@
   }
 
   function failWithOutcome(status: 502 | 503, outcome: AttemptOutcome): void {
+    const isUnconnected = outcome.kind === 'not-sent' && !wasSent;
+    if (isUnconnected && startRelay()) {
+      return;
+    }
     const reason =
       'cause' in outcome ? outcome.cause : `target said ${outcome.status}`;
     fail(
@@ -300,7 +396,7 @@
       fail(502, 'the answer is missing');
       return;
     }
-    if (response.body.kind === 'whole') {
+    if (response.body.kind === 'whole' && relays.tried() === 0) {
       context.serviceTimes.recordResponseBytes(
         route.name,
         response.body.bytes.length,
@@ -313,12 +409,15 @@
   outgoing.on('close', onClientDisconnect);
   // Comes a turn of the event loop before the 'close' event.
   clientSocket.on('end', onClientDisconnect);
-  context.retryBudget.recordRequest(service, request.arrivedAtMs);
-  context.onRequestArrived(
-    service,
-    context.serviceTimes.meanMs(route.name, route.latencyObjectiveMs),
-    request.arrivedAtMs,
-  );
+  // The VM that a client has asked counts what its clients bring.
+  if (!request.isRelayed) {
+    context.retryBudget.recordRequest(service, request.arrivedAtMs);
+    context.onRequestArrived(
+      service,
+      context.serviceTimes.meanMs(route.name, route.latencyObjectiveMs),
+      request.arrivedAtMs,
+    );
+  }
   const {crashGuard} = context;
   const elapsedMs = elapsedBeforeArrivalMs(context, request);
   const queuedRequest: QueuedRequest = {
@@ -347,6 +446,12 @@
 
   /** Sends or refuses the request; returns 'hold' if it has to wait. */
   function dispatch(): 'done' | 'hold' {
+    if (context.targetReach() === 'cut-off') {
+      if (!startRelay()) {
+        fail(503, 'cut off from targets', context.retryAfterMs(service));
+      }
+      return 'done';
+    }
     const nowMs = timers.nowMs();
     const placement = choosePlacement(nowMs);
     if (!placement) {
@@ -392,7 +497,8 @@
   request: ExchangeRequest,
 ): number {
   const {clientDeadlineMs, arrivedAtMs, route} = request;
-  if (clientDeadlineMs === undefined) {
+  // The deadline of a relayed request is not the timeout that a client stated.
+  if (clientDeadlineMs === undefined || request.isRelayed) {
     return 0;
   }
   const statedTimeoutMs = clientDeadlineMs - arrivedAtMs;
--- a/packages/gateway/src/forwarding/exchange_types.ts
+++ b/packages/gateway/src/forwarding/exchange_types.ts
@@ -1,6 +1,7 @@
 /** Types shared by the modules that implement an exchange. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Placement, Route} from '@ibisbeam/decision';
+import type {VmRecord} from '../peers/messages.js';
 import type {TargetAttempt} from './target_attempt.js';
 
 export interface ExchangeRequest {
@@ -17,14 +18,31 @@
   readonly arrivedAtMs: number;
   /** Time on the local clock at which the client gives up, if it states one. */
   readonly clientDeadlineMs: number | undefined;
+  /** Whether another VM relays the request. */
+  readonly isRelayed: boolean;
+  /** Address of the client, also if another VM relays its request. */
+  readonly clientAddress: string;
 }
 
-export interface RunningAttempt {
-  readonly placement: Placement;
+interface AttemptProgress {
   readonly startedAtMs: number;
-  /** Estimated requests in flight at the target before this attempt started. */
-  readonly inFlightAtStart: number;
+  /** Undefined until the attempt is sent. */
   handle?: TargetAttempt;
   /** Time at which a connection was available; undefined before that. */
   sentAtMs?: number;
 }
+
+/** An attempt at a target. */
+export interface RunningAttempt extends AttemptProgress {
+  readonly kind: 'target';
+  readonly placement: Placement;
+  /** Estimated requests in flight at the target before this attempt started. */
+  readonly inFlightAtStart: number;
+}
+
+/** An attempt at a peer VM, which forwards the request to targets. */
+export interface RunningRelay extends AttemptProgress {
+  readonly kind: 'relay';
+  readonly peer: VmRecord;
+  readonly handle: TargetAttempt;
+}
--- a/packages/gateway/src/forwarding/request_log.ts
+++ b/packages/gateway/src/forwarding/request_log.ts
@@ -20,6 +20,7 @@
     tried: request.attempts,
     sinceAttemptMs: roundDefined(request.sinceLastAttemptMs),
     key: request.affinityKey,
+    peer: request.lastPeer,
     target: lastPlacement?.target.entry.id,
     zone: lastPlacement?.target.entry.zone,
     expectedMs: roundDefined(lastPlacement?.expectedMs),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,7 +34,7 @@
 import type {GatewaySettings} from './core/settings.js';
 import {createAcceptBacklog} from './forwarding/accept_backlog.js';
 import {createClientFacingServer} from './forwarding/client_facing_server.js';
-import type {ForwardingContext} from './forwarding/context.js';
+import type {ForwardingContext, TargetReach} from './forwarding/context.js';
 import {createCrashGuard} from './forwarding/crash_guard.js';
 import {logFinishedRequest} from './forwarding/request_log.js';
 import {createTargetConnections} from './forwarding/target_connections.js';
@@ -58,6 +58,8 @@
   readonly store: PlatformStore;
   readonly timers: TimerService;
   readonly log: Logger;
+  /** Replaces the VM's own finding, for tests. */
+  targetReach?(): TargetReach;
 }
 
 export interface Gateway {
@@ -102,6 +104,7 @@
   const serviceTimes = createServiceTimes();
   const warmKeys = createWarmKeys();
   const connections = createTargetConnections(timers);
+  const peerConnections = createTargetConnections(timers);
   const coldStartLimiter = createColdStartLimiter(vm);
   const spilloverBudget = createFractionalTokenBucket(
     SPILLOVER_FRACTION,
@@ -225,10 +228,12 @@
     timers,
     log,
     protocol,
+    zone: vm.zone,
     region: vm.region,
     droppedHeaders: new Set([
       protocol.headers.deadlineMs,
       protocol.headers.expectedTarget,
+      protocol.headers.relayedFor,
       'content-length',
       'expect',
     ]),
@@ -262,11 +267,14 @@
       vmCount: () => Math.max(sharingVms.length, mesh.knownPeers().length) + 1,
     }),
     connections,
+    peerConnections,
     crashGuard,
     clientRetryDetector: createClientRetryDetector(),
     admissionQueue: createAdmissionQueue(timers),
     sendScheduler: createSendScheduler({timers, acceptBacklog}),
     isStopping: () => stopping,
+    targetReach: () => options.targetReach?.() ?? 'reaching',
+    servingPeers: directory.servingPeers,
     maximumIdleConnections: service =>
       maximumIdleConnections(
         fleet.maximumConnections(service),
@@ -291,6 +299,7 @@
     onRateLimitAnswer: rateLimits.recordAnswer,
     onAttemptEnded: (service, outcome) =>
       metrics.recordAttempt(service, outcome),
+    onRelayEnded: metrics.recordRelay,
     onRequestFinished: request => {
       metrics.recordRequest(request);
       logFinishedRequest(log, request);
@@ -430,6 +439,7 @@
     directoryServer.close();
     metricsServer.close();
     connections.close();
+    peerConnections.close();
   }
 
   async function terminate(): Promise<void> {
--- a/packages/gateway/test/target_attempt.test.ts
+++ b/packages/gateway/test/target_attempt.test.ts
@@ -54,6 +54,7 @@
           affinityKey: 'x-key',
           deadlineMs: 'x-deadline',
           expectedTarget: 'x-target',
+          relayedFor: 'x-relayed-for',
           responseSeal: 'x-seal',
           notExecuted: 'x-not-executed',
           loadReport: 'x-load',
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -35,6 +35,8 @@
   | 'burn-summary-failed'
   | 'accept-backlog'
   | 'attempt-failed'
+  | 'request-relayed'
+  | 'relay-failed'
   | 'target-added'
   | 'target-draining'
   | 'target-cold'
--- a/packages/stand_ins/src/core/object_platform/local_fleet.ts
+++ b/packages/stand_ins/src/core/object_platform/local_fleet.ts
@@ -2,7 +2,7 @@
  * Runs the users' platform on loopback in one process: a store, workers, and
  * gateways that use them through the platform adapter.
  */
-import {type Gateway, createGateway} from '@ibisbeam/gateway';
+import {type Gateway, type TargetReach, createGateway} from '@ibisbeam/gateway';
 import type {Logger, TimerService} from '@ibisbeam/library';
 import {
   type ObjectStore,
@@ -38,9 +38,18 @@
   readonly bounds?: Readonly<Record<string, number>>;
 }
 
+export interface LocalGatewayOptions {
+  /** Replaces what the gateway finds out itself. */
+  readonly targetReach?: () => TargetReach;
+}
+
 export interface LocalFleet {
   readonly store: StandInObjectStore;
-  addGateway(id: string, zone: string): Promise<LocalGateway>;
+  addGateway(
+    id: string,
+    zone: string,
+    gatewayOptions?: LocalGatewayOptions,
+  ): Promise<LocalGateway>;
   /** Starts a worker and lists it in the store. */
   addTarget(
     options: Omit<Parameters<typeof startFleetTarget>[0], 'timers'>,
@@ -70,7 +79,11 @@
   const peerPort = Number(peerAddress?.split(':')[1]);
   let startedGateways = 0;
 
-  async function addGateway(id: string, zone: string): Promise<LocalGateway> {
+  async function addGateway(
+    id: string,
+    zone: string,
+    gatewayOptions: LocalGatewayOptions = {},
+  ): Promise<LocalGateway> {
     startedGateways += 1;
     // All gateways of a fleet share the peer port, so each needs its own host.
     const host = `${LOOPBACK_NETWORK}.${FIRST_HOST_NUMBER + startedGateways}`;
@@ -115,6 +128,7 @@
           store: client,
           timers,
           log,
+          targetReach: gatewayOptions.targetReach,
         });
         try {
           await gateway.start();
