Relay while a cut is suspected and no target may be tried

Targets that take no connection are avoided for a while. Between the loss of all links and its confirmation, the clients of such a VM got 503 "no target has room" as soon as every target had failed once, though peers could serve them. While the cut is suspected, such a request goes to a peer.

Before: 'relays while a cut is suspected and no target may be tried' fails, no request-relayed line ("actual: 'undefined'"). After: relay.test.ts, 15 pass, three times in a row.

--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -455,6 +455,10 @@
     const nowMs = timers.nowMs();
     const placement = choosePlacement(nowMs);
     if (!placement) {
+      // Targets that took no connection are avoided for a while.
+      if (context.targetReach() === 'suspect' && startRelay()) {
+        return 'done';
+      }
       fail(503, 'no target has room', context.retryAfterMs(service));
       return 'done';
     }
--- a/packages/stand_ins/test/object_platform/relay.test.ts
+++ b/packages/stand_ins/test/object_platform/relay.test.ts
@@ -346,4 +346,22 @@
       /reason=reaching/,
     );
   });
+
+  // Guards against refusals between the loss of all targets and its
+  // confirmation (RECOVER): targets that take no connection are avoided.
+  it('relays while a cut is suspected and no target may be tried', async () => {
+    for (const target of harness.targets) {
+      await target.close();
+    }
+    const gateway = await harness.fleet.addGateway('edge-riga-a-2', 'riga-a', {
+      targetReach: () => 'suspect',
+    });
+    await waitUntil(() => knowsServing(gateway, [harness.gateway]));
+    await call(gateway, {attemptId: 'unconnected'});
+    await call(gateway, {attemptId: 'untried'});
+    assert.match(
+      String(linesOf('request-relayed', 'untried')[0]),
+      /reason=suspect/,
+    );
+  });
 });
