--- a/packages/gateway/src/control/vm_directory.ts
+++ b/packages/gateway/src/control/vm_directory.ts
@@ -64,10 +64,14 @@
   const {self, mesh, timers} = options;
   const stateByVmId = new Map<string, VmState>();
 
-  function candidates(): readonly VmRecord[] {
-    const peers = mesh
+  function servingPeers(): readonly VmRecord[] {
+    return mesh
       .peersHeardWithin(LIVENESS_TIMEOUT_MS)
       .filter(vm => stateByVmId.get(vm.id)?.isServing === true);
+  }
+
+  function candidates(): readonly VmRecord[] {
+    const peers = servingPeers();
     return options.isServing() ? [self, ...peers] : peers;
   }
 
@@ -77,13 +81,8 @@
 
   function peersReachingTargets(): readonly VmRecord[] {
     const sinceMs = timers.nowMs() - REACH_LIFETIME_MS;
-    return mesh
-      .peersHeardWithin(LIVENESS_TIMEOUT_MS)
-      .filter(
-        vm =>
-          stateByVmId.get(vm.id)?.isServing === true &&
-          reachedAtMs(vm) >= sinceMs,
-      )
+    return servingPeers()
+      .filter(vm => reachedAtMs(vm) >= sinceMs)
       .sort((a, b) => reachedAtMs(b) - reachedAtMs(a));
   }
 
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -8,6 +8,7 @@
   RegisteredTarget,
   Route,
   TargetReach,
+  RelayOutcome,
   WindowedRetryBudget,
   ServiceTimes,
   TargetLoad,
@@ -17,6 +18,7 @@
 import type {GatewayProtocol} from '../core/protocol.js';
 import type {CopyGuard} from '../store/copy_guard.js';
 import type {ReachEvidence} from '../target_reach.js';
+import type {VmRecord} from '../peers/messages.js';
 import type {CrashGuard} from './crash_guard.js';
 import type {TargetConnections} from './target_connections.js';
 import type {AdmissionQueue} from './admission_queue.js';
@@ -42,13 +44,16 @@
   readonly affinityKey: string | undefined;
   /** Target and expected times of the last attempt; undefined without one. */
   readonly lastPlacement: Placement | undefined;
+  /** VM to which the request was relayed last; undefined without a relay. */
+  readonly lastPeer: string | undefined;
 }
 
 export interface ForwardingContext {
   readonly timers: TimerService;
   readonly log: Logger;
   readonly protocol: GatewayProtocol;
-  /** Region of this VM. */
+  /** Location of this VM. */
+  readonly zone: string;
   readonly region: string;
   /**
    * Names, in lower case, of client headers that are not forwarded: the gateway
@@ -61,6 +66,8 @@
   readonly warmKeys: WarmKeys;
   readonly retryBudget: WindowedRetryBudget;
   readonly connections: TargetConnections;
+  /** Connections to the caller ports of peers, in one pool. */
+  readonly peerConnections: TargetConnections;
   readonly crashGuard: CrashGuard;
   readonly reachEvidence: ReachEvidence;
   readonly clientRetryDetector: ClientRetryDetector;
@@ -73,6 +80,8 @@
   readonly copyGuard: Pick<CopyGuard, 'state' | 'whenUsable'>;
   /** Whether this VM reaches targets, as far as it can tell. */
   targetReach(): TargetReach;
+  /** Other VMs that serve clients and reach targets. */
+  relayPeers(): readonly VmRecord[];
   /** Idle connections that this VM may keep to one target of the service. */
   maximumIdleConnections(service: string): number;
   /**
@@ -90,5 +99,10 @@
     perSecond: number | undefined,
   ): void;
   onAttemptEnded(service: string, outcome: AttemptOutcome['kind']): void;
+  /** @param outcome `cancelled` if the request ended first. */
+  onRelayEnded(
+    service: string,
+    outcome: RelayOutcome['kind'] | 'cancelled',
+  ): void;
   onRequestFinished(request: FinishedRequest): void;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import {
   DEFAULT_PLACEMENT_PARAMETERS,
   type SharingVm,
+  type TargetReach,
   createAffinityPlacement,
   createClientRetryDetector,
   createColdStartLimiter,
@@ -65,6 +66,8 @@
   readonly log: Logger;
   /** Default: a TCP connection. */
   readonly connectToTarget?: ConnectToTarget;
+  /** Replaces the VM's own finding, for tests. */
+  targetReach?(): TargetReach;
 }
 
 export interface Gateway {
@@ -109,6 +112,7 @@
   const serviceTimes = createServiceTimes();
   const warmKeys = createWarmKeys();
   const connections = createTargetConnections(timers, options.connectToTarget);
+  const peerConnections = createTargetConnections(timers);
   const coldStartLimiter = createColdStartLimiter(vm);
   const spilloverBudget = createFractionalTokenBucket(
     SPILLOVER_FRACTION,
@@ -263,10 +267,12 @@
     timers,
     log,
     protocol,
+    zone: vm.zone,
     region: vm.region,
     droppedHeaders: new Set([
       protocol.headers.deadlineMs,
       protocol.headers.expectedTarget,
+      protocol.headers.relayedFor,
       'content-length',
       'expect',
     ]),
@@ -300,6 +306,7 @@
       vmCount: () => Math.max(sharingVms.length, mesh.knownPeers().length) + 1,
     }),
     connections,
+    peerConnections,
     crashGuard,
     reachEvidence: reachMonitor.evidence,
     clientRetryDetector: createClientRetryDetector(),
@@ -309,7 +316,8 @@
     findRoute: incoming =>
       fleet.routes()?.find(incoming.headers.host ?? '', incoming.url ?? '/'),
     copyGuard,
-    targetReach: reachMonitor.reach,
+    targetReach: options.targetReach ?? reachMonitor.reach,
+    relayPeers: directory.peersReachingTargets,
     maximumIdleConnections: service =>
       maximumIdleConnections(
         fleet.maximumConnections(service),
@@ -337,6 +345,7 @@
     onRateLimitAnswer: rateLimits.recordAnswer,
     onAttemptEnded: (service, outcome) =>
       metrics.recordAttempt(service, outcome),
+    onRelayEnded: metrics.recordRelay,
     onRequestFinished: request => {
       metrics.recordRequest(request);
       logFinishedRequest(log, request);
@@ -511,6 +520,7 @@
     directoryServer.close();
     metricsServer.close();
     connections.close();
+    peerConnections.close();
   }
 
   async function terminate(): Promise<void> {
--- a/packages/stand_ins/src/core/object_platform/local_fleet.ts
+++ b/packages/stand_ins/src/core/object_platform/local_fleet.ts
@@ -2,6 +2,7 @@
  * Runs the users' platform on loopback in one process: a store, workers, and
  * gateways that use them through the platform adapter.
  */
+import type {TargetReach} from '@ibisbeam/decision';
 import {type Gateway, createGateway} from '@ibisbeam/gateway';
 import type {Logger, TimerService} from '@ibisbeam/library';
 import {
@@ -47,13 +48,19 @@
   readonly hasTargetLinks?: boolean;
 }
 
+export interface LocalGatewayOptions {
+  /** Partition from all targets in which the gateway starts. */
+  readonly fault?: LinkFault;
+  /** Replaces what the gateway finds out itself. */
+  readonly targetReach?: () => TargetReach;
+}
+
 export interface LocalFleet {
   readonly store: StandInObjectStore;
-  /** @param fault Partition from all targets in which the gateway starts. */
   addGateway(
     id: string,
     zone: string,
-    fault?: LinkFault,
+    gatewayOptions?: LocalGatewayOptions,
   ): Promise<LocalGateway>;
   /** Starts a worker and lists it in the store. */
   addTarget(
@@ -87,12 +94,12 @@
   async function addGateway(
     id: string,
     zone: string,
-    fault?: LinkFault,
+    gatewayOptions: LocalGatewayOptions = {},
   ): Promise<LocalGateway> {
     startedGateways += 1;
     const targetLinks = await createLinks();
-    if (fault) {
-      targetLinks?.cut(fault);
+    if (gatewayOptions.fault) {
+      targetLinks?.cut(gatewayOptions.fault);
     }
     // All gateways of a fleet share the peer port, so each needs its own host.
     const host = `${LOOPBACK_NETWORK}.${FIRST_HOST_NUMBER + startedGateways}`;
@@ -138,6 +145,7 @@
           timers,
           log,
           connectToTarget: targetLinks?.connect,
+          targetReach: gatewayOptions.targetReach,
         });
         try {
           await gateway.start();
