--- a/packages/gateway/src/target_reach.ts
+++ b/packages/gateway/src/target_reach.ts
@@ -9,12 +9,11 @@
   createTargetReachability,
 } from '@ibisbeam/decision';
 import type {Logger, TimerHandle, TimerService} from '@ibisbeam/library';
+import {type ConnectionOutcome, createConnectionLog} from './connection_log.js';
 import {createConfirmedDeaths} from './confirmed_deaths.js';
 import type {ConnectToTarget} from './forwarding/target_connections.js';
 import {probeTarget} from './forwarding/target_probe.js';
 
-export type ConnectionOutcome = 'made' | 'failed';
-
 /** Told by everything that connects to targets. */
 export interface ReachEvidence {
   /** A new connection to the target is established. */
@@ -58,6 +57,8 @@
 const LOG_INTERVAL_MS = 1_000;
 /** The first failures may have been recorded just before. */
 const FAILURE_MARGIN_MS = 100;
+/** The list of targets is not read on each update. */
+const CANDIDATES_LIFETIME_MS = 500;
 const UPDATE_INTERVAL_MS = 50;
 
 export function createTargetReachMonitor(
@@ -65,27 +66,30 @@
 ): TargetReachMonitor {
   const {timers, log} = options;
   const reachability = createTargetReachability();
+  const connectionLog = createConnectionLog(options);
   const deaths = createConfirmedDeaths(options.onTargetDeath);
   const handles: TimerHandle[] = [];
-  const failedTargets = new Set<string>();
-  const failedZones = new Set<string>();
-  let made = 0;
-  let failed = 0;
-  let answers = 0;
+  const targetsByIncarnation = new Map<string, RegisteredTarget>();
+  let candidates: ProbeTarget[] = [];
+  let candidatesAtMs = -Infinity;
   let reach: TargetReach = 'suspect';
   let isReady = false;
   let cutSinceMs: number | undefined;
 
-  function countFailure({incarnation, entry}: RegisteredTarget): void {
-    failed += 1;
-    failedTargets.add(incarnation);
-    failedZones.add(entry.zone);
-    options.countConnection('failed');
-  }
-
-  function countConnection(): void {
-    made += 1;
-    options.countConnection('made');
+  function takeCandidates(
+    targets: readonly RegisteredTarget[],
+    nowMs: number,
+  ): void {
+    candidatesAtMs = nowMs;
+    targetsByIncarnation.clear();
+    candidates = [];
+    for (const target of targets) {
+      if (!target.entry.draining) {
+        const {incarnation, entry} = target;
+        targetsByIncarnation.set(incarnation, target);
+        candidates.push({incarnation, zone: entry.zone});
+      }
+    }
   }
 
   function update(): void {
@@ -94,14 +98,11 @@
       return;
     }
     const nowMs = timers.nowMs();
-    const byIncarnation = new Map<string, RegisteredTarget>();
-    const candidates: ProbeTarget[] = [];
-    for (const target of targets) {
-      if (!target.entry.draining) {
-        const {incarnation, entry} = target;
-        byIncarnation.set(incarnation, target);
-        candidates.push({incarnation, zone: entry.zone});
-      }
+    if (
+      candidates.length === 0 ||
+      nowMs - candidatesAtMs > CANDIDATES_LIFETIME_MS
+    ) {
+      takeCandidates(targets, nowMs);
     }
     const peerReachedAtMs = options.peerReachedAtMs();
     const failingSinceMs = reachability.failingSinceMs();
@@ -110,7 +111,7 @@
       nowMs,
     );
     for (const {incarnation} of decision.probes) {
-      const target = byIncarnation.get(incarnation);
+      const target = targetsByIncarnation.get(incarnation);
       if (target) {
         probe(target);
       }
@@ -159,9 +160,9 @@
       timers,
       connected => {
         if (connected) {
-          countConnection();
+          connectionLog.recordConnection();
         } else {
-          countFailure(target);
+          connectionLog.recordFailure(target);
         }
         reachability.recordProbe(target.incarnation, connected, timers.nowMs());
         update();
@@ -170,38 +171,20 @@
     );
   }
 
-  function logFailures(): void {
-    if (failed > 0) {
-      log.log('info', 'target-connections', {
-        failed,
-        failedTargets: failedTargets.size,
-        failedZones: failedZones.size,
-        made,
-        answers,
-        listed: options.listedTargets()?.length ?? 0,
-      });
-    }
-    made = 0;
-    failed = 0;
-    answers = 0;
-    failedTargets.clear();
-    failedZones.clear();
-  }
-
   return {
     evidence: {
       recordConnection: () => {
-        countConnection();
+        connectionLog.recordConnection();
         reachability.recordConnection(timers.nowMs());
       },
       recordConnectionFailure: target => {
-        countFailure(target);
+        connectionLog.recordFailure(target);
         const nowMs = timers.nowMs();
         reachability.recordConnectionFailure(target.incarnation, nowMs);
         deaths.add(target.incarnation, nowMs);
       },
       recordAnswer: () => {
-        answers += 1;
+        connectionLog.recordAnswer();
         reachability.recordAnswer(timers.nowMs());
       },
     },
@@ -214,7 +197,7 @@
     start: () => {
       handles.push(
         timers.every(UPDATE_INTERVAL_MS, update),
-        timers.every(LOG_INTERVAL_MS, logFailures),
+        timers.every(LOG_INTERVAL_MS, connectionLog.flush),
       );
     },
     stop: () => {
