Bound every wait of the platform harness and of end_to_end.test

A request that the gateway never answered kept forwarding.test waiting for ever, and waitUntil with it, whose time is only looked at after the condition has said something; so did rawExchange, the start and stop of the fleet and, in end_to_end.test, the start and stop of the deployment, each command and each call. Three polls claimed to be bounded by the timeout of the test runner, which has none.

No condition, bound or expectation of a test has changed.

--- a/packages/command_line/test/end_to_end.test.ts
+++ b/packages/command_line/test/end_to_end.test.ts
@@ -6,6 +6,7 @@
 import {createSilentLogger, createSystemTimerService} from '@ibisbeam/library';
 import {
   type LocalDeployment,
+  settleWithin,
   startLocalDeployment,
   writeOperatorFolder,
 } from '@ibisbeam/stand-ins';
@@ -19,21 +20,37 @@
 const SERVICE = 'room-availability';
 /** A change of approvals must be in force at every VM within this time. */
 const IN_FORCE_TIMEOUT_MS = 11_000;
+const START_TIMEOUT_MS = 60_000;
+const STOP_TIMEOUT_MS = 60_000;
+const COMMAND_TIMEOUT_MS = 60_000;
+const ANSWER_TIMEOUT_MS = 10_000;
 
 const timers = createSystemTimerService();
 const folder = mkdtempSync(join(tmpdir(), 'ibisbeam-'));
 let deployment: LocalDeployment;
 
+function within<Value>(
+  timeoutMs: number,
+  awaited: string,
+  promise: Promise<Value>,
+): Promise<Value> {
+  return settleWithin({timers, timeoutMs, awaited}, promise);
+}
+
 before(async () => {
-  deployment = await startLocalDeployment({
-    name: 'daugava',
-    entryVmCount: 3,
-    workerDivisor: 4,
-    clientBlockCount: 9,
-    timers,
-    logger: createSilentLogger(),
-    seed: 5,
-  });
+  deployment = await within(
+    START_TIMEOUT_MS,
+    'the deployment to start',
+    startLocalDeployment({
+      name: 'daugava',
+      entryVmCount: 3,
+      workerDivisor: 4,
+      clientBlockCount: 9,
+      timers,
+      logger: createSilentLogger(),
+      seed: 5,
+    }),
+  );
   await writeOperatorFolder({
     folder,
     keys: deployment.keys,
@@ -48,28 +65,40 @@
   await deployment.inForce(1);
 });
 after(async () => {
-  await deployment.stop();
   rmSync(folder, {recursive: true});
+  await within(STOP_TIMEOUT_MS, 'the deployment to stop', deployment.stop());
 });
 
 async function run(profile: string, ...commandArguments: readonly string[]) {
   let output = '';
-  const status = await runCommandLine(
-    [...commandArguments, '--profile', join(folder, `${profile}.jsonc`)],
-    {
-      ...createSystemDependencies(),
-      write: text => {
-        output += text;
+  const status = await within(
+    COMMAND_TIMEOUT_MS,
+    `the command ${commandArguments.join(' ')}`,
+    runCommandLine(
+      [...commandArguments, '--profile', join(folder, `${profile}.jsonc`)],
+      {
+        ...createSystemDependencies(),
+        write: text => {
+          output += text;
+        },
+        writeError: text => {
+          output += text;
+        },
       },
-      writeError: text => {
-        output += text;
-      },
-    },
+    ),
   );
   return {status, output};
 }
 
-async function send(vm: number, requestId: string) {
+function send(vm: number, requestId: string) {
+  return within(
+    ANSWER_TIMEOUT_MS,
+    `the answer of VM ${vm} to ${requestId}`,
+    sendUnbounded(vm, requestId),
+  );
+}
+
+async function sendUnbounded(vm: number, requestId: string) {
   const {callerAddress} = deployment.vms[vm]!.entryVm;
   const text = readFileSync(join(folder, 'environment.sh'), 'utf8');
   const token = /NEW_TEAM_TOKEN='([^']+)'/.exec(text)![1]!;
--- /dev/null
+++ b/packages/stand_ins/src/core/bounded_waits/index.ts
@@ -0,0 +1,1 @@
+export * from './bounded_waits.js';
--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -1,4 +1,5 @@
 /** Stand-ins for the platform and for targets, for tests and benchmarks only. */
+export * from './core/bounded_waits/index.js';
 export * from './core/deployments/index.js';
 export * from './core/operator_folder/index.js';
 export * from './core/platform_store/index.js';
--- a/packages/stand_ins/test/forwarding/harness.ts
+++ b/packages/stand_ins/test/forwarding/harness.ts
@@ -49,6 +49,7 @@
 export const BOOKING_PATH = `/v1/workspaces/${WORKSPACE}/services/booking-ledger`;
 export const PACK_PATH = `/v1/workspaces/${WORKSPACE}/services/welcome-packs`;
 
+const WAIT_TIMEOUT_MS = 30_000;
 /** Exceeds the duration of every planned stop in these tests. */
 const STOP_ADVANCE_MS = 10_000;
 
@@ -211,9 +212,17 @@
   return {atMs: 0, vms, silentRegions: new Set(), selfDoubt: false};
 }
 
-/** Polls the condition; bounded only by the timeout of the test runner. */
+/**
+ * Polls the condition in each turn of the event loop; rejects if it does not
+ * hold within 30 s.
+ */
 export async function waitUntil(condition: () => boolean): Promise<void> {
+  const {nowMs} = createSystemTimerService();
+  const deadlineMs = nowMs() + WAIT_TIMEOUT_MS;
   while (!condition()) {
+    if (nowMs() > deadlineMs) {
+      throw new Error(`waited ${WAIT_TIMEOUT_MS} ms for ${String(condition)}`);
+    }
     await new Promise(resolve => {
       setImmediate(resolve);
     });
--- a/packages/stand_ins/test/object_platform/forwarding.test.ts
+++ b/packages/stand_ins/test/object_platform/forwarding.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {connect} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
-import type {TargetFault} from '../../src/index.js';
+import {type TargetFault, settleWithin} from '../../src/index.js';
 import {
   type Harness,
   HOST,
@@ -13,6 +13,8 @@
   waitUntil,
 } from './harness.js';
 
+const DISCONNECT_TIMEOUT_MS = 20_000;
+
 describe('forwarding on the users’ platform', () => {
   let harness: Harness;
 
@@ -302,15 +304,26 @@
   });
 });
 
-function rawExchange(harness: Harness, text: string): Promise<string> {
-  return new Promise(resolve => {
-    const {host, port} = harness.gateway.caller;
-    const socket = connect(port, host, () => socket.write(text));
-    let received = '';
-    socket.on('data', data => {
-      received += data.toString('utf8');
-    });
-    socket.on('error', () => {});
-    socket.on('close', () => resolve(received));
+/** Sends the text; resolves to what has come when the gateway disconnects. */
+async function rawExchange(harness: Harness, text: string): Promise<string> {
+  const {host, port} = harness.gateway.caller;
+  const socket = connect(port, host, () => socket.write(text));
+  let received = '';
+  socket.on('data', data => {
+    received += data.toString('utf8');
+  });
+  socket.on('error', () => {});
+  const closed = new Promise<void>(resolve => {
+    socket.on('close', () => resolve());
   });
+  const awaited = `the gateway to disconnect after ${JSON.stringify(text)}`;
+  try {
+    await settleWithin(
+      {timers, timeoutMs: DISCONNECT_TIMEOUT_MS, awaited},
+      closed,
+    );
+  } finally {
+    socket.destroy();
+  }
+  return received;
 }
--- a/packages/stand_ins/test/object_platform/harness.ts
+++ b/packages/stand_ins/test/object_platform/harness.ts
@@ -1,5 +1,5 @@
 /** A loopback fleet with a look-up, a booking and a pack route. */
-import {request as httpRequest} from 'node:http';
+import {type ClientRequest, request as httpRequest} from 'node:http';
 import {
   createKeyValueLogger,
   createSystemTimerService,
@@ -8,12 +8,18 @@
   type FleetTarget,
   type LocalFleet,
   type LocalGateway,
+  pollUntil,
+  settleWithin,
   startLocalFleet,
 } from '../../src/index.js';
 
 export const HOST = 'rooms.example';
 
+const START_TIMEOUT_MS = 20_000;
+const STOP_TIMEOUT_MS = 20_000;
 const WAIT_TIMEOUT_MS = 5_000;
+/** Longer than any deadline or bound of a gateway. */
+const ANSWER_TIMEOUT_MS = 10_000;
 
 export interface Answer {
   /** 0 if the connection ended without an answer. */
@@ -120,8 +126,12 @@
     write: line => logLines.push(line),
   });
   const fleet = await startLocalFleet({timers, log, zones: REGION_BY_ZONE});
+  const wait = {timers, timeoutMs: START_TIMEOUT_MS, awaited: 'the fleet'};
   try {
-    return await populateFleet(fleet, targetOptions, targetCount, logLines);
+    return await settleWithin(
+      wait,
+      populateFleet(fleet, targetOptions, targetCount, logLines),
+    );
   } catch (error) {
     // Open listeners would keep the test process alive.
     await fleet.stop();
@@ -150,7 +160,13 @@
   }
   const gateway = await fleet.addGateway('edge-riga-a-1', 'riga-a');
   await waitUntil(() => isReady(gateway));
-  return {fleet, gateway, targets, logLines, stop: fleet.stop};
+  const wait = {
+    timers,
+    timeoutMs: STOP_TIMEOUT_MS,
+    awaited: 'the fleet to stop',
+  };
+  const stop = () => settleWithin(wait, fleet.stop());
+  return {fleet, gateway, targets, logLines, stop};
 }
 
 export async function isReady(gateway: LocalGateway): Promise<boolean> {
@@ -159,23 +175,19 @@
 }
 
 /** Polls the condition; rejects if it does not hold within 5 s. */
-export async function waitUntil(
+export function waitUntil(
   condition: () => boolean | Promise<boolean>,
 ): Promise<void> {
-  const deadlineMs = timers.nowMs() + WAIT_TIMEOUT_MS;
-  while (!(await condition())) {
-    if (timers.nowMs() > deadlineMs) {
-      throw new Error(`condition not met within ${WAIT_TIMEOUT_MS} ms`);
-    }
-    await timers.sleep(10);
-  }
+  const awaited = String(condition);
+  return pollUntil({timers, timeoutMs: WAIT_TIMEOUT_MS, awaited}, condition);
 }
 
 export function get(
   address: {readonly host: string; readonly port: number},
   path: string,
+  timeoutMs = ANSWER_TIMEOUT_MS,
 ): Promise<Answer> {
-  return exchange(address, path, 'GET', {}, undefined, undefined);
+  return exchange({address, path, method: 'GET', headers: {}, timeoutMs});
 }
 
 let attemptCount = 0;
@@ -194,39 +206,54 @@
   if (options.key !== undefined) {
     headers['X-Ibisbeam-Affinity-Key'] = options.key;
   }
-  return exchange(
-    gateway.caller,
-    options.path ?? '/rooms/1',
-    options.method ?? 'GET',
+  return exchange({
+    address: gateway.caller,
+    path: options.path ?? '/rooms/1',
+    method: options.method ?? 'GET',
     headers,
-    options.body,
-    options.abortAfterMs,
-  );
+    body: options.body,
+    abortAfterMs: options.abortAfterMs,
+    timeoutMs: ANSWER_TIMEOUT_MS,
+  });
 }
 
-function exchange(
-  address: {readonly host: string; readonly port: number},
-  path: string,
-  method: string,
-  headers: Readonly<Record<string, string>>,
-  body: string | undefined,
-  abortAfterMs: number | undefined,
-): Promise<Answer> {
+interface Exchange {
+  readonly address: {readonly host: string; readonly port: number};
+  readonly path: string;
+  readonly method: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body?: string | undefined;
+  readonly abortAfterMs?: number | undefined;
+  readonly timeoutMs: number;
+}
+
+async function exchange(options: Exchange): Promise<Answer> {
+  const {address, path, method, headers, timeoutMs} = options;
+  const clientRequest = httpRequest({
+    host: address.host,
+    port: address.port,
+    path,
+    method,
+    headers,
+    agent: false,
+  });
+  const answer = answerTo(clientRequest);
+  clientRequest.end(options.body);
+  if (options.abortAfterMs !== undefined) {
+    timers.after(options.abortAfterMs, () => clientRequest.destroy());
+  }
+  const awaited = `the answer to ${method} ${path}`;
+  try {
+    return await settleWithin({timers, timeoutMs, awaited}, answer);
+  } catch (error) {
+    clientRequest.destroy();
+    throw error;
+  }
+}
+
+function answerTo(clientRequest: ClientRequest): Promise<Answer> {
+  const noAnswer: Answer = {status: 0, headers: {}, body: '', complete: false};
   return new Promise(resolve => {
-    const clientRequest = httpRequest({
-      host: address.host,
-      port: address.port,
-      path,
-      method,
-      headers,
-      agent: false,
-    });
-    const noAnswer: Answer = {
-      status: 0,
-      headers: {},
-      body: '',
-      complete: false,
-    };
     clientRequest.on('error', () => resolve(noAnswer));
     clientRequest.on('response', response => {
       const chunks: Buffer[] = [];
@@ -241,10 +268,6 @@
       response.on('error', finish);
       response.on('close', finish);
     });
-    clientRequest.end(body);
-    if (abortAfterMs !== undefined) {
-      timers.after(abortAfterMs, () => clientRequest.destroy());
-    }
   });
 }
 
--- a/packages/stand_ins/test/object_platform/measure_restore.ts
+++ b/packages/stand_ins/test/object_platform/measure_restore.ts
@@ -12,7 +12,7 @@
   type LocalGateway,
   startLocalFleet,
 } from '../../src/index.js';
-import {call, createConfiguration, isReady} from './harness.js';
+import {call, createConfiguration, isReady, waitUntil} from './harness.js';
 
 const ZONES = {
   'riga-a': 'riga',
@@ -65,9 +65,7 @@
     vms.push(await fleet.addGateway(`edge-${index}`, zone));
   }
   for (const vm of vms) {
-    while (!(await isReady(vm))) {
-      await timers.sleep(SAMPLE_MS);
-    }
+    await waitUntil(() => isReady(vm));
   }
   await timers.sleep(SETTLED_MS);
   return vms;
--- a/packages/stand_ins/test/whole_path/leaving_target.test.ts
+++ b/packages/stand_ins/test/whole_path/leaving_target.test.ts
@@ -3,9 +3,13 @@
 import {after, before, it} from 'node:test';
 import type {SteeringStatus, TargetId} from '@ibisbeam/decision';
 import {createSilentLogger, createSystemTimerService} from '@ibisbeam/library';
-import {type LocalDeployment, startLocalDeployment} from '../../src/index.js';
+import {
+  type LocalDeployment,
+  pollUntil,
+  startLocalDeployment,
+} from '../../src/index.js';
 
-const POLL_INTERVAL_MS = 20;
+const NOTICE_TIMEOUT_MS = 30_000;
 const timers = createSystemTimerService();
 let deployment: LocalDeployment;
 
@@ -38,9 +42,9 @@
   const targetId = 'room-availability-1' as TargetId;
   assert.deepEqual(await readLeavingTargets(), []);
   deployment.targets.get(targetId)!.faults.leaving = true;
-  // Bounded by the timeout of the test runner.
-  while (!(await readLeavingTargets()).includes(targetId)) {
-    await timers.sleep(POLL_INTERVAL_MS);
-  }
+  await pollUntil(
+    {timers, timeoutMs: NOTICE_TIMEOUT_MS, awaited: `${targetId} to leave`},
+    async () => (await readLeavingTargets()).includes(targetId),
+  );
   assert.deepEqual(await readLeavingTargets(), [targetId]);
 });
--- a/packages/stand_ins/test/whole_path/store_away.test.ts
+++ b/packages/stand_ins/test/whole_path/store_away.test.ts
@@ -5,11 +5,15 @@
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
 import {createSilentLogger, createSystemTimerService} from '@ibisbeam/library';
-import {type LocalDeployment, startLocalDeployment} from '../../src/index.js';
+import {
+  type LocalDeployment,
+  pollUntil,
+  startLocalDeployment,
+} from '../../src/index.js';
 import {BOOKING_PATH, READ_PATH, WORKSPACE} from '../forwarding/harness.js';
 import {type Answer, sendRequest} from '../forwarding/send_request.js';
 
-const RETRY_INTERVAL_MS = 20;
+const RETRY_TIMEOUT_MS = 30_000;
 
 describe('with the store away', () => {
   const timers = createSystemTimerService();
@@ -62,11 +66,12 @@
       headers: {'idempotency-key': key, ...extra},
     });
 
-  /** Bounded by the timeout of the test runner. */
-  async function retryUntilOk(call: () => Promise<Answer>): Promise<void> {
-    while ((await call()).status !== 200) {
-      await timers.sleep(RETRY_INTERVAL_MS);
-    }
+  function retryUntilOk(call: () => Promise<Answer>): Promise<void> {
+    const awaited = `status 200 of ${String(call)}`;
+    return pollUntil(
+      {timers, timeoutMs: RETRY_TIMEOUT_MS, awaited},
+      async () => (await call()).status === 200,
+    );
   }
 
   it('at boot, a VM refuses as not run and serves once the store is back', async () => {
