Log what a restore of the store did to targets

store-restored tells that a VM follows the store in its new era, but not what the copy changed: which targets were kept without an entry, which of them wrote again, which were dropped, and which entries were held back. restore-ended now counts them, once a restore, when the store's list is taken as it is again. No target is treated otherwise.

--- a/packages/gateway/src/fleet_state.ts
+++ b/packages/gateway/src/fleet_state.ts
@@ -7,6 +7,7 @@
   type RegistryEvent,
   type RouteTable,
   type RoutingConfiguration,
+  type TargetEntry,
   type TargetRegistry,
   createRouteTable,
   createTargetRegistry,
@@ -14,6 +15,7 @@
 import type {Logger, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from './core/protocol.js';
 import type {RestoreMemory, StoreKind} from './peers/messages.js';
+import {createRestoreEffects} from './restore_effects.js';
 
 export interface FleetState {
   readonly registry: TargetRegistry;
@@ -76,6 +78,7 @@
   const listedEvacuations = new Set<string>();
   const liftedAtMs = new Map<string, number>();
   let rewritesUntilMs = -Infinity;
+  const restoreEffects = createRestoreEffects(log);
 
   function onRegistryEvent(event: RegistryEvent): void {
     const {entry, incarnation} = event.target;
@@ -88,6 +91,7 @@
       why: event.kind === 'target-removed' ? event.why : undefined,
     });
     if (event.kind === 'target-removed') {
+      restoreEffects.onRemoved(entry.id);
       options.onTargetRemoved(incarnation);
     }
   }
@@ -111,6 +115,9 @@
           applyTarget(name, value, nowMs);
         }
         for (const name of change.removed) {
+          if (registry.get(name)) {
+            restoreEffects.onMissing(name);
+          }
           registry.remove(name, nowMs, nowMs + settlingMs);
         }
         return;
@@ -130,13 +137,23 @@
   function applyTarget(name: string, value: unknown, nowMs: number): void {
     protocol
       .readTarget(name, value)
-      .ifRight(entry => registry.put(entry, nowMs))
+      .ifRight(entry => putTarget(entry, nowMs))
       .ifLeft(cause => {
         log.log('warn', 'target-entry-refused', {target: name, cause});
         registry.remove(name, nowMs, nowMs);
       });
   }
 
+  function putTarget(entry: TargetEntry, nowMs: number): void {
+    const withheldBefore = registry.withheldCount();
+    registry.put(entry, nowMs);
+    if (registry.withheldCount() > withheldBefore) {
+      restoreEffects.onWithheld(entry.id);
+      return;
+    }
+    restoreEffects.onListed(entry.id);
+  }
+
   function applyConfiguration(value: unknown, storeVersion: number): void {
     protocol
       .readConfiguration(value)
@@ -226,6 +243,7 @@
 
   function learn(memory: RestoreMemory): void {
     const nowMs = timers.nowMs();
+    restoreEffects.begin();
     registry.beginRestore(nowMs, memory.leftMs);
     rewritesUntilMs = Math.max(
       rewritesUntilMs,
@@ -264,11 +282,15 @@
     applyChange,
     beginRestore: () => {
       const nowMs = timers.nowMs();
+      restoreEffects.begin();
       registry.beginRestore(nowMs);
       rewritesUntilMs = nowMs + REWRITE_MS;
     },
     expire: () => {
       const nowMs = timers.nowMs();
+      if (restoreEffects.isActive() && registry.restoreLeftMs(nowMs) === 0) {
+        restoreEffects.end(registry.withheldCount());
+      }
       registry.expire(nowMs);
       if (nowMs >= rewritesUntilMs) {
         updateEvacuated(nowMs);
--- a/packages/gateway/test/fleet_state.test.ts
+++ b/packages/gateway/test/fleet_state.test.ts
@@ -183,5 +183,29 @@
         ['i-1'],
       );
     });
+
+    // Guards against a restore whose effect on targets no log tells.
+    it('logs what was kept, written again, withheld and dropped', () => {
+      for (const name of ['i-2', 'i-3', 'i-4']) {
+        putTarget('valid', name);
+      }
+      fleet.applyChange('targets', {put: [], removed: ['i-4']}, 0);
+      fleet.beginRestore();
+      fleet.applyChange('targets', {put: [], removed: ['i-1', 'i-2']}, 2_000);
+      putTarget('valid', 'i-4');
+      tickAt(1_500);
+      putTarget('valid', 'i-1');
+      tickAt(2_000);
+      tickAt(4_900);
+      assert.ok(!lines.some(line => line.includes('event=restore-ended')));
+      tickAt(5_000);
+      tickAt(9_000);
+      const ended = lines.filter(line => line.includes('event=restore-ended'));
+      assert.equal(ended.length, 1);
+      assert.match(
+        ended[0] ?? '',
+        /kept=2 rewritten=1 dropped=1 withheld=1 revived=1/,
+      );
+    });
   });
 });
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -20,6 +20,7 @@
   | 'store-reachable'
   | 'store-restored'
   | 'restore-learned'
+  | 'restore-ended'
   | 'watch-gap'
   | 'vm-state-changed'
   | 'self-doubt'
