--- a/packages/stand_ins/test/object_platform/store_restore.test.ts
+++ b/packages/stand_ins/test/object_platform/store_restore.test.ts
@@ -13,6 +13,9 @@
 
 /** Entries of targets that have left are gone from a restored store by then. */
 const LAPSED_MS = 6_000;
+const OUTAGE_MS = 1_200;
+/** One list, and watches that end with changes. */
+const CALLS_PER_KIND = 10;
 
 describe('a store that comes back from an older copy', () => {
   let harness: Harness;
@@ -162,6 +165,60 @@
     assert.deepEqual(await sendFor(500), new Set([200]));
   });
 
+  // Guards against VMs that do not watch the store and stay in its old era.
+  it('is followed by VMs that hear of it from others', async () => {
+    const {store} = harness.fleet;
+    const gateways = [harness.gateway];
+    for (const zone of ['riga-b', 'kurz-a', 'riga-a', 'riga-b']) {
+      const id = `edge-${gateways.length}-${zone}`;
+      gateways.push(await harness.fleet.addGateway(id, zone));
+    }
+    for (const gateway of gateways) {
+      await waitUntil(() => isReady(gateway));
+    }
+    const callsBefore = store.callCount();
+    store.restore(copy);
+    const restored = /event=store-restored.* era=2 eraBefore=1/;
+    await waitUntil(
+      () =>
+        harness.logLines.filter(line => restored.test(line)).length ===
+        gateways.length,
+    );
+    harness.fleet.configure(createConfiguration(9));
+    const inForce = /in-force.*version=9/;
+    await waitUntil(
+      () =>
+        harness.logLines.filter(line => inForce.test(line)).length ===
+        gateways.length,
+    );
+    for (const gateway of gateways) {
+      assert.equal((await call(gateway)).status, 200);
+    }
+    // Three lists and watches of two VMs; each VM registers and lists once.
+    const mostCalls = 2 * 3 * CALLS_PER_KIND + 4 * gateways.length;
+    assert.ok(store.callCount() - callsBefore <= mostCalls);
+  });
+
+  // Guards against changes that are missed since the store has gone beyond the
+  // last known revision again when the first watch reaches it.
+  it('is followed when it comes back from an outage', async () => {
+    const {store} = harness.fleet;
+    harness.fleet.configure(createConfiguration(5));
+    await waitUntil(() => hasLine(/in-force.*version=5/));
+    store.setFault({kind: 'silent'});
+    await timers.sleep(OUTAGE_MS);
+    store.restore(copy);
+    for (let index = 0; index < 50; index += 1) {
+      putTarget(0, {sequence: 2 + index});
+    }
+    harness.fleet.configure(createConfiguration(9));
+    assert.deepEqual(await sendFor(OUTAGE_MS), new Set([200]));
+    store.setFault({kind: 'none'});
+    await waitUntil(() => hasLine(/event=store-restored.* era=2 eraBefore=1/));
+    await waitUntil(() => hasLine(/in-force.*version=9/));
+    assert.deepEqual(await sendFor(500), new Set([200]));
+  });
+
   // Guards against a VM that starts from the copy and knows no better.
   it('is told apart from its copy by a VM that starts meanwhile', async () => {
     const {store} = harness.fleet;
