Close what a deployment opened that could not start

A start that failed before the VMs were started, in writing the configuration or in creating a VM, left the targets and the platform of a local deployment listening, so that the process of the test did not end; only a failed start of the VMs was cleaned up.

"a deployment that cannot start leaves no listener" failed before ("waited 5000 ms for all listeners to close"), and its process was still there after 20 s; now it passes and its process ends.

--- a/packages/stand_ins/src/core/local_deployment/local_deployment.ts
+++ b/packages/stand_ins/src/core/local_deployment/local_deployment.ts
@@ -127,26 +127,27 @@
   const keys = await createStandInKeys(timers);
   const platform = createMemoryPlatform(timers);
   const platformServer = await startPlatformServer(platform.store);
-  const addresses = await reserveAddresses(
-    options.entryVmCount * ADDRESSES_PER_VM,
-  );
   const targets = new Map<TargetId, StandInTarget>();
-  const document = await buildDocument(options, addresses, targets);
-  const entryVms = entryVmsOf(document);
-  await publish('first configuration', [...document.values()]);
-
-  platform.faults.down = options.storeDownAtStart ?? false;
-
   const vms: LocalVm[] = [];
-  for (const [index, entryVm] of entryVms.entries()) {
-    vms.push(createLocalVm(entryVm, index));
-  }
-  try {
-    await Promise.all(vms.map(vm => vm.kernel.start()));
-  } catch (error) {
+  const document = await startTargetsAndVms().catch(async (error: unknown) => {
+    // Open listeners would keep the process alive.
     await Promise.allSettled(vms.map(vm => vm.kernel.stop()));
     await stopTargetsAndPlatform();
     throw error;
+  });
+
+  async function startTargetsAndVms(): Promise<ConfigurationDocument> {
+    const addresses = await reserveAddresses(
+      options.entryVmCount * ADDRESSES_PER_VM,
+    );
+    const built = await buildDocument(options, addresses, targets);
+    await publish('first configuration', [...built.values()]);
+    platform.faults.down = options.storeDownAtStart ?? false;
+    for (const [index, entryVm] of entryVmsOf(built).entries()) {
+      vms.push(createLocalVm(entryVm, index));
+    }
+    await Promise.all(vms.map(vm => vm.kernel.start()));
+    return built;
   }
 
   async function stopTargetsAndPlatform(): Promise<void> {
