--- a/packages/stand_ins/test/object_platform/harness.ts
+++ b/packages/stand_ins/test/object_platform/harness.ts
@@ -126,10 +126,9 @@
     write: line => logLines.push(line),
   });
   const fleet = await startLocalFleet({timers, log, zones: REGION_BY_ZONE});
-  const wait = {timers, timeoutMs: START_TIMEOUT_MS, awaited: 'the fleet'};
   try {
     return await settleWithin(
-      wait,
+      {timers, timeoutMs: START_TIMEOUT_MS, awaited: 'the fleet to start'},
       populateFleet(fleet, targetOptions, targetCount, logLines),
     );
   } catch (error) {
