Let stand-in targets say that they leave or want a pause

A refusal (421, 503) went through node:http, which holds a response back until those before it on the connection have ended; the other answers are written to the socket and never end theirs. On a connection in use again, a refusal was therefore never sent. Refusals are written to the socket as well.

--- a/packages/stand_ins/src/core/object_platform/fleet_target.ts
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -7,6 +7,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import type {TimerService} from '@ibisbeam/library';
 import type {LimitStatement, TargetArrival} from './rate_limit_rule.js';
+import type {LeavingStatement, PauseStatement} from './target_signal_rules.js';
 
 /** Fault applied to one request. */
 export type TargetFault =
@@ -65,8 +66,14 @@
   /** Requests that reached the target, whether it ran them or not. */
   readonly arrivals: readonly TargetArrival[];
   readonly limitStatements: readonly LimitStatement[];
+  /** Answers that said that the target is leaving. */
+  readonly leavingStatements: readonly LeavingStatement[];
+  /** Refusals that asked for a pause. */
+  readonly pauseStatements: readonly PauseStatement[];
   /** Number of connections accepted so far. */
   readonly connectionCount: () => number;
+  /** Number of connections that are open now. */
+  readonly openConnections: () => number;
   /** Queues faults for the next requests, one each. */
   plan(...faults: readonly TargetFault[]): void;
   setWorkMs(workMs: number): void;
@@ -77,6 +84,12 @@
    * @param perSecond Requests per second of all VMs; undefined for no limit.
    */
   setRateLimit(perSecond: number | undefined): void;
+  /** Whether all answers from now on say that the target is leaving. */
+  setLeaving(isLeaving: boolean): void;
+  /** Refuses all requests for this time, each until the end of it. */
+  pauseFor(spanMs: number): void;
+  /** Refuses the next request with this value of Retry-After. */
+  refuseNext(retryAfter: string): void;
   close(): Promise<void>;
 }
 
@@ -103,6 +116,7 @@
 const DEFAULT_BODY_BYTES = 20;
 const DEFAULT_BORN_MS = 1_000;
 const KEEP_ALIVE_TIMEOUT_MS = 10_000;
+const MILLISECONDS_PER_SECOND = 1_000;
 
 export async function startFleetTarget(
   options: FleetTargetOptions,
@@ -112,7 +126,11 @@
   const runs: TargetRun[] = [];
   const arrivals: TargetArrival[] = [];
   const limitStatements: LimitStatement[] = [];
+  const leavingStatements: LeavingStatement[] = [];
+  const pauseStatements: PauseStatement[] = [];
   const faults: TargetFault[] = [];
+  /** Values of Retry-After for the next refusals. */
+  const refusals: string[] = [];
   const warm = new Set<string>();
   const queue: (() => void)[] = [];
   const sockets = new Set<Socket>();
@@ -120,6 +138,8 @@
   let workMs = options.workMs ?? DEFAULT_WORK_MS;
   let connections = 0;
   let rateLimit: number | undefined;
+  let isLeaving = false;
+  let pausedUntilMs = -Infinity;
 
   const server = createServer((incoming, outgoing) => {
     const chunks: Buffer[] = [];
@@ -131,11 +151,11 @@
       return;
     }
     if (expected !== undefined && expected !== id) {
-      outgoing.writeHead(421, {
+      writeRefusal(incoming.socket, 421, {
         'X-Ibisbeam-Instance-Id': id,
         'X-Ibisbeam-Attempt-Id': attemptId,
+        ...leavingHeader(),
       });
-      outgoing.end();
       return;
     }
     arrivals.push({attemptId, atMs: timers.nowMs()});
@@ -147,13 +167,14 @@
     incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
     incoming.on('end', () => {
       const full = running >= slots && queue.length >= queueLimit();
-      if (fault === 'shed' || full) {
-        outgoing.writeHead(503, {
+      const retryAfter = takeRetryAfter(attemptId);
+      if (fault === 'shed' || full || retryAfter !== undefined) {
+        writeRefusal(incoming.socket, 503, {
           'X-Ibisbeam-Not-Executed': '1',
           'X-Ibisbeam-Attempt-Id': attemptId,
-          ...rateLimitHeader(attemptId),
+          ...statementHeaders(attemptId),
+          ...(retryAfter === undefined ? {} : {'Retry-After': retryAfter}),
         });
-        outgoing.end();
         return;
       }
       const body = Buffer.concat(chunks).toString('utf8');
@@ -175,6 +196,35 @@
     return {'Server-Limit': String(rateLimit)};
   }
 
+  function leavingHeader(): Readonly<Record<string, string>> {
+    return isLeaving ? {'Server-Leaving': '1'} : {};
+  }
+
+  /** What the target says of itself in each of its answers. */
+  function statementHeaders(
+    attemptId: string,
+  ): Readonly<Record<string, string>> {
+    if (isLeaving) {
+      leavingStatements.push({attemptId, atMs: timers.nowMs()});
+    }
+    return {...rateLimitHeader(attemptId), ...leavingHeader()};
+  }
+
+  /** Value of Retry-After if the request is refused because of a pause. */
+  function takeRetryAfter(attemptId: string): string | undefined {
+    const nowMs = timers.nowMs();
+    const leftMs = pausedUntilMs - nowMs;
+    const planned = refusals.shift();
+    const retryAfter =
+      planned ??
+      (leftMs > 0 ? (leftMs / MILLISECONDS_PER_SECOND).toFixed(3) : undefined);
+    const pauseMs = Number(retryAfter) * MILLISECONDS_PER_SECOND;
+    if (pauseMs > 0) {
+      pauseStatements.push({attemptId, atMs: nowMs, pauseMs});
+    }
+    return retryAfter;
+  }
+
   function queueLimit(): number {
     return options.queueLength ?? slots * 3;
   }
@@ -307,6 +357,23 @@
     }
   }
 
+  /**
+   * Writes to the socket as all answers do: `node:http` would hold a response
+   * back until those before it on the connection have ended.
+   */
+  function writeRefusal(
+    socket: Socket,
+    status: number,
+    headers: Readonly<Record<string, string>>,
+  ): void {
+    const lines = [`HTTP/1.1 ${status} Refused`];
+    for (const [name, value] of Object.entries(headers)) {
+      lines.push(`${name}: ${value}`);
+    }
+    lines.push('Content-Length: 0');
+    socket.write(`${lines.join('\r\n')}\r\n\r\n`);
+  }
+
   /** Blocks the event loop so that the process reads no arrived data. */
   function blockEventLoop(spanMs: number): void {
     const endsMs = timers.nowMs() + spanMs;
@@ -327,7 +394,7 @@
       `X-Ibisbeam-Response-Seal: seal-${id}-${attemptId}`,
       `X-Ibisbeam-Server-Load: ${running},${queue.length},${slots}`,
       'Keep-Alive: timeout=10',
-      ...Object.entries(rateLimitHeader(attemptId)).map(
+      ...Object.entries(statementHeaders(attemptId)).map(
         ([name, value]) => `${name}: ${value}`,
       ),
       ...(framed ? [`Content-Length: ${text.length}`] : []),
@@ -366,7 +433,10 @@
     runs,
     arrivals,
     limitStatements,
+    leavingStatements,
+    pauseStatements,
     connectionCount: () => connections,
+    openConnections: () => sockets.size,
     plan: (...planned) => {
       faults.push(...planned);
     },
@@ -376,6 +446,15 @@
     setRateLimit: perSecond => {
       rateLimit = perSecond;
     },
+    setLeaving: next => {
+      isLeaving = next;
+    },
+    pauseFor: spanMs => {
+      pausedUntilMs = timers.nowMs() + spanMs;
+    },
+    refuseNext: retryAfter => {
+      refusals.push(retryAfter);
+    },
     close: () =>
       new Promise(resolve => {
         server.close(() => resolve());
--- a/packages/stand_ins/src/core/object_platform/index.ts
+++ b/packages/stand_ins/src/core/object_platform/index.ts
@@ -3,3 +3,4 @@
 export * from './object_store.js';
 export * from './rate_limit_rule.js';
 export * from './stand_in_deployment.js';
+export * from './target_signal_rules.js';
