Stop sending to targets that say that they leave or want a pause

No line read `Server-Leaving`, nor `Retry-After` of a target's 503. A leaving target got requests until the store listed it as draining or gone, and one that asked for a pause was only avoided as a full one, for half a second.

What targets say of themselves is one decision now (packages/decision/src/core/target_availability): open, discouraged, pausing, resuming, leaving. It binds the choice of a target and is looked at once more before the first byte (outcome `withheld`). `Retry-After` of refusals is rounded up.

Existing tests: affinity_placement, fleet_state and target_attempt pass the new dependencies; target_attempt's attempt is started by a function now that a second test uses; their checks are the same.

--- a/packages/decision/src/core/attempt_policy/attempt_policy.ts
+++ b/packages/decision/src/core/attempt_policy/attempt_policy.ts
@@ -12,6 +12,8 @@
   | {readonly kind: 'not-executed'; readonly status: number}
   /** No byte of the request was sent. */
   | {readonly kind: 'not-sent'; readonly cause: string}
+  /** Not sent, because the target wants no more requests for now. */
+  | {readonly kind: 'withheld'; readonly cause: string}
   /** The response is missing, truncated, malformed or for another request. */
   | {readonly kind: 'broken'; readonly cause: string};
 
@@ -66,6 +68,7 @@
         ? {kind: 'try-another', costsBudget: true}
         : failure(history);
     case 'not-sent':
+    case 'withheld':
       return canTryAgain(history)
         ? {kind: 'try-another', costsBudget: false}
         : failure(history);
--- a/packages/decision/src/core/fleet_targets/target_registry.ts
+++ b/packages/decision/src/core/fleet_targets/target_registry.ts
@@ -46,6 +46,11 @@
 export interface TargetRegistryOptions {
   readonly zoneRegions: ReadonlyMap<string, string>;
   onEvent(event: RegistryEvent): void;
+  /**
+   * Whether the incarnation is leaving, whatever the list says. Call
+   * `refreshUsable` when this changes.
+   */
+  isLeaving?(incarnation: string): boolean;
 }
 
 export interface TargetRegistry {
@@ -56,6 +61,8 @@
    * returned until they change.
    */
   usable(service: string): readonly RegisteredTarget[];
+  /** Recomputes which targets of the service are usable. */
+  refreshUsable(service: string): void;
   isCold(target: RegisteredTarget, nowMs: number): boolean;
   /** Adds the target or replaces its entry; cancels a scheduled removal. */
   put(entry: TargetEntry, nowMs: number): void;
@@ -266,10 +273,13 @@
     }
     const found: RegisteredTarget[] = [];
     for (const {target} of records.values()) {
-      const {entry} = target;
+      const {entry, incarnation} = target;
       if (entry.service !== service || entry.draining) {
         continue;
       }
+      if (options.isLeaving?.(incarnation)) {
+        continue;
+      }
       if (!evacuated.has(entry.zone)) {
         found.push(target);
       }
@@ -300,6 +310,7 @@
     get: id => records.get(id)?.target,
     all: () => [...records.values()].map(record => record.target),
     usable,
+    refreshUsable: invalidate,
     isCold: (target, nowMs) => nowMs < target.coldUntilMs,
     put,
     remove,
--- a/packages/decision/src/core/placement/affinity_placement.ts
+++ b/packages/decision/src/core/placement/affinity_placement.ts
@@ -9,6 +9,7 @@
 import type {RegisteredTarget, TargetRegistry} from '../fleet_targets/index.js';
 import type {RandomSource} from '../model/index.js';
 import type {RegionShares} from './region_shares.js';
+import type {StatedAvailability} from '../target_availability/index.js';
 import type {ServiceTimes} from './service_times.js';
 import type {TargetLoad} from './target_load.js';
 import {type RankedTarget, createTargetShortlist} from './target_shortlist.js';
@@ -60,6 +61,8 @@
   readonly slotTimeWeight: number;
   /** Cost of a failed request; multiplied by the target's failure rate. */
   readonly failureCostMs: number;
+  /** Cost of a target that other VMs report as leaving. */
+  readonly discouragedCostMs: number;
 }
 
 export const DEFAULT_PLACEMENT_PARAMETERS: PlacementParameters = {
@@ -71,6 +74,7 @@
   windowBytes: 65_536,
   slotTimeWeight: 1,
   failureCostMs: 1_000,
+  discouragedCostMs: 500,
 };
 
 export interface PlacementDependencies {
@@ -89,6 +93,11 @@
   coldStartAllows(target: RegisteredTarget, nowMs: number): boolean;
   /** Whether the rate limit that the target states, if any, lets it. */
   rateLimitAllows(target: RegisteredTarget, nowMs: number): boolean;
+  /** What targets say of themselves. */
+  readonly statedAvailability: Pick<
+    StatedAvailability,
+    'allows' | 'availability'
+  >;
 }
 
 export interface AffinityPlacement {
@@ -123,8 +132,14 @@
 export function createAffinityPlacement(
   dependencies: PlacementDependencies,
 ): AffinityPlacement {
-  const {registry, targetLoad, serviceTimes, warmKeys, parameters} =
-    dependencies;
+  const {
+    registry,
+    targetLoad,
+    serviceTimes,
+    warmKeys,
+    parameters,
+    statedAvailability,
+  } = dependencies;
   const shortlist = createTargetShortlist();
 
   /** Round-trip time to a target and cost of the traffic. */
@@ -248,7 +263,8 @@
     const {homeRegions} = request;
     if (
       request.excludedIncarnations.has(incarnation) ||
-      targetLoad.backoffUntilMs(incarnation) > nowMs
+      targetLoad.backoffUntilMs(incarnation) > nowMs ||
+      !statedAvailability.allows(incarnation, nowMs)
     ) {
       return false;
     }
@@ -299,12 +315,15 @@
     const {roundTripMs, costMs} = distance(target, responseBytes);
     const expectedMs = roundTripMs + waitMs + runMs;
     const utilization = Math.min(1, inFlight / entry.slots);
+    const isDiscouraged =
+      statedAvailability.availability(incarnation, nowMs) === 'discouraged';
     const cacheMissPenaltyMs = runMs - cacheHitMs * slowdown;
     const cost =
       expectedMs +
       costMs +
       cacheMissPenaltyMs * utilization * parameters.slotTimeWeight +
       targetLoad.failureRate(incarnation) * parameters.failureCostMs +
+      (isDiscouraged ? parameters.discouragedCostMs : 0) +
       tieBreakMs(rank) +
       inFlight / entry.slots;
     return {
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -18,6 +18,7 @@
 export * from './core/routing/index.js';
 export * from './core/shifts/index.js';
 export * from './core/steering/index.js';
+export * from './core/target_availability/index.js';
 export * from './core/templates/index.js';
 export * from './core/fleet_targets/index.js';
 export * from './core/placement/index.js';
--- a/packages/decision/test/placement/affinity_placement.test.ts
+++ b/packages/decision/test/placement/affinity_placement.test.ts
@@ -8,6 +8,7 @@
   createRandomSource,
   createRegionShares,
   createServiceTimes,
+  createStatedAvailability,
   createTargetLoad,
   createTargetRegistry,
   createWarmKeys,
@@ -61,6 +62,7 @@
   const load = createTargetLoad();
   const times = createServiceTimes();
   const warmKeys = createWarmKeys();
+  const statedAvailability = createStatedAvailability('edge');
   const placement = createAffinityPlacement({
     zone: 'riga-a',
     region: 'riga',
@@ -77,13 +79,56 @@
     tryTakeSpillover: () => maySpillOver,
     coldStartAllows: () => false,
     rateLimitAllows: () => true,
+    statedAvailability,
   });
   const incarnationOf = (id: string): string =>
     registry.get(id)?.incarnation ?? '';
-  return {registry, load, times, warmKeys, placement, incarnationOf};
+  return {
+    registry,
+    load,
+    times,
+    warmKeys,
+    statedAvailability,
+    placement,
+    incarnationOf,
+  };
 }
 
 describe('affinity placement', () => {
+  // Guards against targets that get requests although they want none.
+  it('chooses no target that is leaving or pausing', () => {
+    const {registry, statedAvailability, placement} = startVm();
+    const first = placement.choose(REQUEST, 0)?.target;
+    assert.ok(first);
+    statedAvailability.recordPause(first, 1_000, 0);
+    const second = placement.choose(REQUEST, 0)?.target;
+    assert.ok(second && second !== first);
+    statedAvailability.recordLeaving(second.incarnation, 0);
+    const third = placement.choose(REQUEST, 0)?.target;
+    assert.ok(third && third !== first && third !== second);
+    assert.equal(placement.choose(REQUEST, 1_000)?.target, first);
+    for (const {incarnation} of registry.all()) {
+      statedAvailability.recordLeaving(incarnation, 0);
+    }
+    assert.equal(placement.choose(REQUEST, 0), undefined);
+  });
+
+  // Guards against reports of other VMs that take all targets out.
+  it('prefers targets that no other VM reports as leaving', () => {
+    const {registry, statedAvailability, placement} = startVm();
+    const first = placement.choose(REQUEST, 0)?.target;
+    assert.ok(first);
+    const report = (incarnation: string): void => {
+      statedAvailability.recordReport({incarnation, ageMs: 0}, 0);
+    };
+    report(first.incarnation);
+    assert.notEqual(placement.choose(REQUEST, 0)?.target, first);
+    for (const {incarnation} of registry.all()) {
+      report(incarnation);
+    }
+    assert.equal(placement.choose(REQUEST, 0)?.target, first);
+  });
+
   it('assigns a key to one target of the region, the same on every VM', () => {
     const chosen = new Set<string | undefined>();
     for (let vm = 0; vm < 3; vm += 1) {
--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -108,6 +108,10 @@
   targets(): number;
   /** Number of targets that state a rate limit. */
   limitedTargets(): number;
+  /** Number of listed targets that are leaving. */
+  leavingTargets(): number;
+  /** Number of targets that want no requests of this VM for a while. */
+  pausingTargets(): number;
 }
 
 /** Reported while a value is not known. */
@@ -168,4 +172,14 @@
     'Targets that state a rate limit.',
     sources.limitedTargets,
   );
+  metrics.registerGauge(
+    'ibisbeam_targets_leaving',
+    'Listed targets that are leaving and get no new requests.',
+    sources.leavingTargets,
+  );
+  metrics.registerGauge(
+    'ibisbeam_targets_pausing',
+    'Targets that asked this VM for a pause and get no requests.',
+    sources.pausingTargets,
+  );
 }
--- a/packages/gateway/src/core/protocol.ts
+++ b/packages/gateway/src/core/protocol.ts
@@ -28,6 +28,10 @@
   readonly loadReport: string;
   /** Requests per second that a target in need takes from all VMs together. */
   readonly rateLimit: string;
+  /** Present in all answers of a target that is leaving. */
+  readonly leaving: string;
+  /** On a refusal: how long the target wants no requests from the sender. */
+  readonly retryAfter: string;
 }
 
 /** Kinds of objects in the platform's store. */
@@ -61,6 +65,15 @@
   readLoadReport(header: string): LoadReport | undefined;
   /** Requests per second; undefined if the header value is malformed. */
   readRateLimit(header: string): number | undefined;
+  /** Whether the header value says that the target is leaving. */
+  readLeaving(header: string): boolean;
+  /**
+   * Milliseconds; undefined if the header value is malformed or not in the
+   * future.
+   *
+   * @param nowWallMs For a header value that is a date.
+   */
+  readRetryAfter(header: string, nowWallMs: number): number | undefined;
   readDirectoryQuery(query: URLSearchParams): DirectoryQuery;
   /** Returns the response body in JSON. */
   writeDirectoryResponse(
--- a/packages/gateway/src/fleet_state.ts
+++ b/packages/gateway/src/fleet_state.ts
@@ -4,6 +4,7 @@
  */
 import {
   type MirrorChange,
+  type RegisteredTarget,
   type RegistryEvent,
   type RouteTable,
   type RoutingConfiguration,
@@ -48,6 +49,10 @@
   readonly timers: Pick<TimerService, 'nowMs'>;
   readonly log: Logger;
   onConfiguration(configuration: RoutingConfiguration): void;
+  /** Whether a target says of itself that it is leaving. */
+  isLeaving(incarnation: string): boolean;
+  /** Called when the list says that a target is leaving. */
+  onTargetDraining(target: RegisteredTarget): void;
   /** Called when an incarnation of a target has been removed. */
   onTargetRemoved(incarnation: string): void;
 }
@@ -68,6 +73,7 @@
   const registry = createTargetRegistry({
     zoneRegions: options.zoneRegions,
     onEvent: onRegistryEvent,
+    isLeaving: options.isLeaving,
   });
   let routes: RouteTable | undefined;
   /** The configuration in force, as its writer wrote it. */
@@ -87,8 +93,16 @@
       coldMs: entry.coldRemainingMs,
       why: event.kind === 'target-removed' ? event.why : undefined,
     });
-    if (event.kind === 'target-removed') {
-      options.onTargetRemoved(incarnation);
+    switch (event.kind) {
+      case 'target-draining':
+        options.onTargetDraining(event.target);
+        return;
+      case 'target-removed':
+        options.onTargetRemoved(incarnation);
+        return;
+      case 'target-added':
+      case 'target-cold':
+        return;
     }
   }
 
--- a/packages/gateway/src/forwarding/admission_queue.ts
+++ b/packages/gateway/src/forwarding/admission_queue.ts
@@ -17,6 +17,8 @@
   remove(request: QueuedRequest): void;
   /** Called when a slot of the service may have become free. */
   onSlotFreed(service: string): void;
+  /** Called when the requests of the service may have no target left. */
+  offerAll(service: string): void;
   length(): number;
 }
 
@@ -95,6 +97,12 @@
         offer(queue, queue.first(OFFERS_PER_SLOT));
       }
     },
+    offerAll: service => {
+      const queue = queues.get(service);
+      if (queue) {
+        offer(queue, queue.first(Infinity));
+      }
+    },
     length: () => queuedCount,
   };
 }
--- a/packages/gateway/src/forwarding/attempt_recording.ts
+++ b/packages/gateway/src/forwarding/attempt_recording.ts
@@ -19,6 +19,10 @@
   const {targetLoad, crashGuard} = context;
   const {outcome, nowMs} = end;
   const {incarnation, entry} = end.attempt.placement.target;
+  // A target that asks for a pause is in order, and has its slots back after it.
+  if (end.attempt.isPauseStated) {
+    return;
+  }
   switch (outcome.kind) {
     case 'answered':
       if (outcome.status >= 500) {
@@ -37,6 +41,8 @@
       context.connections.closeIdle(incarnation);
       crashGuard.recordTargetDeath(incarnation);
       return;
+    case 'withheld':
+      return;
     case 'broken':
       targetLoad.recordFailure(incarnation);
       crashGuard.recordBrokenConnection(incarnation, end.fingerprint());
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -12,6 +12,7 @@
 } from '@ibisbeam/decision';
 import type {Logger, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
+import type {TargetAvailability} from '../target_availability.js';
 import type {CrashGuard} from './crash_guard.js';
 import type {TargetConnections} from './target_connections.js';
 import type {AdmissionQueue} from './admission_queue.js';
@@ -48,6 +49,8 @@
    * handles them or sets its own.
    */
   readonly droppedHeaders: ReadonlySet<string>;
+  /** As `droppedHeaders`, of answers of targets. */
+  readonly droppedAnswerHeaders: ReadonlySet<string>;
   readonly placement: AffinityPlacement;
   readonly targetLoad: TargetLoad;
   readonly serviceTimes: ServiceTimes;
@@ -67,8 +70,14 @@
    * @param expectedMs Mean duration of requests of the route at a target.
    */
   onRequestArrived(service: string, expectedMs: number, nowMs: number): void;
-  /** Returns the Retry-After time for refused requests. */
-  retryAfterMs(service: string): number;
+  /** What targets say of themselves. */
+  readonly availability: TargetAvailability;
+  /**
+   * Returns the Retry-After time for refused requests.
+   *
+   * @param homeRegions The only regions that may run them; empty if any may.
+   */
+  retryAfterMs(service: string, homeRegions: readonly string[]): number;
   onRequestSent(target: RegisteredTarget, nowMs: number): void;
   /** @param perSecond Rate limit that the target states; undefined if none. */
   onRateLimitAnswer(
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -6,6 +6,7 @@
   type AttemptOutcome,
   type DispatchDecision,
   type Placement,
+  type PoolAvailability,
   decideDispatch,
   maximumHoldMs,
   isRetryable,
@@ -18,7 +19,12 @@
 import {recordEndedAttempt} from './attempt_recording.js';
 import type {ExchangeRequest, RunningAttempt} from './exchange_types.js';
 import type {QueuedRequest} from './admission_queue.js';
-import {type TargetResponse, startTargetAttempt} from './target_attempt.js';
+import {readAnswerStatement} from './answer_statement.js';
+import {
+  type AnswerHead,
+  type TargetResponse,
+  startTargetAttempt,
+} from './target_attempt.js';
 
 /** A target in this region that takes longer counts as unreachable. */
 const CONNECT_TIMEOUT_MS = 150;
@@ -43,6 +49,14 @@
 /** A hedge starts no earlier than this multiple of the latency objective. */
 const HEDGE_OBJECTIVE_FACTOR = 2;
 
+/** Why a request is refused if no target may take it. */
+const REASON_BY_POOL: Readonly<Record<PoolAvailability['kind'], string>> = {
+  open: 'no target has room',
+  resuming: 'no target has room',
+  pausing: 'all targets ask for a pause',
+  leaving: 'all targets are leaving',
+};
+
 /** Handles the request until it is answered or the client disconnects. */
 export function startExchange(
   context: ForwardingContext,
@@ -107,12 +121,16 @@
     refuse(outgoing, status, reason, retryAfterMs);
   }
 
+  function retryAfterMs(): number {
+    return context.retryAfterMs(service, route.homeRegions);
+  }
+
   function onTimeout(): void {
     if (possiblyExecuted > 0) {
       fail(504, 'no answer in time');
       return;
     }
-    fail(503, 'no target in time', context.retryAfterMs(service));
+    fail(503, 'no target in time', retryAfterMs());
   }
 
   function onClientDisconnect(): void {
@@ -191,6 +209,11 @@
     }
     const {target} = attempt.placement;
     const {incarnation, entry} = target;
+    const cause = context.availability.withheldBecause(incarnation);
+    if (cause !== undefined) {
+      onAttemptEnd(attempt, {kind: 'withheld', cause});
+      return;
+    }
     const maximumIdleMs = isRetryable(route.kind)
       ? RETRYABLE_MAXIMUM_IDLE_MS
       : NON_IDEMPOTENT_MAXIMUM_IDLE_MS;
@@ -222,6 +245,9 @@
         },
         onLoadReport: report =>
           targetLoad.recordReport(incarnation, report, timers.nowMs()),
+        withheldBecause: () =>
+          context.availability.withheldBecause(incarnation),
+        onAnswer: head => onAnswer(attempt, head),
         onRateLimit: perSecond => context.onRateLimitAnswer(target, perSecond),
         onResponseHead: (sent, response) =>
           context.connections.recordKeepAlive(sent, response),
@@ -230,6 +256,13 @@
     );
   }
 
+  function onAnswer(attempt: RunningAttempt, head: AnswerHead): void {
+    const nowWallMs = timers.wallMs();
+    const statement = readAnswerStatement(protocol, head, nowWallMs);
+    attempt.isPauseStated = statement.pauseMs !== undefined;
+    context.availability.recordAnswer(attempt.placement.target, statement);
+  }
+
   function scheduleHedge(placement: Placement): void {
     hedgeTimer?.cancel();
     if (!isRetryable(route.kind)) {
@@ -272,6 +305,9 @@
     if (outcome.kind === 'not-executed') {
       possiblyExecuted -= 1;
     }
+    if (outcome.kind === 'withheld') {
+      attemptsStarted -= 1;
+    }
     if (outcome.kind !== 'answered' || outcome.status >= 500) {
       log.log('info', 'attempt-failed', {
         request: request.attemptId,
@@ -315,6 +351,10 @@
     }
     const isAllowed =
       !costsBudget || context.retryBudget.takeRetry(service, timers.nowMs());
+    if (outcome.kind === 'withheld' && attemptsStarted === 0) {
+      begin();
+      return;
+    }
     const wasRefused = outcome.kind === 'not-executed';
     if (
       isAllowed &&
@@ -332,11 +372,7 @@
   function failWithOutcome(status: 502 | 503, outcome: AttemptOutcome): void {
     const reason =
       'cause' in outcome ? outcome.cause : `target said ${outcome.status}`;
-    fail(
-      status,
-      reason,
-      status === 503 ? context.retryAfterMs(service) : undefined,
-    );
+    fail(status, reason, status === 503 ? retryAfterMs() : undefined);
   }
 
   function deliver(response: TargetResponse | undefined): void {
@@ -351,7 +387,10 @@
       );
     }
     finish('answered', response.status);
-    deliverResponse(outgoing, response, context.isStopping());
+    deliverResponse(outgoing, response, {
+      droppedHeaders: context.droppedAnswerHeaders,
+      closeAfter: context.isStopping(),
+    });
   }
 
   outgoing.on('close', onClientDisconnect);
@@ -394,8 +433,7 @@
     const nowMs = timers.nowMs();
     const placement = choosePlacement(nowMs);
     if (!placement) {
-      fail(503, 'no target has room', context.retryAfterMs(service));
-      return 'done';
+      return holdOrRefuse(nowMs);
     }
     const decision = decide(placement, nowMs);
     switch (decision.kind) {
@@ -406,11 +444,27 @@
         queuedRequest.urgency = decision.urgency;
         return 'hold';
       case 'refuse':
-        fail(503, 'no slot in time', context.retryAfterMs(service));
+        fail(503, 'no slot in time', retryAfterMs());
         return 'done';
     }
   }
 
+  /** Without a target, waits only for targets that are back from a pause. */
+  function holdOrRefuse(nowMs: number): 'done' | 'hold' {
+    const pool = context.availability.poolOf(service, route.homeRegions);
+    if (pool.kind === 'resuming' && nowMs < queuedRequest.holdUntilMs) {
+      return 'hold';
+    }
+    fail(503, REASON_BY_POOL[pool.kind], retryAfterMs());
+    return 'done';
+  }
+
+  function begin(): void {
+    if (dispatch() === 'hold') {
+      context.admissionQueue.add(queuedRequest);
+    }
+  }
+
   if (outgoing.destroyed || clientSocket.readableEnded) {
     finish('client-left', 0);
     return;
@@ -424,8 +478,8 @@
     return;
   }
   context.sendScheduler.schedule(() => {
-    if (!isFinished && dispatch() === 'hold') {
-      context.admissionQueue.add(queuedRequest);
+    if (!isFinished) {
+      begin();
     }
   });
 }
--- a/packages/gateway/src/forwarding/exchange_types.ts
+++ b/packages/gateway/src/forwarding/exchange_types.ts
@@ -27,4 +27,6 @@
   handle?: TargetAttempt;
   /** Time at which a connection was available; undefined before that. */
   sentAtMs?: number;
+  /** Whether the target has answered that it wants no requests for a while. */
+  isPauseStated?: boolean;
 }
--- a/packages/gateway/src/forwarding/response_delivery.ts
+++ b/packages/gateway/src/forwarding/response_delivery.ts
@@ -3,8 +3,15 @@
 import {endToEndRawHeaders} from './header_rules.js';
 import type {TargetResponse} from './target_attempt.js';
 
-const NO_DROPPED_HEADERS: ReadonlySet<string> = new Set();
-const MILLISECONDS_PER_SECOND = 1_000;
+const MILLISECONDS_PER_HUNDREDTH = 10;
+const HUNDREDTHS_PER_SECOND = 100;
+
+export interface DeliveryOptions {
+  /** Names, in lower case, of headers that callers do not get. */
+  readonly droppedHeaders: ReadonlySet<string>;
+  /** Whether the client's connection closes after the response. */
+  readonly closeAfter: boolean;
+}
 
 /**
  * Sends a target's response to the client. If the target's response is cut
@@ -14,13 +21,13 @@
 export function deliverResponse(
   outgoing: ServerResponse,
   response: TargetResponse,
-  closeAfter: boolean,
+  {droppedHeaders, closeAfter}: DeliveryOptions,
 ): void {
   if (outgoing.destroyed) {
     discardBody(response);
     return;
   }
-  const headers = endToEndRawHeaders(response.rawHeaders, NO_DROPPED_HEADERS);
+  const headers = endToEndRawHeaders(response.rawHeaders, droppedHeaders);
   if (closeAfter) {
     headers.push('Connection', 'close');
   }
@@ -80,8 +87,9 @@
     'Content-Length': String(Buffer.byteLength(body)),
   };
   if (retryAfterMs !== undefined) {
-    const seconds = retryAfterMs / MILLISECONDS_PER_SECOND;
-    headers['Retry-After'] = seconds.toFixed(2);
+    // Rounded up, so that nobody comes back before it makes sense.
+    const hundredths = Math.ceil(retryAfterMs / MILLISECONDS_PER_HUNDREDTH);
+    headers['Retry-After'] = (hundredths / HUNDREDTHS_PER_SECOND).toFixed(2);
   }
   if (close) {
     headers['Connection'] = 'close';
--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -33,6 +33,12 @@
       };
 }
 
+export interface AnswerHead {
+  readonly status: number;
+  /** Flat list of names and values. */
+  readonly rawHeaders: readonly string[];
+}
+
 export interface AttemptRequest {
   readonly host: string;
   readonly port: number;
@@ -49,6 +55,11 @@
 export interface AttemptEvents {
   /** A new or pooled connection was assigned to this attempt. */
   onSocket(socket: Socket): void;
+  /**
+   * Asked when the connection is established: why the target is not to get the
+   * request after all; undefined if it is.
+   */
+  withheldBecause(): string | undefined;
   /** The connection is established; the target may now run the request. */
   onSent(reusedConnection: boolean): void;
   onLoadReport(report: LoadReport): void;
@@ -58,6 +69,8 @@
    * @param perSecond The rate limit that it states; undefined without one.
    */
   onRateLimit(perSecond: number | undefined): void;
+  /** As `onRateLimit`, with all that the target says. */
+  onAnswer(head: AnswerHead): void;
   onResponseHead(request: ClientRequest, response: IncomingMessage): void;
   /** Called once, unless the attempt is cancelled first. */
   onEnd(outcome: AttemptOutcome, response?: TargetResponse): void;
@@ -141,6 +154,12 @@
     if (sent || ended) {
       return;
     }
+    const cause = events.withheldBecause();
+    if (cause !== undefined) {
+      end({kind: 'withheld', cause});
+      outgoing.destroy();
+      return;
+    }
     sent = true;
     events.onSent(outgoing.reusedSocket);
     outgoing.end(request.body);
@@ -197,6 +216,7 @@
           ? undefined
           : protocol.readRateLimit(limitHeader),
       );
+      events.onAnswer({status, rawHeaders: response.rawHeaders});
     }
     const isNotExecuted =
       status === 421 ||
--- a/packages/gateway/src/forwarding/target_connections.ts
+++ b/packages/gateway/src/forwarding/target_connections.ts
@@ -26,6 +26,8 @@
   recordKeepAlive(request: ClientRequest, response: IncomingMessage): void;
   /** Closes the idle connections to a target. */
   closeIdle(incarnation: string): void;
+  /** Closes the idle connections to a target, and others once they are idle. */
+  retire(incarnation: string): void;
   /** Removes the pool; connections in use close after their requests. */
   removePool(incarnation: string): void;
   close(): void;
@@ -132,6 +134,14 @@
     }
   }
 
+  function retire(incarnation: string): void {
+    const agent = agents.get(incarnation);
+    if (agent) {
+      agent.maxFreeSockets = 0;
+    }
+    closeIdle(incarnation);
+  }
+
   function removePool(incarnation: string): void {
     closeIdle(incarnation);
     agents.delete(incarnation);
@@ -147,6 +157,7 @@
     },
     recordKeepAlive,
     closeIdle,
+    retire,
     removePool,
     close: () => {
       for (const incarnation of [...agents.keys()]) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -50,6 +50,7 @@
   RATE_LIMIT_LOG_INTERVAL_MS,
   createTargetRateLimits,
 } from './target_rate_limits.js';
+import {createTargetAvailability} from './target_availability.js';
 import {createStoreFollower} from './store/store_follower.js';
 
 export interface GatewayOptions {
@@ -75,6 +76,7 @@
 
 const HEARTBEAT_INTERVAL_MS = 400;
 const REGISTRY_EXPIRY_INTERVAL_MS = 100;
+const AVAILABILITY_EXPIRY_INTERVAL_MS = 1_000;
 /** Demand reported by a peer counts until the peer is silent for longer. */
 const PEER_DEMAND_LIFETIME_MS = 3_000;
 /** Peers that were silent for longer count as gone unless all are silent. */
@@ -92,6 +94,8 @@
 const SPILLOVER_FRACTION = 0.08;
 const SPILLOVER_BURST = 5;
 const REFUSED_RETRY_AFTER_MS = 250;
+/** New targets are listed, and known to all VMs, within about this time. */
+const LEAVING_RETRY_AFTER_MS = 1_000;
 const METRICS_PATH = '/metrics';
 
 export function createGateway(options: GatewayOptions): Gateway {
@@ -127,6 +131,16 @@
     notifyPeers: (fingerprint, target) =>
       mesh.broadcast({kind: 'target-lost', fingerprint, target}),
   });
+  const availability = createTargetAvailability({
+    vm: vm.id,
+    timers,
+    log,
+    registry: () => registry,
+    inFlight: targetLoad.inFlight,
+    onLeaving: connections.retire,
+    onPoolClosed: service => context.admissionQueue.offerAll(service),
+    onNews: () => peerConversation.broadcastHeartbeat(),
+  });
   const startedAtMs = timers.nowMs();
   /** The other VMs that share the bounds of the fleet with this one. */
   let sharingVms: readonly SharingVm[] = [];
@@ -139,6 +153,8 @@
     timers,
     log,
     onConfiguration: ({limits}) => clientFacingServer.setLimits(limits),
+    isLeaving: availability.isLeaving,
+    onTargetDraining: availability.recordListedLeaving,
     onTargetRemoved: incarnation => {
       crashGuard.recordTargetDeath(incarnation);
       connections.removePool(incarnation);
@@ -215,6 +231,7 @@
     fleet,
     regionPlan,
     rateLimits,
+    availability,
     crashGuard,
     watcherSelection,
     timers,
@@ -232,6 +249,8 @@
       'content-length',
       'expect',
     ]),
+    // It tells of the target's connection, not of the caller's.
+    droppedAnswerHeaders: new Set([protocol.headers.leaving]),
     placement: createAffinityPlacement({
       zone: vm.zone,
       region: vm.region,
@@ -250,6 +269,7 @@
           nowMs,
         ),
       rateLimitAllows: rateLimits.allows,
+      statedAvailability: availability.stated,
     }),
     targetLoad,
     serviceTimes,
@@ -276,10 +296,23 @@
       spilloverBudget.credit();
       regionPlan.demandMeter.recordArrival(service, expectedMs, nowMs);
     },
-    retryAfterMs: () => REFUSED_RETRY_AFTER_MS,
+    availability,
+    retryAfterMs: (service, homeRegions) => {
+      const pool = availability.poolOf(service, homeRegions);
+      switch (pool.kind) {
+        case 'open':
+        case 'resuming':
+          return REFUSED_RETRY_AFTER_MS;
+        case 'pausing':
+          return pool.leftMs;
+        case 'leaving':
+          return LEAVING_RETRY_AFTER_MS;
+      }
+    },
     onRequestSent: (target, nowMs) => {
       const {incarnation, entry} = target;
       rateLimits.recordSent(target);
+      availability.recordSent(target);
       if (
         registry.isCold(target, nowMs) ||
         targetLoad.isRecovering(incarnation, nowMs)
@@ -330,6 +363,8 @@
     liveVms: () => directory.liveVmIds().length,
     targets: () => registry.all().length,
     limitedTargets: rateLimits.count,
+    leavingTargets: availability.leavingCount,
+    pausingTargets: availability.pausingCount,
   });
 
   function isServing(): boolean {
@@ -372,6 +407,7 @@
     });
     coldStartLimiter.setVms(sharingVms);
     rateLimits.setVms(sharingVms);
+    availability.stated.setVms(sharingVms.map(({id}) => id));
   }
 
   async function start(): Promise<void> {
@@ -393,6 +429,7 @@
       }),
       timers.every(HEARTBEAT_INTERVAL_MS, onHeartbeatDue),
       timers.every(REGISTRY_EXPIRY_INTERVAL_MS, fleet.expire),
+      timers.every(AVAILABILITY_EXPIRY_INTERVAL_MS, availability.expire),
       timers.every(RATE_LIMIT_LOG_INTERVAL_MS, rateLimits.logSends),
     );
     log.log('info', 'vm-started', {
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -35,6 +35,12 @@
   ageMs: z.number().nonnegative(),
 });
 
+const leavingReportSchema = z.object({
+  incarnation: z.string().max(512),
+  /** Time since the target said that it is leaving. */
+  ageMs: z.number().nonnegative(),
+});
+
 const targetEntrySchema = z.object({
   id: z.string().max(512),
   service: z.string().max(256),
@@ -80,6 +86,8 @@
     demand: z.array(z.tuple([z.string().max(256), z.number()])).max(500),
     /** Rate limits that targets state; absent from VMs that do not read them. */
     rateLimits: z.array(rateLimitReportSchema).max(5_000).optional(),
+    /** Targets that say that they are leaving; absent as `rateLimits`. */
+    leavingTargets: z.array(leavingReportSchema).max(5_000).optional(),
   }),
   z.object({kind: z.literal('want-snapshot'), of: storeKindSchema}),
   z.object({
--- a/packages/gateway/src/peers/peer_conversation.ts
+++ b/packages/gateway/src/peers/peer_conversation.ts
@@ -1,15 +1,20 @@
 /**
  * What gateways tell each other over their links, and what they take from it:
- * heartbeats, store snapshots, rate limits of targets, targets lost to a
- * request, and what a VM knows better than a restored store.
+ * heartbeats, store snapshots, rate limits of targets, targets that are
+ * leaving, targets lost to a request, and what a VM knows better than a restored store.
  */
-import type {RateLimitReport, WatcherSelection} from '@ibisbeam/decision';
+import type {
+  LeavingReport,
+  RateLimitReport,
+  WatcherSelection,
+} from '@ibisbeam/decision';
 import type {TimerService} from '@ibisbeam/library';
 import type {VmDirectory} from '../control/vm_directory.js';
 import type {FleetState} from '../fleet_state.js';
 import type {CrashGuard} from '../forwarding/crash_guard.js';
 import type {RegionPlan} from '../region_plan.js';
 import {STORE_KINDS, type StoreFollower} from '../store/store_follower.js';
+import type {TargetAvailability} from '../target_availability.js';
 import type {TargetRateLimits} from '../target_rate_limits.js';
 import type {PeerMessage, VmRecord} from './messages.js';
 import type {PeerMesh} from './peer_mesh.js';
@@ -29,6 +34,7 @@
   readonly fleet: FleetState;
   readonly regionPlan: RegionPlan;
   readonly rateLimits: TargetRateLimits;
+  readonly availability: TargetAvailability;
   readonly crashGuard: CrashGuard;
   readonly watcherSelection: WatcherSelection;
   readonly timers: Pick<TimerService, 'nowMs' | 'wallMs'>;
@@ -41,7 +47,8 @@
 export function createPeerConversation(
   options: PeerConversationOptions,
 ): PeerConversation {
-  const {mesh, follower, fleet, rateLimits, crashGuard, timers} = options;
+  const {mesh, follower, fleet, rateLimits, availability, crashGuard, timers} =
+    options;
 
   function onPeerConnected(peer: VmRecord): void {
     for (const kind of STORE_KINDS) {
@@ -49,7 +56,10 @@
         mesh.send(peer.id, {kind: 'want-snapshot', of: kind});
       }
     }
-    mesh.send(peer.id, heartbeatMessage(rateLimits.reports()));
+    mesh.send(
+      peer.id,
+      heartbeatMessage(rateLimits.reports(), availability.reports()),
+    );
     tellRestoreMemory(peer);
     for (const loss of crashGuard.recentLosses()) {
       mesh.send(peer.id, {kind: 'target-lost', ...loss});
@@ -103,6 +113,7 @@
     options.directory.recordHeartbeat(from.id, message.serving);
     options.regionPlan.recordPeerDemand(from.id, new Map(message.demand));
     rateLimits.recordPeerReports(from.id, message.rateLimits ?? []);
+    availability.recordPeerReports(from.id, message.leavingTargets ?? []);
     if (message.watchAgeMs !== undefined) {
       options.watcherSelection.recordPeerConfirmation(
         timers.nowMs() - message.watchAgeMs,
@@ -112,6 +123,7 @@
 
   function heartbeatMessage(
     rateLimitReports: readonly RateLimitReport[],
+    leavingReports: readonly LeavingReport[],
   ): PeerMessage {
     const {demandMeter} = options.regionPlan;
     return {
@@ -120,6 +132,7 @@
       watchAgeMs: follower.watchAgeMs(),
       demand: [...demandMeter.demandByService(timers.nowMs())],
       rateLimits: [...rateLimitReports],
+      leavingTargets: [...leavingReports],
     };
   }
 
@@ -127,7 +140,9 @@
     onPeerConnected,
     onMessage,
     broadcastHeartbeat: () =>
-      mesh.broadcast(heartbeatMessage(rateLimits.takeNews())),
+      mesh.broadcast(
+        heartbeatMessage(rateLimits.takeNews(), availability.takeNews()),
+      ),
     tellStartedVms: () => {
       const sinceWallMs = timers.wallMs() - RECENT_START_MS;
       for (const peer of mesh.knownPeers()) {
--- a/packages/gateway/test/fleet_state.test.ts
+++ b/packages/gateway/test/fleet_state.test.ts
@@ -36,6 +36,8 @@
       timers: {nowMs: () => nowMs},
       log: createKeyValueLogger({level: 'error', fields: {}, write: () => {}}),
       onConfiguration: () => {},
+      isLeaving: () => false,
+      onTargetDraining: () => {},
       onTargetRemoved: incarnation => removed.push(incarnation),
     });
     putTarget('valid');
--- a/packages/gateway/test/target_attempt.test.ts
+++ b/packages/gateway/test/target_attempt.test.ts
@@ -2,9 +2,14 @@
 import {Agent} from 'node:http';
 import {type AddressInfo, type Server, createServer} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
+import type {AttemptOutcome} from '@ibisbeam/decision';
 import {createSystemTimerService} from '@ibisbeam/library';
 import {createSendScheduler} from '../src/forwarding/send_scheduler.js';
-import {startTargetAttempt} from '../src/forwarding/target_attempt.js';
+import {
+  type AttemptEvents,
+  type TargetAttempt,
+  startTargetAttempt,
+} from '../src/forwarding/target_attempt.js';
 
 describe('target attempt', () => {
   const timers = createSystemTimerService();
@@ -32,11 +37,31 @@
     server.close();
   });
 
+  // Guards against requests that were assigned to a target before it said that
+  // it is leaving, and are sent when a connection to it opens.
+  it('sends nothing to a target that has begun to leave meanwhile', async () => {
+    const outcome = await new Promise<AttemptOutcome>(resolve => {
+      start({withheldBecause: () => 'it is leaving', onEnd: resolve});
+    });
+    await connectionClosed;
+    assert.deepEqual(outcome, {kind: 'withheld', cause: 'it is leaving'});
+    assert.equal(receivedBytes, 0);
+  });
+
   // Guards against requests that are sent when a connection opens, before a
   // disconnect of the client that arrived in the same turn has been read.
   it('sends nothing if it is cancelled in the turn in which its connection opens', async () => {
+    const attempt = start({
+      onSocket: socket =>
+        socket.once('connect', () => setImmediate(() => attempt.cancel())),
+    });
+    await connectionClosed;
+    assert.equal(receivedBytes, 0);
+  });
+
+  function start(events: Partial<AttemptEvents>): TargetAttempt {
     const {port} = server.address() as AddressInfo;
-    const attempt = startTargetAttempt(
+    return startTargetAttempt(
       {
         host: '127.0.0.1',
         port,
@@ -58,6 +83,8 @@
           notExecuted: 'x-not-executed',
           loadReport: 'x-load',
           rateLimit: 'x-limit',
+          leaving: 'x-leaving',
+          retryAfter: 'retry-after',
         },
         readLoadReport: () => undefined,
         readRateLimit: () => undefined,
@@ -70,16 +97,16 @@
         }),
       },
       {
-        onSocket: socket =>
-          socket.once('connect', () => setImmediate(() => attempt.cancel())),
+        onSocket: () => {},
         onSent: () => {},
         onLoadReport: () => {},
         onRateLimit: () => {},
+        onAnswer: () => {},
+        withheldBecause: () => undefined,
         onResponseHead: () => {},
         onEnd: () => {},
+        ...events,
       },
     );
-    await connectionClosed;
-    assert.equal(receivedBytes, 0);
-  });
+  }
 });
