Let the soak judge targets that leave silently and pauses

The leavers are targets beside the nine that the other faults draw from, so those draws stay the same.

observations.test: the new field of the observations, and two tests more.

--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -2,11 +2,16 @@
  * Records of what callers and targets observed, and the invariants checked on
  * them: at-most-once execution, truthful refusals, complete responses to the
  * caller's own request, no work for callers that left, drained targets, rate
- * limits and planned stops. Pure functions.
+ * limits, leaving and pausing targets, and planned stops. Pure functions.
  */
 import {
+  type LeavingStatement,
   type LimitStatement,
+  type PassedOnLeaving,
+  type PauseStatement,
   type TargetArrival,
+  findLeavingViolations,
+  findPauseViolations,
   findRateLimitViolations,
 } from '@ibisbeam/stand-ins';
 
@@ -37,7 +42,8 @@
   readonly vm: string;
   readonly fromMs: number;
   readonly toMs: number;
-  readonly kind: 'planned-stop' | 'other';
+  /** `store`: only the VM's way to the store is disturbed. */
+  readonly kind: 'planned-stop' | 'store' | 'other';
 }
 
 export interface Departure {
@@ -53,12 +59,23 @@
   readonly statements: readonly LimitStatement[];
 }
 
+/** What a target said of itself, and what reached it. */
+export interface TargetRecord {
+  readonly target: string;
+  readonly arrivals: readonly TargetArrival[];
+  /** Answers that said that the target is leaving. */
+  readonly leavingStatements: readonly LeavingStatement[];
+  /** Refusals that asked for a pause. */
+  readonly pauseStatements: readonly PauseStatement[];
+}
+
 export interface Observations {
   readonly calls: readonly CallRecord[];
   readonly runs: readonly RunRecord[];
   readonly disruptions: readonly Disruption[];
   readonly departures: readonly Departure[];
   readonly limitedPeriods: readonly LimitedPeriod[];
+  readonly targetRecords: readonly TargetRecord[];
 }
 
 export interface Violation {
@@ -86,6 +103,8 @@
     ...findRunsForCallersThatLeft(observations),
     ...findCallsCutByPlannedStops(observations),
     ...findRequestsBeyondLimits(observations),
+    ...findRequestsToLeavingTargets(observations),
+    ...findRequestsInPauses(observations),
   ];
 }
 
@@ -195,6 +214,80 @@
   return violations;
 }
 
+/** Counts from the end of the call that got the target's answer. */
+function findRequestsToLeavingTargets(
+  observations: Observations,
+): readonly Violation[] {
+  const calls = new Map(observations.calls.map(call => [call.attemptId, call]));
+  const violations: Violation[] = [];
+  for (const record of observations.targetRecords) {
+    const {target, arrivals, leavingStatements} = record;
+    const passedOn: PassedOnLeaving[] = [];
+    for (const {attemptId} of leavingStatements) {
+      const call = calls.get(attemptId);
+      if (call?.seal === `seal-${target}-${attemptId}`) {
+        passedOn.push({vm: call.vm, atMs: call.endedMs});
+      }
+    }
+    const found = findLeavingViolations({
+      drainMs: DRAIN_BOUND_MS,
+      arrivals,
+      passedOn,
+      requestOf: attemptId => calls.get(attemptId),
+      isExcused: (vm, fromMs, toMs) =>
+        isRestartedOrFrozen(observations, vm, fromMs, toMs),
+    });
+    for (const {vm, attemptId, afterMs} of found) {
+      violations.push({
+        invariant: 'targets that say that they leave receive no new requests',
+        detail: `${attemptId}, sent ${Math.round(afterMs)} ms after ${vm} had passed on that ${target} leaves, reached it`,
+      });
+    }
+  }
+  return violations;
+}
+
+function findRequestsInPauses(
+  observations: Observations,
+): readonly Violation[] {
+  const vms = new Map(
+    observations.calls.map(call => [call.attemptId, call.vm]),
+  );
+  const violations: Violation[] = [];
+  for (const record of observations.targetRecords) {
+    const found = findPauseViolations({
+      arrivals: record.arrivals,
+      statements: record.pauseStatements,
+      vmOf: attemptId => vms.get(attemptId),
+      isExcused: (vm, fromMs, toMs) =>
+        isRestartedOrFrozen(observations, vm, fromMs, toMs),
+    });
+    for (const {vm, pauseMs, arrived} of found) {
+      violations.push({
+        invariant: 'targets that want a pause receive no requests',
+        detail: `${arrived} requests reached ${record.target} from ${vm} in a pause of ${Math.round(pauseMs)} ms`,
+      });
+    }
+  }
+  return violations;
+}
+
+/** Whether the VM may have lost, or missed, what a target said. */
+function isRestartedOrFrozen(
+  {disruptions}: Observations,
+  vm: string,
+  fromMs: number,
+  toMs: number,
+): boolean {
+  return disruptions.some(
+    span =>
+      span.kind !== 'store' &&
+      span.vm === vm &&
+      span.fromMs < toMs &&
+      span.toMs > fromMs,
+  );
+}
+
 /** Considers only disruptions of the VM that received the call. */
 function isDisrupted(
   observations: Observations,
@@ -245,7 +338,7 @@
 ): boolean {
   return observations.disruptions.some(
     span =>
-      span.kind === 'other' &&
+      span.kind !== 'planned-stop' &&
       span.vm === stop.vm &&
       span.fromMs < call.endedMs &&
       span.toMs + SETTLING_MS > call.sentMs,
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -29,6 +29,7 @@
   type Disruption,
   type LimitedPeriod,
   type RunRecord,
+  type TargetRecord,
   type Violation,
   findViolations,
 } from './observations.js';
@@ -85,6 +86,13 @@
 const MAXIMUM_RATE_LIMIT = 8;
 const MINIMUM_LIMITED_MS = 5_000;
 const LIMITED_RANGE_MS = 3_000;
+const SILENT_LEAVERS = 2;
+const SILENT_LEAVER_FRACTION = 0.4;
+const MINIMUM_STATEMENT_INTERVAL_MS = 300;
+const STATEMENT_INTERVAL_RANGE_MS = 1_200;
+const TARGETS_PER_PAUSE = 3;
+const MINIMUM_TARGET_PAUSE_MS = 700;
+const TARGET_PAUSE_RANGE_MS = 2_500;
 const MINIMUM_RESTORE_PAUSE_MS = 1_000;
 const RESTORE_PAUSE_RANGE_MS = 5_000;
 const MAXIMUM_COPY_AGE_MS = 3_000;
@@ -122,8 +130,13 @@
   // Separate, so that the other faults of a seed stay the same.
   const limitRandom = createRandomSource(options.seed + 2);
   const restoreRandom = createRandomSource(options.seed + 3);
+  const statementRandom = createRandomSource(options.seed + 4);
   let restoreTimer: TimerHandle | undefined;
   const targets: FleetTarget[] = [];
+  /** Targets that leave without telling the store, the oldest first. */
+  const silentLeavers: FleetTarget[] = [];
+  let leftSilently = 0;
+  let statementTimer: TimerHandle | undefined;
   const startedMs = timers.nowMs();
   let rateLimit: RateLimitInForce | undefined;
   let version = 1;
@@ -133,24 +146,37 @@
     events.push(`${Math.round(timers.nowMs() - startedMs)} ms ${text}`);
   }
 
-  async function addTarget(): Promise<void> {
-    startedTargets += 1;
+  async function startTarget(id: string, index: number): Promise<FleetTarget> {
     const target = await startFleetTarget({
-      id: `worker-${startedTargets}`,
+      id,
       service: 'rooms',
-      zone: ZONE_NAMES[startedTargets % ZONE_NAMES.length] ?? 'riga-a',
+      zone: ZONE_NAMES[index % ZONE_NAMES.length] ?? 'riga-a',
       slots: 4,
       workMs: 20,
       timers,
     });
-    targets.push(target);
     store.put('servers', target.id, target.entry());
+    return target;
+  }
+
+  async function addTarget(): Promise<void> {
+    startedTargets += 1;
+    const id = `worker-${startedTargets}`;
+    targets.push(await startTarget(id, startedTargets));
+  }
+
+  async function addSilentLeaver(): Promise<void> {
+    const index = silentLeavers.length;
+    silentLeavers.push(await startTarget(`leaver-${index}`, index));
   }
 
   store.put('config', 'main', buildTwoRouteConfiguration(HOST, version));
   for (let index = 0; index < TARGETS; index += 1) {
     await addTarget();
   }
+  for (let index = 0; index < SILENT_LEAVERS; index += 1) {
+    await addSilentLeaver();
+  }
   const fleet = await startFleet(options, folder, store);
   const load = createLoadGenerator(fleet.vms, HOST, timers, random);
   try {
@@ -158,6 +184,7 @@
     load.start();
     startRateLimit();
     scheduleRestore();
+    scheduleStatement();
     const faultsEndMs = timers.nowMs() + options.seconds * 1_000;
     while (timers.nowMs() < faultsEndMs) {
       injectFault();
@@ -168,6 +195,7 @@
       );
     }
     restoreTimer?.cancel();
+    statementTimer?.cancel();
     await clearFaults();
     const violations = [...(await findUnrecoveredVms(fleet.vms, load, timers))];
     await load.stop();
@@ -184,10 +212,11 @@
     violations.push(
       ...findViolations({
         calls,
-        runs: targets.flatMap(collectRuns),
+        runs: [...targets, ...silentLeavers].flatMap(collectRuns),
         disruptions,
         departures,
         limitedPeriods,
+        targetRecords: [...targets, ...silentLeavers].map(recordOf),
       }),
     );
     return {
@@ -200,8 +229,9 @@
   } finally {
     endRateLimit();
     restoreTimer?.cancel();
+    statementTimer?.cancel();
     fleet.end();
-    for (const target of targets) {
+    for (const target of [...targets, ...silentLeavers]) {
       await target.close();
     }
     await store.close();
@@ -246,9 +276,13 @@
     }
   }
 
-  function recordDisruption(vm: string, durationMs: number): void {
+  function recordDisruption(
+    vm: string,
+    durationMs: number,
+    kind: Disruption['kind'] = 'other',
+  ): void {
     const fromMs = timers.nowMs();
-    disruptions.push({vm, fromMs, toMs: fromMs + durationMs, kind: 'other'});
+    disruptions.push({vm, fromMs, toMs: fromMs + durationMs, kind});
   }
 
   function stopGracefully(vm: GatewayProcess): void {
@@ -285,7 +319,7 @@
   ): void {
     const mode = PROXY_FAULTS[random.below(PROXY_FAULTS.length)] ?? 'silent';
     recordEvent(`store ${mode} for ${vm.id}, ${durationMs} ms`);
-    recordDisruption(vm.id, durationMs);
+    recordDisruption(vm.id, durationMs, 'store');
     proxy.setMode(mode);
     timers.after(durationMs, () => proxy.setMode('pass'));
   }
@@ -343,6 +377,44 @@
     });
   }
 
+  /** Targets say that they leave or want a pause, at random times. */
+  function scheduleStatement(): void {
+    const intervalMs =
+      MINIMUM_STATEMENT_INTERVAL_MS +
+      statementRandom.below(STATEMENT_INTERVAL_RANGE_MS);
+    statementTimer = timers.after(intervalMs, () => {
+      if (statementRandom.next() < SILENT_LEAVER_FRACTION) {
+        leaveSilently();
+      } else {
+        pauseTargets();
+      }
+      scheduleStatement();
+    });
+  }
+
+  /** The store goes on listing the target as ready. */
+  function leaveSilently(): void {
+    const target = silentLeavers[leftSilently];
+    if (!target) {
+      return;
+    }
+    leftSilently += 1;
+    recordEvent(`${target.id} says that it leaves`);
+    target.setLeaving(true);
+    void addSilentLeaver();
+  }
+
+  /** About a third of the targets that the fleet began with. */
+  function pauseTargets(): void {
+    const durationMs =
+      MINIMUM_TARGET_PAUSE_MS + statementRandom.below(TARGET_PAUSE_RANGE_MS);
+    for (let count = 0; count < TARGETS_PER_PAUSE; count += 1) {
+      const target = targets[statementRandom.below(TARGETS)];
+      recordEvent(`${target?.id} wants a pause of ${durationMs} ms`);
+      target?.pauseFor(durationMs);
+    }
+  }
+
   /** Copies the store, and restores it from the copy after a while. */
   function scheduleRestore(): void {
     const pauseMs =
@@ -381,6 +453,11 @@
   }
 }
 
+function recordOf(target: FleetTarget): TargetRecord {
+  const {id, arrivals, leavingStatements, pauseStatements} = target;
+  return {target: id, arrivals, leavingStatements, pauseStatements};
+}
+
 function collectRuns(target: FleetTarget): readonly RunRecord[] {
   return target.runs.map(run => ({
     attemptId: run.attemptId,
--- a/packages/soak/test/observations.test.ts
+++ b/packages/soak/test/observations.test.ts
@@ -28,6 +28,7 @@
     disruptions: [],
     departures: [],
     limitedPeriods: [],
+    targetRecords: [],
     ...changes,
   };
 }
@@ -148,4 +149,65 @@
       [],
     );
   });
+
+  it('reports requests to a target that says that it leaves, store or not', () => {
+    const calls = [
+      call({attemptId: 'told', seal: 'seal-worker-told'}),
+      call({attemptId: 'late', sentMs: 2_601, endedMs: 2_700}),
+    ];
+    const targetRecords = [
+      {
+        target: 'worker',
+        arrivals: [
+          {attemptId: 'told', atMs: 50},
+          {attemptId: 'late', atMs: 2_650},
+        ],
+        leavingStatements: [{attemptId: 'told', atMs: 90}],
+        pauseStatements: [],
+      },
+    ];
+    const spanOf = (kind: 'store' | 'other') => ({
+      disruptions: [{vm: 'edge-0', fromMs: 500, toMs: 1_000, kind}],
+    });
+    const invariant =
+      'targets that say that they leave receive no new requests';
+    const observations = {
+      calls: calls.map(one => ({...one, idempotent: true})),
+      targetRecords,
+    };
+    assert.ok(violatedInvariants(seen(observations)).includes(invariant));
+    assert.ok(
+      violatedInvariants(seen({...observations, ...spanOf('store')})).includes(
+        invariant,
+      ),
+    );
+    assert.ok(
+      !violatedInvariants(seen({...observations, ...spanOf('other')})).includes(
+        invariant,
+      ),
+    );
+  });
+
+  it('reports more than two requests in a pause', () => {
+    const arrivals = [600, 700, 800].map(atMs => ({attemptId: 'a', atMs}));
+    const targetRecords = [
+      {
+        target: 'worker',
+        arrivals,
+        leavingStatements: [],
+        pauseStatements: [{attemptId: 'a', atMs: 0, pauseMs: 1_000}],
+      },
+    ];
+    const observations = {calls: [call()], targetRecords};
+    assert.deepEqual(violatedInvariants(seen(observations)), [
+      'targets that want a pause receive no requests',
+    ]);
+    const disruptions = [
+      {vm: 'edge-0', fromMs: 900, toMs: 950, kind: 'other'} as const,
+    ];
+    assert.deepEqual(
+      violatedInvariants(seen({...observations, disruptions})),
+      [],
+    );
+  });
 });
