--- a/packages/decision/src/core/target_availability/stated_availability.ts
+++ b/packages/decision/src/core/target_availability/stated_availability.ts
@@ -38,6 +38,8 @@
 export interface StatedAvailability {
   availability(incarnation: string, nowMs: number): Availability;
   isLeaving(incarnation: string): boolean;
+  /** Whether no target is leaving, pausing or resuming. */
+  isUnrestricted(): boolean;
   /** Whether this VM may choose the target for a request now. */
   allows(incarnation: string, nowMs: number): boolean;
   /** Time until the pause ends; 0 without one. */
@@ -281,6 +283,7 @@
   return {
     availability,
     isLeaving: incarnation => marks.has(incarnation),
+    isUnrestricted: () => marks.size === 0 && pauses.size === 0,
     allows,
     pauseLeftMs: (incarnation, nowMs) =>
       Math.max(0, (pauses.get(incarnation)?.endsAtMs ?? nowMs) - nowMs),
--- a/packages/decision/test/attempt_policy/attempt_policy.test.ts
+++ b/packages/decision/test/attempt_policy/attempt_policy.test.ts
@@ -27,6 +27,7 @@
     status: fc.constantFrom(503, 429, 421, 400),
   }),
   fc.record({kind: fc.constant('not-sent' as const), cause: fc.string()}),
+  fc.record({kind: fc.constant('withheld' as const), cause: fc.string()}),
   fc.record({kind: fc.constant('broken' as const), cause: fc.string()}),
 );
 
@@ -141,3 +142,21 @@
     assert.equal(vm.takeRetry('rooms', 11_000), true);
   });
 });
+
+describe('an attempt that was withheld', () => {
+  // Guards against requests that pay for a send that never happened.
+  it('goes to another target at no cost, whatever may run once only', () => {
+    const withheld = {kind: 'withheld', cause: 'it leaves'} as const;
+    const history = {...FRESH, possiblyExecuted: 0, tried: 0};
+    for (const routeKind of ['idempotent', 'non-idempotent'] as const) {
+      assert.deepEqual(decideNextStep(withheld, {...history, routeKind}), {
+        kind: 'try-another',
+        costsBudget: false,
+      });
+    }
+    assert.deepEqual(decideNextStep(withheld, {...history, timeLeftMs: 0}), {
+      kind: 'fail',
+      status: 503,
+    });
+  });
+});
--- a/packages/gateway/src/target_availability.ts
+++ b/packages/gateway/src/target_availability.ts
@@ -155,6 +155,9 @@
     service: string,
     homeRegions: readonly string[],
   ): PoolAvailability {
+    if (stated.isUnrestricted()) {
+      return {kind: 'open'};
+    }
     const registry = options.registry();
     const evacuated = registry.evacuated();
     const targets = registry
