--- a/packages/decision/test/fleet_targets/target_registry.test.ts
+++ b/packages/decision/test/fleet_targets/target_registry.test.ts
@@ -43,6 +43,24 @@
     assert.deepEqual(usable(), ['b']);
   });
 
+  it('excludes targets that say of themselves that they leave', () => {
+    const leaving = new Set<string>();
+    const registry = createTargetRegistry({
+      zoneRegions: new Map(),
+      onEvent: () => {},
+      isLeaving: incarnation => leaving.has(incarnation),
+    });
+    registry.put(entry('a'), 0);
+    registry.put(entry('b'), 0);
+    assert.equal(registry.usable('rooms').length, 2);
+    leaving.add(registry.get('a')?.incarnation ?? '');
+    registry.refreshUsable('rooms');
+    assert.deepEqual(
+      registry.usable('rooms').map(target => target.entry.id),
+      ['b'],
+    );
+  });
+
   it('treats a target restarted under the same name as a new incarnation', () => {
     const {registry, events} = start();
     registry.put(entry('a'), 0);
--- a/packages/stand_ins/test/object_platform/leaving_header.test.ts
+++ b/packages/stand_ins/test/object_platform/leaving_header.test.ts
@@ -92,6 +92,17 @@
     assert.ok(arrivals() > before, 'after a new start');
   });
 
+  // Guards against two notions of leaving, of which one can be taken back.
+  it('stays out as well if only the store had said so', async () => {
+    const {store} = harness.fleet;
+    store.put('servers', leaver.id, leaver.entry({state: 'draining'}));
+    await timers.sleep(PROPAGATION_MS);
+    store.put('servers', leaver.id, leaver.entry({sequence: 2}));
+    await timers.sleep(PROPAGATION_MS);
+    await sendKeys();
+    assert.equal(arrivals(), 0);
+  });
+
   // Guards against a mark that is lost with the entry of the target.
   it('stays out when a restored store lists it again', async () => {
     const {store} = harness.fleet;
