--- a/packages/gateway/src/peers/peer_conversation.ts
+++ b/packages/gateway/src/peers/peer_conversation.ts
@@ -1,7 +1,8 @@
 /**
  * What gateways tell each other over their links, and what they take from it:
  * heartbeats, store snapshots, rate limits of targets, targets that are
- * leaving, targets lost to a request, and what a VM knows better than a restored store.
+ * leaving, targets lost to a request, and what a VM knows better than a
+ * restored store.
  */
 import type {
   LeavingReport,
