--- a/packages/decision/src/core/relay/relay_policy.ts
+++ b/packages/decision/src/core/relay/relay_policy.ts
@@ -55,6 +55,7 @@
       return {kind: 'fail', status: outcome.status === 504 ? 504 : 502};
     case 'not-executed':
     case 'not-sent':
+    case 'withheld':
     case 'broken':
       return decideNextStep(outcome, history);
   }
--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -130,6 +130,10 @@
   limitedTargets(): number;
   /** Whether this VM is cut off from targets that others reach. */
   isCutOff(): boolean;
+  /** Number of listed targets that are leaving. */
+  leavingTargets(): number;
+  /** Number of targets that want no requests of this VM for a while. */
+  pausingTargets(): number;
 }
 
 /** Reported while a value is not known. */
@@ -200,4 +204,14 @@
     '1 while this VM reaches no target and other VMs do.',
     () => (sources.isCutOff() ? 1 : 0),
   );
+  metrics.registerGauge(
+    'ibisbeam_targets_leaving',
+    'Listed targets that are leaving and get no new requests.',
+    sources.leavingTargets,
+  );
+  metrics.registerGauge(
+    'ibisbeam_targets_pausing',
+    'Targets that asked this VM for a pause and get no requests.',
+    sources.pausingTargets,
+  );
 }
--- a/packages/gateway/src/forwarding/attempt_recording.ts
+++ b/packages/gateway/src/forwarding/attempt_recording.ts
@@ -20,6 +20,10 @@
   const {outcome, nowMs} = end;
   const {target} = end.attempt.placement;
   const {incarnation, entry} = target;
+  // A target that asks for a pause is in order, and has its slots back after it.
+  if (end.attempt.isPauseStated) {
+    return;
+  }
   switch (outcome.kind) {
     case 'answered':
       if (outcome.status >= 500) {
@@ -41,6 +45,8 @@
       targetLoad.recordConnectionFailure(incarnation, nowMs);
       context.connections.closeIdle(incarnation);
       return;
+    case 'withheld':
+      return;
     case 'broken':
       if (context.targetReach() === 'cut-off') {
         return;
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -9,6 +9,7 @@
   type Placement,
   type RelayOutcome,
   decideAfterRelay,
+  type PoolAvailability,
   decideDispatch,
   maximumHoldMs,
   isRetryable,
@@ -41,6 +42,14 @@
 /** A hedge starts no earlier than this multiple of the latency objective. */
 const HEDGE_OBJECTIVE_FACTOR = 2;
 
+/** Why a request is refused if no target may take it. */
+const REASON_BY_POOL: Readonly<Record<PoolAvailability['kind'], string>> = {
+  open: 'no target has room',
+  resuming: 'no target has room',
+  pausing: 'all targets ask for a pause',
+  leaving: 'all targets are leaving',
+};
+
 /** Handles the request until it is answered or the client disconnects. */
 export function startExchange(
   context: ForwardingContext,
@@ -115,12 +124,16 @@
     refuse(outgoing, status, reason, retryAfterMs);
   }
 
+  function retryAfterMs(): number {
+    return context.retryAfterMs(service, route.homeRegions);
+  }
+
   function onTimeout(): void {
     if (possiblyExecuted > 0) {
       fail(504, 'no answer in time');
       return;
     }
-    fail(503, 'no target in time', context.retryAfterMs(service));
+    fail(503, 'no target in time', retryAfterMs());
   }
 
   function onClientDisconnect(): void {
@@ -208,6 +221,12 @@
     if (!running.has(attempt)) {
       return;
     }
+    const {incarnation} = attempt.placement.target;
+    const cause = context.availability.withheldBecause(incarnation);
+    if (cause !== undefined) {
+      onAttemptEnd(attempt, {kind: 'withheld', cause});
+      return;
+    }
     attempt.handle = sendToTarget(context, request, attempt, {
       onSent: () => onSent(attempt),
       onEnd: (outcome, response) => onAttemptEnd(attempt, outcome, response),
@@ -276,7 +295,7 @@
       'cause' in outcome ? outcome.cause : `peer said ${outcome.status}`;
     if (possiblyExecuted === 0) {
       const statedMs = retryAfterMsOf(response);
-      fail(503, reason, statedMs ?? context.retryAfterMs(service));
+      fail(503, reason, statedMs ?? retryAfterMs());
       return;
     }
     const isTimeout =
@@ -326,6 +345,9 @@
     if (outcome.kind === 'not-executed') {
       possiblyExecuted -= 1;
     }
+    if (outcome.kind === 'withheld') {
+      attemptsStarted -= 1;
+    }
     if (outcome.kind !== 'answered' || outcome.status >= 500) {
       log.log('info', 'attempt-failed', {
         request: request.attemptId,
@@ -369,6 +391,10 @@
     }
     const isAllowed =
       !costsBudget || context.retryBudget.takeRetry(service, timers.nowMs());
+    if (outcome.kind === 'withheld' && attemptsStarted === 0) {
+      begin();
+      return;
+    }
     const wasRefused = outcome.kind === 'not-executed';
     if (
       isAllowed &&
@@ -390,11 +416,7 @@
     }
     const reason =
       'cause' in outcome ? outcome.cause : `target said ${outcome.status}`;
-    fail(
-      status,
-      reason,
-      status === 503 ? context.retryAfterMs(service) : undefined,
-    );
+    fail(status, reason, status === 503 ? retryAfterMs() : undefined);
   }
 
   function deliver(response: TargetResponse | undefined): void {
@@ -409,7 +431,10 @@
       );
     }
     finish('answered', response.status);
-    deliverResponse(outgoing, response, context.isStopping());
+    deliverResponse(outgoing, response, {
+      droppedHeaders: context.droppedAnswerHeaders,
+      closeAfter: context.isStopping(),
+    });
   }
 
   outgoing.on('close', onClientDisconnect);
@@ -454,7 +479,7 @@
   function dispatch(): 'done' | 'hold' {
     if (context.targetReach() === 'cut-off') {
       if (!startRelay()) {
-        fail(503, 'cut off from targets', context.retryAfterMs(service));
+        fail(503, 'cut off from targets', retryAfterMs());
       }
       return 'done';
     }
@@ -465,8 +490,7 @@
       if (context.targetReach() === 'suspect' && startRelay()) {
         return 'done';
       }
-      fail(503, 'no target has room', context.retryAfterMs(service));
-      return 'done';
+      return holdOrRefuse(nowMs);
     }
     const decision = decide(placement, nowMs);
     switch (decision.kind) {
@@ -477,11 +501,27 @@
         queuedRequest.urgency = decision.urgency;
         return 'hold';
       case 'refuse':
-        fail(503, 'no slot in time', context.retryAfterMs(service));
+        fail(503, 'no slot in time', retryAfterMs());
         return 'done';
     }
   }
 
+  /** Without a target, waits only for targets that are back from a pause. */
+  function holdOrRefuse(nowMs: number): 'done' | 'hold' {
+    const pool = context.availability.poolOf(service, route.homeRegions);
+    if (pool.kind === 'resuming' && nowMs < queuedRequest.holdUntilMs) {
+      return 'hold';
+    }
+    fail(503, REASON_BY_POOL[pool.kind], retryAfterMs());
+    return 'done';
+  }
+
+  function begin(): void {
+    if (dispatch() === 'hold') {
+      context.admissionQueue.add(queuedRequest);
+    }
+  }
+
   if (outgoing.destroyed || clientSocket.readableEnded) {
     finish('client-left', 0);
     return;
@@ -495,8 +535,8 @@
     return;
   }
   context.sendScheduler.schedule(() => {
-    if (!isFinished && dispatch() === 'hold') {
-      context.admissionQueue.add(queuedRequest);
+    if (!isFinished) {
+      begin();
     }
   });
 }
--- a/packages/gateway/src/forwarding/exchange_types.ts
+++ b/packages/gateway/src/forwarding/exchange_types.ts
@@ -32,6 +32,8 @@
   handle?: TargetAttempt;
   /** Time at which a connection was available; undefined before that. */
   sentAtMs?: number;
+  /** Whether the target has answered that it wants no requests for a while. */
+  isPauseStated?: boolean;
 }
 
 /** An attempt at a target. */
--- a/packages/gateway/src/forwarding/relay_send.ts
+++ b/packages/gateway/src/forwarding/relay_send.ts
@@ -61,6 +61,8 @@
     {
       onSocket: socket => peerConnections.markInUse(socket),
       onSent: events.onSent,
+      withheldBecause: () => undefined,
+      onAnswer: () => {},
       onLoadReport: () => {},
       onRateLimit: () => {},
       onResponseHead: (sent, response) =>
--- a/packages/gateway/src/forwarding/target_connections.ts
+++ b/packages/gateway/src/forwarding/target_connections.ts
@@ -36,6 +36,8 @@
   closeIdle(incarnation: string): void;
   /** Closes all idle connections. */
   closeAllIdle(): void;
+  /** Closes the idle connections to a target, and others once they are idle. */
+  retire(incarnation: string): void;
   /** Removes the pool; connections in use close after their requests. */
   removePool(incarnation: string): void;
   close(): void;
@@ -149,6 +151,14 @@
     }
   }
 
+  function retire(incarnation: string): void {
+    const agent = agents.get(incarnation);
+    if (agent) {
+      agent.maxFreeSockets = 0;
+    }
+    closeIdle(incarnation);
+  }
+
   function removePool(incarnation: string): void {
     closeIdle(incarnation);
     agents.delete(incarnation);
@@ -169,6 +179,7 @@
         closeIdle(incarnation);
       }
     },
+    retire,
     removePool,
     close: () => {
       for (const incarnation of [...agents.keys()]) {
--- a/packages/gateway/src/forwarding/target_send.ts
+++ b/packages/gateway/src/forwarding/target_send.ts
@@ -1,5 +1,6 @@
 /** Sends an attempt to its target and records what the target tells. */
 import type {AttemptOutcome} from '@ibisbeam/decision';
+import {readAnswerStatement} from './answer_statement.js';
 import {connectTimeoutMs, maximumIdleMs} from './attempt_connections.js';
 import {attemptHeaders} from './attempt_headers.js';
 import type {ForwardingContext} from './context.js';
@@ -51,6 +52,17 @@
         }
         events.onSent();
       },
+      withheldBecause: () => context.availability.withheldBecause(incarnation),
+      onAnswer: head => {
+        const nowWallMs = timers.wallMs();
+        const statement = readAnswerStatement(
+          context.protocol,
+          head,
+          nowWallMs,
+        );
+        attempt.isPauseStated = statement.pauseMs !== undefined;
+        context.availability.recordAnswer(target, statement);
+      },
       onLoadReport: report =>
         targetLoad.recordReport(incarnation, report, timers.nowMs()),
       onRateLimit: perSecond => context.onRateLimitAnswer(target, perSecond),
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -42,6 +42,12 @@
   ageMs: z.number().nonnegative().optional(),
 });
 
+const leavingReportSchema = z.object({
+  incarnation: z.string().max(512),
+  /** Time since the target said that it is leaving. */
+  ageMs: z.number().nonnegative(),
+});
+
 const targetEntrySchema = z.object({
   id: z.string().max(512),
   service: z.string().max(256),
@@ -98,6 +104,8 @@
     copyVersions: copyVersionsSchema.optional(),
     /** Absent from VMs that do not watch it. */
     targetReach: targetReachSchema.optional(),
+    /** Targets that say that they are leaving; absent as `rateLimits`. */
+    leavingTargets: z.array(leavingReportSchema).max(5_000).optional(),
   }),
   z.object({kind: z.literal('want-snapshot'), of: storeKindSchema}),
   /** Asks whether the sender's copies of the store are current. */
--- a/packages/gateway/src/peers/peer_conversation.ts
+++ b/packages/gateway/src/peers/peer_conversation.ts
@@ -1,9 +1,14 @@
 /**
  * What gateways tell each other over their links, and what they take from it:
- * heartbeats, store snapshots, rate limits of targets, targets lost to a
- * request, and what a VM knows better than a restored store.
+ * heartbeats, store snapshots, rate limits of targets, targets that are
+ * leaving, targets lost to a request, and what a VM knows better than a
+ * restored store.
  */
-import type {RateLimitReport, WatcherSelection} from '@ibisbeam/decision';
+import type {
+  LeavingReport,
+  RateLimitReport,
+  WatcherSelection,
+} from '@ibisbeam/decision';
 import type {Logger, TimerService} from '@ibisbeam/library';
 import type {VmDirectory} from '../control/vm_directory.js';
 import type {FleetState} from '../fleet_state.js';
@@ -12,6 +17,7 @@
 import type {CopyGuard} from '../store/copy_guard.js';
 import {STORE_KINDS, type StoreFollower} from '../store/store_follower.js';
 import type {TargetReachMonitor} from '../target_reach.js';
+import type {TargetAvailability} from '../target_availability.js';
 import type {TargetRateLimits} from '../target_rate_limits.js';
 import {createCopyComparison} from './copy_comparison.js';
 import type {PeerMessage, VmRecord} from './messages.js';
@@ -35,6 +41,7 @@
   readonly fleet: FleetState;
   readonly regionPlan: RegionPlan;
   readonly rateLimits: TargetRateLimits;
+  readonly availability: TargetAvailability;
   readonly crashGuard: CrashGuard;
   readonly watcherSelection: WatcherSelection;
   readonly timers: Pick<TimerService, 'nowMs' | 'wallMs'>;
@@ -49,7 +56,8 @@
 export function createPeerConversation(
   options: PeerConversationOptions,
 ): PeerConversation {
-  const {mesh, follower, fleet, rateLimits, crashGuard, timers} = options;
+  const {mesh, follower, fleet, rateLimits, availability, crashGuard, timers} =
+    options;
   const copyComparison = createCopyComparison({
     follower,
     timers,
@@ -66,7 +74,10 @@
         mesh.send(peer.id, {kind: 'want-snapshot', of: kind});
       }
     }
-    mesh.send(peer.id, heartbeatMessage(rateLimits.reports()));
+    mesh.send(
+      peer.id,
+      heartbeatMessage(rateLimits.reports(), availability.reports()),
+    );
     tellRestoreMemory(peer);
     for (const loss of crashGuard.recentLosses()) {
       mesh.send(peer.id, {kind: 'target-lost', ...loss});
@@ -134,6 +145,7 @@
     options.regionPlan.recordPeerDemand(from.id, new Map(message.demand));
     rateLimits.recordPeerReports(from.id, message.rateLimits ?? []);
     copyComparison.compare(from.id, message.copyVersions ?? {});
+    availability.recordPeerReports(from.id, message.leavingTargets ?? []);
     if (message.watchAgeMs !== undefined) {
       options.watcherSelection.recordPeerConfirmation(
         timers.nowMs() - message.watchAgeMs,
@@ -143,6 +155,7 @@
 
   function heartbeatMessage(
     rateLimitReports: readonly RateLimitReport[],
+    leavingReports: readonly LeavingReport[],
   ): PeerMessage {
     const {demandMeter} = options.regionPlan;
     const {targetReach} = options;
@@ -156,6 +169,7 @@
       rateLimits: [...rateLimitReports],
       copyVersions: follower.copyVersions(),
       targetReach: {cutOff: isCutOff, ageMs: targetReach.reachedAgeMs()},
+      leavingTargets: [...leavingReports],
     };
   }
 
@@ -163,7 +177,9 @@
     onPeerConnected,
     onMessage,
     broadcastHeartbeat: () =>
-      mesh.broadcast(heartbeatMessage(rateLimits.takeNews())),
+      mesh.broadcast(
+        heartbeatMessage(rateLimits.takeNews(), availability.takeNews()),
+      ),
     copiesBehindMs: copyComparison.behindMs,
     tellStartedVms: () => {
       const sinceWallMs = timers.wallMs() - RECENT_START_MS;
--- a/packages/gateway/test/fleet_state.test.ts
+++ b/packages/gateway/test/fleet_state.test.ts
@@ -51,6 +51,8 @@
         write: line => lines.push(line),
       }),
       onConfiguration: () => {},
+      isLeaving: () => false,
+      onTargetDraining: () => {},
       onTargetRemoved: incarnation => removed.push(incarnation),
     });
     putTarget('valid');
