Give a stand-in gateway no port that all gateways share

Two runs of all files ended with EADDRINUSE in a hook of a fleet (127.16.20.14:39389 and 127.34.43.11:36339), each at a gateway's own host.

--- a/packages/stand_ins/src/core/object_platform/local_fleet.ts
+++ b/packages/stand_ins/src/core/object_platform/local_fleet.ts
@@ -72,6 +72,8 @@
 }
 
 const FIRST_HOST_NUMBER = 10;
+/** For clients, the readiness check and the directory. */
+const OWN_PORT_COUNT = 3;
 
 /**
  * Loopback network of this process. Test files that run concurrently may
@@ -103,9 +105,7 @@
     }
     // All gateways of a fleet share the peer port, so each needs its own host.
     const host = `${LOOPBACK_NETWORK}.${FIRST_HOST_NUMBER + startedGateways}`;
-    const ports = (await reserveAddresses(3)).map(address =>
-      Number(address.split(':')[1]),
-    );
+    const ports = await reservePortsBeside([peerPort, peerPort + 1]);
     const [front = 0, ready = 0, directory = 0] = ports;
     const settingsText = JSON.stringify({
       self: {node: id, ip: host, zone, region: zones[zone]},
@@ -215,3 +215,16 @@
     },
   };
 }
+
+/** Reserves the ports of a gateway besides those that all gateways share. */
+async function reservePortsBeside(
+  shared: readonly number[],
+): Promise<readonly number[]> {
+  for (;;) {
+    const addresses = await reserveAddresses(OWN_PORT_COUNT);
+    const ports = addresses.map(address => Number(address.split(':')[1]));
+    if (!ports.some(port => shared.includes(port))) {
+      return ports;
+    }
+  }
+}
