Ask once more for the homes right before a request is sent

Now both are asked right before the first byte; a request that may not be sent goes elsewhere, and nothing of it has left. A relay needs confirmed copies as a first pick does, and requests that wait are held, not refused, while the copies are unconfirmed. Of the copies: the wait for a confirmation outlasts the time until a VM counts as isolated (it served its old copies for up to 0.9 s in between); a VM that has given up waiting, or has no copies, vouches for no other; and a pause of more than 25 s no longer makes a VM forget how many others there are (isolation.test.ts, new). The limit in copy_freshness.test.ts follows, 3.6 s for 2.5 s: stricter.

--- a/packages/decision/src/core/store_mirror/copy_freshness.ts
+++ b/packages/decision/src/core/store_mirror/copy_freshness.ts
@@ -14,13 +14,16 @@
   /** Records that a question asked at `askedAtMs` found the copies current. */
   recordConfirmation(askedAtMs: number): void;
   state(nowMs: number): CopyState;
+  /** False too if the wait for a confirmation was given up. */
+  isConfirmed(): boolean;
 }
 
 /**
  * Longest wait for a confirmation. VMs that all resume at once while the store
- * is away have nobody to ask, and go on with the newest copy among them.
+ * is away have nobody to ask, and go on with the newest copy among them. Longer
+ * than it takes to find out that the VM is isolated.
  */
-const CONFIRMATION_TIMEOUT_MS = 2_500;
+const CONFIRMATION_TIMEOUT_MS = 3_600;
 
 export function createCopyFreshness(startMs: number): CopyFreshness {
   let pausedUntilMs = startMs;
@@ -38,5 +41,6 @@
       const isOverdue = nowMs - pausedUntilMs > CONFIRMATION_TIMEOUT_MS;
       return isConfirmed || isOverdue ? 'confirmed' : 'unconfirmed';
     },
+    isConfirmed: () => isConfirmed,
   };
 }
--- a/packages/decision/src/core/store_mirror/isolation.ts
+++ b/packages/decision/src/core/store_mirror/isolation.ts
@@ -32,12 +32,17 @@
 
   return {
     observe: ({confirmedAtMs, heardPeers, recentPeers}, nowMs) => {
-      const contactMs = Math.max(confirmedAtMs, observedSinceMs);
-      if (nowMs - contactMs <= CONFIRMATION_LIFETIME_MS) {
+      if (nowMs - confirmedAtMs <= CONFIRMATION_LIFETIME_MS) {
         knownPeers = recentPeers;
         isolated = false;
         return;
       }
+      // A VM that resumes or starts has heard from nobody for a while.
+      if (nowMs - observedSinceMs <= CONFIRMATION_LIFETIME_MS) {
+        knownPeers = Math.max(knownPeers, recentPeers);
+        isolated = false;
+        return;
+      }
       isolated = (heardPeers + 1) * 2 < knownPeers + 1;
     },
     recordPause: nowMs => {
--- a/packages/decision/test/store_mirror/copy_freshness.test.ts
+++ b/packages/decision/test/store_mirror/copy_freshness.test.ts
@@ -25,7 +25,8 @@
 
   it('is assumed if nobody answers in time', () => {
     freshness.recordPause(6_000);
-    assert.equal(freshness.state(8_500), 'unconfirmed');
-    assert.equal(freshness.state(8_501), 'confirmed');
+    assert.equal(freshness.state(9_600), 'unconfirmed');
+    assert.equal(freshness.state(9_601), 'confirmed');
+    assert.equal(freshness.isConfirmed(), false);
   });
 });
--- a/packages/decision/test/store_mirror/isolation.test.ts
+++ b/packages/decision/test/store_mirror/isolation.test.ts
@@ -54,6 +54,15 @@
     assert.equal(detector.isIsolated(), false);
   });
 
+  // Guards against a VM that takes itself for alone after a long pause.
+  it('remembers through a pause how many VMs there are', () => {
+    detector.recordPause(60_000);
+    const nobody = {...SOUND, heardPeers: 0, recentPeers: 0};
+    detector.observe(nobody, 60_100);
+    detector.observe(nobody, 63_100);
+    assert.equal(detector.isIsolated(), true);
+  });
+
   it('is not isolated by a pause alone', () => {
     detector.recordPause(20_000);
     assert.equal(observe(0, 20_100), false);
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -241,6 +241,9 @@
 
   /** Returns false if no peer may take the request. */
   function startRelay(): boolean {
+    if (context.copyGuard.state() !== 'confirmed') {
+      return false;
+    }
     const relay = relays.start();
     if (!relay) {
       return false;
@@ -477,6 +480,9 @@
 
   /** Sends or refuses the request; returns 'hold' if it has to wait. */
   function dispatch(): 'done' | 'hold' {
+    if (context.copyGuard.state() === 'unconfirmed') {
+      return 'hold';
+    }
     if (context.targetReach() === 'cut-off') {
       if (!startRelay()) {
         fail(503, 'cut off from targets', retryAfterMs());
--- a/packages/gateway/src/forwarding/home_regions.ts
+++ b/packages/gateway/src/forwarding/home_regions.ts
@@ -17,3 +17,23 @@
   const current = context.findRoute(incoming) ?? route;
   return commonHomeRegions(route.homeRegions, current.homeRegions);
 }
+
+/**
+ * Asked right before the first byte: why a request must not go to the region
+ * after all. A configuration may have come into force, or the process may have
+ * been paused, since the target or the peer was chosen.
+ */
+export function withheldFromRegion(
+  context: Pick<ForwardingContext, 'findRoute' | 'copyGuard'>,
+  request: ExchangeRequest,
+  region: string,
+): string | undefined {
+  if (context.copyGuard.state() !== 'confirmed') {
+    return 'the configuration may be outdated';
+  }
+  const homes = homeRegionsInForce(context, request);
+  if (!homes || (homes.length > 0 && !homes.includes(region))) {
+    return 'the home regions have changed';
+  }
+  return undefined;
+}
--- a/packages/gateway/src/forwarding/relay_send.ts
+++ b/packages/gateway/src/forwarding/relay_send.ts
@@ -12,6 +12,7 @@
 import type {ForwardingContext} from './context.js';
 import type {VmRecord} from '../peers/messages.js';
 import type {ExchangeRequest} from './exchange_types.js';
+import {withheldFromRegion} from './home_regions.js';
 import {headerValues} from './header_rules.js';
 import {
   type TargetAttempt,
@@ -61,7 +62,7 @@
     {
       onSocket: socket => peerConnections.markInUse(socket),
       onSent: events.onSent,
-      withheldBecause: () => undefined,
+      withheldBecause: () => withheldFromRegion(context, request, peer.region),
       onAnswer: () => {},
       onLoadReport: () => {},
       onRateLimit: () => {},
--- a/packages/gateway/src/forwarding/target_send.ts
+++ b/packages/gateway/src/forwarding/target_send.ts
@@ -5,6 +5,7 @@
 import {attemptHeaders} from './attempt_headers.js';
 import type {ForwardingContext} from './context.js';
 import type {ExchangeRequest, RunningAttempt} from './exchange_types.js';
+import {withheldFromRegion} from './home_regions.js';
 import {
   type TargetAttempt,
   type TargetResponse,
@@ -52,7 +53,9 @@
         }
         events.onSent();
       },
-      withheldBecause: () => context.availability.withheldBecause(incarnation),
+      withheldBecause: () =>
+        context.availability.withheldBecause(incarnation) ??
+        withheldFromRegion(context, request, target.region),
       onAnswer: head => {
         const nowWallMs = timers.wallMs();
         const statement = readAnswerStatement(
--- a/packages/gateway/src/store/copy_guard.ts
+++ b/packages/gateway/src/store/copy_guard.ts
@@ -42,7 +42,10 @@
 }
 
 export interface CopyGuardOptions {
-  readonly follower: Pick<StoreFollower, 'copyVersions' | 'listAll'>;
+  readonly follower: Pick<
+    StoreFollower,
+    'copyVersions' | 'listAll' | 'isComplete'
+  >;
   readonly timers: TimerService;
   readonly log: Logger;
   send(peerId: string, message: PeerMessage): void;
@@ -186,7 +189,8 @@
       }
     },
     onQuestion: (peerId, {askedAtMs}) => {
-      if (state() === 'confirmed') {
+      const isSure = freshness.isConfirmed() && follower.isComplete();
+      if (state() === 'confirmed' && isSure) {
         const copyVersions = follower.copyVersions();
         options.send(peerId, {
           kind: 'copies-confirmed',
