Let a VM return from a partition though other targets are down

Found by the review: a VM that was cut off was back after rounds of probes in which most connected. Targets that are down for all VMs counted against it, with two zones of which one is down for as long as they were listed. One probe that connects shows that the partition is over; how many rounds in a row still depends on how soon it came back the last time.

--- a/packages/decision/src/core/target_reachability/target_reachability.ts
+++ b/packages/decision/src/core/target_reachability/target_reachability.ts
@@ -48,7 +48,7 @@
 const PEER_MARGIN_MS = 200;
 /** A VM that is cut off hears of peers that reach targets at least so often. */
 const PEER_LIFETIME_MS = 2_500;
-/** Rounds in which most probes connect before the VM is back. */
+/** Rounds in which a probe connects, one after the other, before it is back. */
 const RETURN_ROUNDS = 2;
 const MAXIMUM_RETURN_ROUNDS = 16;
 /** A VM that is cut off again within this time needs twice the rounds. */
@@ -66,7 +66,6 @@
 interface Round {
   readonly pending: Set<string>;
   connected: number;
-  failed: number;
 }
 
 export function createTargetReachability(): TargetReachability {
@@ -120,7 +119,6 @@
       round.connected += 1;
       recordConnection(nowMs);
     } else {
-      round.failed += 1;
       recordConnectionFailure(incarnation, nowMs);
     }
     if (round.pending.size === 0) {
@@ -128,12 +126,13 @@
     }
   }
 
-  function endRound({connected, failed}: Round): void {
+  function endRound({connected}: Round): void {
     round = undefined;
     if (reach === 'suspect' && connected === 0) {
       failedRoundAtMs ??= lastRoundAtMs;
     }
-    goodRounds = connected > failed ? goodRounds + 1 : 0;
+    // Other targets may be down for all VMs.
+    goodRounds = connected > 0 ? goodRounds + 1 : 0;
   }
 
   function reachedAtMs(): number {
@@ -301,7 +300,6 @@
     round = {
       pending: new Set(probes.map(({incarnation}) => incarnation)),
       connected: 0,
-      failed: 0,
     };
     return probes;
   }
--- a/packages/decision/test/target_reachability/target_reachability.test.ts
+++ b/packages/decision/test/target_reachability/target_reachability.test.ts
@@ -126,6 +126,16 @@
     assert.equal(decision.reach, 'cut-off');
   });
 
+  // Guards against a VM that waits for targets that are down for all VMs.
+  it('is back when the cut ends, though most zones are down by then', () => {
+    cut();
+    run(1_450);
+    assert.equal(decision.reach, 'cut-off');
+    connects = incarnation => incarnation.startsWith('a');
+    run(3_000);
+    assert.equal(decision.reach, 'reaching');
+  });
+
   // Guards against a fleet that steps out because its targets are down.
   it('is only in doubt if no peer has reached targets since', () => {
     const downAtMs = nowMs;
