Let the soak change home regions and judge them

The soak changed configurations that all had the same routes, so that no run could show a request outside of its homes. Each change of the configuration now gives the look-up route homes or takes them away, and runs are judged by all configurations that may be in force at a VM.

--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -52,6 +52,13 @@
   readonly atMs: number;
 }
 
+/** Home regions of the idempotent route from `atMs` on; empty for none. */
+export interface HomesChange {
+  /** When the store accepted the configuration. */
+  readonly atMs: number;
+  readonly regions: readonly string[];
+}
+
 /** Period in which a target stated a rate limit. */
 export interface LimitedPeriod {
   readonly target: string;
@@ -74,6 +81,9 @@
   readonly runs: readonly RunRecord[];
   readonly disruptions: readonly Disruption[];
   readonly departures: readonly Departure[];
+  readonly homesChanges: readonly HomesChange[];
+  /** Region of each target. */
+  readonly targetRegions: ReadonlyMap<string, string>;
   readonly limitedPeriods: readonly LimitedPeriod[];
   readonly targetRecords: readonly TargetRecord[];
 }
@@ -87,6 +97,8 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Maximum time from a departure to the last request at the target. */
 const DRAIN_BOUND_MS = 2_500;
+/** Maximum time until a configuration is in force everywhere. */
+const APPLY_BOUND_MS = 2_500;
 /** Maximum time from a caller's leaving to the last request at a target. */
 const CALLER_LEFT_BOUND_MS = 500;
 /** Time bounds apply to a VM again this long after a disruption. */
@@ -100,6 +112,7 @@
     ...findFalseRefusals(observations),
     ...findForeignAnswers(observations),
     ...findRunsAfterDeparture(observations),
+    ...findRunsOutsideHomes(observations),
     ...findRunsForCallersThatLeft(observations),
     ...findCallsCutByPlannedStops(observations),
     ...findRequestsBeyondLimits(observations),
@@ -140,6 +153,48 @@
     }));
 }
 
+function findRunsOutsideHomes(
+  observations: Observations,
+): readonly Violation[] {
+  const {calls, homesChanges, targetRegions} = observations;
+  const callsById = new Map(calls.map(call => [call.attemptId, call]));
+  const violations: Violation[] = [];
+  for (const run of observations.runs) {
+    const call = callsById.get(run.attemptId);
+    const region = targetRegions.get(run.target) ?? '';
+    if (!call?.idempotent || isHomeInForce(homesChanges, region, run.atMs)) {
+      continue;
+    }
+    const sinceMs = run.atMs - APPLY_BOUND_MS;
+    if (!isDisrupted(observations, call.vm, sinceMs, run.atMs)) {
+      violations.push({
+        invariant: 'requests run in their home regions',
+        detail: `${run.attemptId} ran at ${run.target} in ${region}, sent by ${call.vm}`,
+      });
+    }
+  }
+  return violations;
+}
+
+/** Whether a configuration that may be in force allows the region. */
+function isHomeInForce(
+  changes: readonly HomesChange[],
+  region: string,
+  atMs: number,
+): boolean {
+  if (changes.length === 0) {
+    return true;
+  }
+  for (const [index, {atMs: fromMs, regions}] of changes.entries()) {
+    const untilMs = changes[index + 1]?.atMs ?? Infinity;
+    const mayBeInForce = fromMs <= atMs && atMs <= untilMs + APPLY_BOUND_MS;
+    if (mayBeInForce && (regions.length === 0 || regions.includes(region))) {
+      return true;
+    }
+  }
+  return false;
+}
+
 function findRunsAfterDeparture(
   observations: Observations,
 ): readonly Violation[] {
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -26,6 +26,7 @@
 } from './gateway_process.js';
 import {
   type Departure,
+  type HomesChange,
   type Disruption,
   type LimitedPeriod,
   type RunRecord,
@@ -111,6 +112,8 @@
   'foreign',
   'early',
 ];
+/** Homes of the idempotent route; a region with two zones, or none. */
+const HOME_CHOICES: readonly (readonly string[])[] = [[], ['riga']];
 const PROXY_FAULTS: readonly ProxyMode[] = [
   'silent',
   'one-way',
@@ -126,6 +129,8 @@
   const events: string[] = [];
   const disruptions: Disruption[] = [];
   const departures: Departure[] = [];
+  const homesChanges: HomesChange[] = [];
+  const targetRegions = new Map<string, string>();
   const limitedPeriods: LimitedPeriod[] = [];
   // Separate, so that the other faults of a seed stay the same.
   const limitRandom = createRandomSource(options.seed + 2);
@@ -147,10 +152,12 @@
   }
 
   async function startTarget(id: string, index: number): Promise<FleetTarget> {
+    const zone = ZONE_NAMES[index % ZONE_NAMES.length] ?? 'riga-a';
+    targetRegions.set(id, ZONES[zone]);
     const target = await startFleetTarget({
       id,
       service: 'rooms',
-      zone: ZONE_NAMES[index % ZONE_NAMES.length] ?? 'riga-a',
+      zone,
       slots: 4,
       workMs: 20,
       timers,
@@ -159,6 +166,16 @@
     return target;
   }
 
+  function putConfiguration(homeRegions: readonly string[]): void {
+    const configuration = buildTwoRouteConfiguration(
+      HOST,
+      version,
+      homeRegions,
+    );
+    store.put('config', 'main', configuration);
+    homesChanges.push({atMs: timers.nowMs(), regions: homeRegions});
+  }
+
   async function addTarget(): Promise<void> {
     startedTargets += 1;
     const id = `worker-${startedTargets}`;
@@ -170,7 +187,7 @@
     silentLeavers.push(await startTarget(`leaver-${index}`, index));
   }
 
-  store.put('config', 'main', buildTwoRouteConfiguration(HOST, version));
+  putConfiguration([]);
   for (let index = 0; index < TARGETS; index += 1) {
     await addTarget();
   }
@@ -215,6 +232,8 @@
         runs: [...targets, ...silentLeavers].flatMap(collectRuns),
         disruptions,
         departures,
+        homesChanges,
+        targetRegions,
         limitedPeriods,
         targetRecords: [...targets, ...silentLeavers].map(recordOf),
       }),
@@ -267,7 +286,7 @@
       case 6:
         version += 1 + random.below(3);
         recordEvent(`configuration ${version}`);
-        store.put('config', 'main', buildTwoRouteConfiguration(HOST, version));
+        putConfiguration(HOME_CHOICES[version % HOME_CHOICES.length] ?? []);
         return;
       case 7:
         recordEvent('store history compacted');
@@ -425,18 +444,19 @@
       restoreTimer = timers.after(copyAgeMs, () => {
         recordEvent(`store restored from a copy ${copyAgeMs} ms old`);
         store.restore(copy);
-        postponeLostDepartures();
+        postponeLost(departures);
+        postponeLost(homesChanges);
         scheduleRestore();
       });
     });
   }
 
-  /** A departure that no VM may have heard of counts once it is repeated. */
-  function postponeLostDepartures(): void {
+  /** What no VM may have heard of counts once it has been written again. */
+  function postponeLost(changes: {readonly atMs: number}[]): void {
     const nowMs = timers.nowMs();
-    for (const [index, departure] of departures.entries()) {
-      if (departure.atMs > nowMs - PROPAGATION_MS) {
-        departures[index] = {...departure, atMs: nowMs + REWRITE_MS};
+    for (const [index, change] of changes.entries()) {
+      if (change.atMs > nowMs - PROPAGATION_MS) {
+        changes[index] = {...change, atMs: nowMs + REWRITE_MS};
       }
     }
   }
--- a/packages/soak/test/observations.test.ts
+++ b/packages/soak/test/observations.test.ts
@@ -27,6 +27,8 @@
     runs: [],
     disruptions: [],
     departures: [],
+    homesChanges: [],
+    targetRegions: new Map(),
     limitedPeriods: [],
     targetRecords: [],
     ...changes,
@@ -70,6 +72,23 @@
     ]);
   });
 
+  it('reports a request outside of the homes in force', () => {
+    const homesChanges = [
+      {atMs: 0, regions: []},
+      {atMs: 1_000, regions: ['riga']},
+    ];
+    const targetRegions = new Map([['worker', 'kurzeme']]);
+    const calls = [call({idempotent: true})];
+    const invariantsAt = (atMs: number) =>
+      violatedInvariants(
+        seen({calls, homesChanges, targetRegions, runs: [{...RUN, atMs}]}),
+      );
+    assert.deepEqual(invariantsAt(3_400), []);
+    assert.deepEqual(invariantsAt(3_600), [
+      'requests run in their home regions',
+    ]);
+  });
+
   it('reports a request to a departed target unless its VM was disrupted', () => {
     const departures = [{target: 'worker', atMs: 0}];
     const runs = [{...RUN, atMs: 2_600}];
--- a/packages/stand_ins/src/core/object_platform/stand_in_deployment.ts
+++ b/packages/stand_ins/src/core/object_platform/stand_in_deployment.ts
@@ -12,10 +12,15 @@
   max_shift: 0.15,
 };
 
-/** One service with an idempotent look-up and a non-idempotent booking route. */
+/**
+ * One service with an idempotent look-up and a non-idempotent booking route.
+ *
+ * @param homeRegions Home regions of the look-up route; empty for none.
+ */
 export function buildTwoRouteConfiguration(
   host: string,
   version: number,
+  homeRegions: readonly string[] = [],
 ): Readonly<Record<string, unknown>> {
   const common = {
     host,
@@ -33,6 +38,7 @@
         name: 'look-up',
         path_prefix: '/rooms/',
         route_type: 'idempotent',
+        home_regions: homeRegions,
       },
       {
         ...common,
