--- a/packages/decision/src/core/route_table/route_table.ts
+++ b/packages/decision/src/core/route_table/route_table.ts
@@ -47,11 +47,15 @@
   }
 
   function homeRegionsOf(host: string): readonly string[] {
-    let common: readonly string[] = [];
+    let homes: readonly string[] = [];
     for (const route of byHost.get(normalizeHost(host))?.values() ?? []) {
-      common = commonHomeRegions(common, route.homeRegions) ?? [];
+      const common = commonHomeRegions(homes, route.homeRegions);
+      if (!common) {
+        return [];
+      }
+      homes = common;
     }
-    return common;
+    return homes;
   }
 
   function nextService(route: Route): string | undefined {
--- a/packages/decision/test/route_table/route_table.test.ts
+++ b/packages/decision/test/route_table/route_table.test.ts
@@ -46,6 +46,19 @@
     assert.equal(table.find('other.example', '/a/b/c'), undefined);
   });
 
+  // Guards against a directory that prefers the homes of one route of a host
+  // whose other routes have different ones.
+  it('tells the homes that all routes of a host have in common', () => {
+    const homesOf = (...lists: readonly (readonly string[])[]) =>
+      tableOf(
+        lists.map((homeRegions, index) =>
+          route(`r-${index}`, {pathPrefix: `/${index}/`, homeRegions}),
+        ),
+      ).homeRegionsOf('rooms.example');
+    assert.deepEqual(homesOf(['riga', 'latgale'], [], ['riga']), ['riga']);
+    assert.deepEqual(homesOf(['riga'], ['latgale'], ['kurzeme']), []);
+  });
+
   it('compares hosts without regard to case and port', () => {
     const table = tableOf([route('only')]);
     assert.equal(table.find('Rooms.Example:8080', '/x')?.name, 'only');
