Let stand-in targets send answers without end

Operators report targets whose bytes never end, in a head or a body, until the caller closes. The stand-in targets could not play that.

Each answer is listed with its attempt, its bytes and whether the other side has closed the connection. A local fleet can add tables to the settings file of its gateways.

--- a/packages/stand_ins/src/core/object_platform/fleet_target.ts
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -6,6 +6,11 @@
 import {type IncomingMessage, createServer} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {TimerService} from '@ibisbeam/library';
+import {
+  type EndlessAnswer,
+  type EndlessFault,
+  writeEndlessAnswer,
+} from './endless_answer.js';
 import type {LimitStatement, TargetArrival} from './rate_limit_rule.js';
 
 /** Fault applied to one request. */
@@ -39,7 +44,8 @@
   /** Responds before the request body has arrived. */
   | 'early'
   /** Runs the request and sends no response. */
-  | 'silent';
+  | 'silent'
+  | EndlessFault;
 
 export interface TargetRun {
   readonly attemptId: string;
@@ -65,10 +71,13 @@
   /** Requests that reached the target, whether it ran them or not. */
   readonly arrivals: readonly TargetArrival[];
   readonly limitStatements: readonly LimitStatement[];
+  readonly endlessAnswers: readonly EndlessAnswer[];
   /** Number of connections accepted so far. */
   readonly connectionCount: () => number;
   /** Queues faults for the next requests, one each. */
   plan(...faults: readonly TargetFault[]): void;
+  /** Drops the faults that no request has drawn yet. */
+  clearPlan(): void;
   setWorkMs(workMs: number): void;
   /**
    * States the limit in all answers from now on. The target does not enforce
@@ -112,6 +121,7 @@
   const runs: TargetRun[] = [];
   const arrivals: TargetArrival[] = [];
   const limitStatements: LimitStatement[] = [];
+  const endlessAnswers: EndlessAnswer[] = [];
   const faults: TargetFault[] = [];
   const warm = new Set<string>();
   const queue: (() => void)[] = [];
@@ -304,6 +314,19 @@
         return;
       case 'silent':
         return;
+      default:
+        endlessAnswers.push(
+          writeEndlessAnswer(fault, {
+            socket,
+            attemptId,
+            timers,
+            formatHead: status => {
+              const answer = formatAnswer(status, attemptId, '', false);
+              return answer.slice(0, -'\r\n'.length);
+            },
+          }),
+        );
+        return;
     }
   }
 
@@ -366,10 +389,14 @@
     runs,
     arrivals,
     limitStatements,
+    endlessAnswers,
     connectionCount: () => connections,
     plan: (...planned) => {
       faults.push(...planned);
     },
+    clearPlan: () => {
+      faults.length = 0;
+    },
     setWorkMs: next => {
       workMs = next;
     },
--- a/packages/stand_ins/src/core/object_platform/local_fleet.ts
+++ b/packages/stand_ins/src/core/object_platform/local_fleet.ts
@@ -36,6 +36,8 @@
   /** Region of each availability zone. */
   readonly zones: Readonly<Record<string, string>>;
   readonly bounds?: Readonly<Record<string, number>>;
+  /** Further tables of the gateways' settings file. */
+  readonly settings?: Readonly<Record<string, unknown>>;
 }
 
 export interface LocalFleet {
@@ -95,6 +97,7 @@
         platform: {address: `${store.host}:${store.port}`},
       },
       terms: {bounds: {...STAND_IN_BOUNDS, ...options.bounds}},
+      ...options.settings,
     });
     if (seeds.length < 3) {
       seeds.push(`${host}:1`);
--- a/packages/stand_ins/test/object_platform/harness.ts
+++ b/packages/stand_ins/test/object_platform/harness.ts
@@ -112,6 +112,7 @@
 export async function startHarness(
   targetOptions: Partial<Parameters<LocalFleet['addTarget']>[0]> = {},
   targetCount = 2,
+  settings: Readonly<Record<string, unknown>> = {},
 ): Promise<Harness> {
   const logLines: string[] = [];
   const log = createKeyValueLogger({
@@ -119,7 +120,12 @@
     fields: {},
     write: line => logLines.push(line),
   });
-  const fleet = await startLocalFleet({timers, log, zones: REGION_BY_ZONE});
+  const fleet = await startLocalFleet({
+    timers,
+    log,
+    zones: REGION_BY_ZONE,
+    settings,
+  });
   try {
     return await populateFleet(fleet, targetOptions, targetCount, logLines);
   } catch (error) {
