End answers that do not end

Callers would have seen: a streamed answer without end goes on for as long as they stay, also beyond the route's timeout; a booking whose complete answer was followed by other bytes in the same packet got 502. A VM would have kept the connection of a long 5xx answer that it did not pass on, for good. Targets whose answers trickle until the time is up were not judged by it.

Cause: the route's timeout was cancelled when a long body began to stream; interim responses and chunk extensions had no bound in sum; a streamed response that a retry replaces was dropped without closing it; a parse error after a complete response counted as a broken answer.

Beyond them the connection is closed and the attempt is broken, or, if a part was passed on, the client's connection is reset. A stream is broken off at the route's timeout or before the client's deadline. Bytes after a complete answer close the connection, and the answer stays valid. Each case is one `endless-answer` line, counts in ibisbeam_endless_answers_total and as a failure of the target. If the reader is the slow one when the time is up, the target is not blamed. The listeners of a streamed attempt now leave its connection when the answer ends.

--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -1,12 +1,14 @@
 /** Prometheus metrics of a gateway. */
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {FinishedRequest} from '../forwarding/context.js';
+import type {EndlessCause} from '../forwarding/response_meter.js';
 
 export interface GatewayMetrics {
   recordRequest(request: FinishedRequest): void;
   recordAttempt(service: string, outcome: string): void;
   /** Counts a request sent to a target that states a rate limit. */
   countLimitedSend(service: string): void;
+  countEndlessAnswer(service: string, cause: EndlessCause): void;
   /** @param delayMs How late the event loop ran a timer. */
   recordEventLoopDelay(delayMs: number): void;
   /** @param read Called on each scrape. */
@@ -52,6 +54,12 @@
     labelNames: ['service'] as const,
     registers,
   });
+  const endlessAnswers = new Counter({
+    name: 'ibisbeam_endless_answers_total',
+    help: 'Answers of targets that were broken off because they had no end, and bytes after the end of an answer, by cause.',
+    labelNames: ['service', 'why'] as const,
+    registers,
+  });
 
   const eventLoopDelay = new Histogram({
     name: 'ibisbeam_event_loop_delay_seconds',
@@ -73,6 +81,7 @@
     },
     recordAttempt: (service, outcome) => attempts.inc({service, outcome}),
     countLimitedSend: service => limitedSends.inc({service}),
+    countEndlessAnswer: (service, why) => endlessAnswers.inc({service, why}),
     recordEventLoopDelay: delayMs =>
       eventLoopDelay.observe(delayMs / MILLISECONDS_PER_SECOND),
     recordAcceptBacklog: spanMs =>
--- a/packages/gateway/src/core/settings.ts
+++ b/packages/gateway/src/core/settings.ts
@@ -27,6 +27,28 @@
   readonly regionShift: number;
 }
 
+/** Bounds of targets' answers; beyond them an answer counts as endless. */
+export interface AnswerBounds {
+  /** Longest head, together with the interim responses before it, in bytes. */
+  readonly headBytes: number;
+  /**
+   * Longest body without a Content-Length, in bytes on the connection: chunk
+   * sizes, extensions and trailers count.
+   */
+  readonly openBodyBytes: number;
+  /**
+   * If an answer's time is up, it counts as trickled when its first byte came
+   * longer ago than this.
+   */
+  readonly trickleMs: number;
+}
+
+export const DEFAULT_ANSWER_BOUNDS: AnswerBounds = {
+  headBytes: 32_768,
+  openBodyBytes: 67_108_864,
+  trickleMs: 200,
+};
+
 export interface GatewaySettings {
   readonly vm: {
     readonly id: string;
@@ -50,4 +72,5 @@
   /** Interval at which targets renew their entries. */
   readonly targetHeartbeatMs: number;
   readonly bounds: GatewayBounds;
+  readonly answers: AnswerBounds;
 }
--- a/packages/gateway/src/forwarding/attempt_recording.ts
+++ b/packages/gateway/src/forwarding/attempt_recording.ts
@@ -1,7 +1,8 @@
 /** Updates target load, service times and crash suspicions after an attempt. */
-import type {AttemptOutcome} from '@ibisbeam/decision';
+import type {AttemptOutcome, RegisteredTarget} from '@ibisbeam/decision';
 import type {ForwardingContext} from './context.js';
 import type {ExchangeRequest, RunningAttempt} from './exchange_types.js';
+import type {EndlessAnswer} from './target_attempt.js';
 
 export interface EndedAttempt {
   readonly request: ExchangeRequest;
@@ -92,3 +93,28 @@
     );
   }
 }
+
+export interface RecordedEndlessAnswer {
+  /** Attempt identifier; undefined for bytes that belong to no request. */
+  readonly request: string | undefined;
+  readonly target: RegisteredTarget;
+  readonly answer: EndlessAnswer;
+}
+
+/** Logs and counts the answer, and counts it as a failure of its target. */
+export function recordEndlessAnswer(
+  context: Pick<ForwardingContext, 'log' | 'targetLoad' | 'onEndlessAnswer'>,
+  {request, target, answer}: RecordedEndlessAnswer,
+): void {
+  const {entry, incarnation} = target;
+  context.log.log('warn', 'endless-answer', {
+    request,
+    target: entry.id,
+    bytes: answer.bytes,
+    why: answer.cause,
+  });
+  context.onEndlessAnswer(entry.service, answer.cause);
+  if (!answer.decidesOutcome) {
+    context.targetLoad.recordFailure(incarnation);
+  }
+}
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -12,9 +12,11 @@
 } from '@ibisbeam/decision';
 import type {Logger, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
+import type {AnswerBounds} from '../core/settings.js';
 import type {CrashGuard} from './crash_guard.js';
 import type {TargetConnections} from './target_connections.js';
 import type {AdmissionQueue} from './admission_queue.js';
+import type {EndlessCause} from './response_meter.js';
 import type {SendScheduler} from './send_scheduler.js';
 
 export interface FinishedRequest {
@@ -41,6 +43,7 @@
   readonly timers: TimerService;
   readonly log: Logger;
   readonly protocol: GatewayProtocol;
+  readonly answerBounds: AnswerBounds;
   /** Region of this VM. */
   readonly region: string;
   /**
@@ -75,6 +78,7 @@
     target: RegisteredTarget,
     perSecond: number | undefined,
   ): void;
+  onEndlessAnswer(service: string, cause: EndlessCause): void;
   onAttemptEnded(service: string, outcome: AttemptOutcome['kind']): void;
   onRequestFinished(request: FinishedRequest): void;
 }
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -15,7 +15,7 @@
 import {deliverResponse, refuse} from './response_delivery.js';
 import type {ForwardingContext} from './context.js';
 import {attemptHeaders} from './attempt_headers.js';
-import {recordEndedAttempt} from './attempt_recording.js';
+import {recordEndedAttempt, recordEndlessAnswer} from './attempt_recording.js';
 import type {ExchangeRequest, RunningAttempt} from './exchange_types.js';
 import type {QueuedRequest} from './admission_queue.js';
 import {type TargetResponse, startTargetAttempt} from './target_attempt.js';
@@ -61,6 +61,7 @@
   let attemptsStarted = 0;
   let possiblyExecuted = 0;
   let isFinished = false;
+  let deliveredResponse: TargetResponse | undefined;
   let lastPlacement: Placement | undefined;
   let lastAttemptAtMs: number | undefined;
   let hedgeTimer: TimerHandle | undefined;
@@ -73,7 +74,7 @@
     hedgeTimer?.cancel();
     const hadAttempts = running.size > 0;
     for (const attempt of running) {
-      attempt.handle?.cancel();
+      attempt.handle?.cancel(outcome !== 'client-left');
       targetLoad.recordEnd(attempt.placement.target.incarnation);
     }
     running.clear();
@@ -211,6 +212,7 @@
           target.region === context.region
             ? CONNECT_TIMEOUT_MS
             : CROSS_REGION_CONNECT_TIMEOUT_MS,
+        answerBounds: context.answerBounds,
       },
       protocol,
       {timers, sendScheduler: context.sendScheduler},
@@ -225,6 +227,12 @@
         onRateLimit: perSecond => context.onRateLimitAnswer(target, perSecond),
         onResponseHead: (sent, response) =>
           context.connections.recordKeepAlive(sent, response),
+        onEndlessAnswer: answer =>
+          recordEndlessAnswer(context, {
+            request: request.attemptId,
+            target,
+            answer,
+          }),
         onEnd: (outcome, response) => onAttemptEnd(attempt, outcome, response),
       },
     );
@@ -281,20 +289,31 @@
         tookMs: Math.round(nowMs - attempt.startedAtMs),
       });
     }
+    onOutcome(attempt, outcome, response);
+    if (response?.body.kind === 'streaming' && response !== deliveredResponse) {
+      attempt.handle?.cancel();
+    }
+  }
+
+  function onOutcome(
+    attempt: RunningAttempt,
+    outcome: AttemptOutcome,
+    response?: TargetResponse,
+  ): void {
     const step = decideNextStep(outcome, {
       routeKind: route.kind,
       maximumAttempts: route.maximumAttempts,
       possiblyExecuted,
       tried: attemptsStarted,
       replayable: true,
-      timeLeftMs: respondByMs - nowMs,
+      timeLeftMs: respondByMs - timers.nowMs(),
     });
     switch (step.kind) {
       case 'deliver':
-        deliver(response);
+        deliver(attempt, response);
         return;
       case 'try-another':
-        onTryAnother(step.costsBudget, outcome, response);
+        onTryAnother(attempt, step.costsBudget, outcome, response);
         return;
       case 'fail':
         if (running.size > 0) {
@@ -306,6 +325,7 @@
   }
 
   function onTryAnother(
+    attempt: RunningAttempt,
     costsBudget: boolean,
     outcome: AttemptOutcome,
     response?: TargetResponse,
@@ -323,7 +343,7 @@
       return;
     }
     if (outcome.kind === 'answered' && outcome.status !== 503) {
-      deliver(response);
+      deliver(attempt, response);
       return;
     }
     failWithOutcome(possiblyExecuted > 0 ? 502 : 503, outcome);
@@ -339,21 +359,38 @@
     );
   }
 
-  function deliver(response: TargetResponse | undefined): void {
+  function deliver(
+    attempt: RunningAttempt,
+    response: TargetResponse | undefined,
+  ): void {
     if (!response) {
       fail(502, 'the answer is missing');
       return;
     }
-    if (response.body.kind === 'whole') {
-      context.serviceTimes.recordResponseBytes(
-        route.name,
-        response.body.bytes.length,
-      );
+    deliveredResponse = response;
+    switch (response.body.kind) {
+      case 'whole':
+        context.serviceTimes.recordResponseBytes(
+          route.name,
+          response.body.bytes.length,
+        );
+        break;
+      case 'streaming':
+        limitStream(attempt);
+        break;
     }
     finish('answered', response.status);
     deliverResponse(outgoing, response, context.isStopping());
   }
 
+  /** Breaks the stream off if it has not ended when the time is up. */
+  function limitStream(attempt: RunningAttempt): void {
+    const timer = timers.at(respondByMs, () =>
+      attempt.handle?.expireStream(outgoing.writableNeedDrain),
+    );
+    outgoing.on('close', () => timer.cancel());
+  }
+
   outgoing.on('close', onClientDisconnect);
   // Comes a turn of the event loop before the 'close' event.
   clientSocket.on('end', onClientDisconnect);
--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -13,7 +13,9 @@
 import type {AttemptOutcome, LoadReport} from '@ibisbeam/decision';
 import type {TimerHandle, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
+import type {AnswerBounds} from '../core/settings.js';
 import {headerValues} from './header_rules.js';
+import {type EndlessCause, createResponseMeter} from './response_meter.js';
 import type {SendScheduler} from './send_scheduler.js';
 
 /**
@@ -44,6 +46,16 @@
   readonly attemptId: string | undefined;
   readonly agent: Agent;
   readonly connectTimeoutMs: number;
+  readonly answerBounds: AnswerBounds;
+}
+
+/** A response that was broken off, or bytes after its end. */
+export interface EndlessAnswer {
+  readonly cause: EndlessCause;
+  /** Bytes received, heads included. */
+  readonly bytes: number;
+  /** Whether the outcome of the attempt follows from it. */
+  readonly decidesOutcome: boolean;
 }
 
 export interface AttemptEvents {
@@ -59,22 +71,38 @@
    */
   onRateLimit(perSecond: number | undefined): void;
   onResponseHead(request: ClientRequest, response: IncomingMessage): void;
+  /** Called at most once, before the outcome that may follow from it. */
+  onEndlessAnswer(answer: EndlessAnswer): void;
   /** Called once, unless the attempt is cancelled first. */
   onEnd(outcome: AttemptOutcome, response?: TargetResponse): void;
 }
 
 export interface AttemptDependencies {
-  readonly timers: Pick<TimerService, 'after'>;
+  readonly timers: Pick<TimerService, 'after' | 'nowMs'>;
   readonly sendScheduler: Pick<SendScheduler, 'schedule'>;
 }
 
 export interface TargetAttempt {
-  /** Ends the attempt and closes its connection. */
-  cancel(): void;
+  /**
+   * Ends the attempt and closes its connection.
+   *
+   * @param isOverdue Whether the response should have ended by now; if it has
+   *     been arriving for long, it counts as endless.
+   */
+  cancel(isOverdue?: boolean): void;
+  /**
+   * Breaks off a response that is still streamed when its time is up.
+   *
+   * @param isReaderSlow Whether the client is the reason.
+   */
+  expireStream(isReaderSlow: boolean): void;
 }
 
 /** Longer response bodies are streamed. */
 const MAXIMUM_BUFFERED_BYTES = 262_144;
+const PARSE_ERROR_PREFIX = 'HPE_';
+const CHUNK_EXTENSION_OVERFLOW = 'HPE_CHUNK_EXTENSIONS_OVERFLOW';
+const HEADER_OVERFLOW = 'HPE_HEADER_OVERFLOW';
 
 /** Starts an attempt, which reports its outcome to `events.onEnd`. */
 export function startTargetAttempt(
@@ -91,7 +119,10 @@
   let sent = false;
   let connectTimer: TimerHandle | undefined;
   let streamedResponse: IncomingMessage | undefined;
+  let finalResponse: IncomingMessage | undefined;
   let connection: Socket | undefined;
+  let isEndless = false;
+  const meter = createResponseMeter(request.answerBounds);
 
   const outgoing = httpRequest({
     host: request.host,
@@ -101,6 +132,7 @@
     headers: request.headers as unknown as Record<string, string>,
     agent: request.agent,
     setHost: false,
+    maxHeaderSize: request.answerBounds.headBytes,
   });
 
   function end(outcome: AttemptOutcome, response?: TargetResponse): void {
@@ -110,11 +142,61 @@
     ended = true;
     connectTimer?.cancel();
     if (response?.body.kind !== 'streaming') {
-      connection?.removeListener('end', onConnectionEnd);
+      releaseConnection();
     }
     events.onEnd(outcome, response);
   }
 
+  function releaseConnection(): void {
+    connection?.removeListener('end', onConnectionEnd);
+    connection?.removeListener('data', onBytes);
+    connection?.removeListener('data', onBytesParsed);
+  }
+
+  function reportEndless(cause: EndlessCause, decidesOutcome: boolean): void {
+    if (isEndless) {
+      return;
+    }
+    isEndless = true;
+    events.onEndlessAnswer({cause, bytes: meter.bytes(), decidesOutcome});
+  }
+
+  function breakOff(cause: EndlessCause): void {
+    reportEndless(cause, !ended);
+    const error = new Error(`the answer has no end: ${cause}`);
+    fail(error.message);
+    streamedResponse?.destroy(error);
+  }
+
+  /** Runs before the parser of node:http gets the bytes. */
+  function onBytes(bytes: Buffer): void {
+    const cause = meter.record(bytes.length, timers.nowMs());
+    if (finalResponse?.complete) {
+      onBytesAfterEnd();
+      return;
+    }
+    if (cause) {
+      breakOff(cause);
+    }
+  }
+
+  /** The parser closes the connection if a second response begins. */
+  function onBytesParsed(): void {
+    if (
+      finalResponse?.complete &&
+      connection?.destroyed &&
+      !outgoing.destroyed
+    ) {
+      onBytesAfterEnd();
+    }
+  }
+
+  /** The response itself is complete and stays valid. */
+  function onBytesAfterEnd(): void {
+    reportEndless('bytes-after-end', false);
+    connection?.destroy();
+  }
+
   /**
    * If data and a reset arrive together, libuv reports the end of the stream
    * instead of the reset, and a response without a length would look complete.
@@ -156,6 +238,8 @@
     connection = socket;
     // Runs before the listener of node:http, which completes the response.
     socket.prependListener('end', onConnectionEnd);
+    socket.prependListener('data', onBytes);
+    socket.on('data', onBytesParsed);
     if (!socket.connecting) {
       send();
       return;
@@ -167,6 +251,11 @@
   }
 
   function onResponse(response: IncomingMessage): void {
+    if (ended) {
+      return;
+    }
+    finalResponse = response;
+    meter.recordHead(response.headers['content-length'] !== undefined);
     const {
       attemptId: attemptIdName,
       loadReport,
@@ -218,8 +307,13 @@
       if (bufferedBytes <= MAXIMUM_BUFFERED_BYTES || ended) {
         return;
       }
+      if (isNotExecuted) {
+        breakOff('body-too-long');
+        return;
+      }
       response.pause();
       streamedResponse = response;
+      response.once('end', releaseConnection);
       response.removeListener('data', onData);
       response.removeListener('end', onEnd);
       end(
@@ -260,7 +354,18 @@
 
   outgoing.on('socket', onSocket);
   outgoing.on('response', onResponse);
-  outgoing.on('error', error => {
+  outgoing.on('error', (error: NodeJS.ErrnoException) => {
+    const isParseError = error.code?.startsWith(PARSE_ERROR_PREFIX) ?? false;
+    if (isParseError && finalResponse?.complete) {
+      onBytesAfterEnd();
+      return;
+    }
+    if (error.code === CHUNK_EXTENSION_OVERFLOW) {
+      breakOff('body-too-long');
+    }
+    if (error.code === HEADER_OVERFLOW) {
+      breakOff(finalResponse ? 'body-too-long' : 'head-too-long');
+    }
     fail(error.message);
     // A response delimited by its connection would otherwise look complete.
     streamedResponse?.destroy(error);
@@ -268,11 +373,28 @@
   outgoing.on('close', () => fail('the connection was closed'));
 
   return {
-    cancel: () => {
+    cancel: (isOverdue = false) => {
+      if (isOverdue && !ended && meter.isTrickling(timers.nowMs())) {
+        reportEndless('no-end-in-time', false);
+      }
       ended = true;
       connectTimer?.cancel();
-      connection?.removeListener('end', onConnectionEnd);
+      releaseConnection();
       outgoing.destroy();
     },
+    expireStream: isReaderSlow => {
+      if (
+        !streamedResponse ||
+        streamedResponse.destroyed ||
+        streamedResponse.complete
+      ) {
+        return;
+      }
+      if (isReaderSlow) {
+        streamedResponse.destroy(new Error('the client reads too slowly'));
+        return;
+      }
+      breakOff('no-end-in-time');
+    },
   };
 }
--- a/packages/gateway/src/forwarding/target_connections.ts
+++ b/packages/gateway/src/forwarding/target_connections.ts
@@ -40,12 +40,24 @@
 interface IdleState {
   freedAtMs: number;
   limitMs: number;
-  readonly onUnsolicitedBytes: () => void;
+  /** Listens while the connection is idle. */
+  onUnsolicitedBytes?: (bytes: Buffer) => void;
+}
+
+export interface TargetConnectionsOptions {
+  readonly timers: Pick<TimerService, 'nowMs'>;
+  /**
+   * Bytes arrived on an idle connection, which is closed.
+   *
+   * @param byteCount The first of the bytes; further ones are not read.
+   */
+  onUnsolicitedBytes(incarnation: string, byteCount: number): void;
 }
 
 export function createTargetConnections(
-  timers: Pick<TimerService, 'nowMs'>,
+  options: TargetConnectionsOptions,
 ): TargetConnections {
+  const {timers} = options;
   const agents = new Map<string, Agent>();
   const idleStates = new WeakMap<Socket, IdleState>();
 
@@ -57,13 +69,12 @@
     const state: IdleState = {
       freedAtMs: timers.nowMs(),
       limitMs: DEFAULT_IDLE_LIMIT_MS,
-      onUnsolicitedBytes: () => socket.destroy(),
     };
     idleStates.set(socket, state);
     return state;
   }
 
-  function createAgent(maximumCount: number): Agent {
+  function createAgent(incarnation: string, maximumCount: number): Agent {
     const agent = new Agent({
       keepAlive: true,
       noDelay: true,
@@ -73,6 +84,10 @@
     agent.on('free', (socket: Socket) => {
       const state = idleStateOf(socket);
       state.freedAtMs = timers.nowMs();
+      state.onUnsolicitedBytes = bytes => {
+        socket.destroy();
+        options.onUnsolicitedBytes(incarnation, bytes.length);
+      };
       socket.on('data', state.onUnsolicitedBytes);
     });
     return agent;
@@ -84,7 +99,7 @@
   ): Agent {
     const known = agents.get(incarnation);
     if (!known) {
-      const agent = createAgent(maximumCount);
+      const agent = createAgent(incarnation, maximumCount);
       agents.set(incarnation, agent);
       return agent;
     }
@@ -140,9 +155,9 @@
   return {
     agentFor,
     markInUse: socket => {
-      const state = idleStates.get(socket);
-      if (state) {
-        socket.removeListener('data', state.onUnsolicitedBytes);
+      const listener = idleStates.get(socket)?.onUnsolicitedBytes;
+      if (listener) {
+        socket.removeListener('data', listener);
       }
     },
     recordKeepAlive,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,6 +34,7 @@
 import type {GatewaySettings} from './core/settings.js';
 import {createAcceptBacklog} from './forwarding/accept_backlog.js';
 import {createClientFacingServer} from './forwarding/client_facing_server.js';
+import {recordEndlessAnswer} from './forwarding/attempt_recording.js';
 import type {ForwardingContext} from './forwarding/context.js';
 import {createCrashGuard} from './forwarding/crash_guard.js';
 import {logFinishedRequest} from './forwarding/request_log.js';
@@ -101,7 +102,21 @@
   const targetLoad = createTargetLoad();
   const serviceTimes = createServiceTimes();
   const warmKeys = createWarmKeys();
-  const connections = createTargetConnections(timers);
+  const connections = createTargetConnections({
+    timers,
+    onUnsolicitedBytes: (incarnation, bytes) => {
+      const target = registry
+        .all()
+        .find(listed => listed.incarnation === incarnation);
+      if (target) {
+        recordEndlessAnswer(context, {
+          request: undefined,
+          target,
+          answer: {cause: 'bytes-after-end', bytes, decidesOutcome: false},
+        });
+      }
+    },
+  });
   const coldStartLimiter = createColdStartLimiter(vm);
   const spilloverBudget = createFractionalTokenBucket(
     SPILLOVER_FRACTION,
@@ -225,6 +240,7 @@
     timers,
     log,
     protocol,
+    answerBounds: settings.answers,
     region: vm.region,
     droppedHeaders: new Set([
       protocol.headers.deadlineMs,
@@ -289,6 +305,7 @@
       }
     },
     onRateLimitAnswer: rateLimits.recordAnswer,
+    onEndlessAnswer: metrics.countEndlessAnswer,
     onAttemptEnded: (service, outcome) =>
       metrics.recordAttempt(service, outcome),
     onRequestFinished: request => {
--- a/packages/gateway/test/target_attempt.test.ts
+++ b/packages/gateway/test/target_attempt.test.ts
@@ -3,6 +3,7 @@
 import {type AddressInfo, type Server, createServer} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {createSystemTimerService} from '@ibisbeam/library';
+import {DEFAULT_ANSWER_BOUNDS} from '../src/core/settings.js';
 import {createSendScheduler} from '../src/forwarding/send_scheduler.js';
 import {startTargetAttempt} from '../src/forwarding/target_attempt.js';
 
@@ -47,6 +48,7 @@
         attemptId: 'one',
         agent: new Agent({keepAlive: true}),
         connectTimeoutMs: 1_000,
+        answerBounds: DEFAULT_ANSWER_BOUNDS,
       },
       {
         headers: {
@@ -76,6 +78,7 @@
         onLoadReport: () => {},
         onRateLimit: () => {},
         onResponseHead: () => {},
+        onEndlessAnswer: () => {},
         onEnd: () => {},
       },
     );
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -48,6 +48,7 @@
   | 'peer-backlog'
   | 'lines-dropped'
   | 'crash-suspected'
+  | 'endless-answer'
   | 'event-loop-delayed'
   | 'settings-reloaded'
   | 'settings-rejected';
