Draw answers without end in the soak and judge them

Two more checks: an answer without end never looks complete, and it does not hold a caller to its deadline.

"planned stops abort no requests" no longer counts a call whose target sent an answer without end of which a part had been passed on: a reset is then the only end that does not look complete. Calls with the other faults count as before, which a test shows.

--- a/packages/soak/src/load_generator.ts
+++ b/packages/soak/src/load_generator.ts
@@ -3,7 +3,7 @@
 import type {RandomSource} from '@ibisbeam/decision';
 import type {TimerService} from '@ibisbeam/library';
 import type {GatewayProcess} from './gateway_process.js';
-import type {CallRecord} from './observations.js';
+import {CALLER_DEADLINE_MS, type CallRecord} from './observations.js';
 
 export interface LoadGenerator {
   start(): void;
@@ -15,7 +15,6 @@
 }
 
 const SEND_INTERVAL_MS = 8;
-const DEADLINE_MS = 1_200;
 /** One of this many callers leaves early. */
 const CALLS_PER_EARLY_LEAVER = 25;
 const EARLY_LEAVER_PATIENCE_MS = 15;
@@ -44,7 +43,7 @@
     const patienceMs =
       sent % CALLS_PER_EARLY_LEAVER === 0
         ? EARLY_LEAVER_PATIENCE_MS
-        : DEADLINE_MS;
+        : CALLER_DEADLINE_MS;
     return new Promise(resolve => {
       const outgoing = httpRequest({
         ...vm.caller,
@@ -54,7 +53,7 @@
         headers: {
           Host: host,
           'X-Ibisbeam-Attempt-Id': attemptId,
-          'X-Ibisbeam-Deadline-Ms': String(DEADLINE_MS),
+          'X-Ibisbeam-Deadline-Ms': String(CALLER_DEADLINE_MS),
           'X-Ibisbeam-Affinity-Key': String(random.below(AFFINITY_KEYS)),
         },
       });
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -32,6 +32,21 @@
   readonly atMs: number;
 }
 
+/** Answer of a target that did not end by itself. */
+export interface EndlessAnswerRecord {
+  readonly attemptId: string;
+  readonly target: string;
+  readonly extent: EndlessExtent;
+}
+
+/** What a VM has passed on when it sees that an answer does not end. */
+export type EndlessExtent =
+  | 'nothing'
+  /** The head and a part of the body. */
+  | 'a-part'
+  /** The complete answer, which was followed by other bytes. */
+  | 'everything';
+
 /** Period in which a VM is exempt from invariants with a time bound. */
 export interface Disruption {
   readonly vm: string;
@@ -56,6 +71,7 @@
 export interface Observations {
   readonly calls: readonly CallRecord[];
   readonly runs: readonly RunRecord[];
+  readonly endlessAnswers: readonly EndlessAnswerRecord[];
   readonly disruptions: readonly Disruption[];
   readonly departures: readonly Departure[];
   readonly limitedPeriods: readonly LimitedPeriod[];
@@ -72,6 +88,7 @@
 const DRAIN_BOUND_MS = 2_500;
 /** Maximum time from a caller's leaving to the last request at a target. */
 const CALLER_LEFT_BOUND_MS = 500;
+export const CALLER_DEADLINE_MS = 1_200;
 /** Time bounds apply to a VM again this long after a disruption. */
 const SETTLING_MS = 3_000;
 
@@ -86,6 +103,8 @@
     ...findRunsForCallersThatLeft(observations),
     ...findCallsCutByPlannedStops(observations),
     ...findRequestsBeyondLimits(observations),
+    ...findEndlessAnswersPassedOn(observations),
+    ...findCallersHeldByEndlessAnswers(observations),
   ];
 }
 
@@ -169,6 +188,53 @@
   return violations;
 }
 
+function findEndlessAnswersPassedOn(
+  observations: Observations,
+): readonly Violation[] {
+  const endless = endlessTargets(observations, ['nothing', 'a-part']);
+  return observations.calls
+    .filter(({status, whole}) => status === 200 && whole)
+    .filter(({attemptId, seal}) =>
+      (endless.get(attemptId) ?? []).some(
+        target => seal === `seal-${target}-${attemptId}`,
+      ),
+    )
+    .map(call => ({
+      invariant: 'answers without end never look complete',
+      detail: `${call.attemptId} got a complete answer from ${call.vm} with seal ${call.seal}`,
+    }));
+}
+
+function findCallersHeldByEndlessAnswers(
+  observations: Observations,
+): readonly Violation[] {
+  const endless = endlessTargets(observations, ['nothing', 'a-part']);
+  return observations.calls
+    .filter(call => call.hasLeft && endless.has(call.attemptId))
+    .filter(call => call.endedMs - call.sentMs >= CALLER_DEADLINE_MS)
+    .filter(
+      call => !isDisrupted(observations, call.vm, call.sentMs, call.endedMs),
+    )
+    .map(call => ({
+      invariant: 'answers without end do not hold callers to their deadlines',
+      detail: `${call.attemptId} had no end from ${call.vm} at its deadline`,
+    }));
+}
+
+/** Targets that sent answers without end of these extents, by attempt. */
+function endlessTargets(
+  {endlessAnswers}: Observations,
+  extents: readonly EndlessExtent[],
+): ReadonlyMap<string, readonly string[]> {
+  const targets = new Map<string, string[]>();
+  for (const {attemptId, target, extent} of endlessAnswers) {
+    if (extents.includes(extent)) {
+      targets.set(attemptId, [...(targets.get(attemptId) ?? []), target]);
+    }
+  }
+  return targets;
+}
+
 function findRequestsBeyondLimits(
   observations: Observations,
 ): readonly Violation[] {
@@ -214,6 +280,7 @@
   observations: Observations,
 ): readonly Violation[] {
   const ran = new Set(observations.runs.map(run => run.attemptId));
+  const cutOff = endlessTargets(observations, ['a-part']);
   const violations: Violation[] = [];
   for (const span of observations.disruptions) {
     if (span.kind !== 'planned-stop') {
@@ -223,6 +290,8 @@
       const wasCutOff =
         call.vm === span.vm &&
         !call.hasLeft &&
+        // An answer without end is ended by a reset if its head was passed on.
+        !cutOff.has(call.attemptId) &&
         call.status === 0 &&
         ran.has(call.attemptId) &&
         call.endedMs > span.fromMs &&
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -8,6 +8,7 @@
 import {type RandomSource, createRandomSource} from '@ibisbeam/decision';
 import type {TimerHandle, TimerService} from '@ibisbeam/library';
 import {
+  type EndlessFault,
   type FleetTarget,
   REWRITE_MS,
   STAND_IN_BOUNDS,
@@ -27,6 +28,7 @@
 import {
   type Departure,
   type Disruption,
+  type EndlessExtent,
   type LimitedPeriod,
   type RunRecord,
   type Violation,
@@ -88,6 +90,8 @@
 const MINIMUM_RESTORE_PAUSE_MS = 1_000;
 const RESTORE_PAUSE_RANGE_MS = 5_000;
 const MAXIMUM_COPY_AGE_MS = 3_000;
+const MINIMUM_ENDLESS_PAUSE_MS = 300;
+const ENDLESS_PAUSE_RANGE_MS = 1_500;
 /** Time until all VMs have heard of a change in the store. */
 const PROPAGATION_MS = 1_000;
 const TARGET_FAULTS: readonly TargetFault[] = [
@@ -103,6 +107,21 @@
   'foreign',
   'early',
 ];
+const ENDLESS_FAULTS: readonly EndlessFault[] = [
+  'endless-head',
+  'endless-interim',
+  'endless-body',
+  'endless-error',
+  'endless-chunks',
+  'endless-chunk-extension',
+  'endless-trailer',
+  'endless-not-http',
+  'bytes-after-end',
+  'late-bytes-after-end',
+  'trickled-head',
+  'trickled-body',
+  'trickled-stream',
+];
 const PROXY_FAULTS: readonly ProxyMode[] = [
   'silent',
   'one-way',
@@ -122,7 +141,9 @@
   // Separate, so that the other faults of a seed stay the same.
   const limitRandom = createRandomSource(options.seed + 2);
   const restoreRandom = createRandomSource(options.seed + 3);
+  const endlessRandom = createRandomSource(options.seed + 8);
   let restoreTimer: TimerHandle | undefined;
+  let endlessTimer: TimerHandle | undefined;
   const targets: FleetTarget[] = [];
   const startedMs = timers.nowMs();
   let rateLimit: RateLimitInForce | undefined;
@@ -158,6 +179,7 @@
     load.start();
     startRateLimit();
     scheduleRestore();
+    scheduleEndlessAnswer();
     const faultsEndMs = timers.nowMs() + options.seconds * 1_000;
     while (timers.nowMs() < faultsEndMs) {
       injectFault();
@@ -168,6 +190,7 @@
       );
     }
     restoreTimer?.cancel();
+    endlessTimer?.cancel();
     await clearFaults();
     const violations = [...(await findUnrecoveredVms(fleet.vms, load, timers))];
     await load.stop();
@@ -185,6 +208,13 @@
       ...findViolations({
         calls,
         runs: targets.flatMap(collectRuns),
+        endlessAnswers: targets.flatMap(target =>
+          target.endlessAnswers.map(answer => ({
+            attemptId: answer.attemptId,
+            target: target.id,
+            extent: extentOf(answer.fault),
+          })),
+        ),
         disruptions,
         departures,
         limitedPeriods,
@@ -200,6 +230,7 @@
   } finally {
     endRateLimit();
     restoreTimer?.cancel();
+    endlessTimer?.cancel();
     fleet.end();
     for (const target of targets) {
       await target.close();
@@ -359,6 +390,20 @@
     });
   }
 
+  function scheduleEndlessAnswer(): void {
+    const pauseMs =
+      MINIMUM_ENDLESS_PAUSE_MS + endlessRandom.below(ENDLESS_PAUSE_RANGE_MS);
+    const target = targets[endlessRandom.below(targets.length)];
+    const fault = ENDLESS_FAULTS[endlessRandom.below(ENDLESS_FAULTS.length)];
+    endlessTimer = timers.after(pauseMs, () => {
+      if (fault) {
+        recordEvent(`${fault} at ${target?.id}`);
+        target?.plan(fault);
+      }
+      scheduleEndlessAnswer();
+    });
+  }
+
   /** A departure that no VM may have heard of counts once it is repeated. */
   function postponeLostDepartures(): void {
     const nowMs = timers.nowMs();
@@ -381,6 +426,27 @@
   }
 }
 
+function extentOf(fault: EndlessFault): EndlessExtent {
+  switch (fault) {
+    case 'bytes-after-end':
+    case 'late-bytes-after-end':
+      return 'everything';
+    case 'endless-body':
+    case 'endless-error':
+    case 'trickled-stream':
+      return 'a-part';
+    case 'endless-head':
+    case 'endless-interim':
+    case 'endless-chunks':
+    case 'endless-chunk-extension':
+    case 'endless-trailer':
+    case 'endless-not-http':
+    case 'trickled-head':
+    case 'trickled-body':
+      return 'nothing';
+  }
+}
+
 function collectRuns(target: FleetTarget): readonly RunRecord[] {
   return target.runs.map(run => ({
     attemptId: run.attemptId,
--- a/packages/soak/test/observations.test.ts
+++ b/packages/soak/test/observations.test.ts
@@ -2,6 +2,7 @@
 import {describe, it} from 'node:test';
 import {
   type CallRecord,
+  type EndlessExtent,
   type Observations,
   findViolations,
 } from '../src/observations.js';
@@ -28,6 +29,7 @@
     disruptions: [],
     departures: [],
     limitedPeriods: [],
+    endlessAnswers: [],
     ...changes,
   };
 }
@@ -148,4 +150,44 @@
       [],
     );
   });
+
+  // Guards against answers without end that look complete or hold a caller.
+  it('reports an answer without end that looks complete or holds a caller', () => {
+    const endless = (extent: EndlessExtent) => ({
+      endlessAnswers: [{attemptId: 'a', target: 'worker', extent}],
+    });
+    const calls = [call()];
+    for (const extent of ['nothing', 'a-part'] as const) {
+      assert.deepEqual(violatedInvariants(seen({calls, ...endless(extent)})), [
+        'answers without end never look complete',
+      ]);
+    }
+    const whole = seen({calls, ...endless('everything')});
+    assert.deepEqual(violatedInvariants(whole), []);
+    const elsewhere = [call({seal: 'seal-other-a'})];
+    assert.deepEqual(
+      violatedInvariants(seen({calls: elsewhere, ...endless('nothing')})),
+      [],
+    );
+    const held = call({status: 0, hasLeft: true, endedMs: 1_205});
+    assert.deepEqual(
+      violatedInvariants(seen({calls: [held], ...endless('nothing')})),
+      ['answers without end do not hold callers to their deadlines'],
+    );
+  });
+
+  it('takes only a streamed answer without end for a reset in a planned stop', () => {
+    const calls = [call({status: 0, whole: false})];
+    const disruptions = [
+      {vm: 'edge-0', fromMs: 0, toMs: 6_000, kind: 'planned-stop'} as const,
+    ];
+    for (const extent of ['nothing', 'a-part', 'everything'] as const) {
+      const endlessAnswers = [{attemptId: 'a', target: 'worker', extent}];
+      const observed = seen({calls, runs: [RUN], disruptions, endlessAnswers});
+      assert.deepEqual(
+        violatedInvariants(observed),
+        extent === 'a-part' ? [] : ['planned stops abort no requests'],
+      );
+    }
+  });
 });
