--- a/packages/stand_ins/test/object_platform/fleet.test.ts
+++ b/packages/stand_ins/test/object_platform/fleet.test.ts
@@ -151,6 +151,33 @@
     assert.equal((await call(harness.gateway)).status, 200);
   });
 
+  // Guards against targets that had left and are in use again at a VM that has
+  // restarted and cannot ask the store.
+  it('uses no target that had left after a restart while the store is away', async () => {
+    const [leaving] = harness.targets;
+    assert.ok(leaving);
+    const second = await harness.fleet.addGateway('edge-riga-b-1', 'riga-b');
+    await waitUntil(() => isReady(second));
+    const draining = leaving.entry({state: 'draining'});
+    harness.fleet.store.put('servers', leaving.id, draining);
+    await waitUntil(() => {
+      const lines = harness.logLines.filter(line =>
+        line.includes('event=target-draining'),
+      );
+      return lines.length === 2;
+    });
+    harness.fleet.store.setFault({kind: 'silent'});
+    await second.terminate();
+    const restarted = await harness.fleet.addGateway('edge-riga-b-1', 'riga-b');
+    await waitUntil(() => isReady(restarted));
+    const runsBefore = leaving.runs.length;
+    for (let index = 0; index < 20; index += 1) {
+      const answer = await call(restarted, {key: String(index)});
+      assert.equal(answer.status, 200);
+    }
+    assert.equal(leaving.runs.length, runsBefore);
+  });
+
   // Guards against a VM that starts later and lets the request crash more.
   it('refuses at a new VM what has crashed two targets before its start', async () => {
     const {store} = harness.fleet;
