Show that streamed answers leave no listeners on their connection

Each streamed answer left a listener, with its response, on a connection that was used again. It also shows that a second answer after a streamed one reaches nobody.

--- a/packages/stand_ins/test/object_platform/endless_answers.test.ts
+++ b/packages/stand_ins/test/object_platform/endless_answers.test.ts
@@ -21,6 +21,8 @@
 const GIVE_UP_MS = 2_000;
 /** Requests that a target of the harness runs at once. */
 const SLOTS = 4;
+/** More than the listeners of which node:events warns. */
+const DOWNLOADS = 15;
 const MAXIMUM_KEYS = 50;
 const OPEN_BODY_BYTES = 2_000_000;
 /** Socket buffers of the kernel on the way, and one read of the gateway. */
@@ -307,6 +309,35 @@
     }
   });
 
+  // Guards against streamed answers that leave listeners on their connection,
+  // and against a second answer that the next request on it would get.
+  it('leave their connection as it was', async () => {
+    const harness = await startHarness({bodyBytes: 600_000}, 1);
+    const warnings: string[] = [];
+    const onWarning = (warning: Error): void => {
+      warnings.push(warning.name);
+    };
+    process.on('warning', onWarning);
+    try {
+      for (let index = 0; index < DOWNLOADS; index += 1) {
+        const answer = await call(harness.gateway, {path: '/packs/7'});
+        assert.ok(answer.complete);
+      }
+      const [target] = harness.targets;
+      assert.equal(target?.connectionCount(), 1);
+      assert.deepEqual(warnings, []);
+      target.plan('extra-answer');
+      await call(harness.gateway, {path: '/packs/7'});
+      const own = await call(harness.gateway, {attemptId: 'own'});
+      const seal = String(own.headers['x-ibisbeam-response-seal']);
+      assert.ok(seal.endsWith('-own'), seal);
+      assert.equal(target.connectionCount(), 2);
+    } finally {
+      process.off('warning', onWarning);
+      await harness.stop();
+    }
+  });
+
   // Guards against a bound on bodies without a length that holds for others.
   it('pass beyond the bound of bodies without a length', async () => {
     const harness = await startHarness({bodyBytes: 3_000_000}, 1, SETTINGS);
