--- a/packages/stand_ins/test/object_platform/endless_answers.test.ts
+++ b/packages/stand_ins/test/object_platform/endless_answers.test.ts
@@ -273,6 +273,25 @@
     assert.ok(second);
   });
 
+  // Guards against a planned stop that waits for an answer without end until its
+  // own bound and then cuts whatever is in flight.
+  it('do not hold up a planned stop', async () => {
+    const attemptId = 'stopped';
+    await withFault('trickled-stream', async () => {
+      const outgoing = openCall(harness.gateway, attemptId);
+      outgoing.on('response', response => {
+        response.on('error', () => {});
+        response.resume();
+      });
+      await waitUntil(() => endlessAnswersOf(attemptId).length > 0);
+    });
+    await harness.gateway.gateway.stop();
+    assert.ok(endlessAnswersOf(attemptId).every(({closed}) => closed));
+    assert.ok(
+      !harness.logLines.some(line => line.includes('event=stop-bound-hit')),
+    );
+  });
+
   it('are counted by service and cause', async () => {
     const {network} = JSON.parse(harness.gateway.settingsText) as {
       readonly network: {readonly internal_ports: readonly number[]};
