Judge answers without end in the soak by most of their callers

The first form counted each caller that was held to its deadline.

Change: a violation if more than half of the callers of streamed answers without end, two at least, are held; excused are only VMs that were stopped, paused or cut during the call. Besides, each connection with an answer without end is closed 4 s after its first byte at the latest. A drawn fault meets three requests instead of one.

--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -37,6 +37,9 @@
   readonly attemptId: string;
   readonly target: string;
   readonly extent: EndlessExtent;
+  readonly startedAtMs: number;
+  /** When the VM closed the connection; undefined if it is open. */
+  readonly closedAtMs: number | undefined;
 }
 
 /** What a VM has passed on when it sees that an answer does not end. */
@@ -75,6 +78,7 @@
   readonly disruptions: readonly Disruption[];
   readonly departures: readonly Departure[];
   readonly limitedPeriods: readonly LimitedPeriod[];
+  readonly endedAtMs: number;
 }
 
 export interface Violation {
@@ -89,6 +93,13 @@
 /** Maximum time from a caller's leaving to the last request at a target. */
 const CALLER_LEFT_BOUND_MS = 500;
 export const CALLER_DEADLINE_MS = 1_200;
+/** Maximum time from the first byte of an answer without end to its close. */
+const ENDLESS_CLOSED_MS = 4_000;
+/** A VM that was stopped or restarted serves again this long after it. */
+const RESUMING_MS = 1_000;
+/** Fewer held callers are no violation. */
+const MINIMUM_HELD_CALLERS = 2;
+const MAXIMUM_HELD_FRACTION = 0.5;
 /** Time bounds apply to a VM again this long after a disruption. */
 const SETTLING_MS = 3_000;
 
@@ -105,6 +116,7 @@
     ...findRequestsBeyondLimits(observations),
     ...findEndlessAnswersPassedOn(observations),
     ...findCallersHeldByEndlessAnswers(observations),
+    ...findEndlessAnswersKept(observations),
   ];
 }
 
@@ -205,19 +217,57 @@
     }));
 }
 
+/**
+ * A single caller may be held because the machine was busy; before its deadline
+ * a VM has about 200 ms left.
+ */
 function findCallersHeldByEndlessAnswers(
   observations: Observations,
 ): readonly Violation[] {
-  const endless = endlessTargets(observations, ['nothing', 'a-part']);
-  return observations.calls
-    .filter(call => call.hasLeft && endless.has(call.attemptId))
-    .filter(call => call.endedMs - call.sentMs >= CALLER_DEADLINE_MS)
-    .filter(
-      call => !isDisrupted(observations, call.vm, call.sentMs, call.endedMs),
-    )
-    .map(call => ({
+  const cutOff = endlessTargets(observations, ['a-part']);
+  const calls = observations.calls.filter(
+    call =>
+      cutOff.has(call.attemptId) && !wasDisruptedDuring(observations, call),
+  );
+  const held = calls.filter(
+    call => call.hasLeft && call.endedMs - call.sentMs >= CALLER_DEADLINE_MS,
+  );
+  if (
+    held.length < MINIMUM_HELD_CALLERS ||
+    held.length <= calls.length * MAXIMUM_HELD_FRACTION
+  ) {
+    return [];
+  }
+  const names = held.map(({attemptId, vm}) => `${attemptId} at ${vm}`);
+  return [
+    {
       invariant: 'answers without end do not hold callers to their deadlines',
-      detail: `${call.attemptId} had no end from ${call.vm} at its deadline`,
+      detail: `${held.length} of ${calls.length} had no end: ${names.join(', ')}`,
+    },
+  ];
+}
+
+function findEndlessAnswersKept(
+  observations: Observations,
+): readonly Violation[] {
+  const vms = new Map(
+    observations.calls.map(call => [call.attemptId, call.vm]),
+  );
+  return observations.endlessAnswers
+    .filter(({startedAtMs, closedAtMs}) => {
+      return (closedAtMs ?? Infinity) > startedAtMs + ENDLESS_CLOSED_MS;
+    })
+    .filter(({attemptId, startedAtMs, closedAtMs}) => {
+      const vm = vms.get(attemptId);
+      const toMs = closedAtMs ?? startedAtMs + ENDLESS_CLOSED_MS;
+      return !isDisrupted(observations, vm, startedAtMs, toMs);
+    })
+    .filter(({startedAtMs}) => {
+      return startedAtMs + ENDLESS_CLOSED_MS <= observations.endedAtMs;
+    })
+    .map(({attemptId, target}) => ({
+      invariant: 'connections with answers without end are closed',
+      detail: `${attemptId} kept its connection to ${target} from ${vms.get(attemptId)}`,
     }));
 }
 
@@ -276,6 +326,19 @@
   );
 }
 
+/** Narrower than `isDisrupted`: what a VM does on its own timers needs no time to settle. */
+function wasDisruptedDuring(
+  {disruptions}: Observations,
+  {vm, sentMs, endedMs}: CallRecord,
+): boolean {
+  return disruptions.some(
+    span =>
+      span.vm === vm &&
+      span.fromMs < endedMs &&
+      span.toMs + RESUMING_MS > sentMs,
+  );
+}
+
 function findCallsCutByPlannedStops(
   observations: Observations,
 ): readonly Violation[] {
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -213,11 +213,14 @@
             attemptId: answer.attemptId,
             target: target.id,
             extent: extentOf(answer.fault),
+            startedAtMs: answer.startedAtMs,
+            closedAtMs: answer.closedAtMs,
           })),
         ),
         disruptions,
         departures,
         limitedPeriods,
+        endedAtMs: timers.nowMs(),
       }),
     );
     return {
@@ -398,7 +401,7 @@
     endlessTimer = timers.after(pauseMs, () => {
       if (fault) {
         recordEvent(`${fault} at ${target?.id}`);
-        target?.plan(fault);
+        target?.plan(fault, fault, fault);
       }
       scheduleEndlessAnswer();
     });
--- a/packages/stand_ins/src/core/object_platform/endless_answer.ts
+++ b/packages/stand_ins/src/core/object_platform/endless_answer.ts
@@ -38,14 +38,15 @@
   readonly fault: EndlessFault;
   /** Bytes passed to the connection so far. */
   bytes: number;
-  /** Whether the other side has closed the connection. */
-  closed: boolean;
+  readonly startedAtMs: number;
+  /** When the other side closed the connection; undefined if it is open. */
+  closedAtMs: number | undefined;
 }
 
 export interface EndlessAnswerOptions {
   readonly socket: Socket;
   readonly attemptId: string;
-  readonly timers: Pick<TimerService, 'after'>;
+  readonly timers: Pick<TimerService, 'after' | 'nowMs'>;
   /** Formats the status line and the header fields, each with its line end. */
   formatHead(status: number): string;
 }
@@ -66,7 +67,13 @@
   options: EndlessAnswerOptions,
 ): EndlessAnswer {
   const {socket, attemptId, timers} = options;
-  const answer: EndlessAnswer = {attemptId, fault, bytes: 0, closed: false};
+  const answer: EndlessAnswer = {
+    attemptId,
+    fault,
+    bytes: 0,
+    startedAtMs: timers.nowMs(),
+    closedAtMs: undefined,
+  };
   const head = (status = 200): string => options.formatHead(status);
 
   function write(text: string, onWritten?: () => void): void {
@@ -147,7 +154,7 @@
   }
 
   socket.once('close', () => {
-    answer.closed = true;
+    answer.closedAtMs = timers.nowMs();
   });
   begin();
   return answer;
