--- a/packages/stand_ins/test/object_platform/relay.test.ts
+++ b/packages/stand_ins/test/object_platform/relay.test.ts
@@ -85,7 +85,7 @@
   }
 
   // Guards against refusals to the clients of a VM that lost its links to all
-  // targets while other VMs reach them (RECOVER).
+  // targets while other VMs reach them.
   it('has look-ups and bookings answered through a peer', async () => {
     const lookUp = await call(cutGateway, {
       attemptId: 'look-up',
@@ -271,8 +271,7 @@
     assert.ok(timers.nowMs() - leftAtMs < CANCELLATION_LIMIT_MS);
   });
 
-  // Guards against requests that leave their home regions through a relay
-  // (HOME).
+  // Guards against requests that leave their home regions through a relay.
   it('relays a request only to its home regions', async () => {
     await configureHomes(['kurzeme']);
     const startMs = timers.nowMs();
@@ -346,7 +345,7 @@
   });
 
   // Guards against refusals between the loss of all targets and its
-  // confirmation (RECOVER): targets that take no connection are avoided.
+  // confirmation: targets that take no connection are avoided.
   it('relays while a cut is suspected and no target may be tried', async () => {
     const gateway = await addPartitionedGateway('suspect');
     await call(gateway, {attemptId: 'unconnected'});
