--- a/packages/gateway/test/crash_guard.test.ts
+++ b/packages/gateway/test/crash_guard.test.ts
@@ -64,6 +64,19 @@
     assert.equal(later.isQuarantined('a1'), false);
   });
 
+  // Guards against a caller whose requests come from several addresses, so that
+  // each address loses targets of its own.
+  it('is recognised from whatever address it comes', () => {
+    const [first, second] = ['100.64.0.7', '100.69.0.11'].map(clientAddress =>
+      guard.fingerprint({
+        incoming: {method: 'GET', url: '/rooms/7'},
+        clientAddress,
+        body: undefined,
+      }),
+    );
+    assert.equal(first, second);
+  });
+
   // Guards against blame for connections that a partition of the VM broke.
   it('is not suspected for connections that were forgotten', () => {
     guard.recordBrokenConnection('i-1@1', 'a1');
--- a/packages/stand_ins/src/core/object_platform/fleet_target.ts
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -90,6 +90,9 @@
   pauseFor(spanMs: number): void;
   /** Refuses the next request with this value of Retry-After. */
   refuseNext(retryAfter: string): void;
+  /** A request on this path ends the target, in the middle of its work. */
+  setCrashPath(path: string): void;
+  hasCrashed(): boolean;
   close(): Promise<void>;
 }
 
@@ -141,6 +144,8 @@
   let rateLimit: number | undefined;
   let isLeaving = false;
   let pausedUntilMs = -Infinity;
+  let crashPath: string | undefined;
+  let hasCrashed = false;
 
   const server = createServer((incoming, outgoing) => {
     if (!usedSockets.has(incoming.socket)) {
@@ -279,6 +284,11 @@
       : workMs;
     const timer = timers.after(serviceTimeMs, () => {
       incoming.socket.removeListener('close', onClose);
+      if (record.path === crashPath) {
+        hasCrashed = true;
+        void close();
+        return;
+      }
       release();
       writeAnswer(incoming.socket, fault, attemptId);
     });
@@ -459,14 +469,21 @@
     refuseNext: retryAfter => {
       refusals.push(retryAfter);
     },
-    close: () =>
-      new Promise(resolve => {
-        server.close(() => resolve());
-        for (const socket of sockets) {
-          socket.destroy();
-        }
-      }),
+    setCrashPath: path => {
+      crashPath = path;
+    },
+    hasCrashed: () => hasCrashed,
+    close,
   };
+
+  function close(): Promise<void> {
+    return new Promise(resolve => {
+      server.close(() => resolve());
+      for (const socket of sockets) {
+        socket.destroy();
+      }
+    });
+  }
 }
 
 function header(incoming: IncomingMessage, name: string): string | undefined {
--- a/packages/stand_ins/src/core/object_platform/index.ts
+++ b/packages/stand_ins/src/core/object_platform/index.ts
@@ -1,3 +1,4 @@
+export * from './crash_rule.js';
 export * from './fleet_target.js';
 export * from './local_fleet.js';
 export * from './object_store.js';
--- /dev/null
+++ b/packages/stand_ins/test/object_platform/crashing_request.test.ts
@@ -0,0 +1,132 @@
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import type {TimerHandle} from '@ibisbeam/library';
+import {
+  type CrashingArrival,
+  type FleetTarget,
+  type LocalGateway,
+  findCrashViolation,
+} from '../../src/index.js';
+import {
+  type Answer,
+  type Harness,
+  call,
+  isReady,
+  startHarness,
+  timers,
+  waitUntil,
+} from './harness.js';
+
+const CRASH_PATH = '/rooms/70/32b4';
+const TARGET_COUNT = 12;
+const PLAY_MS = 9_000;
+const REQUEST_INTERVAL_MS = 200;
+/** A crashed target stays in the list until its heartbeats are missed. */
+const LISTED_AFTER_CRASH_MS = 4_000;
+/** Another target starts this long after a crash. */
+const REPLACEMENT_DELAY_MS = 1_500;
+const QUARANTINE_REASON = 'requests like this one crashed targets';
+
+describe('a request that crashes every target that runs it', () => {
+  let harness: Harness;
+  let gateways: readonly LocalGateway[];
+  let targets: FleetTarget[];
+  let replaced: Set<string>;
+  let handles: TimerHandle[];
+
+  beforeEach(async () => {
+    harness = await startHarness({workMs: 40}, TARGET_COUNT);
+    targets = [...harness.targets];
+    replaced = new Set();
+    handles = [];
+    gateways = [
+      harness.gateway,
+      await harness.fleet.addGateway('edge-riga-b-1', 'riga-b'),
+      await harness.fleet.addGateway('edge-kurz-a-1', 'kurz-a'),
+    ];
+    for (const gateway of gateways) {
+      await waitUntil(() => isReady(gateway));
+    }
+    for (const target of targets) {
+      target.setCrashPath(CRASH_PATH);
+    }
+  });
+  afterEach(async () => {
+    for (const handle of handles) {
+      handle.cancel();
+    }
+    await harness.stop();
+  });
+
+  function replaceCrashed(): void {
+    for (const target of targets) {
+      if (!target.hasCrashed() || replaced.has(target.id)) {
+        continue;
+      }
+      replaced.add(target.id);
+      handles.push(
+        timers.after(LISTED_AFTER_CRASH_MS, () =>
+          harness.fleet.store.remove('servers', target.id),
+        ),
+        timers.after(REPLACEMENT_DELAY_MS, () => {
+          void startReplacement(`after-${target.id}`);
+        }),
+      );
+    }
+  }
+
+  async function startReplacement(id: string): Promise<void> {
+    const target = await harness.fleet.addTarget({
+      id,
+      service: 'availability',
+      zone: 'riga-a',
+      slots: 4,
+      workMs: 40,
+    });
+    target.setCrashPath(CRASH_PATH);
+    targets.push(target);
+  }
+
+  function crashingArrivals(): CrashingArrival[] {
+    return targets.flatMap(target =>
+      target.runs
+        .filter(({path}) => path === CRASH_PATH)
+        .map(({atMs}) => ({atMs, crashed: target.hasCrashed()})),
+    );
+  }
+
+  /** Sends the request and, beside it, others to the VMs in turn. */
+  async function play(
+    addressOf: (index: number) => string,
+  ): Promise<readonly Answer[]> {
+    const answers: Promise<Answer>[] = [];
+    const endsMs = timers.nowMs() + PLAY_MS;
+    for (let index = 0; timers.nowMs() < endsMs; index += 1) {
+      const gateway = gateways[index % gateways.length];
+      assert.ok(gateway);
+      const clientAddress = addressOf(index);
+      void call(gateway, {path: CRASH_PATH, key: '70', clientAddress});
+      for (const other of gateways) {
+        const path = `/rooms/${index % 5}/${index}`;
+        answers.push(call(other, {path, key: String(index % 5)}));
+      }
+      replaceCrashed();
+      await timers.sleep(REQUEST_INTERVAL_MS);
+    }
+    return Promise.all(answers);
+  }
+
+  // Guards against a caller whose requests come from several addresses.
+  it('reaches no more targets soon after the third, and harms no others', async () => {
+    const others = await play(index => `127.0.1.${index + 1}`);
+    assert.deepEqual(
+      {
+        violation: findCrashViolation(crashingArrivals()),
+        quarantinedOthers: others.filter(({body}) =>
+          body.includes(QUARANTINE_REASON),
+        ).length,
+      },
+      {violation: undefined, quarantinedOthers: 0},
+    );
+  });
+});
--- a/packages/stand_ins/test/object_platform/harness.ts
+++ b/packages/stand_ins/test/object_platform/harness.ts
@@ -38,6 +38,8 @@
   readonly attemptId?: string;
   readonly deadlineMs?: number;
   readonly key?: string;
+  /** Address that the client connects from. */
+  readonly clientAddress?: string;
   /** Aborts the request after this time. */
   readonly abortAfterMs?: number;
 }
@@ -217,6 +219,7 @@
     method: options.method ?? 'GET',
     headers,
     body: options.body,
+    clientAddress: options.clientAddress,
     abortAfterMs: options.abortAfterMs,
     timeoutMs: ANSWER_TIMEOUT_MS,
   });
@@ -228,6 +231,7 @@
   readonly method: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body?: string | undefined;
+  readonly clientAddress?: string | undefined;
   readonly abortAfterMs?: number | undefined;
   readonly timeoutMs: number;
 }
@@ -240,6 +244,7 @@
     path,
     method,
     headers,
+    localAddress: options.clientAddress,
     agent: false,
   });
   const answer = answerTo(clientRequest);
