Log what identifies a request whose connection broke, and the age of a loss

Change: attempt-failed of a broken connection names fingerprint, path and client; crash-suspected says how long ago the connection broke, and peers are told so instead of the time of the report, from which quarantines are counted as well.

--- a/packages/decision/src/core/quarantine/crash_tracker.ts
+++ b/packages/decision/src/core/quarantine/crash_tracker.ts
@@ -12,12 +12,18 @@
     fingerprint: string,
     nowMs: number,
   ): void;
-  /** Records a crash; returns the fingerprints of the suspected requests. */
-  recordCrash(incarnation: string, nowMs: number): readonly string[];
+  /** Records a crash; returns the suspected requests. */
+  recordCrash(incarnation: string, nowMs: number): readonly BrokenRequest[];
   /** Forgets all broken connections. */
   clear(): void;
 }
 
+export interface BrokenRequest {
+  readonly fingerprint: string;
+  /** When its connection broke. */
+  readonly brokenAtMs: number;
+}
+
 /** A request is suspected if the crash is detected this soon after it broke. */
 const SUSPICION_WINDOW_MS = 5_000;
 const MAXIMUM_REQUESTS_PER_TARGET = 64;
@@ -42,10 +48,10 @@
     recordCrash: (incarnation, nowMs) => {
       const broken = brokenByIncarnation.get(incarnation);
       brokenByIncarnation.delete(incarnation);
-      const suspects: string[] = [];
-      for (const [fingerprint, atMs] of broken ?? []) {
-        if (nowMs - atMs <= SUSPICION_WINDOW_MS) {
-          suspects.push(fingerprint);
+      const suspects: BrokenRequest[] = [];
+      for (const [fingerprint, brokenAtMs] of broken ?? []) {
+        if (nowMs - brokenAtMs <= SUSPICION_WINDOW_MS) {
+          suspects.push({fingerprint, brokenAtMs});
         }
       }
       return suspects;
--- a/packages/decision/test/quarantine/crash_tracker.test.ts
+++ b/packages/decision/test/quarantine/crash_tracker.test.ts
@@ -8,8 +8,8 @@
     tracker.recordBrokenConnection('incarnation', 'poison', 0);
     tracker.recordBrokenConnection('incarnation', 'other', 10);
     assert.deepEqual(tracker.recordCrash('incarnation', 1_000), [
-      'poison',
-      'other',
+      {fingerprint: 'poison', brokenAtMs: 0},
+      {fingerprint: 'other', brokenAtMs: 10},
     ]);
     assert.deepEqual(tracker.recordCrash('incarnation', 1_001), []);
   });
--- a/packages/gateway/src/forwarding/crash_guard.ts
+++ b/packages/gateway/src/forwarding/crash_guard.ts
@@ -31,7 +31,7 @@
   /**
    * Called when a peer reports that a target died running the request.
    *
-   * @param ageMs Time since the target died.
+   * @param ageMs Time since the request's connection broke.
    */
   recordPeerReport(fingerprint: string, target: string, ageMs: number): void;
   /** The newest known losses, for a VM that has just connected. */
@@ -53,8 +53,11 @@
 export interface CrashGuardOptions {
   readonly timers: Pick<TimerService, 'nowMs'>;
   readonly log: Logger;
-  /** @param target Name of the lost incarnation, the same on all VMs. */
-  notifyPeers(fingerprint: string, target: string): void;
+  /**
+   * @param target Name of the lost incarnation, the same on all VMs.
+   * @param ageMs Time since the request's connection broke.
+   */
+  notifyPeers(fingerprint: string, target: string, ageMs: number): void;
 }
 
 const QUARANTINE_MS = 60_000;
@@ -88,6 +91,7 @@
         target,
         from,
         targetsLost: suspicions.lostTargets(fingerprint).length,
+        ageMs: Math.round(ageMs),
       });
     }
   }
@@ -112,12 +116,12 @@
       ),
     recordTargetDeath: incarnation => {
       const target = targetNameOf(incarnation);
-      for (const fingerprint of crashTracker.recordCrash(
-        incarnation,
-        timers.nowMs(),
-      )) {
-        suspect(fingerprint, target, 'own', 0);
-        options.notifyPeers(fingerprint, target);
+      const nowMs = timers.nowMs();
+      const requests = crashTracker.recordCrash(incarnation, nowMs);
+      for (const {fingerprint, brokenAtMs} of requests) {
+        const ageMs = nowMs - brokenAtMs;
+        suspect(fingerprint, target, 'own', ageMs);
+        options.notifyPeers(fingerprint, target, ageMs);
       }
     },
     forgetBrokenConnections: crashTracker.clear,
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -119,6 +119,15 @@
     return context.crashGuard.fingerprint(request);
   }
 
+  /** Tell which requests were the same one, if targets crashed under them. */
+  function identityFields(): Record<string, string | undefined> {
+    return {
+      fingerprint: fingerprint(),
+      path: request.incoming.url,
+      client: request.clientAddress,
+    };
+  }
+
   function fail(status: number, reason: string, retryAfterMs?: number): void {
     finish('refused', status, reason);
     refuse(outgoing, status, reason, retryAfterMs);
@@ -358,6 +367,7 @@
         outcome: outcome.kind,
         detail: 'cause' in outcome ? outcome.cause : outcome.status,
         tookMs: Math.round(nowMs - attempt.startedAtMs),
+        ...(outcome.kind === 'broken' ? identityFields() : {}),
       });
     }
     const step = decideNextStep(outcome, {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -139,8 +139,8 @@
   const crashGuard = createCrashGuard({
     timers,
     log,
-    notifyPeers: (fingerprint, target) =>
-      mesh.broadcast({kind: 'target-lost', fingerprint, target}),
+    notifyPeers: (fingerprint, target, ageMs) =>
+      mesh.broadcast({kind: 'target-lost', fingerprint, target, ageMs}),
   });
   const reachMonitor = createTargetReachMonitor({
     timers,
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -146,7 +146,7 @@
     /** Identifies the request that the target was running. */
     fingerprint: z.string().max(64),
     target: z.string().max(256),
-    /** Time since the target died; absent means just now. */
+    /** Time since the request's connection broke; absent means just now. */
     ageMs: z.number().nonnegative().optional(),
   }),
 ]);
