Recognise a request that crashes targets whatever address it comes from

Cause: the fingerprint of a request had the client's address in it. A caller uses many, so each address lost one or two targets of its own, and no quarantine held. Evidence: the four fingerprints of the record that belong to the path in the report differ by the address alone (docs/incidents/crashing-request.md). Change: the fingerprint is made of method, host, path and body. The host is new: the same path may be another service's request.

--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -183,9 +183,7 @@
       incoming.rawHeaders,
       headers.affinityKey,
     );
-    // A client may set this header as well. That only forgoes the relay, and
-    // the address only distinguishes requests that crash targets, which the
-    // client can also do through the path.
+    // A client may set this header as well. That only forgoes the relay.
     const [relayedFor] = headerValues(incoming.rawHeaders, headers.relayedFor);
     startExchange(context, {
       incoming,
--- a/packages/gateway/src/forwarding/crash_guard.ts
+++ b/packages/gateway/src/forwarding/crash_guard.ts
@@ -12,7 +12,10 @@
 import type {Logger, TimerService} from '@ibisbeam/library';
 
 export interface CrashGuard {
-  /** Equal on all VMs for the same request from the same client address. */
+  /**
+   * Equal on all VMs for the same request. A caller may connect from many
+   * addresses, so the client's address is no part of it.
+   */
   fingerprint(request: CrashGuardRequest): string;
   /**
    * Whether any request has ever been suspected. Until then, no fingerprints
@@ -39,8 +42,7 @@
 }
 
 export interface CrashGuardRequest {
-  readonly incoming: Pick<IncomingMessage, 'method' | 'url'>;
-  readonly clientAddress: string;
+  readonly incoming: Pick<IncomingMessage, 'method' | 'url' | 'headers'>;
   readonly body: Buffer | undefined;
 }
 
@@ -97,9 +99,10 @@
   }
 
   return {
-    fingerprint: ({incoming, clientAddress, body}) => {
-      const {method, url} = incoming;
-      const text = `${method} ${url} ${clientAddress} ${body?.toString('latin1') ?? ''}`;
+    fingerprint: ({incoming, body}) => {
+      const {method, url, headers} = incoming;
+      const host = headers.host?.toLowerCase() ?? '';
+      const text = `${method} ${host} ${url} ${body?.toString('latin1') ?? ''}`;
       return (
         hash32(text).toString(HEXADECIMAL_RADIX) +
         hash32(`2 ${text}`).toString(HEXADECIMAL_RADIX)
--- a/packages/gateway/test/crash_guard.test.ts
+++ b/packages/gateway/test/crash_guard.test.ts
@@ -67,16 +67,36 @@
   // Guards against a caller whose requests come from several addresses, so that
   // each address loses targets of its own.
   it('is recognised from whatever address it comes', () => {
-    const [first, second] = ['100.64.0.7', '100.69.0.11'].map(clientAddress =>
-      guard.fingerprint({
-        incoming: {method: 'GET', url: '/rooms/7'},
-        clientAddress,
-        body: undefined,
-      }),
-    );
+    const incoming = {
+      method: 'GET',
+      url: '/rooms/7',
+      headers: {host: 'a.test'},
+    };
+    const [first, second] = ['100.64.0.7', '100.69.0.11'].map(clientAddress => {
+      const request = {incoming, clientAddress, body: undefined};
+      return guard.fingerprint(request);
+    });
     assert.equal(first, second);
   });
 
+  it('is told from requests to other hosts or paths, or with other bodies', () => {
+    const incoming = {
+      method: 'POST',
+      url: '/rooms/7',
+      headers: {host: 'a.test'},
+    };
+    const body = Buffer.from('1');
+    const requests = [
+      {incoming, body},
+      {incoming, body: Buffer.from('2')},
+      {incoming: {...incoming, method: 'PUT'}, body},
+      {incoming: {...incoming, url: '/rooms/8'}, body},
+      {incoming: {...incoming, headers: {host: 'b.test'}}, body},
+    ];
+    const fingerprints = new Set(requests.map(guard.fingerprint));
+    assert.equal(fingerprints.size, requests.length);
+  });
+
   // Guards against blame for connections that a partition of the VM broke.
   it('is not suspected for connections that were forgotten', () => {
     guard.recordBrokenConnection('i-1@1', 'a1');
