Ask for the quarantine before each attempt, not at the arrival alone

Cause: the quarantine was asked for once, when the request arrived. Change: retries, hedges, requests in the waiting line and relays ask as well. The fingerprint is computed once for a request.

--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -55,7 +55,7 @@
   context: ForwardingContext,
   request: ExchangeRequest,
 ): void {
-  const {timers, targetLoad, log} = context;
+  const {timers, targetLoad, crashGuard, log} = context;
   const {route, incoming, outgoing, service} = request;
   const routeTimeoutAtMs = request.arrivedAtMs + route.timeoutMs;
   const respondByMs = Math.min(
@@ -70,6 +70,7 @@
   let wasSent = false;
   let possiblyExecuted = 0;
   let isFinished = false;
+  let knownFingerprint: string | undefined;
   let lastPlacement: Placement | undefined;
   let lastAttemptAtMs: number | undefined;
   let hedgeTimer: TimerHandle | undefined;
@@ -116,7 +117,14 @@
   }
 
   function fingerprint(): string {
-    return context.crashGuard.fingerprint(request);
+    knownFingerprint ??= crashGuard.fingerprint(request);
+    return knownFingerprint;
+  }
+
+  function isQuarantined(): boolean {
+    return (
+      crashGuard.hasSuspicions() && crashGuard.isQuarantined(fingerprint())
+    );
   }
 
   /** Tell which requests were the same one, if targets crashed under them. */
@@ -128,6 +136,16 @@
     };
   }
 
+  /** Returns whether the request was refused. */
+  function refuseIfQuarantined(): boolean {
+    if (!isQuarantined()) {
+      return false;
+    }
+    const reason = 'requests like this one crashed targets';
+    fail(503, reason, QUARANTINE_RETRY_AFTER_MS);
+    return true;
+  }
+
   function fail(status: number, reason: string, retryAfterMs?: number): void {
     finish('refused', status, reason);
     refuse(outgoing, status, reason, retryAfterMs);
@@ -154,6 +172,9 @@
 
   /** Returns false if no target or peer can answer in time. */
   function startNextAttempt(isHedge: boolean): boolean {
+    if (isQuarantined()) {
+      return false;
+    }
     if (context.targetReach() === 'cut-off') {
       return startRelay();
     }
@@ -175,6 +196,9 @@
    * targets are full.
    */
   function startNextAttemptAfterRefusal(): boolean {
+    if (isQuarantined()) {
+      return false;
+    }
     if (context.targetReach() === 'cut-off') {
       return startRelay();
     }
@@ -250,7 +274,7 @@
 
   /** Returns false if no peer may take the request. */
   function startRelay(): boolean {
-    if (context.copyGuard.state() !== 'confirmed') {
+    if (context.copyGuard.state() !== 'confirmed' || isQuarantined()) {
       return false;
     }
     const relay = relays.start();
@@ -462,7 +486,6 @@
       request.arrivedAtMs,
     );
   }
-  const {crashGuard} = context;
   const elapsedMs = elapsedBeforeArrivalMs(context, request);
   const queuedRequest: QueuedRequest = {
     service,
@@ -490,6 +513,9 @@
 
   /** Sends or refuses the request; returns 'hold' if it has to wait. */
   function dispatch(): 'done' | 'hold' {
+    if (refuseIfQuarantined()) {
+      return 'done';
+    }
     if (context.copyGuard.state() === 'unconfirmed') {
       return 'hold';
     }
@@ -542,12 +568,7 @@
     finish('client-left', 0);
     return;
   }
-  if (crashGuard.hasSuspicions() && crashGuard.isQuarantined(fingerprint())) {
-    fail(
-      503,
-      'requests like this one crashed targets',
-      QUARANTINE_RETRY_AFTER_MS,
-    );
+  if (refuseIfQuarantined()) {
     return;
   }
   context.sendScheduler.schedule(() => {
--- a/packages/stand_ins/test/object_platform/crashing_request.test.ts
+++ b/packages/stand_ins/test/object_platform/crashing_request.test.ts
@@ -11,6 +11,8 @@
   type Answer,
   type Harness,
   call,
+  countLogLines,
+  createConfiguration,
   isReady,
   startHarness,
   timers,
@@ -19,6 +21,7 @@
 
 const CRASH_PATH = '/rooms/70/32b4';
 const TARGET_COUNT = 12;
+const PATIENT_MS = 8_000;
 const PLAY_MS = 9_000;
 const REQUEST_INTERVAL_MS = 200;
 /** A crashed target stays in the list until its heartbeats are missed. */
@@ -95,6 +98,28 @@
     );
   }
 
+  /** Lets requests wait for long without a hedge. */
+  function createPatientConfiguration(): Record<string, unknown> {
+    const {routes, ...configuration} = createConfiguration(2);
+    assert.ok(Array.isArray(routes));
+    return {
+      ...configuration,
+      routes: routes.map(route => ({
+        ...route,
+        timeout_ms: PATIENT_MS,
+        target_latency_ms: PATIENT_MS / 4,
+      })),
+    };
+  }
+
+  function countConfigurations(): number {
+    return countLogLines(harness, /event=configuration-in-force .*version=2 /);
+  }
+
+  function countPeerReports(): number {
+    return countLogLines(harness, /event=crash-suspected .*from=peer/);
+  }
+
   /** Sends the request and, beside it, others to the VMs in turn. */
   async function play(
     addressOf: (index: number) => string,
@@ -129,4 +154,36 @@
       {violation: undefined, quarantinedOthers: 0},
     );
   });
+
+  // Guards against retries, hedges and waiting requests that began before the
+  // quarantine did.
+  it('is not sent once more by a VM that learns of the others meanwhile', async () => {
+    harness.fleet.configure(createPatientConfiguration());
+    await waitUntil(() => countConfigurations() === gateways.length);
+    const [first, second] = gateways;
+    assert.ok(first && second);
+    for (const target of targets) {
+      target.setWorkMs(PATIENT_MS);
+    }
+    const options = {path: CRASH_PATH, deadlineMs: PATIENT_MS};
+    const pending = call(first, {...options, key: '1'});
+    await waitUntil(() => crashingArrivals().length === 1);
+    const held = targets.find(({runs}) => runs.length > 0);
+    assert.ok(held);
+    for (const target of targets) {
+      target.setWorkMs(1);
+    }
+    // Runs at two other targets, and ends both.
+    await call(second, {...options, key: '2'});
+    const crashed = targets.filter(target => target.hasCrashed());
+    assert.equal(crashed.length, 2);
+    for (const {id} of crashed) {
+      harness.fleet.store.remove('servers', id);
+    }
+    await waitUntil(() => countPeerReports() >= 2);
+    await held.close();
+    const answer = await pending;
+    assert.equal(answer.status, 502);
+    assert.equal(crashingArrivals().length, 3);
+  });
 });
