Count a request against a target whose end another VM has noticed

Cause: a VM counts a broken request once it sees itself that the target is gone. It avoids the target after the break, so that it may see that only when the list drops the target, seconds later; a break that is read after that did not count. Change: the report of a peer counts as the crash, and a break within 5 s after it counts at once. An old report counts nothing: a break must be close to the crash.

--- a/packages/decision/src/core/quarantine/crash_tracker.ts
+++ b/packages/decision/src/core/quarantine/crash_tracker.ts
@@ -6,14 +6,23 @@
  */
 
 export interface CrashTracker {
-  /** Records that a connection broke during a request that may have run. */
+  /**
+   * Records that a connection broke during a request that may have run.
+   *
+   * @returns Whether the target is known to have crashed shortly before, so
+   *     that the request is suspected.
+   */
   recordBrokenConnection(
-    incarnation: string,
+    target: string,
     fingerprint: string,
     nowMs: number,
-  ): void;
-  /** Records a crash; returns the suspected requests. */
-  recordCrash(incarnation: string, nowMs: number): readonly BrokenRequest[];
+  ): boolean;
+  /**
+   * Records a crash; returns the suspected requests.
+   *
+   * @param atMs When the crash was detected, here or by a peer.
+   */
+  recordCrash(target: string, atMs: number): readonly BrokenRequest[];
   /** Forgets all broken connections. */
   clear(): void;
 }
@@ -24,18 +33,31 @@
   readonly brokenAtMs: number;
 }
 
-/** A request is suspected if the crash is detected this soon after it broke. */
+/** A request is suspected if its connection broke this close to the crash. */
 const SUSPICION_WINDOW_MS = 5_000;
 const MAXIMUM_REQUESTS_PER_TARGET = 64;
 
 export function createCrashTracker(): CrashTracker {
-  const brokenByIncarnation = new Map<string, Map<string, number>>();
+  const brokenByTarget = new Map<string, Map<string, number>>();
+  /** Time at which each crash was detected. */
+  const crashes = new Map<string, number>();
+
+  function forgetOldCrashes(nowMs: number): void {
+    for (const [target, atMs] of crashes) {
+      if (nowMs - atMs > SUSPICION_WINDOW_MS) {
+        crashes.delete(target);
+      }
+    }
+  }
 
   return {
-    recordBrokenConnection: (incarnation, fingerprint, nowMs) => {
-      const broken =
-        brokenByIncarnation.get(incarnation) ?? new Map<string, number>();
-      brokenByIncarnation.set(incarnation, broken);
+    recordBrokenConnection: (target, fingerprint, nowMs) => {
+      forgetOldCrashes(nowMs);
+      if (crashes.has(target)) {
+        return true;
+      }
+      const broken = brokenByTarget.get(target) ?? new Map<string, number>();
+      brokenByTarget.set(target, broken);
       for (const [old, atMs] of broken) {
         if (nowMs - atMs > SUSPICION_WINDOW_MS) {
           broken.delete(old);
@@ -44,18 +66,20 @@
       if (broken.size < MAXIMUM_REQUESTS_PER_TARGET) {
         broken.set(fingerprint, nowMs);
       }
+      return false;
     },
-    recordCrash: (incarnation, nowMs) => {
-      const broken = brokenByIncarnation.get(incarnation);
-      brokenByIncarnation.delete(incarnation);
+    recordCrash: (target, atMs) => {
+      const broken = brokenByTarget.get(target);
+      brokenByTarget.delete(target);
+      crashes.set(target, Math.max(atMs, crashes.get(target) ?? atMs));
       const suspects: BrokenRequest[] = [];
       for (const [fingerprint, brokenAtMs] of broken ?? []) {
-        if (nowMs - brokenAtMs <= SUSPICION_WINDOW_MS) {
+        if (Math.abs(atMs - brokenAtMs) <= SUSPICION_WINDOW_MS) {
           suspects.push({fingerprint, brokenAtMs});
         }
       }
       return suspects;
     },
-    clear: () => brokenByIncarnation.clear(),
+    clear: () => brokenByTarget.clear(),
   };
 }
--- a/packages/gateway/src/forwarding/crash_guard.ts
+++ b/packages/gateway/src/forwarding/crash_guard.ts
@@ -98,6 +98,23 @@
     }
   }
 
+  function suspectOwn(
+    fingerprint: string,
+    target: string,
+    ageMs: number,
+  ): void {
+    suspect(fingerprint, target, 'own', ageMs);
+    options.notifyPeers(fingerprint, target, ageMs);
+  }
+
+  /** Suspects the requests that this VM had at the target. */
+  function recordCrash(target: string, atMs: number): void {
+    for (const broken of crashTracker.recordCrash(target, atMs)) {
+      const ageMs = timers.nowMs() - broken.brokenAtMs;
+      suspectOwn(broken.fingerprint, target, ageMs);
+    }
+  }
+
   return {
     fingerprint: ({incoming, body}) => {
       const {method, url, headers} = incoming;
@@ -111,26 +128,22 @@
     hasSuspicions: () => anySuspicion,
     isQuarantined: fingerprint =>
       suspicions.stateOf(fingerprint, timers.nowMs()) === 'quarantined',
-    recordBrokenConnection: (incarnation, fingerprint) =>
-      crashTracker.recordBrokenConnection(
-        incarnation,
-        fingerprint,
-        timers.nowMs(),
-      ),
-    recordTargetDeath: incarnation => {
+    recordBrokenConnection: (incarnation, fingerprint) => {
       const target = targetNameOf(incarnation);
       const nowMs = timers.nowMs();
-      const requests = crashTracker.recordCrash(incarnation, nowMs);
-      for (const {fingerprint, brokenAtMs} of requests) {
-        const ageMs = nowMs - brokenAtMs;
-        suspect(fingerprint, target, 'own', ageMs);
-        options.notifyPeers(fingerprint, target, ageMs);
+      if (crashTracker.recordBrokenConnection(target, fingerprint, nowMs)) {
+        suspectOwn(fingerprint, target, 0);
       }
     },
+    recordTargetDeath: incarnation =>
+      recordCrash(targetNameOf(incarnation), timers.nowMs()),
     forgetBrokenConnections: crashTracker.clear,
     answered: fingerprint => suspicions.recordResponse(fingerprint),
-    recordPeerReport: (fingerprint, target, ageMs) =>
-      suspect(fingerprint, target, 'peer', ageMs),
+    recordPeerReport: (fingerprint, target, ageMs) => {
+      suspect(fingerprint, target, 'peer', ageMs);
+      // This VM may send the target nothing more, and not notice the crash.
+      recordCrash(target, timers.nowMs() - ageMs);
+    },
     recentLosses: () =>
       suspicions.recent().flatMap(({fingerprint, targets, lastLossMs}) =>
         targets.map(target => ({
--- a/packages/gateway/test/crash_guard.test.ts
+++ b/packages/gateway/test/crash_guard.test.ts
@@ -17,12 +17,15 @@
     guard = createGuard();
   });
 
-  function createGuard(): CrashGuard {
+  function createGuard(
+    notifyPeers = (fingerprint: string, target: string) => {
+      notifications.push(`${fingerprint} ${target}`);
+    },
+  ): CrashGuard {
     return createCrashGuard({
       timers: {nowMs: () => nowMs},
       log: createKeyValueLogger({level: 'error', fields: {}, write: () => {}}),
-      notifyPeers: (fingerprint, target) =>
-        notifications.push(`${fingerprint} ${target}`),
+      notifyPeers,
     });
   }
 
@@ -97,6 +100,36 @@
     assert.equal(fingerprints.size, requests.length);
   });
 
+  /** Name by which VMs tell each other of the incarnation. */
+  function nameOf(incarnation: string): string {
+    const heard: string[] = [];
+    const peer = createGuard((_, target) => heard.push(target));
+    peer.recordBrokenConnection(incarnation, 'b2');
+    peer.recordTargetDeath(incarnation);
+    return heard[0] ?? '';
+  }
+
+  // Guards against a VM that avoids the target and so never sees that it died.
+  it('is reported once a peer tells of the death of its target', () => {
+    guard.recordBrokenConnection('i-1@1', 'a1');
+    guard.recordPeerReport('b2', nameOf('i-1@1'), 200);
+    assert.deepEqual(notifications, [`a1 ${nameOf('i-1@1')}`]);
+  });
+
+  // Guards against a VM that hears of the death before it reads the break.
+  it('is reported if its connection breaks right after the death is known', () => {
+    guard.recordPeerReport('b2', nameOf('i-1@1'), 0);
+    nowMs = 4_000;
+    guard.recordBrokenConnection('i-1@1', 'a1');
+    assert.deepEqual(notifications, [`a1 ${nameOf('i-1@1')}`]);
+  });
+
+  it('is not suspected if its connection breaks long after a reported death', () => {
+    guard.recordPeerReport('b2', nameOf('i-1@1'), 50_000);
+    guard.recordBrokenConnection('i-1@1', 'a1');
+    assert.deepEqual(notifications, []);
+  });
+
   // Guards against blame for connections that a partition of the VM broke.
   it('is not suspected for connections that were forgotten', () => {
     guard.recordBrokenConnection('i-1@1', 'a1');
