Connect to a target right after a connection to it broke

Cause: a VM avoids a target whose connection broke, and learned that it was gone when a request was sent there again, or from the list after 3 to 4.5 s: longer than the rule allows from the third crash on. Change: a broken connection is followed by one probe of the target; a target that does not accept it counts as one that refuses connections. Result: "is suspected soon though nothing else is sent to the target" counted no suspicion within a second before, and one for each crashed target after.

--- a/packages/gateway/src/forwarding/attempt_recording.ts
+++ b/packages/gateway/src/forwarding/attempt_recording.ts
@@ -53,6 +53,7 @@
       }
       targetLoad.recordFailure(incarnation);
       crashGuard.recordBrokenConnection(incarnation, end.fingerprint());
+      context.reachEvidence.recordBrokenConnection(target);
       return;
   }
 }
--- a/packages/gateway/src/target_reach.ts
+++ b/packages/gateway/src/target_reach.ts
@@ -19,6 +19,11 @@
   /** A new connection to the target is established. */
   recordConnection(target: RegisteredTarget): void;
   recordConnectionFailure(target: RegisteredTarget): void;
+  /**
+   * The connection broke during a request. Finds out at once whether the target
+   * is gone, since it may get no other request for a while.
+   */
+  recordBrokenConnection(target: RegisteredTarget): void;
   /** A target has answered a request, on whatever connection. */
   recordAnswer(): void;
 }
@@ -69,6 +74,8 @@
   const connectionLog = createConnectionLog(options);
   const deaths = createConfirmedDeaths(options.onTargetDeath);
   const handles: TimerHandle[] = [];
+  /** Targets that are probed because a connection broke. */
+  const doubtedTargets = new Set<string>();
   const targetsByIncarnation = new Map<string, RegisteredTarget>();
   let candidates: ProbeTarget[] = [];
   let candidatesAtMs = -Infinity;
@@ -154,6 +161,34 @@
   }
 
   function probe(target: RegisteredTarget): void {
+    connectTo(target, connected => {
+      reachability.recordProbe(target.incarnation, connected, timers.nowMs());
+      update();
+    });
+  }
+
+  function probeDoubted(target: RegisteredTarget): void {
+    const {incarnation} = target;
+    if (doubtedTargets.has(incarnation)) {
+      return;
+    }
+    doubtedTargets.add(incarnation);
+    connectTo(target, connected => {
+      doubtedTargets.delete(incarnation);
+      const nowMs = timers.nowMs();
+      if (connected) {
+        reachability.recordConnection(nowMs);
+      } else {
+        reachability.recordConnectionFailure(incarnation, nowMs);
+        deaths.add(incarnation, nowMs);
+      }
+    });
+  }
+
+  function connectTo(
+    target: RegisteredTarget,
+    onEnd: (connected: boolean) => void,
+  ): void {
     const {host, port} = target.entry;
     probeTarget(
       {host, port},
@@ -164,8 +199,7 @@
         } else {
           connectionLog.recordFailure(target);
         }
-        reachability.recordProbe(target.incarnation, connected, timers.nowMs());
-        update();
+        onEnd(connected);
       },
       options.connect,
     );
@@ -183,6 +217,7 @@
         reachability.recordConnectionFailure(target.incarnation, nowMs);
         deaths.add(target.incarnation, nowMs);
       },
+      recordBrokenConnection: probeDoubted,
       recordAnswer: () => {
         connectionLog.recordAnswer();
         reachability.recordAnswer(timers.nowMs());
--- a/packages/stand_ins/test/object_platform/crashing_request.test.ts
+++ b/packages/stand_ins/test/object_platform/crashing_request.test.ts
@@ -22,6 +22,9 @@
 const CRASH_PATH = '/rooms/70/32b4';
 const TARGET_COUNT = 12;
 const PATIENT_MS = 8_000;
+/** Much less than it takes to miss heartbeats. */
+const NOTICE_MS = 1_000;
+const OWN_SUSPICION = /event=crash-suspected .*from=own/;
 const PLAY_MS = 9_000;
 const REQUEST_INTERVAL_MS = 200;
 /** A crashed target stays in the list until its heartbeats are missed. */
@@ -155,6 +158,14 @@
     );
   });
 
+  // Guards against deaths that are noticed when the list drops the target.
+  it('is suspected soon though nothing else is sent to the target', async () => {
+    await call(harness.gateway, {path: CRASH_PATH});
+    await timers.sleep(NOTICE_MS);
+    const crashes = targets.filter(target => target.hasCrashed()).length;
+    assert.equal(countLogLines(harness, OWN_SUSPICION), crashes);
+  });
+
   // Guards against retries, hedges and waiting requests that began before the
   // quarantine did.
   it('is not sent once more by a VM that learns of the others meanwhile', async () => {
