Keep connections until slow readers have their answers when the listener closes

Cause: http.Server.close() destroys connections whose response has been ended, though bytes of it still wait for a client that reads slowly; so does closeIdleConnections(). Change: the gateway keeps track of its connections. One is idle when it has brought a request, owes no byte of an answer and has brought no byte since. The listener is closed without touching connections; stop-bound-hit tells requests, connections and bytes that the bound cuts.

--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -8,11 +8,16 @@
   type ServerResponse,
   createServer,
 } from 'node:http';
+import {Server as NetServer} from 'node:net';
 import type {ClientLimits, Route, RouteTable} from '@ibisbeam/decision';
 import {announcesBody, readRequestBody} from '@ibisbeam/library';
 import type {HostAndPort} from '../core/settings.js';
 import {refuse} from './response_delivery.js';
 import type {AcceptBacklog} from './accept_backlog.js';
+import {
+  type UnfinishedConnection,
+  createClientConnections,
+} from './client_connections.js';
 import type {ForwardingContext} from './context.js';
 import {startExchange} from './exchange.js';
 import {headerValues} from './header_rules.js';
@@ -20,8 +25,10 @@
 export interface ClientFacingServer {
   listen(): Promise<void>;
   setLimits(limits: ClientLimits): void;
-  /** Number of requests received and not answered yet. */
+  /** Number of requests whose answer has not left completely. */
   inFlight(): number;
+  /** What would be lost if all connections were closed now. */
+  unfinished(): readonly UnfinishedConnection[];
   /**
    * Stops listening and closes idle connections. Resolves when all connections
    * are closed.
@@ -63,10 +70,7 @@
 ): ClientFacingServer {
   const {context} = options;
   let limits = DEFAULT_LIMITS;
-  let inFlight = 0;
-  let openCount = 0;
-  /** Number of unanswered requests by connection. */
-  const unansweredBySocket = new WeakMap<object, number>();
+  const connections = createClientConnections();
   const server: Server = createServer(
     {
       maxHeaderSize: limits.headerBytes,
@@ -84,13 +88,7 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): void {
-    const {socket} = incoming;
-    inFlight += 1;
-    unansweredBySocket.set(socket, (unansweredBySocket.get(socket) ?? 0) + 1);
-    outgoing.on('close', () => {
-      inFlight -= 1;
-      unansweredBySocket.set(socket, (unansweredBySocket.get(socket) ?? 1) - 1);
-    });
+    connections.recordRequest(incoming, outgoing);
     if (context.isStopping() || context.targetReach() === 'cut-off') {
       outgoing.shouldKeepAlive = false;
     }
@@ -215,18 +213,15 @@
   }
 
   server.on('connection', socket => {
-    openCount += 1;
+    connections.add(socket);
     options.acceptBacklog.recordAccept();
     // Each pipelined request listens for the end of the connection.
     socket.setMaxListeners(0);
-    socket.on('close', () => {
-      openCount -= 1;
-    });
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     context.log.log('info', 'input-refused', {cause: error.code});
     // A client with a pending request would take this for its response.
-    const hasUnanswered = (unansweredBySocket.get(socket) ?? 0) > 0;
+    const hasUnanswered = connections.inFlightOn(socket) > 0;
     if (socket.writable && !hasUnanswered && error.code !== 'ECONNRESET') {
       const status = STATUS_BY_ERROR[error.code ?? ''] ?? '400 Bad Request';
       socket.end(
@@ -253,12 +248,15 @@
         server.listen(port, host, LISTEN_BACKLOG, () => resolve());
       }),
     setLimits,
-    inFlight: () => inFlight,
-    openConnections: () => openCount,
+    inFlight: connections.inFlight,
+    unfinished: connections.unfinished,
+    openConnections: connections.count,
     close: () =>
       new Promise(resolve => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
+        // The method of http.Server also destroys connections whose answers
+        // still wait for a slow reader.
+        NetServer.prototype.close.call(server, () => resolve());
+        connections.closeIdle();
       }),
     terminate: () =>
       new Promise(resolve => {
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -8,7 +8,7 @@
 export interface GracefulStopOptions {
   readonly clientFacingServer: Pick<
     ClientFacingServer,
-    'close' | 'terminate' | 'inFlight' | 'openConnections'
+    'close' | 'terminate' | 'inFlight' | 'unfinished' | 'openConnections'
   >;
   readonly timers: TimerService;
   readonly log: Logger;
@@ -46,9 +46,7 @@
   const idleEndMs = timers.nowMs() + IDLE_CONNECTION_GRACE_MS;
   while (!isDrained(idleEndMs)) {
     if (timers.nowMs() >= terminateAtMs) {
-      log.log('warn', 'stop-bound-hit', {
-        inFlight: clientFacingServer.inFlight(),
-      });
+      logStopBound();
       break;
     }
     await timers.sleep(STOP_POLL_INTERVAL_MS);
@@ -60,6 +58,19 @@
     tookMs: Math.round(timers.nowMs() - startedAtMs),
   });
 
+  function logStopBound(): void {
+    const unfinished = clientFacingServer.unfinished();
+    let bytes = 0;
+    for (const {bytesLeft} of unfinished) {
+      bytes += bytesLeft;
+    }
+    log.log('warn', 'stop-bound-hit', {
+      inFlight: clientFacingServer.inFlight(),
+      connections: unfinished.length,
+      bytes,
+    });
+  }
+
   /** An open connection may still deliver its first request. */
   function isDrained(idleEndMs: number): boolean {
     if (clientFacingServer.inFlight() > 0) {
