Let slow readers finish at a planned stop of the entry VM as well

Cause: the caller server used http.Server.close() and closeIdleConnections(), and the stop ended when exchanges had ended, not when their bytes had left. Change: the count of connections moves to the library and serves both; the stop waits for the requests of the server as well. No test of the entry VM alone shows the cut.

--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -10,14 +10,15 @@
 } from 'node:http';
 import {Server as NetServer} from 'node:net';
 import type {ClientLimits, Route, RouteTable} from '@ibisbeam/decision';
-import {announcesBody, readRequestBody} from '@ibisbeam/library';
-import type {HostAndPort} from '../core/settings.js';
-import {refuse} from './response_delivery.js';
-import type {AcceptBacklog} from './accept_backlog.js';
 import {
   type UnfinishedConnection,
+  announcesBody,
   createClientConnections,
-} from './client_connections.js';
+  readRequestBody,
+} from '@ibisbeam/library';
+import type {HostAndPort} from '../core/settings.js';
+import {refuse} from './response_delivery.js';
+import type {AcceptBacklog} from './accept_backlog.js';
 import type {ForwardingContext} from './context.js';
 import {startExchange} from './exchange.js';
 import {headerValues} from './header_rules.js';
--- a/packages/library/src/plugins/forwarding/caller_server.ts
+++ b/packages/library/src/plugins/forwarding/caller_server.ts
@@ -1,9 +1,12 @@
 /** The HTTP server of the caller port. */
 import {type Server, createServer} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {type AddressInfo, Server as NetServer} from 'node:net';
 import Koa from 'koa';
 import type {Middleware} from 'koa';
-import type {CallerRoutes} from '../../core/http/index.js';
+import {
+  type CallerRoutes,
+  createClientConnections,
+} from '../../core/http/index.js';
 import type {TaskContext} from '../../core/kernel/index.js';
 
 /** Callers keep connections open beyond the lifetime of a look-up. */
@@ -13,6 +16,8 @@
 export interface CallerServer {
   /** @returns The bound address, with the port that the system assigned. */
   listen(): Promise<string>;
+  /** Number of requests whose response has not left completely. */
+  inFlight(): number;
   /** Stops accepting connections and closes idle ones. */
   close(): void;
   /** Closes all connections, including those with requests in flight. */
@@ -30,6 +35,8 @@
   application.use(routes.middleware);
   application.use(forward);
 
+  const connections = createClientConnections();
+  const handle = application.callback();
   const server: Server = createServer(
     {
       maxHeaderSize: settings.requests.maximumHeaderBytes,
@@ -37,8 +44,12 @@
       headersTimeout: HEADERS_TIMEOUT_MS,
       requestTimeout: 0,
     },
-    application.callback(),
+    (incoming, outgoing) => {
+      connections.recordRequest(incoming, outgoing);
+      void handle(incoming, outgoing);
+    },
   );
+  server.on('connection', connections.add);
 
   server.on('clientError', (error: Error & {code?: string}, socket) => {
     metrics.emit({
@@ -73,9 +84,12 @@
         });
       });
     },
+    inFlight: connections.inFlight,
     close: () => {
-      server.close();
-      server.closeIdleConnections();
+      // The method of http.Server also destroys connections whose responses
+      // still wait for a slow reader.
+      NetServer.prototype.close.call(server);
+      connections.closeIdle();
     },
     terminate: () => server.closeAllConnections(),
   };
--- a/packages/library/src/plugins/forwarding/forwarder.ts
+++ b/packages/library/src/plugins/forwarding/forwarder.ts
@@ -284,7 +284,8 @@
 
   async function stop(): Promise<void> {
     await runGracefulStop(context, {
-      inFlight: () => exchanges.size + validatingCount,
+      inFlight: () =>
+        Math.max(exchanges.size + validatingCount, server.inFlight()),
       closeListener: () => {
         stopping = true;
         server.close();
--- a/packages/gateway/test/client_connections.test.ts
+++ b/packages/library/test/core/http/client_connections.test.ts
@@ -12,11 +12,11 @@
   connect,
 } from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
-import {createSystemTimerService} from '@ibisbeam/library';
 import {
   type ClientConnections,
   createClientConnections,
-} from '../src/forwarding/client_connections.js';
+  createSystemTimerService,
+} from '../../../src/index.js';
 
 /** More than the buffers of the system hold for one connection. */
 const LARGE_BODY_BYTES = 16_000_000;
