Suspect no request that another target has answered lately

What callers would see: a look-up that many send is in flight at most targets; if two of them crash for another reason, it is refused everywhere for a minute. Cause: an answer cleared a suspicion only at the VM that got it, and only if it came after the loss. Change: a VM remembers for 10 s which requests targets have answered, and neither suspects nor reports these. A peer that reports one is told so, and tells those to whom it had reported; so does a VM that gets an answer to a suspect.

--- a/packages/decision/src/core/quarantine/crash_suspicions.ts
+++ b/packages/decision/src/core/quarantine/crash_suspicions.ts
@@ -24,8 +24,12 @@
    * @returns Whether this loss is new for the pair of request and target.
    */
   recordLoss(fingerprint: string, target: TargetId, atMs: number): boolean;
-  /** Clears the suspicion of a request that was answered. */
-  recordResponse(fingerprint: string): void;
+  /**
+   * Clears the suspicion of a request that was answered.
+   *
+   * @returns Whether there was one.
+   */
+  recordResponse(fingerprint: string): boolean;
   /**
    * Records that the target answered a request that it received at `sinceMs`.
    * It has not crashed since then, so its losses after that time are cleared.
@@ -169,12 +173,7 @@
       return suspicion ? endMs(suspicion) : 0;
     },
     recordLoss,
-    recordResponse: fingerprint => {
-      const suspicion = suspicions.get(fingerprint);
-      if (suspicion) {
-        suspicions.delete(fingerprint);
-      }
-    },
+    recordResponse: fingerprint => suspicions.delete(fingerprint),
     recordSurvival,
     lift: fingerprint => suspicions.delete(fingerprint),
     quarantined: nowMs =>
--- a/packages/gateway/src/forwarding/attempt_recording.ts
+++ b/packages/gateway/src/forwarding/attempt_recording.ts
@@ -3,6 +3,8 @@
 import type {ForwardingContext} from './context.js';
 import type {ExchangeRequest, RunningAttempt} from './exchange_types.js';
 
+const MAXIMUM_REMEMBERED_BODY_BYTES = 4_096;
+
 export interface EndedAttempt {
   readonly request: ExchangeRequest;
   readonly attempt: RunningAttempt;
@@ -61,7 +63,7 @@
 function recordSuccess(context: ForwardingContext, end: EndedAttempt): void {
   const {request, attempt, nowMs} = end;
   const {incarnation} = attempt.placement.target;
-  if (context.crashGuard.hasSuspicions()) {
+  if (isCheapToRemember(request) || context.crashGuard.hasSuspicions()) {
     context.crashGuard.answered(end.fingerprint());
   }
   recordTimes(context, end, nowMs - (attempt.sentAtMs ?? nowMs));
@@ -71,6 +73,11 @@
   }
 }
 
+/** The fingerprint covers the whole body. */
+function isCheapToRemember({body}: ExchangeRequest): boolean {
+  return (body?.length ?? 0) <= MAXIMUM_REMEMBERED_BODY_BYTES;
+}
+
 function recordTimes(
   context: ForwardingContext,
   end: EndedAttempt,
--- a/packages/gateway/src/forwarding/crash_guard.ts
+++ b/packages/gateway/src/forwarding/crash_guard.ts
@@ -6,6 +6,7 @@
 import {
   createCrashSuspicions,
   createCrashTracker,
+  createRecentAnswers,
   hash32,
   targetId,
 } from '@ibisbeam/decision';
@@ -29,14 +30,22 @@
   recordTargetDeath(incarnation: string): void;
   /** Forgets broken connections that were not the targets' fault. */
   forgetBrokenConnections(): void;
-  /** Called when a target has answered the request with a status below 500. */
+  /** Called when a target has answered a request with a status below 500. */
   answered(fingerprint: string): void;
   /**
    * Called when a peer reports that a target died running the request.
    *
    * @param ageMs Time since the request's connection broke.
+   * @returns `answered` if the peer should know that a target has answered the
+   *     same request lately.
    */
-  recordPeerReport(fingerprint: string, target: string, ageMs: number): void;
+  recordPeerReport(
+    fingerprint: string,
+    target: string,
+    ageMs: number,
+  ): 'suspected' | 'answered';
+  /** Called when a peer reports that a target has answered the request. */
+  recordPeerAnswer(fingerprint: string): void;
   /** The newest known losses, for a VM that has just connected. */
   recentLosses(): readonly ReportedLoss[];
 }
@@ -60,21 +69,28 @@
    * @param ageMs Time since the request's connection broke.
    */
   notifyPeers(fingerprint: string, target: string, ageMs: number): void;
+  /** Tells peers that a target has answered a request that was suspected. */
+  notifyPeersOfAnswer(fingerprint: string): void;
 }
 
 const QUARANTINE_MS = 60_000;
 const LONG_QUARANTINE_MS = 300_000;
+const MAXIMUM_REPORTED = 2_000;
 const HEXADECIMAL_RADIX = 16;
 
 export function createCrashGuard(options: CrashGuardOptions): CrashGuard {
   const {timers, log} = options;
   const crashTracker = createCrashTracker();
+  const recentAnswers = createRecentAnswers();
   const suspicions = createCrashSuspicions({
     quarantineMs: QUARANTINE_MS,
     longQuarantineMs: LONG_QUARANTINE_MS,
   });
   let anySuspicion = false;
 
+  /** Suspicions that this VM has told to its peers. */
+  const reported = new Set<string>();
+
   function suspect(
     fingerprint: string,
     target: string,
@@ -103,10 +119,23 @@
     target: string,
     ageMs: number,
   ): void {
+    if (recentAnswers.has(fingerprint, timers.nowMs())) {
+      return;
+    }
     suspect(fingerprint, target, 'own', ageMs);
+    if (reported.size >= MAXIMUM_REPORTED) {
+      reported.clear();
+    }
+    reported.add(fingerprint);
     options.notifyPeers(fingerprint, target, ageMs);
   }
 
+  /** Returns whether the request was suspected. */
+  function recordAnswer(fingerprint: string): boolean {
+    recentAnswers.record(fingerprint, timers.nowMs());
+    return suspicions.recordResponse(fingerprint);
+  }
+
   /** Suspects the requests that this VM had at the target. */
   function recordCrash(target: string, atMs: number): void {
     for (const broken of crashTracker.recordCrash(target, atMs)) {
@@ -138,11 +167,26 @@
     recordTargetDeath: incarnation =>
       recordCrash(targetNameOf(incarnation), timers.nowMs()),
     forgetBrokenConnections: crashTracker.clear,
-    answered: fingerprint => suspicions.recordResponse(fingerprint),
+    answered: fingerprint => {
+      if (recordAnswer(fingerprint)) {
+        reported.delete(fingerprint);
+        options.notifyPeersOfAnswer(fingerprint);
+      }
+    },
+    recordPeerAnswer: fingerprint => {
+      // Only the VMs that spread the suspicion pass the answer on.
+      if (recordAnswer(fingerprint) && reported.delete(fingerprint)) {
+        options.notifyPeersOfAnswer(fingerprint);
+      }
+    },
     recordPeerReport: (fingerprint, target, ageMs) => {
-      suspect(fingerprint, target, 'peer', ageMs);
       // This VM may send the target nothing more, and not notice the crash.
       recordCrash(target, timers.nowMs() - ageMs);
+      if (recentAnswers.has(fingerprint, timers.nowMs())) {
+        return 'answered';
+      }
+      suspect(fingerprint, target, 'peer', ageMs);
+      return 'suspected';
     },
     recentLosses: () =>
       suspicions.recent().flatMap(({fingerprint, targets, lastLossMs}) =>
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -141,6 +141,8 @@
     log,
     notifyPeers: (fingerprint, target, ageMs) =>
       mesh.broadcast({kind: 'target-lost', fingerprint, target, ageMs}),
+    notifyPeersOfAnswer: fingerprint =>
+      mesh.broadcast({kind: 'request-answered', fingerprint}),
   });
   const reachMonitor = createTargetReachMonitor({
     timers,
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -149,6 +149,11 @@
     /** Time since the request's connection broke; absent means just now. */
     ageMs: z.number().nonnegative().optional(),
   }),
+  /** A target has answered a request under which others were lost. */
+  z.object({
+    kind: z.literal('request-answered'),
+    fingerprint: z.string().max(64),
+  }),
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
--- a/packages/gateway/src/peers/peer_conversation.ts
+++ b/packages/gateway/src/peers/peer_conversation.ts
@@ -121,12 +121,16 @@
       case 'restore-memory':
         fleet.learn(message.memory);
         return;
-      case 'target-lost':
-        crashGuard.recordPeerReport(
-          message.fingerprint,
-          message.target,
-          message.ageMs ?? 0,
-        );
+      case 'target-lost': {
+        const {fingerprint, target, ageMs = 0} = message;
+        const result = crashGuard.recordPeerReport(fingerprint, target, ageMs);
+        if (result === 'answered') {
+          mesh.send(from.id, {kind: 'request-answered', fingerprint});
+        }
+        return;
+      }
+      case 'request-answered':
+        crashGuard.recordPeerAnswer(message.fingerprint);
         return;
     }
   }
--- a/packages/gateway/test/crash_guard.test.ts
+++ b/packages/gateway/test/crash_guard.test.ts
@@ -8,11 +8,13 @@
 
 describe('a request that crashes the targets that run it', () => {
   let notifications: string[];
+  let answersTold: string[];
   let guard: CrashGuard;
   let nowMs: number;
 
   beforeEach(() => {
     notifications = [];
+    answersTold = [];
     nowMs = 0;
     guard = createGuard();
   });
@@ -26,6 +28,7 @@
       timers: {nowMs: () => nowMs},
       log: createKeyValueLogger({level: 'error', fields: {}, write: () => {}}),
       notifyPeers,
+      notifyPeersOfAnswer: fingerprint => answersTold.push(fingerprint),
     });
   }
 
@@ -130,6 +133,38 @@
     assert.deepEqual(notifications, []);
   });
 
+  // Guards against a quarantine of what many callers send, because it was in
+  // flight when targets crashed for another reason.
+  it('is no request that another target has answered lately', () => {
+    guard.answered('a1');
+    crash('i-1@1');
+    crash('i-2@1');
+    assert.equal(guard.isQuarantined('a1'), false);
+    assert.deepEqual(notifications, []);
+    assert.equal(guard.recordPeerReport('a1', 'life-3', 0), 'answered');
+    nowMs = 10_001;
+    assert.equal(guard.recordPeerReport('a1', 'life-3', 0), 'suspected');
+  });
+
+  it('is not suspected any more once a target has answered it, here or at a peer', () => {
+    crash('i-1@1');
+    guard.answered('a1');
+    assert.deepEqual(answersTold, ['a1']);
+    crash('i-2@1', 'b2');
+    crash('i-3@1', 'b2');
+    assert.equal(guard.isQuarantined('b2'), true);
+    guard.recordPeerAnswer('b2');
+    assert.equal(guard.isQuarantined('b2'), false);
+    assert.deepEqual(answersTold, ['a1', 'b2']);
+  });
+
+  it('is told to be innocent by those who spread the suspicion, once', () => {
+    guard.recordPeerReport('a1', 'life-1', 0);
+    guard.recordPeerAnswer('a1');
+    guard.recordPeerAnswer('a1');
+    assert.deepEqual(answersTold, []);
+  });
+
   // Guards against blame for connections that a partition of the VM broke.
   it('is not suspected for connections that were forgotten', () => {
     guard.recordBrokenConnection('i-1@1', 'a1');
--- a/packages/stand_ins/test/object_platform/crashing_request.test.ts
+++ b/packages/stand_ins/test/object_platform/crashing_request.test.ts
@@ -20,6 +20,7 @@
 } from './harness.js';
 
 const CRASH_PATH = '/rooms/70/32b4';
+const POPULAR_PATH = '/rooms/popular';
 const TARGET_COUNT = 12;
 const PATIENT_MS = 8_000;
 /** Much less than it takes to miss heartbeats. */
@@ -136,7 +137,10 @@
       void call(gateway, {path: CRASH_PATH, key: '70', clientAddress});
       for (const other of gateways) {
         const path = `/rooms/${index % 5}/${index}`;
-        answers.push(call(other, {path, key: String(index % 5)}));
+        answers.push(
+          call(other, {path, key: String(index % 5)}),
+          call(other, {path: POPULAR_PATH}),
+        );
       }
       replaceCrashed();
       await timers.sleep(REQUEST_INTERVAL_MS);
