Hold the comparison of configurations with a test of its own

Cause of the gap: with the request for a peer's newer copy taken out, only the test of evacuations failed, as asking after a pause covered configurations. Change: a case in which the links are lost for 0.3 s without a pause. Result: passes; with the request taken out by hand it fails, as does the one of evacuations.

--- a/packages/gateway/test/store_copies.test.ts
+++ b/packages/gateway/test/store_copies.test.ts
@@ -88,6 +88,17 @@
     assert.equal(versionAt(follower), 2);
   });
 
+  // Guards against a configuration that was sent while the links were lost for a
+  // moment, which only the comparison with peers can bring up.
+  it('take up a configuration that was sent while the VM had no links', async () => {
+    network.unlink(follower.id);
+    store.put('configuration', 'main', createConfiguration(2));
+    await pass(LINK_LOST_MS);
+    network.link(follower.id);
+    await pass(APPLY_BOUND_MS);
+    assert.equal(versionAt(follower), 2);
+  });
+
   // Guards against targets of an evacuated zone, and targets that left, which
   // a VM goes on using after its links were cut.
   it('take up an evacuation that was sent while the VM had no links', async () => {
