Show that a message of a newer build ends no link and silences no peer

Change: a test of two linked VMs, of which one sends an unknown kind and an unknown field. The test beside it keeps its check; only its name has moved. Result: passes on the code as it is: the unknown kind is logged as peer-refused, the heartbeat with the unknown field is read, and the link stays.

--- a/packages/gateway/test/peer_mesh.test.ts
+++ b/packages/gateway/test/peer_mesh.test.ts
@@ -11,7 +11,7 @@
   createKeyValueLogger,
   createSystemTimerService,
 } from '@ibisbeam/library';
-import type {VmRecord} from '../src/peers/messages.js';
+import type {PeerMessage, VmRecord} from '../src/peers/messages.js';
 import {type PeerMesh, createPeerMesh} from '../src/peers/peer_mesh.js';
 
 const timers = createSystemTimerService();
@@ -26,9 +26,12 @@
   readonly mesh: PeerMesh;
   /** Number of onPeerConnected calls. */
   links: number;
+  /** Kinds of the messages received. */
+  readonly kinds: string[];
+  readonly logLines: string[];
 }
 
-describe('two VMs that dial each other at the same moment', () => {
+describe('two VMs that are linked', () => {
   const running: Vm[] = [];
   const proxies: Server[] = [];
 
@@ -55,18 +58,22 @@
       listen: {host, port},
       seeds: [],
       timers,
-      log: createKeyValueLogger({level: 'error', fields: {}, write: () => {}}),
+      log: createKeyValueLogger({
+        level: 'warn',
+        fields: {},
+        write: line => vm.logLines.push(line),
+      }),
       onPeerConnected: () => {
         vm.links += 1;
       },
-      onMessage: () => {},
+      onMessage: (_, {kind}) => vm.kinds.push(kind),
     });
-    const vm: Vm = {record, mesh, links: 0};
+    const vm: Vm = {record, mesh, links: 0, kinds: [], logLines: []};
     running.push(vm);
     return vm;
   }
 
-  it('keep the same link', async () => {
+  it('keep the same link if they dial each other at the same moment', async () => {
     const port = await freePort();
     const network = `127.${1 + ((process.pid >> 8) % 250)}.${process.pid % 256}`;
     const one = startVm('edge-1', `${network}.1`, port);
@@ -95,6 +102,41 @@
       );
     }
   });
+
+  // Guards against links that end, or peers that fall silent, while VMs of a
+  // newer build send what this one does not know.
+  it('ignore messages and fields of newer builds and keep their link', async () => {
+    const port = await freePort();
+    const network = `127.${1 + ((process.pid >> 8) % 250)}.${process.pid % 256}`;
+    const newer = startVm('edge-1', `${network}.1`, port);
+    const older = startVm('edge-2', `${network}.2`, port);
+    await Promise.all([newer.mesh.listen(), older.mesh.listen()]);
+    newer.mesh.addPeers([older.record]);
+    const endsAtMs = timers.nowMs() + OBSERVATION_MS;
+    while (older.links === 0 && timers.nowMs() < endsAtMs) {
+      await timers.sleep(HEARTBEAT_INTERVAL_MS / 10);
+    }
+    const heartbeat: PeerMessage = {
+      kind: 'heartbeat',
+      serving: true,
+      demand: [],
+    };
+    const later = [
+      {kind: 'of-a-later-build', detail: 1},
+      {...heartbeat, ofALaterBuild: 1},
+    ];
+    for (const message of later) {
+      newer.mesh.broadcast(message as unknown as PeerMessage);
+    }
+    newer.mesh.broadcast(heartbeat);
+    await timers.sleep(HEARTBEAT_INTERVAL_MS);
+    assert.deepEqual(older.kinds, ['heartbeat', 'heartbeat']);
+    assert.equal(older.links, 1);
+    assert.equal(
+      older.logLines.filter(line => line.includes('peer-refused')).length,
+      1,
+    );
+  });
 });
 
 /** Listens at one host and forwards to another with the one-way delay. */
