Judge homes by a configuration also before a restore of the store loses it

Cause: the check moved the whole change to the time at which it is written again, so that those who had heard of it before broke the rule. Change: a lost change may be in force from its first acknowledgement on; the one before it may be in force until the bound after it is written again, as before. A request before the first acknowledgement or after that bound is found as before.

--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -54,8 +54,13 @@
 
 /** Home regions of the idempotent route from `atMs` on; empty for none. */
 export interface HomesChange {
-  /** When the store accepted the configuration. */
+  /** When the store accepted the configuration first. */
   readonly atMs: number;
+  /**
+   * Time by which it was written again, if a restore of the store lost it.
+   * VMs that heard of it before may go by it, the others not yet.
+   */
+  readonly rewrittenAtMs?: number;
   readonly regions: readonly string[];
 }
 
@@ -186,7 +191,8 @@
     return true;
   }
   for (const [index, {atMs: fromMs, regions}] of changes.entries()) {
-    const untilMs = changes[index + 1]?.atMs ?? Infinity;
+    const next = changes[index + 1];
+    const untilMs = next?.rewrittenAtMs ?? next?.atMs ?? Infinity;
     const mayBeInForce = fromMs <= atMs && atMs <= untilMs + APPLY_BOUND_MS;
     if (mayBeInForce && (regions.length === 0 || regions.includes(region))) {
       return true;
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -444,19 +444,26 @@
       restoreTimer = timers.after(copyAgeMs, () => {
         recordEvent(`store restored from a copy ${copyAgeMs} ms old`);
         store.restore(copy);
-        postponeLost(departures);
-        postponeLost(homesChanges);
+        postponeLostChanges();
         scheduleRestore();
       });
     });
   }
 
   /** What no VM may have heard of counts once it has been written again. */
-  function postponeLost(changes: {readonly atMs: number}[]): void {
+  function postponeLostChanges(): void {
     const nowMs = timers.nowMs();
-    for (const [index, change] of changes.entries()) {
-      if (change.atMs > nowMs - PROPAGATION_MS) {
-        changes[index] = {...change, atMs: nowMs + REWRITE_MS};
+    const rewrittenAtMs = nowMs + REWRITE_MS;
+    const isLost = (writtenAtMs: number): boolean =>
+      writtenAtMs > nowMs - PROPAGATION_MS;
+    for (const [index, departure] of departures.entries()) {
+      if (isLost(departure.atMs)) {
+        departures[index] = {...departure, atMs: rewrittenAtMs};
+      }
+    }
+    for (const [index, change] of homesChanges.entries()) {
+      if (isLost(change.rewrittenAtMs ?? change.atMs)) {
+        homesChanges[index] = {...change, rewrittenAtMs};
       }
     }
   }
--- a/packages/soak/test/observations.test.ts
+++ b/packages/soak/test/observations.test.ts
@@ -89,6 +89,28 @@
     ]);
   });
 
+  // Guards against violations that the judge finds at VMs that heard of a
+  // configuration before a restore of the store lost it for a moment.
+  it('accepts homes of a configuration before and after a restore loses it', () => {
+    const homesChanges = [
+      {atMs: 0, regions: ['riga']},
+      {atMs: 1_000, rewrittenAtMs: 3_600, regions: ['kurzeme']},
+    ];
+    const calls = [call({idempotent: true})];
+    const invariantsAt = (region: string, atMs: number) => {
+      const targetRegions = new Map([['worker', region]]);
+      const runs = [{...RUN, atMs}];
+      return violatedInvariants(
+        seen({calls, homesChanges, targetRegions, runs}),
+      );
+    };
+    const violated = ['requests run in their home regions'];
+    assert.deepEqual(invariantsAt('kurzeme', 900), violated);
+    assert.deepEqual(invariantsAt('kurzeme', 1_500), []);
+    assert.deepEqual(invariantsAt('riga', 6_000), []);
+    assert.deepEqual(invariantsAt('riga', 6_200), violated);
+  });
+
   it('reports a request to a departed target unless its VM was disrupted', () => {
     const departures = [{target: 'worker', atMs: 0}];
     const runs = [{...RUN, atMs: 2_600}];
