Log attempts that are cancelled and targets that are found gone

Cause: nothing was written for an attempt that this VM ends, nor for the moment at which it finds a target gone, so that the logs could not tell a death that is noticed late from one that is blamed on nobody.

--- a/packages/gateway/src/forwarding/crash_guard.ts
+++ b/packages/gateway/src/forwarding/crash_guard.ts
@@ -26,8 +26,8 @@
   isQuarantined(fingerprint: string): boolean;
   /** Called when the connection broke during an attempt. */
   recordBrokenConnection(incarnation: string, fingerprint: string): void;
-  /** Called when a target refuses connections, has restarted or was removed. */
-  recordTargetDeath(incarnation: string): void;
+  /** Called when a target is found gone; may be called again for it. */
+  recordTargetDeath(incarnation: string, how: TargetDeath): void;
   /** Forgets broken connections that were not the targets' fault. */
   forgetBrokenConnections(): void;
   /** Called when a target has answered a request with a status below 500. */
@@ -50,6 +50,12 @@
   recentLosses(): readonly ReportedLoss[];
 }
 
+export type TargetDeath =
+  /** It refuses connections, and this VM is not the cause. */
+  | 'unreachable'
+  /** It is no longer listed, or has started anew. */
+  | 'removed';
+
 export interface CrashGuardRequest {
   readonly incoming: Pick<IncomingMessage, 'method' | 'url' | 'headers'>;
   readonly body: Buffer | undefined;
@@ -136,12 +142,18 @@
     return suspicions.recordResponse(fingerprint);
   }
 
-  /** Suspects the requests that this VM had at the target. */
-  function recordCrash(target: string, atMs: number): void {
-    for (const broken of crashTracker.recordCrash(target, atMs)) {
+  /**
+   * Suspects the requests that this VM had at the target.
+   *
+   * @returns How many there were.
+   */
+  function recordCrash(target: string, atMs: number): number {
+    const suspects = crashTracker.recordCrash(target, atMs);
+    for (const broken of suspects) {
       const ageMs = timers.nowMs() - broken.brokenAtMs;
       suspectOwn(broken.fingerprint, target, ageMs);
     }
+    return suspects.length;
   }
 
   return {
@@ -164,8 +176,11 @@
         suspectOwn(fingerprint, target, 0);
       }
     },
-    recordTargetDeath: incarnation =>
-      recordCrash(targetNameOf(incarnation), timers.nowMs()),
+    recordTargetDeath: (incarnation, how) => {
+      const target = targetNameOf(incarnation);
+      const suspects = recordCrash(target, timers.nowMs());
+      log.log('info', 'target-died', {incarnation, target, how, suspects});
+    },
     forgetBrokenConnections: crashTracker.clear,
     answered: fingerprint => {
       if (recordAnswer(fingerprint)) {
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -90,6 +90,7 @@
       attempt.handle?.cancel();
       if (attempt.kind === 'target') {
         targetLoad.recordEnd(attempt.placement.target.incarnation);
+        logCancelledAttempt(attempt, outcome, status);
       }
     }
     running.clear();
@@ -116,6 +117,25 @@
     });
   }
 
+  /** Its target may go on with the request. */
+  function logCancelledAttempt(
+    attempt: RunningAttempt,
+    outcome: string,
+    status: number,
+  ): void {
+    if (attempt.sentAtMs === undefined) {
+      return;
+    }
+    log.log('info', 'attempt-cancelled', {
+      request: request.attemptId,
+      target: attempt.placement.target.entry.id,
+      outcome,
+      status,
+      sinceSentMs: Math.round(timers.nowMs() - attempt.sentAtMs),
+      ...identityFields(),
+    });
+  }
+
   function fingerprint(): string {
     knownFingerprint ??= crashGuard.fingerprint(request);
     return knownFingerprint;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -152,7 +152,8 @@
     listedTargets: () => (hasState() ? registry.all() : undefined),
     hasPeers: () => directory.livePeers().length > 0,
     peerReachedAtMs: () => directory.peerReachedTargetsAtMs(),
-    onTargetDeath: crashGuard.recordTargetDeath,
+    onTargetDeath: incarnation =>
+      crashGuard.recordTargetDeath(incarnation, 'unreachable'),
     onCutOff: () => {
       connections.closeAllIdle();
       crashGuard.forgetBrokenConnections();
@@ -189,7 +190,7 @@
     isLeaving: availability.isLeaving,
     onTargetDraining: availability.recordListedLeaving,
     onTargetRemoved: incarnation => {
-      crashGuard.recordTargetDeath(incarnation);
+      crashGuard.recordTargetDeath(incarnation, 'removed');
       connections.removePool(incarnation);
       targetLoad.remove(incarnation);
       rateLimits.removeTarget(incarnation);
--- a/packages/gateway/test/crash_guard.test.ts
+++ b/packages/gateway/test/crash_guard.test.ts
@@ -34,7 +34,7 @@
 
   function crash(incarnation: string, fingerprint = 'a1'): void {
     guard.recordBrokenConnection(incarnation, fingerprint);
-    guard.recordTargetDeath(incarnation);
+    guard.recordTargetDeath(incarnation, 'unreachable');
   }
 
   it('is quarantined after crashing two targets', () => {
@@ -108,7 +108,7 @@
     const heard: string[] = [];
     const peer = createGuard((_, target) => heard.push(target));
     peer.recordBrokenConnection(incarnation, 'b2');
-    peer.recordTargetDeath(incarnation);
+    peer.recordTargetDeath(incarnation, 'unreachable');
     return heard[0] ?? '';
   }
 
@@ -169,7 +169,7 @@
   it('is not suspected for connections that were forgotten', () => {
     guard.recordBrokenConnection('i-1@1', 'a1');
     guard.forgetBrokenConnections();
-    guard.recordTargetDeath('i-1@1');
+    guard.recordTargetDeath('i-1@1', 'unreachable');
     assert.deepEqual(notifications, []);
   });
 
