Blame no popular request for targets that died unnoticed, at a started VM as elsewhere

Cause: the time of a silent death was bounded by the start of the run, so that requests which were sent to targets already dead made one common death look like several; the chance of meeting a death did not count the time in which nobody noticed it; a VM that starts was told the losses, but neither the other deaths nor what its peers' targets had outlived.

Change: the time of a death goes from the target's last sign of life to the first sign of its death, and reports of several VMs narrow it. The chance of meeting a death grows with that time and with the runs that a target gets in a second. A loss carries the number of deaths near it; survived runs are told before losses, for all VMs that told theirs (optional fields deaths, survived, vm).

--- a/packages/decision/src/core/quarantine/crash_evidence.ts
+++ b/packages/decision/src/core/quarantine/crash_evidence.ts
@@ -6,13 +6,31 @@
 import {
   type CrashVerdict,
   type DeathSpan,
+  type SurvivedLoad,
   judgeCrashCase,
+  shareMetByChance,
 } from './crash_verdict.js';
-import {createSurvivedRuns} from './survived_runs.js';
+import {
+  NO_RUNS,
+  type RunRate,
+  createSurvivedRuns,
+  maximumRate,
+} from './survived_runs.js';
 
 export interface TargetLoss extends DeathSpan {
   readonly fingerprint: string;
   readonly target: string;
+  /**
+   * Deaths at about the time of the request's losses, with or without it, that
+   * a peer knows of. This VM may have missed some.
+   */
+  readonly deathsKnown?: number;
+}
+
+/** Runs that targets of one VM have outlived. */
+export interface SurvivedRunsReport extends RunRate {
+  readonly fingerprint: string;
+  readonly vm: string;
 }
 
 /** What a verdict rests on. */
@@ -20,7 +38,8 @@
   readonly verdict: CrashVerdict;
   readonly targetsLost: number;
   readonly deaths: number;
-  readonly survivedShare: number;
+  /** Share of the deaths that meets the request by chance; 0 if unknown. */
+  readonly chanceShare: number;
   /** Time since the third target was lost; undefined before. */
   readonly sinceThirdLossMs: number | undefined;
 }
@@ -44,29 +63,34 @@
     durationMs: number,
     nowMs: number,
   ): void;
-  /**
-   * Records what a peer's targets outlived.
-   *
-   * @param msPerSecond Milliseconds of runs in a second, at the peak.
-   */
+  /** Records what targets outlived of the requests that a peer sent. */
   recordPeerSurvivedRuns(
     peer: string,
     fingerprint: string,
-    msPerSecond: number,
+    rate: RunRate,
   ): void;
-  /** This VM's own part of what targets outlived, as a peer is told it. */
-  survivedMsPerSecond(fingerprint: string, nowMs: number): number;
+  /** What targets outlived of the requests that this VM sent. */
+  ownSurvivedRuns(fingerprint: string, nowMs: number): RunRate;
   /** Number of targets that are known to have died while they ran it. */
   countLosses(fingerprint: string): number;
   /** @param targetCount Number of targets that could run the request. */
   judge(fingerprint: string, targetCount: number, nowMs: number): CrashFindings;
   /** The losses of the requests with the most, for a VM that has just started. */
   gravestLosses(): readonly TargetLoss[];
+  /** What all VMs have told of the request, this one included as `self`. */
+  survivedRuns(
+    fingerprint: string,
+    nowMs: number,
+  ): readonly SurvivedRunsReport[];
+  /** Deaths at about the time of the request's losses, as far as known. */
+  countDeaths(fingerprint: string): number;
   /** Drops what is too old to matter. */
   expire(nowMs: number): void;
 }
 
 export interface CrashEvidenceOptions {
+  /** This VM. */
+  readonly self: string;
   /** Time from the last loss for which a verdict holds. */
   readonly quarantineMs: number;
   /** The same after three losses. */
@@ -77,7 +101,9 @@
   readonly losses: Map<string, TargetLoss>;
   lastLossMs: number;
   /** The highest of what this VM's targets outlived since the first loss. */
-  ownMsPerSecond: number;
+  ownRate: RunRate;
+  /** The most that peers know of. */
+  deathsKnown: number;
 }
 
 /** Deaths this close to a loss may have the same cause. */
@@ -97,8 +123,8 @@
   const suspects = new Map<string, Suspect>();
   const deathTimes = new Map<string, number>();
   const survivedRuns = createSurvivedRuns();
-  /** Milliseconds in a second by request and peer; the oldest is evicted. */
-  const peerSurvivedRuns = new Map<string, Map<string, number>>();
+  /** By request and peer; the request that was told first is evicted. */
+  const peerSurvivedRuns = new Map<string, Map<string, RunRate>>();
 
   function endMs({losses, lastLossMs}: Suspect): number {
     return (
@@ -140,11 +166,13 @@
     const suspect = suspects.get(fingerprint) ?? {
       losses: new Map<string, TargetLoss>(),
       lastLossMs: untilMs,
-      ownMsPerSecond: 0,
+      ownRate: NO_RUNS,
+      deathsKnown: 0,
     };
     const isNew = !suspect.losses.has(target);
-    suspect.losses.set(target, narrower(loss, suspect.losses.get(target)));
+    suspect.losses.set(target, combine(loss, suspect.losses.get(target)));
     suspect.lastLossMs = Math.max(suspect.lastLossMs, untilMs);
+    suspect.deathsKnown = Math.max(suspect.deathsKnown, loss.deathsKnown ?? 0);
     suspects.set(fingerprint, suspect);
     updateOwn(fingerprint, suspect, nowMs);
     if (suspects.size > MAXIMUM_SUSPECTS) {
@@ -158,10 +186,8 @@
     suspect: Suspect,
     nowMs: number,
   ): void {
-    suspect.ownMsPerSecond = Math.max(
-      suspect.ownMsPerSecond,
-      survivedRuns.peakMsPerSecond(fingerprint, nowMs),
-    );
+    const peak = survivedRuns.peak(fingerprint, nowMs);
+    suspect.ownRate = maximumRate(suspect.ownRate, peak);
   }
 
   function recordTargetAlive(target: string, sinceMs: number): void {
@@ -178,13 +204,20 @@
     }
   }
 
+  function ownSurvivedRuns(fingerprint: string, nowMs: number): RunRate {
+    const suspect = suspects.get(fingerprint);
+    const peak = survivedRuns.peak(fingerprint, nowMs);
+    return suspect ? maximumRate(suspect.ownRate, peak) : peak;
+  }
+
   function recordPeerSurvivedRuns(
     peer: string,
     fingerprint: string,
-    msPerSecond: number,
+    rate: RunRate,
   ): void {
-    const known = peerSurvivedRuns.get(fingerprint) ?? new Map();
-    known.set(peer, Math.max(msPerSecond, known.get(peer) ?? 0));
+    const known =
+      peerSurvivedRuns.get(fingerprint) ?? new Map<string, RunRate>();
+    known.set(peer, maximumRate(rate, known.get(peer) ?? NO_RUNS));
     peerSurvivedRuns.delete(fingerprint);
     peerSurvivedRuns.set(fingerprint, known);
     if (peerSurvivedRuns.size > MAXIMUM_PEER_REPORTS) {
@@ -195,30 +228,38 @@
     }
   }
 
-  function survivedShare(
+  function survivedLoad(
     fingerprint: string,
-    {ownMsPerSecond}: Suspect,
+    {ownRate}: Suspect,
     targetCount: number,
-  ): number {
-    let msPerSecond = ownMsPerSecond;
-    for (const peerMs of peerSurvivedRuns.get(fingerprint)?.values() ?? []) {
-      msPerSecond += peerMs;
+  ): SurvivedLoad | undefined {
+    let {runsPerSecond, msPerSecond} = ownRate;
+    for (const rate of peerSurvivedRuns.get(fingerprint)?.values() ?? []) {
+      runsPerSecond += rate.runsPerSecond;
+      msPerSecond += rate.msPerSecond;
+    }
+    if (runsPerSecond === 0) {
+      return undefined;
     }
-    return Math.min(1, msPerSecond / SECOND_MS / Math.max(1, targetCount));
+    const targets = Math.max(1, targetCount);
+    return {
+      runsAtTarget: msPerSecond / SECOND_MS / targets,
+      runsPerTargetSecond: runsPerSecond / targets,
+    };
   }
 
   /** Counts the deaths that may have the same cause as one of the losses. */
-  function countDeathsNear(losses: readonly TargetLoss[]): number {
+  function countDeathsNear({losses, deathsKnown}: Suspect): number {
     let count = 0;
     for (const atMs of deathTimes.values()) {
-      const isNear = losses.some(
-        ({untilMs}) => Math.abs(atMs - untilMs) <= NEAR_DEATH_MS,
-      );
-      if (isNear) {
-        count += 1;
+      for (const {untilMs} of losses.values()) {
+        if (Math.abs(atMs - untilMs) <= NEAR_DEATH_MS) {
+          count += 1;
+          break;
+        }
       }
     }
-    return count;
+    return Math.max(count, deathsKnown);
   }
 
   function judge(
@@ -231,15 +272,15 @@
       return NO_FINDINGS;
     }
     const losses = [...suspect.losses.values()];
-    const deaths = countDeathsNear(losses);
-    const share = survivedShare(fingerprint, suspect, targetCount);
+    const deaths = countDeathsNear(suspect);
+    const survived = survivedLoad(fingerprint, suspect, targetCount);
     const times = losses.map(({untilMs}) => untilMs).sort((a, b) => a - b);
     const thirdLossMs = times[THIRD_LOSS - 1];
     return {
-      verdict: judgeCrashCase({losses, deaths, survivedShare: share}),
+      verdict: judgeCrashCase({losses, deaths, survived}),
       targetsLost: losses.length,
       deaths,
-      survivedShare: share,
+      chanceShare: survived ? shareMetByChance(losses, survived) : 0,
       sinceThirdLossMs:
         thirdLossMs === undefined ? undefined : nowMs - thirdLossMs,
     };
@@ -281,10 +322,21 @@
       }
     },
     recordPeerSurvivedRuns,
-    survivedMsPerSecond: survivedRuns.peakMsPerSecond,
+    ownSurvivedRuns,
     countLosses: fingerprint => suspects.get(fingerprint)?.losses.size ?? 0,
     judge,
     gravestLosses,
+    survivedRuns: (fingerprint, nowMs) => {
+      const peers = peerSurvivedRuns.get(fingerprint) ?? [];
+      const own = ownSurvivedRuns(fingerprint, nowMs);
+      return [[options.self, own] as const, ...peers]
+        .filter(([, {runsPerSecond}]) => runsPerSecond > 0)
+        .map(([vm, rate]) => ({fingerprint, vm, ...rate}));
+    },
+    countDeaths: fingerprint => {
+      const suspect = suspects.get(fingerprint);
+      return suspect ? countDeathsNear(suspect) : 0;
+    },
     expire,
   };
 }
@@ -293,15 +345,16 @@
   verdict: 'clear',
   targetsLost: 0,
   deaths: 0,
-  survivedShare: 0,
+  chanceShare: 0,
   sinceThirdLossMs: undefined,
 };
 
-/** Of two reports of one death, the one that knows its time better. */
-function narrower(loss: TargetLoss, known: TargetLoss | undefined): TargetLoss {
+/** The time of a death that fits two reports of it; the first if none does. */
+function combine(loss: TargetLoss, known: TargetLoss | undefined): TargetLoss {
   if (!known) {
     return loss;
   }
-  const isNarrower = loss.untilMs - loss.fromMs < known.untilMs - known.fromMs;
-  return isNarrower ? loss : known;
+  const fromMs = Math.max(loss.fromMs, known.fromMs);
+  const untilMs = Math.min(loss.untilMs, known.untilMs);
+  return fromMs <= untilMs ? {...known, fromMs, untilMs} : known;
 }
--- a/packages/decision/src/core/quarantine/crash_verdict.ts
+++ b/packages/decision/src/core/quarantine/crash_verdict.ts
@@ -1,26 +1,31 @@
 /**
  * Tells a request that crashes targets from one that was running when targets
- * died for another reason. What counts is the share of deaths that met the
- * request, compared with the share of target time that its runs take: a request
- * that is in flight at half of the targets meets half of the deaths by chance.
+ * died for another reason. What counts is how many of the deaths met the
+ * request, compared with how many meet it by chance: a request that is in flight
+ * at half of the targets meets half of the deaths.
  */
 
-/** When a target died, as far as it is known. */
+/** The time in which a target died; no length if the moment is known. */
 export interface DeathSpan {
   readonly fromMs: number;
   readonly untilMs: number;
 }
 
+/** How a request runs at targets that outlive it. */
+export interface SurvivedLoad {
+  /** Mean number of its runs at one target. */
+  readonly runsAtTarget: number;
+  /** Runs that one target gets in a second. */
+  readonly runsPerTargetSecond: number;
+}
+
 export interface CrashCase {
   /** Deaths of targets that were running the request, one for each target. */
   readonly losses: readonly DeathSpan[];
   /** Deaths of targets in the same period, including `losses`. */
   readonly deaths: number;
-  /**
-   * Share of the targets' time that runs took which the targets outlived, 0 to
-   * 1; 0 if there was none.
-   */
-  readonly survivedShare: number;
+  /** Undefined if no target has outlived the request. */
+  readonly survived: SurvivedLoad | undefined;
 }
 
 /** `contained`: only one run at a time may find out more. */
@@ -36,22 +41,41 @@
 const COMMON_CAUSE_MS = 200;
 /** Highest probability of as many losses by chance. */
 const CHANCE_LIMIT = 1e-4;
+const SECOND_MS = 1_000;
 
 export function judgeCrashCase(crashCase: CrashCase): CrashVerdict {
-  const {losses, survivedShare} = crashCase;
+  const {losses, survived} = crashCase;
   const deaths = Math.max(crashCase.deaths, losses.length);
   if (losses.length < TARGETS_TO_BLAME) {
     return 'clear';
   }
   const isSeparate = countSeparate(losses) >= SEPARATE_LOSSES;
-  if (survivedShare === 0) {
+  if (!survived) {
     const explainsAll = deaths === losses.length;
     return explainsAll || isSeparate ? 'crashes-targets' : 'contained';
   }
-  const chance = binomialTail(deaths, losses.length, survivedShare);
+  const share = shareMetByChance(losses, survived);
+  const chance = binomialTail(deaths, losses.length, share);
   return isSeparate && chance < CHANCE_LIMIT ? 'crashes-targets' : 'clear';
 }
 
+/**
+ * The share of deaths that meet the request by chance. A target that has died
+ * unnoticed goes on getting requests, which wait there in vain.
+ */
+export function shareMetByChance(
+  losses: readonly DeathSpan[],
+  {runsAtTarget, runsPerTargetSecond}: SurvivedLoad,
+): number {
+  let sum = 0;
+  for (const {fromMs, untilMs} of losses) {
+    const unnoticedSeconds = (untilMs - fromMs) / SECOND_MS;
+    const share = runsAtTarget + runsPerTargetSecond * unnoticedSeconds;
+    sum += Math.min(1, share);
+  }
+  return sum / losses.length;
+}
+
 /** Number of deaths of which no two may have happened together. */
 export function countSeparate(spans: readonly DeathSpan[]): number {
   const byEnd = [...spans].sort((a, b) => a.untilMs - b.untilMs);
--- a/packages/decision/src/core/quarantine/run_ledger.ts
+++ b/packages/decision/src/core/quarantine/run_ledger.ts
@@ -21,9 +21,9 @@
 export interface FatalRun {
   readonly fingerprint: string;
   readonly target: string;
-  /** Earliest time of the death, if the run was its cause. */
+  /** When the target showed a sign of life last. */
   readonly fromMs: number;
-  /** Latest time of the death, if the run was its cause. */
+  /** When the target was dead at the latest. */
   readonly untilMs: number;
 }
 
@@ -41,8 +41,12 @@
 }
 
 export interface RunLedger {
-  /** One of the methods that record its end must follow. */
-  start(run: TargetRun): void;
+  /**
+   * One of the methods that record its end must follow.
+   *
+   * @param isNewConnection Whether the target has just taken the connection.
+   */
+  start(run: TargetRun, isNewConnection: boolean): void;
   /** The target has answered. Returns all runs that it thereby outlived. */
   recordAnswer(run: TargetRun, nowMs: number): readonly SurvivedRun[];
   /** The target has refused the request without running it. */
@@ -79,7 +83,7 @@
 }
 
 interface TargetState {
-  /** When it answered last. */
+  /** When it answered or took a connection last. */
   aliveAtMs: number;
   deadByMs: number | undefined;
   reportedSilentAtMs: number;
@@ -93,10 +97,11 @@
 const READ_DELAY_MS = 100;
 /** Open runs of a dead target that stays silent for longer are fatal. */
 const SILENCE_OF_DEAD_MS = 300;
-/** Time without a sign of a target after which it is probed. */
-const SILENCE_MS = 500;
+/** Time without a sign of a target after the end of an attempt at it. */
 const CANCELLED_SILENCE_MS = 200;
+/** Time without a sign of a target while an attempt at it waits. */
 const OPEN_SILENCE_MS = 1_000;
+const SILENCE_REPORT_INTERVAL_MS = 500;
 /** Ended runs kept for one target; the oldest is dropped. */
 const MAXIMUM_ENDED_RUNS = 64;
 
@@ -170,9 +175,9 @@
       const brokeAtMs = run.endedAtMs;
       return {fingerprint, target, fromMs: brokeAtMs, untilMs: brokeAtMs};
     }
-    const fromMs = Math.max(run.sentAtMs, Math.min(aliveAtMs, deadByMs));
-    const untilMs = Math.max(fromMs, Math.min(deadByMs, run.overByMs));
-    return {fingerprint, target, fromMs, untilMs};
+    const knownAliveAtMs = Math.max(aliveAtMs, run.sentAtMs - FATAL_WINDOW_MS);
+    const fromMs = Math.min(knownAliveAtMs, deadByMs);
+    return {fingerprint, target, fromMs, untilMs: deadByMs};
   }
 
   function recordEnd(
@@ -246,18 +251,21 @@
   }
 
   function isSilent(state: TargetState, nowMs: number): boolean {
-    const sinceSignMs =
-      nowMs - Math.max(state.aliveAtMs, state.reportedSilentAtMs);
-    if (state.deadByMs !== undefined || sinceSignMs < SILENCE_MS) {
+    if (
+      state.deadByMs !== undefined ||
+      nowMs - state.reportedSilentAtMs < SILENCE_REPORT_INTERVAL_MS
+    ) {
       return false;
     }
+    const {aliveAtMs} = state;
     for (const {kind, endedAtMs} of state.ended) {
-      if (kind === 'cancelled' && nowMs - endedAtMs > CANCELLED_SILENCE_MS) {
+      const silentMs = nowMs - Math.max(endedAtMs, aliveAtMs);
+      if (kind === 'cancelled' && silentMs > CANCELLED_SILENCE_MS) {
         return true;
       }
     }
     for (const {sentAtMs} of state.open) {
-      if (nowMs - sentAtMs > OPEN_SILENCE_MS) {
+      if (nowMs - Math.max(sentAtMs, aliveAtMs) > OPEN_SILENCE_MS) {
         return true;
       }
     }
@@ -276,13 +284,18 @@
     return (
       state.open.size === 0 &&
       state.ended.length === 0 &&
+      nowMs - state.aliveAtMs > FATAL_WINDOW_MS &&
       (deadByMs === undefined || nowMs - deadByMs > FATAL_WINDOW_MS)
     );
   }
 
   return {
-    start: run => {
-      stateOf(run.target).open.add(run);
+    start: (run, isNewConnection) => {
+      const state = stateOf(run.target);
+      state.open.add(run);
+      if (isNewConnection) {
+        state.aliveAtMs = run.sentAtMs;
+      }
     },
     recordAnswer: (run, nowMs) => {
       const state = stateOf(run.target);
--- a/packages/decision/src/core/quarantine/survived_runs.ts
+++ b/packages/decision/src/core/quarantine/survived_runs.ts
@@ -1,13 +1,29 @@
 /**
- * Measures how much of the targets' time each request takes with runs that the
- * targets outlive, as the peak of the last seconds: a request that has just
- * become popular is at most targets although its mean is low.
+ * Measures how often each request runs at targets that outlive it, and for how
+ * long, as the peak of the last seconds: a request that has just become popular
+ * is at most targets although its mean is low.
  */
 
 export interface SurvivedRuns {
   record(fingerprint: string, durationMs: number, nowMs: number): void;
-  /** Milliseconds of runs in a second, at the peak; 0 without a run. */
-  peakMsPerSecond(fingerprint: string, nowMs: number): number;
+  /** The busiest second of the last ones. */
+  peak(fingerprint: string, nowMs: number): RunRate;
+}
+
+/** Runs in a second. */
+export interface RunRate {
+  readonly runsPerSecond: number;
+  /** Their durations together, in milliseconds. */
+  readonly msPerSecond: number;
+}
+
+export const NO_RUNS: RunRate = {runsPerSecond: 0, msPerSecond: 0};
+
+export function maximumRate(one: RunRate, other: RunRate): RunRate {
+  return {
+    runsPerSecond: Math.max(one.runsPerSecond, other.runsPerSecond),
+    msPerSecond: Math.max(one.msPerSecond, other.msPerSecond),
+  };
 }
 
 const SECOND_MS = 1_000;
@@ -18,10 +34,10 @@
 
 interface Meter {
   secondStartedMs: number;
-  secondMs: number;
+  second: RunRate;
   periodStartedMs: number;
-  peakMs: number;
-  previousPeakMs: number;
+  peak: RunRate;
+  previousPeak: RunRate;
 }
 
 export function createSurvivedRuns(): SurvivedRuns {
@@ -37,10 +53,10 @@
     }
     const meter: Meter = {
       secondStartedMs: nowMs,
-      secondMs: 0,
+      second: NO_RUNS,
       periodStartedMs: nowMs,
-      peakMs: 0,
-      previousPeakMs: 0,
+      peak: NO_RUNS,
+      previousPeak: NO_RUNS,
     };
     meters.set(fingerprint, meter);
     if (meters.size > MAXIMUM_REQUESTS) {
@@ -55,12 +71,12 @@
   function advance(meter: Meter, nowMs: number): void {
     if (nowMs - meter.secondStartedMs >= SECOND_MS) {
       meter.secondStartedMs = nowMs;
-      meter.secondMs = 0;
+      meter.second = NO_RUNS;
     }
     const periods = Math.floor((nowMs - meter.periodStartedMs) / PERIOD_MS);
     if (periods > 0) {
-      meter.previousPeakMs = periods === 1 ? meter.peakMs : 0;
-      meter.peakMs = 0;
+      meter.previousPeak = periods === 1 ? meter.peak : NO_RUNS;
+      meter.peak = NO_RUNS;
       meter.periodStartedMs += periods * PERIOD_MS;
     }
   }
@@ -69,16 +85,19 @@
     record: (fingerprint, durationMs, nowMs) => {
       const meter = meterOf(fingerprint, nowMs);
       advance(meter, nowMs);
-      meter.secondMs += durationMs;
-      meter.peakMs = Math.max(meter.peakMs, meter.secondMs);
+      meter.second = {
+        runsPerSecond: meter.second.runsPerSecond + 1,
+        msPerSecond: meter.second.msPerSecond + durationMs,
+      };
+      meter.peak = maximumRate(meter.peak, meter.second);
     },
-    peakMsPerSecond: (fingerprint, nowMs) => {
+    peak: (fingerprint, nowMs) => {
       const meter = meters.get(fingerprint);
       if (!meter) {
-        return 0;
+        return NO_RUNS;
       }
       advance(meter, nowMs);
-      return Math.max(meter.peakMs, meter.previousPeakMs);
+      return maximumRate(meter.peak, meter.previousPeak);
     },
   };
 }
--- a/packages/decision/test/quarantine/run_ledger.test.ts
+++ b/packages/decision/test/quarantine/run_ledger.test.ts
@@ -26,7 +26,7 @@
       givesUpAtMs: sentAtMs + DEADLINE_MS,
       fingerprint: () => fingerprint,
     };
-    ledger.start(run);
+    ledger.start(run, true);
     return run;
   }
 
@@ -58,6 +58,19 @@
     assert.deepEqual(fatalAt(300), ['poison 0 300']);
   });
 
+  it('leave the time of the death open from the last sign of the target', () => {
+    ledger.recordAnswer(start('earlier', 0), 50);
+    const run = {
+      target: 'incarnation',
+      sentAtMs: 400,
+      givesUpAtMs: 400 + DEADLINE_MS,
+      fingerprint: () => 'poison',
+    };
+    ledger.start(run, false);
+    ledger.recordCancel(run, 425);
+    assert.deepEqual(fatalAt(700), ['poison 50 700']);
+  });
+
   it('were not fatal if they began after the death', () => {
     const early = start('early', 0);
     fatalAt(100);
--- a/packages/decision/test/quarantine/survived_runs.test.ts
+++ b/packages/decision/test/quarantine/survived_runs.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createSurvivedRuns} from '../../src/index.js';
+import {NO_RUNS, createSurvivedRuns} from '../../src/index.js';
 
 describe('the time that targets spend on a request', () => {
   // Guards against a mean that hides what has just become popular.
@@ -10,15 +10,18 @@
     for (let index = 0; index < 10; index += 1) {
       runs.record('a1', 100, 5_000 + index);
     }
-    assert.equal(runs.peakMsPerSecond('a1', 6_000), 1_000);
-    assert.equal(runs.peakMsPerSecond('b2', 6_000), 0);
+    assert.deepEqual(runs.peak('a1', 6_000), {
+      runsPerSecond: 10,
+      msPerSecond: 1_000,
+    });
+    assert.deepEqual(runs.peak('b2', 6_000), NO_RUNS);
   });
 
   it('is forgotten after ten to twenty seconds', () => {
     const runs = createSurvivedRuns();
     runs.record('a1', 40, 9_000);
-    assert.equal(runs.peakMsPerSecond('a1', 19_500), 40);
-    assert.equal(runs.peakMsPerSecond('a1', 29_500), 0);
+    assert.equal(runs.peak('a1', 19_500).msPerSecond, 40);
+    assert.equal(runs.peak('a1', 29_500).msPerSecond, 0);
   });
 
   it('is kept for a bounded number of requests', () => {
@@ -27,7 +30,7 @@
     for (let index = 0; index < 4_000; index += 1) {
       runs.record(`other-${index}`, 40, 1);
     }
-    assert.equal(runs.peakMsPerSecond('first', 1), 0);
-    assert.equal(runs.peakMsPerSecond('other-0', 1), 40);
+    assert.equal(runs.peak('first', 1).msPerSecond, 0);
+    assert.equal(runs.peak('other-0', 1).msPerSecond, 40);
   });
 });
--- a/packages/gateway/src/forwarding/attempt_recording.ts
+++ b/packages/gateway/src/forwarding/attempt_recording.ts
@@ -16,18 +16,21 @@
 /**
  * Follows the run that the attempt may have caused.
  *
+ * @param isNewConnection Whether the target has just taken the connection.
  * @param fingerprint Computed only on demand; covers the whole body.
  */
 export function followRun(
   {crashGuard}: ForwardingContext,
   request: ExchangeRequest,
   attempt: RunningAttempt,
+  isNewConnection: boolean,
   fingerprint: () => string,
 ): void {
   attempt.run = crashGuard.follow({
     incarnation: attempt.placement.target.incarnation,
     givesUpAtMs: targetDeadlineAtMs(request),
     fingerprint,
+    isNewConnection,
     isCheap: (request.body?.length ?? 0) <= MAXIMUM_CHEAP_BODY_BYTES,
   });
 }
--- a/packages/gateway/src/forwarding/crash_guard.ts
+++ b/packages/gateway/src/forwarding/crash_guard.ts
@@ -6,7 +6,9 @@
 import {
   type CrashVerdict,
   type FatalRun,
+  type RunRate,
   type SurvivedRun,
+  type SurvivedRunsReport,
   type TargetLoss,
   type TargetRun,
   createCrashEvidence,
@@ -47,13 +49,12 @@
   /**
    * Called when a peer reports that targets have outlived a suspected request.
    *
-   * @param msPerSecond Milliseconds of its runs in a second; undefined if the
-   *     peer does not tell.
+   * @param rate Undefined if the peer does not tell it.
    */
   recordPeerSurvivedRuns(
     peer: string,
     fingerprint: string,
-    msPerSecond: number | undefined,
+    rate: RunRate | undefined,
   ): void;
   /** What a VM that has just connected has to know. */
   reports(): CrashReports;
@@ -84,6 +85,8 @@
   fingerprint(): string;
   /** Whether the fingerprint is cheap to compute. */
   readonly isCheap: boolean;
+  /** Whether the target has just taken the connection. */
+  readonly isNewConnection: boolean;
 }
 
 /** Only the first call has an effect. */
@@ -104,23 +107,22 @@
   readonly fingerprint: string;
   /** Name of the lost incarnation, the same on all VMs. */
   readonly target: string;
-  /** Time since the target was gone. */
+  /** Time since the target was dead at the latest. */
   readonly ageMs: number;
-  /** Length of the time in which it went; 0 if the moment is known. */
+  /** Length of the time in which it died; 0 if the moment is known. */
   readonly spanMs: number;
-}
-
-export interface SurvivalReport {
-  readonly fingerprint: string;
-  readonly msPerSecond: number;
+  /** Deaths at about the time of the request's losses, with or without it. */
+  readonly deaths: number;
 }
 
 export interface CrashReports {
   readonly losses: readonly ReportedLoss[];
-  readonly survived: readonly SurvivalReport[];
+  readonly survived: readonly SurvivedRunsReport[];
 }
 
 export interface CrashGuardOptions {
+  /** This VM. */
+  readonly self: string;
   readonly timers: Pick<TimerService, 'nowMs'>;
   readonly log: Logger;
   /** Number of targets of the service. */
@@ -129,13 +131,13 @@
   probe(incarnation: string): void;
   notifyPeersOfLoss(loss: ReportedLoss): void;
   /** Tells peers that targets have outlived a request that was suspected. */
-  notifyPeersOfSurvival(report: SurvivalReport): void;
+  notifyPeersOfSurvival(report: SurvivedRunsReport): void;
 }
 
 const QUARANTINE_MS = 60_000;
 const LONG_QUARANTINE_MS = 300_000;
 /** Assumed of peers that say only that a target has answered the request. */
-const UNSTATED_MS_PER_SECOND = 1_000;
+const UNSTATED_RATE: RunRate = {runsPerSecond: 1, msPerSecond: 1_000};
 /** Time between two reports of survived runs of one request. */
 const SURVIVAL_REPORT_INTERVAL_MS = 1_000;
 const MAXIMUM_REPORTED = 2_000;
@@ -145,6 +147,7 @@
   const {timers, log} = options;
   const ledger = createRunLedger();
   const evidence = createCrashEvidence({
+    self: options.self,
     quarantineMs: QUARANTINE_MS,
     longQuarantineMs: LONG_QUARANTINE_MS,
   });
@@ -172,10 +175,11 @@
         spanMs: Math.round(untilMs - fromMs),
       });
     }
+    // Losses alone would look like those of a request that is never answered.
+    tellSurvival(fingerprint);
     if (from === 'own' && isNew) {
       options.notifyPeersOfLoss(reportOf(loss));
     }
-    tellSurvival(fingerprint);
   }
 
   function reportOf({
@@ -189,22 +193,23 @@
       target,
       ageMs: Math.max(0, timers.nowMs() - untilMs),
       spanMs: untilMs - fromMs,
+      deaths: evidence.countDeaths(fingerprint),
     };
   }
 
   function tellSurvival(fingerprint: string): void {
     const nowMs = timers.nowMs();
     const toldAtMs = survivalToldAtMs.get(fingerprint) ?? -Infinity;
-    const msPerSecond = evidence.survivedMsPerSecond(fingerprint, nowMs);
+    const rate = evidence.ownSurvivedRuns(fingerprint, nowMs);
     const isDue = nowMs - toldAtMs >= SURVIVAL_REPORT_INTERVAL_MS;
-    if (msPerSecond === 0 || !isDue) {
+    if (rate.runsPerSecond === 0 || !isDue) {
       return;
     }
     if (survivalToldAtMs.size >= MAXIMUM_REPORTED) {
       survivalToldAtMs.clear();
     }
     survivalToldAtMs.set(fingerprint, nowMs);
-    options.notifyPeersOfSurvival({fingerprint, msPerSecond});
+    options.notifyPeersOfSurvival({fingerprint, vm: options.self, ...rate});
   }
 
   function recordSurvived(runs: readonly SurvivedRun[]): void {
@@ -232,7 +237,7 @@
       fingerprint: followed.fingerprint,
     };
     incarnations.set(target, followed.incarnation);
-    ledger.start(run);
+    ledger.start(run, followed.isNewConnection);
 
     function recordAlive(): void {
       knownDeaths.delete(target);
@@ -268,7 +273,7 @@
   }
 
   function verdictOf(fingerprint: string, service: string): CrashVerdict {
-    const {verdict, sinceThirdLossMs, survivedShare, ...findings} =
+    const {verdict, sinceThirdLossMs, chanceShare, ...findings} =
       evidence.judge(fingerprint, options.targetCount(service), timers.nowMs());
     if (verdict !== 'crashes-targets') {
       quarantined.delete(fingerprint);
@@ -280,7 +285,7 @@
         fingerprint,
         service,
         ...findings,
-        survivedShare: Number(survivedShare.toFixed(3)),
+        chanceShare: Number(chanceShare.toFixed(3)),
         sinceThirdLossMs:
           sinceThirdLossMs === undefined
             ? undefined
@@ -337,32 +342,26 @@
       }
     },
     forgetRuns: ledger.clear,
-    recordPeerLoss: ({fingerprint, target, ageMs, spanMs}) => {
+    recordPeerLoss: ({fingerprint, target, ageMs, spanMs, deaths}) => {
       const untilMs = timers.nowMs() - ageMs;
       // This VM may send the target nothing more, and not notice the crash.
       recordDeath(target, untilMs);
       evidence.recordDeath(target, untilMs);
       const fromMs = untilMs - spanMs;
-      recordLoss({fingerprint, target, fromMs, untilMs}, 'peer');
+      const deathsKnown = deaths;
+      recordLoss({fingerprint, target, fromMs, untilMs, deathsKnown}, 'peer');
     },
-    recordPeerSurvivedRuns: (peer, fingerprint, msPerSecond) =>
-      evidence.recordPeerSurvivedRuns(
-        peer,
-        fingerprint,
-        msPerSecond ?? UNSTATED_MS_PER_SECOND,
-      ),
+    recordPeerSurvivedRuns: (peer, fingerprint, rate = UNSTATED_RATE) =>
+      evidence.recordPeerSurvivedRuns(peer, fingerprint, rate),
     reports: () => {
       const losses = evidence.gravestLosses();
       const fingerprints = new Set(losses.map(({fingerprint}) => fingerprint));
       const nowMs = timers.nowMs();
       return {
         losses: losses.map(reportOf),
-        survived: [...fingerprints]
-          .map(fingerprint => ({
-            fingerprint,
-            msPerSecond: evidence.survivedMsPerSecond(fingerprint, nowMs),
-          }))
-          .filter(({msPerSecond}) => msPerSecond > 0),
+        survived: [...fingerprints].flatMap(fingerprint =>
+          evidence.survivedRuns(fingerprint, nowMs),
+        ),
       };
     },
     unsettledRuns: ledger.unsettledCount,
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -299,7 +299,10 @@
       return;
     }
     attempt.handle = sendToTarget(context, request, attempt, {
-      onSent: () => onSent(attempt),
+      onSent: isNewConnection => {
+        onSent(attempt);
+        followRun(context, request, attempt, isNewConnection, fingerprint);
+      },
       onEnd: (outcome, response) => onAttemptEnd(attempt, outcome, response),
     });
   }
@@ -308,9 +311,6 @@
     wasSent = true;
     possiblyExecuted += 1;
     attempt.sentAtMs = timers.nowMs();
-    if (attempt.kind === 'target') {
-      followRun(context, request, attempt, fingerprint);
-    }
   }
 
   /** Returns false if no peer may take the request. */
--- a/packages/gateway/src/forwarding/target_send.ts
+++ b/packages/gateway/src/forwarding/target_send.ts
@@ -14,7 +14,7 @@
 
 export interface TargetSendEvents {
   /** The target may now run the request. */
-  onSent(): void;
+  onSent(isNewConnection: boolean): void;
   onEnd(outcome: AttemptOutcome, response?: TargetResponse): void;
 }
 
@@ -51,7 +51,7 @@
         if (!isReused) {
           context.reachEvidence.recordConnection(target);
         }
-        events.onSent();
+        events.onSent(!isReused);
       },
       withheldBecause: () =>
         context.availability.withheldBecause(incarnation) ??
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -45,7 +45,10 @@
 import {createAdmissionQueue} from './forwarding/admission_queue.js';
 import {createSendScheduler} from './forwarding/send_scheduler.js';
 import type {VmRecord} from './peers/messages.js';
-import {createPeerConversation} from './peers/peer_conversation.js';
+import {
+  createPeerConversation,
+  requestAnsweredMessage,
+} from './peers/peer_conversation.js';
 import {createPeerMesh} from './peers/peer_mesh.js';
 import {createVmRegistration} from './peers/vm_registration.js';
 import {runGracefulStop} from './graceful_stop.js';
@@ -138,13 +141,14 @@
     countLimitedSend: metrics.countLimitedSend,
   });
   const crashGuard = createCrashGuard({
+    self: vm.id,
     timers,
     log,
     targetCount: service => registry.usable(service).length,
     probe: incarnation => reachMonitor.evidence.doubt(incarnation),
     notifyPeersOfLoss: loss => mesh.broadcast({kind: 'target-lost', ...loss}),
     notifyPeersOfSurvival: report =>
-      mesh.broadcast({kind: 'request-answered', ...report}),
+      mesh.broadcast(requestAnsweredMessage(report)),
   });
   const reachMonitor = createTargetReachMonitor({
     timers,
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -146,20 +146,30 @@
     /** Identifies the request that the target was running. */
     fingerprint: z.string().max(64),
     target: z.string().max(256),
-    /** Time since the target was gone; absent means just now. */
+    /** Time since the target was dead; absent means just now. */
     ageMs: z.number().nonnegative().optional(),
-    /** Length of the time in which it went; absent if the moment is known. */
+    /** Length of the time in which it died; absent if the moment is known. */
     spanMs: z.number().nonnegative().optional(),
+    /**
+     * Deaths at about the time of the request's losses, with or without it;
+     * absent from VMs that do not count them.
+     */
+    deaths: z.number().nonnegative().optional(),
   }),
   /** Targets have outlived a request under which others were lost. */
   z.object({
     kind: z.literal('request-answered'),
     fingerprint: z.string().max(64),
-    /**
-     * Milliseconds of such runs in a second, at the peak; absent from VMs that
-     * do not measure it.
-     */
-    msPerSecond: z.number().nonnegative().optional(),
+    /** In the busiest second; absent from VMs that do not measure it. */
+    survived: z
+      .object({
+        runsPerSecond: z.number().nonnegative(),
+        /** Durations of these runs together. */
+        msPerSecond: z.number().nonnegative(),
+      })
+      .optional(),
+    /** The VM that sent them; absent if the sender did. */
+    vm: z.string().max(128).optional(),
   }),
 ]);
 
--- a/packages/gateway/src/peers/peer_conversation.ts
+++ b/packages/gateway/src/peers/peer_conversation.ts
@@ -7,6 +7,7 @@
 import type {
   LeavingReport,
   RateLimitReport,
+  SurvivedRunsReport,
   WatcherSelection,
 } from '@ibisbeam/decision';
 import type {Logger, TimerService} from '@ibisbeam/library';
@@ -53,6 +54,17 @@
 /** A VM that started before has seen the store as it was before a restore. */
 const RECENT_START_MS = 10_000;
 
+/** Older builds read only the fingerprint. */
+export function requestAnsweredMessage({
+  fingerprint,
+  vm,
+  runsPerSecond,
+  msPerSecond,
+}: SurvivedRunsReport): PeerMessage {
+  const survived = {runsPerSecond, msPerSecond};
+  return {kind: 'request-answered', fingerprint, vm, survived};
+}
+
 export function createPeerConversation(
   options: PeerConversationOptions,
 ): PeerConversation {
@@ -80,12 +92,13 @@
     );
     tellRestoreMemory(peer);
     const {losses, survived} = crashGuard.reports();
+    // Losses alone would look like those of a request that is never answered.
+    for (const report of survived) {
+      mesh.send(peer.id, requestAnsweredMessage(report));
+    }
     for (const loss of losses) {
       mesh.send(peer.id, {kind: 'target-lost', ...loss});
     }
-    for (const report of survived) {
-      mesh.send(peer.id, {kind: 'request-answered', ...report});
-    }
   }
 
   function tellRestoreMemory(peer: VmRecord): void {
@@ -126,13 +139,13 @@
         fleet.learn(message.memory);
         return;
       case 'target-lost': {
-        const {fingerprint, target, ageMs = 0, spanMs = 0} = message;
-        crashGuard.recordPeerLoss({fingerprint, target, ageMs, spanMs});
+        const {ageMs = 0, spanMs = 0, deaths = 0} = message;
+        crashGuard.recordPeerLoss({...message, ageMs, spanMs, deaths});
         return;
       }
       case 'request-answered': {
-        const {fingerprint, msPerSecond} = message;
-        crashGuard.recordPeerSurvivedRuns(from.id, fingerprint, msPerSecond);
+        const {fingerprint, survived, vm = from.id} = message;
+        crashGuard.recordPeerSurvivedRuns(vm, fingerprint, survived);
         return;
       }
     }
--- a/packages/gateway/test/crash_guard.test.ts
+++ b/packages/gateway/test/crash_guard.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
+import type {RunRate, SurvivedRunsReport} from '@ibisbeam/decision';
 import {createKeyValueLogger} from '@ibisbeam/library';
 import {
   type CrashGuard,
   type ReportedLoss,
   type RunRecorder,
-  type SurvivalReport,
   createCrashGuard,
 } from '../src/forwarding/crash_guard.js';
 
@@ -15,7 +15,7 @@
 
 describe('a request that crashes the targets that run it', () => {
   let notifications: string[];
-  let survivalTold: SurvivalReport[];
+  let survivalTold: SurvivedRunsReport[];
   let probed: string[];
   let guard: CrashGuard;
   let nowMs: number;
@@ -34,6 +34,7 @@
     },
   ): CrashGuard {
     return createCrashGuard({
+      self: 'edge-0',
       timers: {nowMs: () => nowMs},
       log: createKeyValueLogger({level: 'error', fields: {}, write: () => {}}),
       targetCount: () => TARGET_COUNT,
@@ -53,6 +54,7 @@
       givesUpAtMs: nowMs + DEADLINE_MS,
       fingerprint: () => fingerprint,
       isCheap: true,
+      isNewConnection: true,
     });
   }
 
@@ -74,7 +76,7 @@
   }
 
   function reportLoss(fingerprint: string, target: string, ageMs = 0): void {
-    guard.recordPeerLoss({fingerprint, target, ageMs, spanMs: 0});
+    guard.recordPeerLoss({fingerprint, target, ageMs, spanMs: 0, deaths: 0});
   }
 
   /** A target runs the request for a while, and answers it. */
@@ -84,6 +86,10 @@
     run.answered();
   }
 
+  function rate(runsPerSecond: number, msPerSecond: number): RunRate {
+    return {runsPerSecond, msPerSecond};
+  }
+
   it('is quarantined after crashing two targets', () => {
     crash('i-1@1');
     assert.equal(isQuarantined('a1'), false);
@@ -115,6 +121,27 @@
     assert.equal(isQuarantined('a1', later), false);
   });
 
+  // Guards against a VM that starts, has seen neither the other deaths nor the
+  // runs that were survived, and refuses what all others serve.
+  it('is weighed by a VM that starts as by the one that tells it', () => {
+    guard.recordPeerSurvivedRuns('edge-1', 'a1', rate(30, 3_600));
+    for (let index = 0; index < 5; index += 1) {
+      crash(`i-${index}@1`);
+      crash(`j-${index}@1`, 'other');
+      nowMs += 1_000;
+    }
+    assert.equal(isQuarantined('a1'), false);
+    nowMs += 8_000;
+    const {losses, survived} = guard.reports();
+    const later = createGuard();
+    losses.forEach(later.recordPeerLoss);
+    for (const {vm, fingerprint, ...told} of survived) {
+      later.recordPeerSurvivedRuns(vm, fingerprint, told);
+    }
+    assert.equal(later.hasLosses('a1'), true);
+    assert.equal(isQuarantined('a1', later), false);
+  });
+
   // Guards against mass deaths that push the gravest case out of what is told.
   it('is told to a VM that starts before requests with fewer losses', () => {
     crash('i-1@1');
@@ -261,9 +288,9 @@
       nowMs += 1_000;
     }
     assert.equal(isQuarantined('a1'), true);
-    guard.recordPeerSurvivedRuns('edge-1', 'a1', 40);
+    guard.recordPeerSurvivedRuns('edge-1', 'a1', rate(1, 40));
     assert.equal(isQuarantined('a1'), true);
-    guard.recordPeerSurvivedRuns('edge-2', 'a1', 6_000);
+    guard.recordPeerSurvivedRuns('edge-2', 'a1', rate(20, 6_000));
     assert.equal(isQuarantined('a1'), false);
   });
 
@@ -284,7 +311,9 @@
     assert.deepEqual(survivalTold, []);
     reportLoss('a1', 'life-1');
     reportLoss('a1', 'life-2');
-    assert.deepEqual(survivalTold, [{fingerprint: 'a1', msPerSecond: 40}]);
+    assert.deepEqual(survivalTold, [
+      {fingerprint: 'a1', vm: 'edge-0', ...rate(1, 40)},
+    ]);
     nowMs += 1_000;
     survive('a1', 60);
     assert.equal(survivalTold.length, 2);
@@ -300,6 +329,22 @@
     assert.equal(isQuarantined('a1'), false);
   });
 
+  // Guards against requests that go on to be sent to targets that have died
+  // unnoticed, and so meet each death.
+  it('is no request that many send to targets which fall silent one by one', () => {
+    guard.recordPeerSurvivedRuns('edge-1', 'a1', rate(30, 1_200));
+    for (let index = 0; index < 6; index += 1) {
+      send(`i-${index}@1`, 'other').answered();
+      nowMs += 400;
+      const run = send(`i-${index}@1`);
+      nowMs += 400;
+      run.cancelled();
+      die(`i-${index}@1`);
+    }
+    assert.equal(guard.hasLosses('a1'), true);
+    assert.equal(isQuarantined('a1'), false);
+  });
+
   // Guards against blame for connections that a partition of the VM broke.
   it('is not suspected for connections that were forgotten', () => {
     breakConnection('i-1@1');
