Let targets die in the soak, under a request and by many at once

Cause: the soak sent no request that crashes targets and none of its targets died, so that neither side of the rule was ever judged.

Change: each seed draws how targets end (connections break or hang), whether they go on after the caller has left, and whether the caller leaves. One caller sends the request all the time; four targets die at once, broken or silent. Others take their places, and the list drops the dead after 4 s, also after a restore. Two invariants: at most three arrivals, by VMs without a disruption, later than 3 s after the third crash; no other request is quarantined. A target that has died is not drained any more. Records and disruptions have files of their own.

--- a/packages/soak/src/load_generator.ts
+++ b/packages/soak/src/load_generator.ts
@@ -1,19 +1,32 @@
-/** Load generator that sends look-ups and bookings over keep-alive connections. */
+/**
+ * Load generator that sends look-ups, bookings and requests that crash targets
+ * over keep-alive connections.
+ */
 import {Agent, request as httpRequest} from 'node:http';
 import type {RandomSource} from '@ibisbeam/decision';
 import type {TimerService} from '@ibisbeam/library';
 import type {GatewayProcess} from './gateway_process.js';
-import type {CallRecord} from './observations.js';
+import type {CallRecord} from './records.js';
 
 export interface LoadGenerator {
   start(): void;
   /** Sends no new requests; resolves when all pending calls have ended. */
   stop(): Promise<void>;
   readonly calls: readonly CallRecord[];
+  /**
+   * Sends a look-up that crashes each target that runs it.
+   *
+   * @param patienceMs Time after which its caller leaves.
+   */
+  sendCrashing(vm: GatewayProcess, patienceMs: number): void;
   /** Sends one extra look-up; returns its status, 0 without a response. */
   probe(vm: GatewayProcess): Promise<number>;
 }
 
+/** Path of the look-up that crashes targets. */
+export const CRASH_PATH = '/rooms/crash';
+const QUARANTINE_REASON = 'requests like this one crashed targets';
+const MAXIMUM_REASON_BYTES = 1_024;
 const SEND_INTERVAL_MS = 8;
 const DEADLINE_MS = 1_200;
 /** One of this many callers leaves early. */
@@ -24,6 +37,17 @@
 const CONNECTIONS_PER_VM = 40;
 const DRAIN_POLL_MS = 20;
 
+interface Call {
+  readonly kind: 'look-up' | 'booking' | 'crashing';
+  readonly patienceMs: number;
+}
+
+const PATHS: Readonly<Record<Call['kind'], string>> = {
+  'look-up': '/rooms/1',
+  booking: '/book/1',
+  crashing: CRASH_PATH,
+};
+
 export function createLoadGenerator(
   vms: readonly GatewayProcess[],
   host: string,
@@ -36,26 +60,39 @@
   let sent = 0;
   let sendTimer: {cancel(): void} | undefined;
 
+  function affinityKeyOf(kind: Call['kind']): number {
+    // Draws nothing, so that the other calls of a seed stay the same.
+    return kind === 'crashing' ? 0 : random.below(AFFINITY_KEYS);
+  }
+
   function send(vm: GatewayProcess, idempotent: boolean): Promise<number> {
+    const leavesEarly = (sent + 1) % CALLS_PER_EARLY_LEAVER === 0;
+    return sendCall(vm, {
+      kind: idempotent ? 'look-up' : 'booking',
+      patienceMs: leavesEarly ? EARLY_LEAVER_PATIENCE_MS : DEADLINE_MS,
+    });
+  }
+
+  function sendCall(
+    vm: GatewayProcess,
+    {kind, patienceMs}: Call,
+  ): Promise<number> {
     sent += 1;
     pending += 1;
     const attemptId = `call-${sent}`;
     const sentMs = timers.nowMs();
-    const patienceMs =
-      sent % CALLS_PER_EARLY_LEAVER === 0
-        ? EARLY_LEAVER_PATIENCE_MS
-        : DEADLINE_MS;
+    const idempotent = kind !== 'booking';
     return new Promise(resolve => {
       const outgoing = httpRequest({
         ...vm.caller,
         agent,
         method: idempotent ? 'GET' : 'POST',
-        path: idempotent ? '/rooms/1' : '/book/1',
+        path: PATHS[kind],
         headers: {
           Host: host,
           'X-Ibisbeam-Attempt-Id': attemptId,
           'X-Ibisbeam-Deadline-Ms': String(DEADLINE_MS),
-          'X-Ibisbeam-Affinity-Key': String(random.below(AFFINITY_KEYS)),
+          'X-Ibisbeam-Affinity-Key': String(affinityKeyOf(kind)),
         },
       });
       let isLeaving = false;
@@ -64,6 +101,7 @@
         outgoing.destroy();
       });
       let ended = false;
+      let reason = '';
 
       function finish(status: number, whole: boolean, seal?: string): void {
         if (ended) {
@@ -83,6 +121,8 @@
           status,
           whole,
           seal,
+          isCrashing: kind === 'crashing',
+          isQuarantined: reason.includes(QUARANTINE_REASON),
         });
         resolve(status);
       }
@@ -90,7 +130,11 @@
       outgoing.on('error', () => finish(0, false));
       outgoing.on('response', incoming => {
         const seal = incoming.headers['x-ibisbeam-response-seal'];
-        incoming.resume();
+        incoming.on('data', (chunk: Buffer) => {
+          if (reason.length < MAXIMUM_REASON_BYTES) {
+            reason += chunk.toString('latin1');
+          }
+        });
         incoming.on('error', () => finish(0, false));
         incoming.on('close', () =>
           finish(
@@ -106,6 +150,9 @@
 
   return {
     calls,
+    sendCrashing: (vm, patienceMs) => {
+      void sendCall(vm, {kind: 'crashing', patienceMs});
+    },
     probe: vm => send(vm, true),
     start: () => {
       sendTimer = timers.every(SEND_INTERVAL_MS, () => {
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -1,103 +1,31 @@
 /**
- * Records of what callers and targets observed, and the invariants checked on
- * them: at-most-once execution, truthful refusals, complete responses to the
- * caller's own request, no work for callers that left, drained targets, rate
- * limits, leaving and pausing targets, and planned stops. Pure functions.
+ * The invariants checked on what callers and targets observed: at-most-once
+ * execution, truthful refusals, complete responses to the caller's own request,
+ * no work for callers that left, drained targets, rate limits, leaving and
+ * pausing targets, planned stops, and requests that crash targets. Pure
+ * functions.
  */
+import {findInnocentsRefused, findRepeatedCrashes} from './crash_invariants.js';
+import {
+  type Disruption,
+  SETTLING_MS,
+  isDisrupted,
+  isRestartedOrFrozen,
+} from './disruptions.js';
+import type {
+  CallRecord,
+  HomesChange,
+  Observations,
+  RunRecord,
+  Violation,
+} from './records.js';
 import {
-  type LeavingStatement,
-  type LimitStatement,
   type PassedOnLeaving,
-  type PauseStatement,
-  type TargetArrival,
   findLeavingViolations,
   findPauseViolations,
   findRateLimitViolations,
 } from '@ibisbeam/stand-ins';
 
-export interface CallRecord {
-  readonly attemptId: string;
-  readonly idempotent: boolean;
-  readonly vm: string;
-  /** The caller closed its connection before it got a response. */
-  readonly hasLeft: boolean;
-  readonly sentMs: number;
-  readonly endedMs: number;
-  /** 0 if the connection ended without a response. */
-  readonly status: number;
-  /** Whether the response was complete. */
-  readonly whole: boolean;
-  /** Seal header of the response, which names the target and the attempt. */
-  readonly seal: string | undefined;
-}
-
-export interface RunRecord {
-  readonly attemptId: string;
-  readonly target: string;
-  readonly atMs: number;
-}
-
-/** Period in which a VM is exempt from invariants with a time bound. */
-export interface Disruption {
-  readonly vm: string;
-  readonly fromMs: number;
-  readonly toMs: number;
-  /** `store`: only the VM's way to the store is disturbed. */
-  readonly kind: 'planned-stop' | 'store' | 'other';
-}
-
-export interface Departure {
-  readonly target: string;
-  /** When the store accepted the target's draining state. */
-  readonly atMs: number;
-}
-
-/** Home regions of the idempotent route from `atMs` on; empty for none. */
-export interface HomesChange {
-  /** When the store accepted the configuration first. */
-  readonly atMs: number;
-  /**
-   * Time by which it was written again, if a restore of the store lost it.
-   * VMs that heard of it before may go by it, the others not yet.
-   */
-  readonly rewrittenAtMs?: number;
-  readonly regions: readonly string[];
-}
-
-/** Period in which a target stated a rate limit. */
-export interface LimitedPeriod {
-  readonly target: string;
-  readonly arrivals: readonly TargetArrival[];
-  readonly statements: readonly LimitStatement[];
-}
-
-/** What a target said of itself, and what reached it. */
-export interface TargetRecord {
-  readonly target: string;
-  readonly arrivals: readonly TargetArrival[];
-  /** Answers that said that the target is leaving. */
-  readonly leavingStatements: readonly LeavingStatement[];
-  /** Refusals that asked for a pause. */
-  readonly pauseStatements: readonly PauseStatement[];
-}
-
-export interface Observations {
-  readonly calls: readonly CallRecord[];
-  readonly runs: readonly RunRecord[];
-  readonly disruptions: readonly Disruption[];
-  readonly departures: readonly Departure[];
-  readonly homesChanges: readonly HomesChange[];
-  /** Region of each target. */
-  readonly targetRegions: ReadonlyMap<string, string>;
-  readonly limitedPeriods: readonly LimitedPeriod[];
-  readonly targetRecords: readonly TargetRecord[];
-}
-
-export interface Violation {
-  readonly invariant: string;
-  readonly detail: string;
-}
-
 /** Statuses which state that the request has not run and will not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Maximum time from a departure to the last request at the target. */
@@ -106,9 +34,6 @@
 const APPLY_BOUND_MS = 2_500;
 /** Maximum time from a caller's leaving to the last request at a target. */
 const CALLER_LEFT_BOUND_MS = 500;
-/** Time bounds apply to a VM again this long after a disruption. */
-const SETTLING_MS = 3_000;
-
 export function findViolations(
   observations: Observations,
 ): readonly Violation[] {
@@ -123,6 +48,8 @@
     ...findRequestsBeyondLimits(observations),
     ...findRequestsToLeavingTargets(observations),
     ...findRequestsInPauses(observations),
+    ...findRepeatedCrashes(observations),
+    ...findInnocentsRefused(observations),
   ];
 }
 
@@ -171,7 +98,7 @@
       continue;
     }
     const sinceMs = run.atMs - APPLY_BOUND_MS;
-    if (!isDisrupted(observations, call.vm, sinceMs, run.atMs)) {
+    if (!isDisrupted(observations.disruptions, call.vm, sinceMs, run.atMs)) {
       violations.push({
         invariant: 'requests run in their home regions',
         detail: `${run.attemptId} ran at ${run.target} in ${region}, sent by ${call.vm}`,
@@ -212,7 +139,10 @@
     for (const run of observations.runs) {
       const isLate = run.target === target && run.atMs > atMs + DRAIN_BOUND_MS;
       const vm = vms.get(run.attemptId);
-      if (isLate && !isDisrupted(observations, vm, atMs, run.atMs)) {
+      if (
+        isLate &&
+        !isDisrupted(observations.disruptions, vm, atMs, run.atMs)
+      ) {
         const lateMs = Math.round(run.atMs - atMs);
         violations.push({
           invariant: 'leaving targets receive no new requests',
@@ -238,7 +168,9 @@
     if (!call || run.atMs <= call.endedMs + CALLER_LEFT_BOUND_MS) {
       continue;
     }
-    if (!isDisrupted(observations, call.vm, call.sentMs, run.atMs)) {
+    if (
+      !isDisrupted(observations.disruptions, call.vm, call.sentMs, run.atMs)
+    ) {
       const lateMs = Math.round(run.atMs - call.endedMs);
       violations.push({
         invariant: 'callers that left cause no work',
@@ -262,7 +194,9 @@
       statements,
       vmOf: (attemptId, atMs) => {
         const vm = vms.get(attemptId);
-        return isDisrupted(observations, vm, atMs, atMs) ? undefined : vm;
+        return isDisrupted(observations.disruptions, vm, atMs, atMs)
+          ? undefined
+          : vm;
       },
     });
     for (const {arrived, allowed} of found) {
@@ -296,7 +230,7 @@
       passedOn,
       requestOf: attemptId => calls.get(attemptId),
       isExcused: (vm, fromMs, toMs) =>
-        isRestartedOrFrozen(observations, vm, fromMs, toMs),
+        isRestartedOrFrozen(observations.disruptions, vm, fromMs, toMs),
     });
     for (const {vm, attemptId, afterMs} of found) {
       violations.push({
@@ -321,7 +255,7 @@
       statements: record.pauseStatements,
       vmOf: attemptId => vms.get(attemptId),
       isExcused: (vm, fromMs, toMs) =>
-        isRestartedOrFrozen(observations, vm, fromMs, toMs),
+        isRestartedOrFrozen(observations.disruptions, vm, fromMs, toMs),
     });
     for (const {vm, pauseMs, arrived} of found) {
       violations.push({
@@ -333,37 +267,6 @@
   return violations;
 }
 
-/** Whether the VM may have lost, or missed, what a target said. */
-function isRestartedOrFrozen(
-  {disruptions}: Observations,
-  vm: string,
-  fromMs: number,
-  toMs: number,
-): boolean {
-  return disruptions.some(
-    span =>
-      span.kind !== 'store' &&
-      span.vm === vm &&
-      span.fromMs < toMs &&
-      span.toMs > fromMs,
-  );
-}
-
-/** Considers only disruptions of the VM that received the call. */
-function isDisrupted(
-  observations: Observations,
-  vm: string | undefined,
-  fromMs: number,
-  toMs: number,
-): boolean {
-  return observations.disruptions.some(
-    span =>
-      span.vm === vm &&
-      span.fromMs < toMs &&
-      span.toMs + SETTLING_MS > fromMs - SETTLING_MS,
-  );
-}
-
 function findCallsCutByPlannedStops(
   observations: Observations,
 ): readonly Violation[] {
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -24,16 +24,17 @@
   type GatewayProcess,
   createGatewayProcess,
 } from './gateway_process.js';
-import {
-  type Departure,
-  type HomesChange,
-  type Disruption,
-  type LimitedPeriod,
-  type RunRecord,
-  type TargetRecord,
-  type Violation,
-  findViolations,
-} from './observations.js';
+import type {Disruption} from './disruptions.js';
+import {createDyingTargets} from './dying_targets.js';
+import {findViolations} from './observations.js';
+import type {
+  Departure,
+  HomesChange,
+  LimitedPeriod,
+  RunRecord,
+  TargetRecord,
+  Violation,
+} from './records.js';
 import {
   type ProxyMode,
   type StoreProxy,
@@ -176,15 +177,19 @@
     homesChanges.push({atMs: timers.nowMs(), regions: homeRegions});
   }
 
-  async function addTarget(): Promise<void> {
+  async function addTarget(): Promise<FleetTarget> {
     startedTargets += 1;
     const id = `worker-${startedTargets}`;
-    targets.push(await startTarget(id, startedTargets));
+    const target = await startTarget(id, startedTargets);
+    targets.push(target);
+    return target;
   }
 
-  async function addSilentLeaver(): Promise<void> {
+  async function addSilentLeaver(): Promise<FleetTarget> {
     const index = silentLeavers.length;
-    silentLeavers.push(await startTarget(`leaver-${index}`, index));
+    const target = await startTarget(`leaver-${index}`, index);
+    silentLeavers.push(target);
+    return target;
   }
 
   putConfiguration([]);
@@ -196,12 +201,25 @@
   }
   const fleet = await startFleet(options, folder, store);
   const load = createLoadGenerator(fleet.vms, HOST, timers, random);
+  const dyingTargets = createDyingTargets({
+    seed: options.seed,
+    timers,
+    store,
+    vms: fleet.vms,
+    load,
+    startTarget,
+    recordEvent,
+  });
+  for (const target of [...targets, ...silentLeavers]) {
+    dyingTargets.arm(target);
+  }
   try {
     await waitUntilReady(fleet.vms, load, timers);
     load.start();
     startRateLimit();
     scheduleRestore();
     scheduleStatement();
+    dyingTargets.start();
     const faultsEndMs = timers.nowMs() + options.seconds * 1_000;
     while (timers.nowMs() < faultsEndMs) {
       injectFault();
@@ -213,6 +231,7 @@
     }
     restoreTimer?.cancel();
     statementTimer?.cancel();
+    dyingTargets.stop();
     await clearFaults();
     const violations = [...(await findUnrecoveredVms(fleet.vms, load, timers))];
     await load.stop();
@@ -226,16 +245,22 @@
       }
     }
     const {calls} = load;
+    const allTargets = [
+      ...targets,
+      ...silentLeavers,
+      ...dyingTargets.replacements,
+    ];
     violations.push(
       ...findViolations({
         calls,
-        runs: [...targets, ...silentLeavers].flatMap(collectRuns),
+        runs: allTargets.flatMap(collectRuns),
         disruptions,
         departures,
         homesChanges,
         targetRegions,
         limitedPeriods,
-        targetRecords: [...targets, ...silentLeavers].map(recordOf),
+        targetRecords: allTargets.map(recordOf),
+        crashingRuns: dyingTargets.crashingRuns(),
       }),
     );
     return {
@@ -249,8 +274,13 @@
     endRateLimit();
     restoreTimer?.cancel();
     statementTimer?.cancel();
+    dyingTargets.stop();
     fleet.end();
-    for (const target of [...targets, ...silentLeavers]) {
+    for (const target of [
+      ...targets,
+      ...silentLeavers,
+      ...dyingTargets.replacements,
+    ]) {
       await target.close();
     }
     await store.close();
@@ -352,13 +382,13 @@
 
   function drainTarget(): void {
     const target = targets[startedTargets - TARGETS];
-    if (!target) {
+    if (!target || dyingTargets.isGone(target)) {
       return;
     }
     recordEvent(`${target.id} leaves`);
     store.put('servers', target.id, target.entry({state: 'draining'}));
     departures.push({target: target.id, atMs: timers.nowMs()});
-    void addTarget();
+    void addTarget().then(dyingTargets.arm);
   }
 
   /** A target states a rate limit for some time, then another one does. */
@@ -420,7 +450,7 @@
     leftSilently += 1;
     recordEvent(`${target.id} says that it leaves`);
     target.setLeaving(true);
-    void addSilentLeaver();
+    void addSilentLeaver().then(dyingTargets.arm);
   }
 
   /** About a third of the targets that the fleet began with. */
--- a/packages/soak/test/observations.test.ts
+++ b/packages/soak/test/observations.test.ts
@@ -1,10 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {
-  type CallRecord,
-  type Observations,
-  findViolations,
-} from '../src/observations.js';
+import {findViolations} from '../src/observations.js';
+import type {CallRecord, Observations} from '../src/records.js';
 
 function call(changes: Partial<CallRecord> = {}): CallRecord {
   return {
@@ -17,6 +14,8 @@
     status: 200,
     whole: true,
     seal: 'seal-worker-a',
+    isCrashing: false,
+    isQuarantined: false,
     ...changes,
   };
 }
@@ -31,6 +30,7 @@
     targetRegions: new Map(),
     limitedPeriods: [],
     targetRecords: [],
+    crashingRuns: [],
     ...changes,
   };
 }
@@ -65,6 +65,39 @@
     ]);
   });
 
+  it('reports a request that goes on crashing targets, unless its VM is disrupted', () => {
+    const crashingRuns = [0, 100, 200, 4_000, 4_100, 4_200, 4_300].map(
+      (atMs, index) => ({
+        attemptId: `c${index}`,
+        target: `worker-${index}`,
+        atMs,
+        crashedAtMs: atMs + 10,
+      }),
+    );
+    const calls = crashingRuns.map(({attemptId}) =>
+      call({attemptId, status: 502, idempotent: true, isCrashing: true}),
+    );
+    assert.deepEqual(violatedInvariants(seen({calls, crashingRuns})), [
+      'a request that crashes targets reaches no more of them',
+    ]);
+    const kind = 'other' as const;
+    const disruptions = [{vm: 'edge-0', fromMs: 4_000, toMs: 4_100, kind}];
+    assert.deepEqual(
+      violatedInvariants(seen({calls, crashingRuns, disruptions})),
+      [],
+    );
+  });
+
+  it('reports a quarantine of a request that crashes nothing', () => {
+    const refused = {status: 503, seal: undefined, isQuarantined: true};
+    const innocent = call(refused);
+    const crashing = call({...refused, isCrashing: true});
+    const calls = [innocent, crashing];
+    assert.deepEqual(violatedInvariants(seen({calls})), [
+      'requests that crash no targets are not quarantined',
+    ]);
+  });
+
   it('reports the response to another request', () => {
     const calls = [call({seal: 'seal-worker-b'})];
     assert.deepEqual(violatedInvariants(seen({calls})), [
