Hedge what targets outlive again, and take back the loss of a target that lives

Cause, read in the code: after one loss no hedge was sent of a request for five minutes, also of one that targets outlive all the time; the loss of a target that was taken for dead (a lossy link) was taken back only if it answered what it had got before, so that an idle VM kept it; a run whose end was recorded twice would count twice.

Change: only a request that no target has outlived goes without a hedge; an answer to what the target got up to a second after its supposed death shows that it lives, since none starts anew so soon; each run ends once.

--- a/packages/decision/src/core/quarantine/crash_evidence.ts
+++ b/packages/decision/src/core/quarantine/crash_evidence.ts
@@ -55,7 +55,7 @@
   recordLoss(loss: TargetLoss, nowMs: number): boolean;
   /**
    * Records that the target answered a request that it had received at
-   * `sinceMs`: it has not died since.
+   * `sinceMs`: it has not died since, nor shortly before.
    */
   recordTargetAlive(target: string, sinceMs: number): void;
   recordSurvivedRun(
@@ -106,6 +106,8 @@
   deathsKnown: number;
 }
 
+/** A target that has died takes longer to start anew. */
+const LEAST_RESTART_MS = 1_000;
 /** Deaths this close to a loss may have the same cause. */
 const NEAR_DEATH_MS = 5_000;
 const LOSSES_TO_LONG_QUARANTINE = 3;
@@ -192,7 +194,7 @@
 
   function recordTargetAlive(target: string, sinceMs: number): void {
     const diedAtMs = deathTimes.get(target);
-    if (diedAtMs === undefined || diedAtMs < sinceMs) {
+    if (diedAtMs === undefined || sinceMs > diedAtMs + LEAST_RESTART_MS) {
       return;
     }
     deathTimes.delete(target);
--- a/packages/gateway/src/forwarding/crash_guard.ts
+++ b/packages/gateway/src/forwarding/crash_guard.ts
@@ -30,8 +30,8 @@
    * need to be computed.
    */
   hasSuspicions(): boolean;
-  /** Whether any target is known to have died while it ran the request. */
-  hasLosses(fingerprint: string): boolean;
+  /** Whether a target died while it ran the request, and none outlived it. */
+  isDoubtful(fingerprint: string): boolean;
   /** @param service The service that would run the request. */
   verdictOf(fingerprint: string, service: string): CrashVerdict;
   /** Whether the end of a run of the request at a target is not known. */
@@ -244,22 +244,38 @@
       evidence.recordTargetAlive(target, run.sentAtMs);
     }
 
+    let hasEnded = false;
+
+    /** Runs `record` unless an end has been recorded. */
+    function endOnce(record: () => void): void {
+      if (!hasEnded) {
+        hasEnded = true;
+        record();
+      }
+    }
+
+    function recordAnswer(): void {
+      const [own, ...others] = ledger.recordAnswer(run, timers.nowMs());
+      recordAlive();
+      recordSurvived(others);
+      if (own && (followed.isCheap || anySuspicion)) {
+        recordSurvived([own]);
+      }
+    }
+
+    function recordRefusal(): void {
+      recordSurvived(ledger.recordRefusal(run, timers.nowMs()));
+      recordAlive();
+    }
+
     return {
-      answered: () => {
-        const [own, ...others] = ledger.recordAnswer(run, timers.nowMs());
-        recordAlive();
-        recordSurvived(others);
-        if (own && (followed.isCheap || anySuspicion)) {
-          recordSurvived([own]);
-        }
-      },
-      refused: () => {
-        recordSurvived(ledger.recordRefusal(run, timers.nowMs()));
-        recordAlive();
-      },
-      broke: () => recordOwnLoss(ledger.recordBreak(run, timers.nowMs())),
-      cancelled: () => recordOwnLoss(ledger.recordCancel(run, timers.nowMs())),
-      discard: () => ledger.discard(run),
+      answered: () => endOnce(recordAnswer),
+      refused: () => endOnce(recordRefusal),
+      broke: () =>
+        endOnce(() => recordOwnLoss(ledger.recordBreak(run, timers.nowMs()))),
+      cancelled: () =>
+        endOnce(() => recordOwnLoss(ledger.recordCancel(run, timers.nowMs()))),
+      discard: () => endOnce(() => ledger.discard(run)),
     };
   }
 
@@ -322,7 +338,9 @@
     },
     follow,
     hasSuspicions: () => anySuspicion,
-    hasLosses: fingerprint => evidence.countLosses(fingerprint) > 0,
+    isDoubtful: fingerprint =>
+      evidence.countLosses(fingerprint) > 0 &&
+      evidence.survivedRuns(fingerprint, timers.nowMs()).length === 0,
     verdictOf,
     hasUnsettledRun: ledger.hasUnsettledRun,
     recordTargetDeath: (incarnation, how, atMs = timers.nowMs()) => {
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -395,7 +395,7 @@
         return;
       }
       // A hedge would end two targets instead of one.
-      if (crashGuard.hasSuspicions() && crashGuard.hasLosses(fingerprint())) {
+      if (crashGuard.hasSuspicions() && crashGuard.isDoubtful(fingerprint())) {
         return;
       }
       if (context.retryBudget.takeRetry(service, timers.nowMs())) {
