Follow a run until its long answer has ended

Callers of a long download got a broken answer, and the target that died in the middle of it was blamed on no request: an answer counted as the end of a run once its first 256 KiB had come.

Change: the run of a streamed answer is answered when the answer is complete, broken when the connection breaks, and unsettled when this VM ends it. A break has the target probed, as one before the answer does.

--- a/packages/gateway/src/forwarding/attempt_recording.ts
+++ b/packages/gateway/src/forwarding/attempt_recording.ts
@@ -1,8 +1,10 @@
 /** Updates target load, service times and crash suspicions after an attempt. */
+import type {IncomingMessage} from 'node:http';
 import type {AttemptOutcome} from '@ibisbeam/decision';
 import {targetDeadlineAtMs} from './attempt_headers.js';
 import type {ForwardingContext} from './context.js';
 import type {ExchangeRequest, RunningAttempt} from './exchange_types.js';
+import type {TargetResponse} from './target_attempt.js';
 
 const MAXIMUM_CHEAP_BODY_BYTES = 4_096;
 
@@ -10,6 +12,7 @@
   readonly request: ExchangeRequest;
   readonly attempt: RunningAttempt;
   readonly outcome: AttemptOutcome;
+  readonly response?: TargetResponse | undefined;
   readonly nowMs: number;
 }
 
@@ -83,10 +86,15 @@
 
 function recordRunEnd(
   context: ForwardingContext,
-  {attempt: {run}, outcome}: EndedAttempt,
+  {attempt, outcome, response}: EndedAttempt,
 ): void {
+  const {run} = attempt;
   switch (outcome.kind) {
     case 'answered':
+      if (response?.body.kind === 'streaming') {
+        recordStreamEnd(context, attempt, response.body.stream);
+        return;
+      }
       run?.answered();
       return;
     case 'not-executed':
@@ -105,6 +113,25 @@
   }
 }
 
+/** The target still works while it sends a long answer. */
+function recordStreamEnd(
+  context: ForwardingContext,
+  {run, placement}: RunningAttempt,
+  stream: IncomingMessage,
+): void {
+  stream.once('end', () => {
+    if (stream.complete) {
+      run?.answered();
+    }
+  });
+  stream.once('error', () => {
+    run?.broke();
+    context.reachEvidence.recordBrokenConnection(placement.target);
+  });
+  // Without an error before it, this VM has ended it.
+  stream.once('close', () => run?.cancelled());
+}
+
 function recordSuccess(context: ForwardingContext, end: EndedAttempt): void {
   const {request, attempt, nowMs} = end;
   const {incarnation} = attempt.placement.target;
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -419,6 +419,7 @@
       request,
       attempt,
       outcome,
+      response,
       nowMs,
     });
     context.admissionQueue.onSlotFreed(service);
--- a/packages/stand_ins/src/core/object_platform/fleet_target.ts
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -66,6 +66,8 @@
   readonly connections: 'break' | 'hang';
   /** Whether the target goes on when the connection of the request is closed. */
   readonly outlivesConnection: boolean;
+  /** Bytes of the answer that the target sends before. Default: 0. */
+  readonly bytesBefore?: number;
   /** Whether the request crashes targets for this caller. Default: for all. */
   crashesFor?(attemptId: string): boolean;
 }
@@ -131,6 +133,8 @@
 
 const EXTRA_ANSWER_DELAY_MS = 20;
 const EVENT_LOOP_BLOCK_MS = 20;
+/** Lets bytes that were written before a crash leave. */
+const CRASH_DELAY_MS = 5;
 const DEFAULT_WORK_MS = 5;
 const DEFAULT_BODY_BYTES = 20;
 const DEFAULT_BORN_MS = 1_000;
@@ -309,7 +313,8 @@
         return;
       }
       if (crash) {
-        endBy(crash);
+        writeBeginning(incoming.socket, attemptId, crash.bytesBefore ?? 0);
+        timers.after(CRASH_DELAY_MS, () => endBy(crash));
         return;
       }
       release();
@@ -336,6 +341,17 @@
     return crashes ? crashingRequest : undefined;
   }
 
+  function writeBeginning(
+    socket: Socket,
+    attemptId: string,
+    bytes: number,
+  ): void {
+    if (bytes > 0) {
+      const answer = formatAnswer(200, attemptId, 'x'.repeat(bytes));
+      socket.write(answer.slice(0, -1));
+    }
+  }
+
   function endBy(crash: CrashingRequest): void {
     crashedAtMs = timers.nowMs();
     switch (crash.connections) {
--- a/packages/stand_ins/test/object_platform/crashing_request.test.ts
+++ b/packages/stand_ins/test/object_platform/crashing_request.test.ts
@@ -105,6 +105,13 @@
     assert.equal(countLogLines(crashPlay.harness, OWN_SUSPICION), crashes);
   });
 
+  // Guards against an answer that counts as complete once it has begun.
+  it('is suspected if it ends targets in the middle of a long answer', async () => {
+    crashPlay.setCrash({bytesBefore: 400_000});
+    await call(crashPlay.harness.gateway, {path: CRASH_PATH});
+    await waitUntil(() => countLogLines(crashPlay.harness, OWN_SUSPICION) > 0);
+  });
+
   // Guards against retries, hedges and waiting requests that began before the
   // quarantine did.
   it('is not sent once more by a VM that learns of the others meanwhile', async () => {
