Let callers of the soak read large answers slowly, and judge that they come whole

Cause: all callers of the soak read at once, so that an answer which is cut while it waits for its reader was never seen.

Change: the VMs are asked in turn for answers of 8 MB that are read 0.5 to 2.5 s later, over stops, restarts and all other faults. An answer that has begun and is not whole is a violation unless its target spoiled it or died, or its VM was killed or frozen.

--- a/packages/soak/src/dying_targets.ts
+++ b/packages/soak/src/dying_targets.ts
@@ -20,6 +20,8 @@
   start(): void;
   stop(): void;
   isGone(target: FleetTarget): boolean;
+  /** When targets died, by target. */
+  deaths(): ReadonlyMap<string, number>;
   /** Targets that took the places of others. */
   readonly replacements: readonly FleetTarget[];
   crashingRuns(): readonly CrashingRun[];
@@ -145,6 +147,8 @@
       }
     },
     isGone: target => goneAtMs.has(target),
+    deaths: () =>
+      new Map([...goneAtMs].map(([target, atMs]) => [target.id, atMs])),
     replacements,
     crashingRuns: () =>
       armed.flatMap(target =>
--- a/packages/soak/src/load_generator.ts
+++ b/packages/soak/src/load_generator.ts
@@ -19,12 +19,21 @@
    * @param patienceMs Time after which its caller leaves.
    */
   sendCrashing(vm: GatewayProcess, patienceMs: number): void;
+  /**
+   * Sends a look-up whose large answer is read slowly.
+   *
+   * @param readDelayMs Time from the head of the answer until it is read.
+   */
+  sendSlowReader(vm: GatewayProcess, readDelayMs: number): void;
   /** Sends one extra look-up; returns its status, 0 without a response. */
   probe(vm: GatewayProcess): Promise<number>;
 }
 
 /** Path of the look-up that crashes targets. */
 export const CRASH_PATH = '/rooms/crash';
+/** Path of the look-up that targets answer at length. */
+export const LARGE_PATH = '/rooms/large';
+const SLOW_READER_PATIENCE_MS = 6_000;
 const QUARANTINE_REASON = 'requests like this one crashed targets';
 const MAXIMUM_REASON_BYTES = 1_024;
 const SEND_INTERVAL_MS = 8;
@@ -38,14 +47,17 @@
 const DRAIN_POLL_MS = 20;
 
 interface Call {
-  readonly kind: 'look-up' | 'booking' | 'crashing';
+  readonly kind: 'look-up' | 'booking' | 'crashing' | 'large';
   readonly patienceMs: number;
+  /** Time for which the caller reads nothing, from the head of the answer on. */
+  readonly readDelayMs?: number;
 }
 
 const PATHS: Readonly<Record<Call['kind'], string>> = {
   'look-up': '/rooms/1',
   booking: '/book/1',
   crashing: CRASH_PATH,
+  large: LARGE_PATH,
 };
 
 export function createLoadGenerator(
@@ -61,8 +73,10 @@
   let sendTimer: {cancel(): void} | undefined;
 
   function affinityKeyOf(kind: Call['kind']): number {
-    // Draws nothing, so that the other calls of a seed stay the same.
-    return kind === 'crashing' ? 0 : random.below(AFFINITY_KEYS);
+    // Others draw nothing, so that the usual calls of a seed stay the same.
+    return kind === 'look-up' || kind === 'booking'
+      ? random.below(AFFINITY_KEYS)
+      : 0;
   }
 
   function send(vm: GatewayProcess, idempotent: boolean): Promise<number> {
@@ -75,7 +89,7 @@
 
   function sendCall(
     vm: GatewayProcess,
-    {kind, patienceMs}: Call,
+    {kind, patienceMs, readDelayMs = 0}: Call,
   ): Promise<number> {
     sent += 1;
     pending += 1;
@@ -130,6 +144,10 @@
       outgoing.on('error', () => finish(0, false));
       outgoing.on('response', incoming => {
         const seal = incoming.headers['x-ibisbeam-response-seal'];
+        if (readDelayMs > 0) {
+          incoming.pause();
+          timers.after(readDelayMs, () => incoming.resume());
+        }
         incoming.on('data', (chunk: Buffer) => {
           if (reason.length < MAXIMUM_REASON_BYTES) {
             reason += chunk.toString('latin1');
@@ -153,6 +171,13 @@
     sendCrashing: (vm, patienceMs) => {
       void sendCall(vm, {kind: 'crashing', patienceMs});
     },
+    sendSlowReader: (vm, readDelayMs) => {
+      void sendCall(vm, {
+        kind: 'large',
+        patienceMs: SLOW_READER_PATIENCE_MS,
+        readDelayMs,
+      });
+    },
     probe: vm => send(vm, true),
     start: () => {
       sendTimer = timers.every(SEND_INTERVAL_MS, () => {
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -45,6 +45,7 @@
     ...findRunsOutsideHomes(observations),
     ...findRunsForCallersThatLeft(observations),
     ...findCallsCutByPlannedStops(observations),
+    ...findAnswersCutShort(observations),
     ...findRequestsBeyondLimits(observations),
     ...findRequestsToLeavingTargets(observations),
     ...findRequestsInPauses(observations),
@@ -295,6 +296,50 @@
   return violations;
 }
 
+/** An answer that has begun comes whole, also to a caller that reads slowly. */
+function findAnswersCutShort(observations: Observations): readonly Violation[] {
+  const {calls, runs, targetDeaths} = observations;
+  const runsById = new Map<string, RunRecord[]>();
+  for (const run of runs) {
+    const known = runsById.get(run.attemptId) ?? [];
+    runsById.set(run.attemptId, [...known, run]);
+  }
+  const violations: Violation[] = [];
+  for (const call of calls) {
+    if (call.status !== 200 || call.whole || call.hasLeft) {
+      continue;
+    }
+    const mayBeSpoiled = runsById
+      .get(call.attemptId)
+      ?.some(
+        ({isSpoiled, target}) =>
+          isSpoiled ||
+          (targetDeaths.get(target) ?? Infinity) <= call.endedMs + SETTLING_MS,
+      );
+    if (!mayBeSpoiled && !isVmFaulty(observations, call)) {
+      violations.push({
+        invariant: 'answers that have begun come whole',
+        detail: `${call.attemptId} at ${call.vm} got a part of its answer`,
+      });
+    }
+  }
+  return violations;
+}
+
+/** Whether the VM was killed or frozen during the call, or shortly before. */
+function isVmFaulty(
+  {disruptions}: Observations,
+  {vm, sentMs, endedMs}: CallRecord,
+): boolean {
+  return disruptions.some(
+    span =>
+      span.kind === 'other' &&
+      span.vm === vm &&
+      span.fromMs < endedMs &&
+      span.toMs + SETTLING_MS > sentMs,
+  );
+}
+
 function hasOtherDisruption(
   observations: Observations,
   stop: Disruption,
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -37,6 +37,8 @@
   readonly attemptId: string;
   readonly target: string;
   readonly atMs: number;
+  /** Whether the target spoiled the answer on purpose. */
+  readonly isSpoiled: boolean;
 }
 
 export interface Departure {
@@ -85,6 +87,8 @@
   readonly limitedPeriods: readonly LimitedPeriod[];
   readonly targetRecords: readonly TargetRecord[];
   readonly crashingRuns: readonly CrashingRun[];
+  /** When targets died, by target. */
+  readonly targetDeaths: ReadonlyMap<string, number>;
 }
 
 export interface Violation {
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -18,7 +18,11 @@
   startStandInObjectStore,
   buildTwoRouteConfiguration,
 } from '@ibisbeam/stand-ins';
-import {type LoadGenerator, createLoadGenerator} from './load_generator.js';
+import {
+  LARGE_PATH,
+  type LoadGenerator,
+  createLoadGenerator,
+} from './load_generator.js';
 import {
   GATEWAY_PROGRAM,
   type GatewayProcess,
@@ -113,6 +117,11 @@
   'foreign',
   'early',
 ];
+/** More than the buffers of the system hold on the way to a caller. */
+const LARGE_ANSWER_BYTES = 8_000_000;
+const SLOW_READER_INTERVAL_MS = 300;
+/** Some outlast the moment at which a VM that stops closes its listener. */
+const READ_DELAYS_MS = [500, 1_500, 2_500];
 /** Homes of the idempotent route; a region with two zones, or none. */
 const HOME_CHOICES: readonly (readonly string[])[] = [[], ['riga']];
 const PROXY_FAULTS: readonly ProxyMode[] = [
@@ -143,6 +152,7 @@
   const silentLeavers: FleetTarget[] = [];
   let leftSilently = 0;
   let statementTimer: TimerHandle | undefined;
+  let slowReaderTimer: TimerHandle | undefined;
   const startedMs = timers.nowMs();
   let rateLimit: RateLimitInForce | undefined;
   let version = 1;
@@ -163,6 +173,7 @@
       workMs: 20,
       timers,
     });
+    target.setLargeAnswer(LARGE_PATH, LARGE_ANSWER_BYTES);
     store.put('servers', target.id, target.entry());
     return target;
   }
@@ -220,6 +231,7 @@
     scheduleRestore();
     scheduleStatement();
     dyingTargets.start();
+    startSlowReaders();
     const faultsEndMs = timers.nowMs() + options.seconds * 1_000;
     while (timers.nowMs() < faultsEndMs) {
       injectFault();
@@ -232,6 +244,7 @@
     restoreTimer?.cancel();
     statementTimer?.cancel();
     dyingTargets.stop();
+    slowReaderTimer?.cancel();
     await clearFaults();
     const violations = [...(await findUnrecoveredVms(fleet.vms, load, timers))];
     await load.stop();
@@ -261,6 +274,7 @@
         limitedPeriods,
         targetRecords: allTargets.map(recordOf),
         crashingRuns: dyingTargets.crashingRuns(),
+        targetDeaths: dyingTargets.deaths(),
       }),
     );
     return {
@@ -275,6 +289,7 @@
     restoreTimer?.cancel();
     statementTimer?.cancel();
     dyingTargets.stop();
+    slowReaderTimer?.cancel();
     fleet.end();
     for (const target of [
       ...targets,
@@ -286,6 +301,20 @@
     await store.close();
   }
 
+  /** Asks the VMs in turn, so that some read while their VM stops. */
+  function startSlowReaders(): void {
+    let count = 0;
+    slowReaderTimer = timers.every(SLOW_READER_INTERVAL_MS, () => {
+      const vm = fleet.vms[count % fleet.vms.length];
+      const round = Math.floor(count / fleet.vms.length);
+      count += 1;
+      const readDelayMs = READ_DELAYS_MS[round % READ_DELAYS_MS.length] ?? 0;
+      if (vm) {
+        load.sendSlowReader(vm, readDelayMs);
+      }
+    });
+  }
+
   function injectFault(): void {
     const index = random.below(fleet.vms.length);
     const vm = fleet.vms[index];
@@ -520,6 +549,7 @@
     attemptId: run.attemptId,
     target: target.id,
     atMs: run.atMs,
+    isSpoiled: run.fault !== 'none',
   }));
 }
 
--- a/packages/soak/test/observations.test.ts
+++ b/packages/soak/test/observations.test.ts
@@ -31,6 +31,7 @@
     limitedPeriods: [],
     targetRecords: [],
     crashingRuns: [],
+    targetDeaths: new Map(),
     ...changes,
   };
 }
@@ -39,7 +40,7 @@
   return findViolations(observations).map(violation => violation.invariant);
 }
 
-const RUN = {attemptId: 'a', target: 'worker', atMs: 50};
+const RUN = {attemptId: 'a', target: 'worker', atMs: 50, isSpoiled: false};
 
 describe('findViolations', () => {
   it('accepts a booking that ran once', () => {
@@ -65,6 +66,22 @@
     ]);
   });
 
+  it('reports an answer that was cut short, unless its target or VM did it', () => {
+    const cut = call({idempotent: true, whole: false, seal: undefined});
+    const seenCut = {calls: [cut], runs: [RUN]};
+    assert.deepEqual(violatedInvariants(seen(seenCut)), [
+      'answers that have begun come whole',
+    ]);
+    const kind = 'other' as const;
+    for (const changes of [
+      {runs: [{...RUN, isSpoiled: true}]},
+      {targetDeaths: new Map([['worker', 90]])},
+      {disruptions: [{vm: 'edge-0', fromMs: 10, toMs: 20, kind}]},
+    ]) {
+      assert.deepEqual(violatedInvariants(seen({...seenCut, ...changes})), []);
+    }
+  });
+
   it('reports a request that goes on crashing targets, unless its VM is disrupted', () => {
     const crashingRuns = [0, 100, 200, 4_000, 4_100, 4_200, 4_300].map(
       (atMs, index) => ({
--- a/packages/stand_ins/src/core/object_platform/fleet_target.ts
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -54,6 +54,7 @@
   readonly atMs: number;
   /** Whether the connection closed before the run ended. */
   cancelled: boolean;
+  readonly fault: TargetFault;
 }
 
 /** A request that ends the target in the middle of its work. */
@@ -106,6 +107,8 @@
   pauseFor(spanMs: number): void;
   /** Refuses the next request with this value of Retry-After. */
   refuseNext(retryAfter: string): void;
+  /** Answers requests on this path with so many bytes. */
+  setLargeAnswer(path: string, bytes: number): void;
   setCrashingRequest(request: CrashingRequest): void;
   /** Refuses connections from now on and answers nothing on open ones. */
   fallSilent(): void;
@@ -164,6 +167,7 @@
   let rateLimit: number | undefined;
   let isLeaving = false;
   let pausedUntilMs = -Infinity;
+  const largeAnswers = new Map<string, number>();
   let crashingRequest: CrashingRequest | undefined;
   let crashedAtMs: number | undefined;
   let isSilent = false;
@@ -298,6 +302,7 @@
       deadlineMs: Number(header(incoming, 'x-ibisbeam-deadline-ms')),
       atMs: timers.nowMs(),
       cancelled: false,
+      fault,
     };
     runs.push(record);
     if (key !== undefined) {
@@ -318,7 +323,12 @@
         return;
       }
       release();
-      writeAnswer(incoming.socket, fault, attemptId);
+      writeAnswer(
+        incoming.socket,
+        fault,
+        attemptId,
+        largeAnswers.get(record.path),
+      );
     });
 
     function onClose(): void {
@@ -374,8 +384,9 @@
     socket: Socket,
     fault: TargetFault,
     attemptId: string,
+    bodyBytes = options.bodyBytes ?? DEFAULT_BODY_BYTES,
   ): void {
-    const text = 'x'.repeat(options.bodyBytes ?? DEFAULT_BODY_BYTES);
+    const text = 'x'.repeat(bodyBytes);
     const fullAnswer = formatAnswer(200, attemptId, text);
     switch (fault) {
       case 'none':
@@ -537,6 +548,9 @@
     refuseNext: retryAfter => {
       refusals.push(retryAfter);
     },
+    setLargeAnswer: (path, bytes) => {
+      largeAnswers.set(path, bytes);
+    },
     setCrashingRequest: request => {
       crashingRequest = request;
     },
