Count a VM's survived runs once, and probe few silent targets at a time

Cause, read in the code: a peer tells all survived runs that it knows, those of the listener included, which then counted twice: a request that crashes targets for some callers looked twice as common as it is. Slow targets have no sign for a second while all their slots work, so that each VM could probe every one of them twice a second.

Change: what peers say of this VM's own runs is its own, of before a restart maybe; the larger of both counts.

--- a/packages/decision/src/core/quarantine/crash_evidence.ts
+++ b/packages/decision/src/core/quarantine/crash_evidence.ts
@@ -232,11 +232,16 @@
 
   function survivedLoad(
     fingerprint: string,
-    {ownRate}: Suspect,
+    suspect: Suspect,
     targetCount: number,
   ): SurvivedLoad | undefined {
-    let {runsPerSecond, msPerSecond} = ownRate;
-    for (const rate of peerSurvivedRuns.get(fingerprint)?.values() ?? []) {
+    const rates = new Map(peerSurvivedRuns.get(fingerprint));
+    // Peers repeat what this VM has told them, maybe before a restart.
+    const toldByPeers = rates.get(options.self) ?? NO_RUNS;
+    rates.set(options.self, maximumRate(suspect.ownRate, toldByPeers));
+    let runsPerSecond = 0;
+    let msPerSecond = 0;
+    for (const rate of rates.values()) {
       runsPerSecond += rate.runsPerSecond;
       msPerSecond += rate.msPerSecond;
     }
@@ -329,9 +334,9 @@
     judge,
     gravestLosses,
     survivedRuns: (fingerprint, nowMs) => {
-      const peers = peerSurvivedRuns.get(fingerprint) ?? [];
-      const own = ownSurvivedRuns(fingerprint, nowMs);
-      return [[options.self, own] as const, ...peers]
+      const rates = new Map(peerSurvivedRuns.get(fingerprint));
+      rates.set(options.self, ownSurvivedRuns(fingerprint, nowMs));
+      return [...rates]
         .filter(([, {runsPerSecond}]) => runsPerSecond > 0)
         .map(([vm, rate]) => ({fingerprint, vm, ...rate}));
     },
--- a/packages/decision/src/core/quarantine/run_ledger.ts
+++ b/packages/decision/src/core/quarantine/run_ledger.ts
@@ -36,7 +36,7 @@
 export interface LedgerSweep {
   /** Runs without an end at targets that are dead. */
   readonly fatal: readonly FatalRun[];
-  /** Targets that have been silent for long; a probe would tell. */
+  /** Some of the targets that have been silent for long; a probe would tell. */
   readonly silentTargets: readonly string[];
 }
 
@@ -102,6 +102,8 @@
 /** Time without a sign of a target while an attempt at it waits. */
 const OPEN_SILENCE_MS = 1_000;
 const SILENCE_REPORT_INTERVAL_MS = 500;
+/** Bounds the probes while all targets are slow. */
+const MAXIMUM_SILENT_TARGETS = 2;
 /** Ended runs kept for one target; the oldest is dropped. */
 const MAXIMUM_ENDED_RUNS = 64;
 
@@ -272,6 +274,21 @@
     return false;
   }
 
+  /** Takes those that were taken longest ago. */
+  function takeSilent(
+    silent: [string, TargetState][],
+    nowMs: number,
+  ): readonly string[] {
+    silent.sort(
+      ([, one], [, other]) => one.reportedSilentAtMs - other.reportedSilentAtMs,
+    );
+    const taken = silent.slice(0, MAXIMUM_SILENT_TARGETS);
+    for (const [, state] of taken) {
+      state.reportedSilentAtMs = nowMs;
+    }
+    return taken.map(([target]) => target);
+  }
+
   function dropOldRuns(state: TargetState, nowMs: number): void {
     const recent = state.ended.filter(
       ({overByMs}) => nowMs - overByMs <= FATAL_WINDOW_MS,
@@ -339,19 +356,18 @@
     },
     sweep: nowMs => {
       const fatal: FatalRun[] = [];
-      const silentTargets: string[] = [];
+      const silent: [string, TargetState][] = [];
       for (const [target, state] of states) {
         fatal.push(...takeOpenRuns(target, state, nowMs));
         dropOldRuns(state, nowMs);
         if (isSilent(state, nowMs)) {
-          state.reportedSilentAtMs = nowMs;
-          silentTargets.push(target);
+          silent.push([target, state]);
         }
         if (isOver(state, nowMs)) {
           states.delete(target);
         }
       }
-      return {fatal, silentTargets};
+      return {fatal, silentTargets: takeSilent(silent, nowMs)};
     },
     clear: () => states.clear(),
   };
--- a/packages/decision/test/quarantine/run_ledger.test.ts
+++ b/packages/decision/test/quarantine/run_ledger.test.ts
@@ -121,6 +121,20 @@
     );
   });
 
+  // Guards against a burst of probes while all targets are slow.
+  it('have silent targets named a few at a time, in turn', () => {
+    const targets = ['a', 'b', 'c', 'd', 'e'];
+    for (const target of targets) {
+      start('waiting', 0, target);
+    }
+    const named = [1_100, 1_200, 1_300].flatMap(
+      nowMs => ledger.sweep(nowMs).silentTargets,
+    );
+    assert.deepEqual(named, targets);
+    assert.deepEqual(ledger.sweep(1_400).silentTargets, []);
+    assert.deepEqual(ledger.sweep(1_700).silentTargets, ['a', 'b']);
+  });
+
   it('are bounded in number and time', () => {
     for (let index = 0; index < 100; index += 1) {
       ledger.recordCancel(start(`run-${index}`, 0), 1);
--- a/packages/gateway/test/crash_guard.test.ts
+++ b/packages/gateway/test/crash_guard.test.ts
@@ -252,7 +252,7 @@
     assert.deepEqual(probed, ['i-1@1']);
     nowMs = 1_100;
     guard.update();
-    assert.deepEqual(probed, ['i-1@1', 'i-1@1', 'i-2@1']);
+    assert.deepEqual(probed, ['i-1@1', 'i-2@1', 'i-1@1']);
   });
 
   // Guards against one answer that ends each suspicion.
@@ -306,6 +306,20 @@
     assert.equal(isQuarantined('a1'), true);
   });
 
+  // Guards against a VM that counts its own runs twice once a peer repeats them.
+  it('has the runs of this VM counted once, also if a peer repeats them', () => {
+    survive('a1', 40);
+    for (let index = 0; index < 3; index += 1) {
+      crash(`i-${index}@1`);
+      nowMs += 1_000;
+    }
+    guard.recordPeerSurvivedRuns('edge-0', 'a1', rate(1, 40));
+    const [own, ...others] = guard.reports().survived;
+    assert.deepEqual(own, {fingerprint: 'a1', vm: 'edge-0', ...rate(1, 40)});
+    assert.deepEqual(others, []);
+    assert.equal(isQuarantined('a1'), true);
+  });
+
   it('has its survived runs told to peers once a second while it is suspected', () => {
     survive('a1', 40);
     assert.deepEqual(survivalTold, []);
--- a/packages/stand_ins/test/object_platform/crashing_request.test.ts
+++ b/packages/stand_ins/test/object_platform/crashing_request.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
-import {findCrashViolation} from '../../src/index.js';
+import {CRASH_KNOWN_MS, findCrashViolation} from '../../src/index.js';
 import {
   CRASH_PATH,
   type CrashPlay,
@@ -68,6 +68,18 @@
       },
       {violation: undefined, quarantinedOthers: 0},
     );
+    assertKnownInTime();
+  }
+
+  /** All VMs quarantine the request soon after the third target was lost. */
+  function assertKnownInTime(): void {
+    const {logLines} = crashPlay.harness;
+    const lines = logLines.filter(line => /request-quarantined/.test(line));
+    assert.ok(lines.length >= crashPlay.gateways.length);
+    for (const line of lines) {
+      const [, sinceMs = '0'] = /sinceThirdLossMs=(\d+)/.exec(line) ?? [];
+      assert.ok(Number(sinceMs) < CRASH_KNOWN_MS, line);
+    }
   }
 
   // Guards against a caller whose requests come from several addresses.
@@ -92,6 +104,7 @@
     });
     const arrivals = crashPlay.crashingArrivals();
     assert.equal(findCrashViolation(arrivals), undefined);
+    assertKnownInTime();
   });
 
   // Guards against deaths that are noticed when the list drops the target.
