Test that a request in doubt runs at one target at a time

Cause: that a request which may be crashing targets is sent once at a time, and not again after a loss, while other targets die as well, was held by the verdict's unit test only.

Change: a play with a target that is gone and two that end under the request: the next call is sent to one target, and another that comes meanwhile is refused.

--- a/packages/stand_ins/test/object_platform/crashing_request.test.ts
+++ b/packages/stand_ins/test/object_platform/crashing_request.test.ts
@@ -20,7 +20,9 @@
 const PATIENT_MS = 8_000;
 /** Much less than it takes to miss heartbeats. */
 const NOTICE_MS = 1_000;
+const DIED = /event=target-died /;
 const DRAINING = /event=target-draining /;
+const CONTAINED_REASON = 'a request like this one may be crashing a target';
 const OWN_SUSPICION = /event=crash-suspected .*from=own/;
 
 describe('a request that crashes every target that runs it', () => {
@@ -125,6 +127,29 @@
     await waitUntil(() => countLogLines(crashPlay.harness, OWN_SUSPICION) > 0);
   });
 
+  // Guards against a doubt that costs as many targets as there are callers.
+  it('runs at one target at a time while other targets die as well', async () => {
+    const {harness} = crashPlay;
+    const [gateway] = crashPlay.gateways;
+    const other = crashPlay.targets().at(-1);
+    assert.ok(gateway && other);
+    crashPlay.setCrash();
+    await other.close();
+    harness.fleet.store.remove('servers', other.id);
+    await waitUntil(
+      () => countLogLines(harness, DIED) >= crashPlay.gateways.length,
+    );
+    await call(gateway, {path: CRASH_PATH});
+    await waitUntil(() => countLogLines(harness, OWN_SUSPICION) === 2);
+    const first = call(gateway, {path: CRASH_PATH});
+    await waitUntil(() => crashPlay.crashingArrivals().length === 3);
+    const second = await call(gateway, {path: CRASH_PATH});
+    assert.equal(second.status, 503);
+    assert.ok(second.body.includes(CONTAINED_REASON));
+    assert.equal((await first).status, 502);
+    assert.equal(crashPlay.crashingArrivals().length, 3);
+  });
+
   // Guards against retries, hedges and waiting requests that began before the
   // quarantine did.
   it('is not sent once more by a VM that learns of the others meanwhile', async () => {
