Draw how targets die in the soak from a hash of the seed

Cause: the first numbers drawn from neighbouring seeds are alike, so that seeds 420001 to 420050 all played one of the eight ways: connections hang, the caller leaves, targets go on.

Change: the source is seeded by a hash.

--- a/packages/soak/src/dying_targets.ts
+++ b/packages/soak/src/dying_targets.ts
@@ -2,7 +2,7 @@
  * Targets that die during a soak: under a request that crashes them, or many at
  * once for another reason. Others take their places, as on the users' platform.
  */
-import {createRandomSource} from '@ibisbeam/decision';
+import {createRandomSource, hash32} from '@ibisbeam/decision';
 import type {TimerHandle, TimerService} from '@ibisbeam/library';
 import type {
   CrashingRequest,
@@ -52,7 +52,9 @@
 
 export function createDyingTargets(options: DyingTargetsOptions): DyingTargets {
   const {timers, store, vms, load, recordEvent} = options;
-  const random = createRandomSource(options.seed + 5);
+  // The first numbers drawn from neighbouring seeds are alike.
+  const seedText = `dying targets ${options.seed}`;
+  const random = createRandomSource(hash32(seedText));
   const crash: CrashingRequest = {
     path: CRASH_PATH,
     connections: random.below(2) === 0 ? 'break' : 'hang',
