Tell peers less often and less, and count what crosses zones

No log or metric told what the bytes were.

ibisbeam_traffic_bytes_total and a line each 10 s now tell them by content and distance.

Causes and changes: - A greeting named all known peers: the cube of the fleet at its start. It names 16, each time others; of two VMs that learn of each other, the one whose identifier sorts last leaves the first dial to the other. - Heartbeats stated empty lists, fractions and versions that had not changed. Between regions of a fleet of 32 VMs or more they go out each 1.2 s, to peers whose greeting says that they read nextWithinMs, unless the VM watches the store or has news. - Both watchers told all VMs of each change. The one that stands by speaks only if the first has not within 150 ms. - An idle watch never moved on with the store, until its history was gone and everything was listed and sent to all. Copies move on every 5 s, and a list after a gap is told as its differences. - Each VM read the current list of VMs every 15 s; after the first one it may be some seconds old, at a tenth of the price. - The reach monitor sorted all peers 20 times a second.

--- a/packages/decision/src/core/store_mirror/watcher_selection.ts
+++ b/packages/decision/src/core/store_mirror/watcher_selection.ts
@@ -26,6 +26,8 @@
   /** Records that the store confirmed the watch of a peer at `atMs`. */
   recordPeerConfirmation(atMs: number): void;
   shouldWatch(nowMs: number): boolean;
+  /** Whether this VM is the first of those that watch, as far as it knows. */
+  isFirst(): boolean;
   /** Time of the last confirmation of a peer's watch; -Infinity if none. */
   lastPeerConfirmationMs(): number;
 }
@@ -60,6 +62,7 @@
       lastConfirmationMs = Math.max(lastConfirmationMs, atMs);
     },
     shouldWatch,
+    isFirst: () => rank === 0,
     lastPeerConfirmationMs: () => lastConfirmationMs,
   };
 }
--- a/packages/gateway/src/control/vm_directory.ts
+++ b/packages/gateway/src/control/vm_directory.ts
@@ -96,8 +96,16 @@
         .filter(vm => stateByVmId.get(vm.id)?.isCutOff !== true),
     peersReachingTargets,
     peerReachedTargetsAtMs: () => {
-      const [newest] = peersReachingTargets();
-      return newest && reachedAtMs(newest);
+      let newestMs = timers.nowMs() - REACH_LIFETIME_MS;
+      let isKnown = false;
+      for (const vm of servingPeers()) {
+        const atMs = reachedAtMs(vm);
+        if (atMs >= newestMs) {
+          newestMs = atMs;
+          isKnown = true;
+        }
+      }
+      return isKnown ? newestMs : undefined;
     },
     livePeers: () => mesh.peersHeardWithin(LIVENESS_TIMEOUT_MS),
     liveVmIds: () => [
--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -1,6 +1,7 @@
 /** Prometheus metrics of a gateway. */
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {FinishedRequest} from '../forwarding/context.js';
+import type {TrafficContent, TrafficDistance} from '../traffic_meter.js';
 
 export interface GatewayMetrics {
   recordRequest(request: FinishedRequest): void;
@@ -11,6 +12,12 @@
   countLimitedSend(service: string): void;
   /** Counts a new connection to a target, or an attempt to make one. */
   countTargetConnection(outcome: 'made' | 'failed'): void;
+  /** Counts bytes exchanged with peers and targets. */
+  countTraffic(
+    content: TrafficContent,
+    distance: TrafficDistance,
+    bytes: number,
+  ): void;
   /** @param delayMs How late the event loop ran a timer. */
   recordEventLoopDelay(delayMs: number): void;
   /** @param read Called on each scrape. */
@@ -69,6 +76,13 @@
     registers,
   });
 
+  const traffic = new Counter({
+    name: 'ibisbeam_traffic_bytes_total',
+    help: 'Bytes of messages to peers and of bodies to and from targets.',
+    labelNames: ['content', 'distance'] as const,
+    registers,
+  });
+
   const eventLoopDelay = new Histogram({
     name: 'ibisbeam_event_loop_delay_seconds',
     help: 'How late the event loop runs timers, sampled 20 times a second.',
@@ -91,6 +105,8 @@
     recordRelay: (service, outcome) => relays.inc({service, outcome}),
     countLimitedSend: service => limitedSends.inc({service}),
     countTargetConnection: outcome => targetConnections.inc({outcome}),
+    countTraffic: (content, distance, bytes) =>
+      traffic.inc({content, distance}, bytes),
     recordEventLoopDelay: delayMs =>
       eventLoopDelay.observe(delayMs / MILLISECONDS_PER_SECOND),
     recordAcceptBacklog: spanMs =>
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -20,6 +20,7 @@
 import type {ReachEvidence} from '../target_reach.js';
 import type {VmRecord} from '../peers/messages.js';
 import type {TargetAvailability} from '../target_availability.js';
+import type {TrafficMeter} from '../traffic_meter.js';
 import type {CrashGuard} from './crash_guard.js';
 import type {TargetConnections} from './target_connections.js';
 import type {AdmissionQueue} from './admission_queue.js';
@@ -107,6 +108,8 @@
     target: RegisteredTarget,
     perSecond: number | undefined,
   ): void;
+  /** Counts the bytes of a body, by where its other end is. */
+  readonly recordTraffic: TrafficMeter['record'];
   onAttemptEnded(service: string, outcome: AttemptOutcome['kind']): void;
   /** @param outcome `cancelled` if the request ended first. */
   onRelayEnded(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,6 +44,7 @@
 } from './forwarding/target_connections.js';
 import {createAdmissionQueue} from './forwarding/admission_queue.js';
 import {createSendScheduler} from './forwarding/send_scheduler.js';
+import {HEARTBEAT_INTERVAL_MS} from './peers/heartbeat_schedule.js';
 import type {VmRecord} from './peers/messages.js';
 import {
   createPeerConversation,
@@ -61,6 +62,7 @@
 import {createTargetAvailability} from './target_availability.js';
 import {createStoreFollower} from './store/store_follower.js';
 import {createTargetReachMonitor} from './target_reach.js';
+import {TRAFFIC_LOG_INTERVAL_MS, createTrafficMeter} from './traffic_meter.js';
 
 export interface GatewayOptions {
   readonly settings: GatewaySettings;
@@ -87,7 +89,6 @@
   terminate(): Promise<void>;
 }
 
-const HEARTBEAT_INTERVAL_MS = 400;
 const REGISTRY_EXPIRY_INTERVAL_MS = 100;
 const CRASH_GUARD_INTERVAL_MS = 100;
 const AVAILABILITY_EXPIRY_INTERVAL_MS = 1_000;
@@ -128,6 +129,11 @@
   );
   const timerHandles: TimerHandle[] = [];
   const metrics = createGatewayMetrics();
+  const traffic = createTrafficMeter({
+    self: vm,
+    log,
+    countBytes: metrics.countTraffic,
+  });
   const acceptBacklog = createAcceptBacklog({
     timers,
     log,
@@ -259,6 +265,7 @@
     seeds: settings.seeds,
     timers,
     log,
+    traffic,
     onPeerConnected: peer => peerConversation.onPeerConnected(peer),
     onMessage: (from, message) => peerConversation.onMessage(from, message),
   });
@@ -386,6 +393,7 @@
       }
     },
     onRateLimitAnswer: rateLimits.recordAnswer,
+    recordTraffic: traffic.record,
     onAttemptEnded: (service, outcome) =>
       metrics.recordAttempt(service, outcome),
     onRelayEnded: metrics.recordRelay,
@@ -480,7 +488,7 @@
 
   function onHeartbeatDue(): void {
     logServingChange();
-    peerConversation.broadcastHeartbeat();
+    peerConversation.sendDueHeartbeat();
     const liveVmIds = directory.liveVmIds();
     copyGuard.observeContacts({
       confirmedAtMs: follower.lastConfirmedMs(),
@@ -531,6 +539,7 @@
       timers.every(CRASH_GUARD_INTERVAL_MS, crashGuard.update),
       timers.every(AVAILABILITY_EXPIRY_INTERVAL_MS, availability.expire),
       timers.every(RATE_LIMIT_LOG_INTERVAL_MS, rateLimits.logSends),
+      timers.every(TRAFFIC_LOG_INTERVAL_MS, traffic.flush),
     );
     log.log('info', 'vm-started', {
       zone: vm.zone,
--- /dev/null
+++ b/packages/gateway/src/peers/heartbeat_schedule.ts
@@ -0,0 +1,49 @@
+/**
+ * Decides which peers a heartbeat goes to. In a large fleet, heartbeats between
+ * regions are most of all messages, while a VM needs quick word only of the
+ * VMs near it: their clients and its own share a directory.
+ */
+
+/** Peers that a message goes to. */
+export type Audience =
+  | 'all'
+  /** Those that need every heartbeat. */
+  | 'near'
+  /** Those in other regions that have said that they need fewer. */
+  | 'far';
+
+/** Time between two regular heartbeats. */
+export const HEARTBEAT_INTERVAL_MS = 400;
+/** Far peers get each third heartbeat. */
+const FAR_INTERVAL_FACTOR = 3;
+export const FAR_HEARTBEAT_INTERVAL_MS =
+  HEARTBEAT_INTERVAL_MS * FAR_INTERVAL_FACTOR;
+/** In a smaller fleet, all peers get every heartbeat. */
+const LARGE_FLEET_PEERS = 32;
+
+export interface HeartbeatSchedule {
+  /**
+   * Called for each regular heartbeat.
+   *
+   * @param peerCount Number of known peers.
+   * @param isWatcher Whether this VM watches the store. The fleet replaces a
+   *     watcher that it has not heard of for little more than a second.
+   */
+  next(peerCount: number, isWatcher: boolean): 'near' | 'all';
+}
+
+export function createHeartbeatSchedule(): HeartbeatSchedule {
+  let sinceFar = 0;
+
+  return {
+    next: (peerCount, isWatcher) => {
+      sinceFar += 1;
+      const isFarDue = sinceFar >= FAR_INTERVAL_FACTOR;
+      if (!isFarDue && !isWatcher && peerCount >= LARGE_FLEET_PEERS) {
+        return 'near';
+      }
+      sinceFar = 0;
+      return 'all';
+    },
+  };
+}
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -89,6 +89,11 @@
     vm: vmRecordSchema,
     /** Other VMs that the sender knows; some may be gone. */
     known: z.array(vmRecordSchema).max(2_000),
+    /**
+     * Whether the sender reads `nextWithinMs`, so that peers in other regions
+     * may send it fewer heartbeats; absent means not.
+     */
+    readsNextWithin: z.boolean().optional(),
   }),
   z.object({
     kind: z.literal('heartbeat'),
@@ -104,6 +109,11 @@
     copyVersions: copyVersionsSchema.optional(),
     /** Absent from VMs that do not watch it. */
     targetReach: targetReachSchema.optional(),
+    /**
+     * Time until the sender's next heartbeat to this peer; absent means the
+     * usual 400 ms.
+     */
+    nextWithinMs: z.number().nonnegative().optional(),
     /** Targets that say that they are leaving; absent as `rateLimits`. */
     leavingTargets: z.array(leavingReportSchema).max(5_000).optional(),
   }),
--- a/packages/gateway/src/peers/peer_conversation.ts
+++ b/packages/gateway/src/peers/peer_conversation.ts
@@ -21,12 +21,20 @@
 import type {TargetAvailability} from '../target_availability.js';
 import type {TargetRateLimits} from '../target_rate_limits.js';
 import {createCopyComparison} from './copy_comparison.js';
-import type {PeerMessage, VmRecord} from './messages.js';
+import {createCopyAnnouncements} from './copy_announcements.js';
+import {
+  FAR_HEARTBEAT_INTERVAL_MS,
+  createHeartbeatSchedule,
+} from './heartbeat_schedule.js';
+import type {CopyVersions, PeerMessage, VmRecord} from './messages.js';
 import type {PeerMesh} from './peer_mesh.js';
 
 export interface PeerConversation {
   onPeerConnected(peer: VmRecord): void;
   onMessage(from: VmRecord, message: PeerMessage): void;
+  /** Sends the regular heartbeat to the peers for which it is due. */
+  sendDueHeartbeat(): void;
+  /** Tells all peers at once of a change of this VM's state. */
   broadcastHeartbeat(): void;
   /** Age of the oldest change that this VM's copies lack; 0 if none. */
   copiesBehindMs(): number;
@@ -54,6 +62,11 @@
 /** A VM that started before has seen the store as it was before a restore. */
 const RECENT_START_MS = 10_000;
 
+/** A VM whose last look at the store is older does not watch it. */
+const RECENT_WATCH_MS = 2_000;
+
+type Heartbeat = Extract<PeerMessage, {kind: 'heartbeat'}>;
+
 /** Older builds read only the fingerprint. */
 export function requestAnsweredMessage({
   fingerprint,
@@ -78,6 +91,9 @@
       mesh.send(peerId, {kind: 'want-snapshot', of: kind}),
   });
 
+  const schedule = createHeartbeatSchedule();
+  const copyAnnouncements = createCopyAnnouncements(follower, timers);
+
   function onPeerConnected(peer: VmRecord): void {
     copyComparison.recordNewLink(peer.id);
     options.copyGuard.onPeerConnected(peer.id);
@@ -86,10 +102,12 @@
         mesh.send(peer.id, {kind: 'want-snapshot', of: kind});
       }
     }
-    mesh.send(
-      peer.id,
-      heartbeatMessage(rateLimits.reports(), availability.reports()),
+    const heartbeat = heartbeatMessage(
+      rateLimits.reports(),
+      availability.reports(),
+      follower.copyVersions(),
     );
+    mesh.send(peer.id, mesh.isFar(peer.id) ? toFar(heartbeat) : heartbeat);
     tellRestoreMemory(peer);
     const {losses, survived} = crashGuard.reports();
     // Losses alone would look like those of a request that is never answered.
@@ -101,6 +119,19 @@
     }
   }
 
+  function broadcastHeartbeat(due: 'near' | 'all'): void {
+    const limits = rateLimits.takeNews();
+    const leaving = availability.takeNews();
+    const near = heartbeatMessage(limits, leaving, copyAnnouncements.take());
+    mesh.broadcast(near, 'near');
+    // Peers that have no news of this VM may miss a heartbeat, but no news.
+    const hasNews = limits.length > 0 || leaving.length > 0;
+    if (due === 'all' || hasNews) {
+      const versions = follower.copyVersions();
+      mesh.broadcast(toFar(heartbeatMessage(limits, leaving, versions)), 'far');
+    }
+  }
+
   function tellRestoreMemory(peer: VmRecord): void {
     const memory = fleet.restoreMemory();
     if (memory) {
@@ -151,10 +182,7 @@
     }
   }
 
-  function onHeartbeat(
-    from: VmRecord,
-    message: Extract<PeerMessage, {kind: 'heartbeat'}>,
-  ): void {
+  function onHeartbeat(from: VmRecord, message: Heartbeat): void {
     const reachAgeMs = message.targetReach?.ageMs;
     options.directory.recordHeartbeat(from.id, {
       isServing: message.serving,
@@ -176,30 +204,40 @@
   function heartbeatMessage(
     rateLimitReports: readonly RateLimitReport[],
     leavingReports: readonly LeavingReport[],
-  ): PeerMessage {
+    copyVersions: CopyVersions | undefined,
+  ): Heartbeat {
     const {demandMeter} = options.regionPlan;
     const {targetReach} = options;
     const isCutOff = targetReach.reach() === 'cut-off';
+    const watchAgeMs = roundUp(follower.watchAgeMs());
+    const reachAgeMs = roundUp(targetReach.reachedAgeMs());
+    // Each VM sends this to every other one several times a second, so what
+    // tells nothing is left out, and integers take fewer bytes than fractions.
     return {
       kind: 'heartbeat',
       serving: options.isServing(),
-      watchAgeMs: follower.watchAgeMs(),
       // Its clients go to other VMs, which tell of them.
       demand: isCutOff ? [] : [...demandMeter.demandByService(timers.nowMs())],
-      rateLimits: [...rateLimitReports],
-      copyVersions: follower.copyVersions(),
-      targetReach: {cutOff: isCutOff, ageMs: targetReach.reachedAgeMs()},
-      leavingTargets: [...leavingReports],
+      targetReach: {
+        cutOff: isCutOff,
+        ...(reachAgeMs !== undefined && {ageMs: reachAgeMs}),
+      },
+      ...(watchAgeMs !== undefined && {watchAgeMs}),
+      ...(copyVersions && {copyVersions}),
+      ...(rateLimitReports.length > 0 && {rateLimits: [...rateLimitReports]}),
+      ...(leavingReports.length > 0 && {leavingTargets: [...leavingReports]}),
     };
   }
 
   return {
     onPeerConnected,
     onMessage,
-    broadcastHeartbeat: () =>
-      mesh.broadcast(
-        heartbeatMessage(rateLimits.takeNews(), availability.takeNews()),
-      ),
+    sendDueHeartbeat: () => {
+      const isWatcher = (follower.watchAgeMs() ?? Infinity) < RECENT_WATCH_MS;
+      const due = schedule.next(mesh.knownPeers().length, isWatcher);
+      broadcastHeartbeat(due);
+    },
+    broadcastHeartbeat: () => broadcastHeartbeat('all'),
     copiesBehindMs: copyComparison.behindMs,
     tellStartedVms: () => {
       const sinceWallMs = timers.wallMs() - RECENT_START_MS;
@@ -211,3 +249,13 @@
     },
   };
 }
+
+/** States when a peer that needs fewer heartbeats gets the next one. */
+function toFar(heartbeat: Heartbeat): Heartbeat {
+  return {...heartbeat, nextWithinMs: FAR_HEARTBEAT_INTERVAL_MS};
+}
+
+/** Rounded up, so that nothing seems newer than it is. */
+function roundUp(ageMs: number | undefined): number | undefined {
+  return ageMs === undefined ? undefined : Math.ceil(ageMs);
+}
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -6,6 +6,8 @@
 import {WebSocket, WebSocketServer} from 'ws';
 import type {Logger, TimerHandle, TimerService} from '@ibisbeam/library';
 import type {HostAndPort} from '../core/settings.js';
+import type {TrafficMeter} from '../traffic_meter.js';
+import {type Audience, HEARTBEAT_INTERVAL_MS} from './heartbeat_schedule.js';
 import {
   type PeerMessage,
   type VmRecord,
@@ -20,6 +22,8 @@
   readonly seeds: readonly string[];
   readonly timers: TimerService;
   readonly log: Logger;
+  /** Counts what is sent. */
+  readonly traffic: Pick<TrafficMeter, 'record'>;
   /** Called when a peer gets a link; not when its link is replaced. */
   onPeerConnected(vm: VmRecord): void;
   onMessage(from: VmRecord, message: PeerMessage): void;
@@ -31,16 +35,24 @@
   addPeers(vms: readonly VmRecord[]): void;
   /** Drops the message if there is no link to the VM. */
   send(vmId: string, message: PeerMessage): void;
-  /** Sends the message to all peers with a link. */
-  broadcast(message: PeerMessage): void;
-  /** Peers from which a message was received in the last `spanMs`. */
+  /** Sends the message to peers with a link, by default to all of them. */
+  broadcast(message: PeerMessage, audience?: Audience): void;
+  /** Whether the VM is one of those that need fewer heartbeats. */
+  isFar(vmId: string): boolean;
+  /**
+   * Peers from which a message was received in the last `spanMs`, which is
+   * longer for those that have said that they send fewer heartbeats.
+   */
   peersHeardWithin(spanMs: number): readonly VmRecord[];
   /** All peers not removed yet, including those never reached. */
   knownPeers(): readonly VmRecord[];
   close(): void;
 }
 
-/** A link on which nothing was received for this time is closed. */
+/**
+ * A link on which nothing was received for this time is closed; later if the
+ * peer has said that it sends fewer heartbeats.
+ */
 const LINK_IDLE_TIMEOUT_MS = 1_500;
 /**
  * A new link replaces one that has been silent for longer: more than two
@@ -52,6 +64,18 @@
 /** Delay after the first failed dial, doubled on each further failure. */
 const INITIAL_REDIAL_DELAY_MS = 300;
 const MAXIMUM_REDIAL_DELAY_MS = 3_000;
+/**
+ * Two VMs that learn of each other at the same time would both dial. The one
+ * whose identifier sorts last leaves the other this time.
+ */
+const FIRST_DIAL_COURTESY_MS = 500;
+/**
+ * Peers told of in one greeting. All of them in every greeting would make the
+ * start of a fleet cost the cube of its size.
+ */
+const MAXIMUM_TOLD_PEERS = 16;
+/** Longest time between heartbeats that a peer may ask to be granted. */
+const MAXIMUM_HEARTBEAT_INTERVAL_MS = 2_000;
 /** Peers silent for longer are removed. */
 const PEER_RETENTION_MS = 60_000;
 const MAXIMUM_MESSAGE_BYTES = 16 * 1_048_576;
@@ -67,6 +91,10 @@
   failures: number;
   nextDialMs: number;
   lastReceivedMs: number;
+  /** Time by which its heartbeats are further apart than usual. */
+  slackMs: number;
+  /** Whether it needs fewer heartbeats from other regions. */
+  readsNextWithin: boolean;
 }
 
 export function createPeerMesh(options: PeerMeshOptions): PeerMesh {
@@ -75,8 +103,11 @@
   const packer = new Packr({useRecords: false});
   const links = new Set<WebSocket>();
   const linkLastReceivedMs = new WeakMap<WebSocket, number>();
+  const peerOfLink = new WeakMap<WebSocket, Peer>();
   const dialerIds = new WeakMap<WebSocket, string>();
   const nextSeedDialMs = new Map<string, number>();
+  /** Each greeting goes on where the one before ended. */
+  let nextToldPeer = 0;
   let server: WebSocketServer | undefined;
   let ticker: TimerHandle | undefined;
   let closed = false;
@@ -92,8 +123,11 @@
           record: vm,
           dialing: false,
           failures: 0,
-          nextDialMs: 0,
+          nextDialMs:
+            vm.id < self.id ? timers.nowMs() + FIRST_DIAL_COURTESY_MS : 0,
           lastReceivedMs: timers.nowMs() - PEER_RETENTION_MS / 2,
+          slackMs: 0,
+          readsNextWithin: false,
         });
         continue;
       }
@@ -106,8 +140,19 @@
   }
 
   function helloMessage(): PeerMessage {
-    const known = [...peers.values()].map(peer => peer.record);
-    return {kind: 'hello', vm: self, known};
+    const all = [...peers.values()];
+    const known: VmRecord[] = [];
+    for (let told = 0; told < all.length; told += 1) {
+      if (told === MAXIMUM_TOLD_PEERS) {
+        break;
+      }
+      const peer = all[nextToldPeer % all.length];
+      nextToldPeer += 1;
+      if (peer) {
+        known.push(peer.record);
+      }
+    }
+    return {kind: 'hello', vm: self, known, readsNextWithin: true};
   }
 
   function attachLink(
@@ -117,6 +162,7 @@
   ): void {
     links.add(link);
     linkLastReceivedMs.set(link, timers.nowMs());
+    const hello = packer.pack(helloMessage());
     let from: VmRecord | undefined;
     link.on('message', data => {
       linkLastReceivedMs.set(link, timers.nowMs());
@@ -128,7 +174,8 @@
       if (message.kind === 'hello') {
         from = message.vm;
         dialerIds.set(link, isOutbound ? self.id : message.vm.id);
-        onHello(link, message.vm, message.known);
+        options.traffic.record('hello', message.vm, hello.length);
+        onHello(link, message);
         return;
       }
       if (!from) {
@@ -138,6 +185,9 @@
       if (peer) {
         peer.lastReceivedMs = timers.nowMs();
       }
+      if (peer && message.kind === 'heartbeat') {
+        peer.slackMs = slackMs(message.nextWithinMs);
+      }
       options.onMessage(from, message);
     });
     link.on('close', () => {
@@ -152,13 +202,12 @@
         cause: error.message,
       });
     });
-    sendOn(link, helloMessage());
+    sendBytes(link, hello);
   }
 
   function onHello(
     link: WebSocket,
-    vm: VmRecord,
-    known: readonly VmRecord[],
+    {vm, known, readsNextWithin = false}: Extract<PeerMessage, {kind: 'hello'}>,
   ): void {
     if (vm.id === self.id) {
       link.terminate();
@@ -178,6 +227,9 @@
       existing.terminate();
     }
     peer.link = link;
+    peer.slackMs = 0;
+    peer.readsNextWithin = readsNextWithin;
+    peerOfLink.set(link, peer);
     peer.linkStartedWallMs = vm.startedWallMs;
     peer.failures = 0;
     peer.lastReceivedMs = timers.nowMs();
@@ -203,7 +255,7 @@
     }
     const silentMs =
       timers.nowMs() - (linkLastReceivedMs.get(existing) ?? -Infinity);
-    if (silentMs > LINK_SUSPECT_AFTER_MS) {
+    if (silentMs > LINK_SUSPECT_AFTER_MS + peer.slackMs) {
       return false;
     }
     return (dialerIds.get(existing) ?? '') < (dialerIds.get(link) ?? '');
@@ -231,20 +283,28 @@
     }
   }
 
-  function sendOn(link: WebSocket, message: PeerMessage): void {
-    sendBytes(link, packer.pack(message));
+  function sendTo(
+    {record, link}: Peer,
+    kind: PeerMessage['kind'],
+    bytes: Buffer,
+  ): void {
+    if (link && sendBytes(link, bytes)) {
+      options.traffic.record(kind, record, bytes.length);
+    }
   }
 
-  function sendBytes(link: WebSocket, bytes: Buffer): void {
+  /** Returns whether the link takes the bytes. */
+  function sendBytes(link: WebSocket, bytes: Buffer): boolean {
     if (link.readyState !== WebSocket.OPEN) {
-      return;
+      return false;
     }
     if (link.bufferedAmount > MAXIMUM_BACKLOG_BYTES) {
       log.log('warn', 'peer-backlog', {bytes: link.bufferedAmount});
       link.terminate();
-      return;
+      return false;
     }
     link.send(bytes);
+    return true;
   }
 
   function dial(host: string, onDone: (opened: boolean) => void): void {
@@ -273,10 +333,9 @@
   function tick(): void {
     const nowMs = timers.nowMs();
     for (const link of links) {
-      if (
-        nowMs - (linkLastReceivedMs.get(link) ?? nowMs) >
-        LINK_IDLE_TIMEOUT_MS
-      ) {
+      const silentMs = nowMs - (linkLastReceivedMs.get(link) ?? nowMs);
+      const graceMs = peerOfLink.get(link)?.slackMs ?? 0;
+      if (silentMs > LINK_IDLE_TIMEOUT_MS + graceMs) {
         link.terminate();
       }
     }
@@ -345,30 +404,49 @@
     });
   }
 
-  function broadcast(message: PeerMessage): void {
+  function broadcast(message: PeerMessage, audience: Audience = 'all'): void {
     const bytes = packer.pack(message);
     for (const peer of peers.values()) {
-      if (peer.link) {
-        sendBytes(peer.link, bytes);
+      if (isIn(audience, peer)) {
+        sendTo(peer, message.kind, bytes);
       }
     }
   }
 
+  function isIn(audience: Audience, peer: Peer): boolean {
+    switch (audience) {
+      case 'all':
+        return true;
+      case 'near':
+        return !isFar(peer);
+      case 'far':
+        return isFar(peer);
+    }
+  }
+
+  function isFar({record, readsNextWithin}: Peer): boolean {
+    return readsNextWithin && record.region !== self.region;
+  }
+
   return {
     listen,
     addPeers,
     send: (vmId, message) => {
-      const link = peers.get(vmId)?.link;
-      if (link) {
-        sendOn(link, message);
+      const peer = peers.get(vmId);
+      if (peer) {
+        sendTo(peer, message.kind, packer.pack(message));
       }
     },
     broadcast,
+    isFar: vmId => {
+      const peer = peers.get(vmId);
+      return peer !== undefined && isFar(peer);
+    },
     peersHeardWithin: spanMs => {
       const sinceMs = timers.nowMs() - spanMs;
       const heard: VmRecord[] = [];
       for (const peer of peers.values()) {
-        if (peer.lastReceivedMs >= sinceMs) {
+        if (peer.lastReceivedMs >= sinceMs - peer.slackMs) {
           heard.push(peer.record);
         }
       }
@@ -385,3 +463,8 @@
     },
   };
 }
+
+function slackMs(nextWithinMs = HEARTBEAT_INTERVAL_MS): number {
+  const intervalMs = Math.min(MAXIMUM_HEARTBEAT_INTERVAL_MS, nextWithinMs);
+  return Math.max(0, intervalMs - HEARTBEAT_INTERVAL_MS);
+}
--- a/packages/gateway/src/peers/vm_registration.ts
+++ b/packages/gateway/src/peers/vm_registration.ts
@@ -48,6 +48,8 @@
   } as const;
   const ages = createRegistrationAges(REGISTRATION_LIFETIME_MS);
   let registered = false;
+  /** Whether a current list has been read since the last registration. */
+  let hasCurrentList = false;
   let timer: TimerHandle | undefined;
   let stopped = false;
   let isRefreshing = false;
@@ -70,14 +72,20 @@
     }
   }
 
-  async function addPeersFromStore(): Promise<boolean> {
-    const listed = await store.list(kind, callOptions).run();
+  /** Returns whether the store has answered. */
+  async function addPeersFromStore(mayBeStale: boolean): Promise<boolean> {
+    const listed = await store.list(kind, {...callOptions, mayBeStale}).run();
     return listed.caseOf({
-      Left: () => false,
-      Right: ({objects}) => {
+      Left: async () => false,
+      Right: async ({objects}) => {
         mesh.addPeers(objects.flatMap(readRecord));
+        const isListed = objects.some(({key}) => key === ownKey);
+        if (mayBeStale && !isListed) {
+          return addPeersFromStore(false);
+        }
+        hasCurrentList ||= !mayBeStale;
         // Another VM may have taken this one for gone, or the store lost it.
-        registered &&= objects.some(({key}) => key === ownKey);
+        registered &&= isListed;
         void removeStale(objects);
         return true;
       },
@@ -113,7 +121,8 @@
     if (!registered) {
       await register();
     }
-    const listed = await addPeersFromStore();
+    // Later lists only bring up peers that no other peer has told of.
+    const listed = await addPeersFromStore(hasCurrentList);
     isRefreshing = false;
     if (stopped) {
       return;
@@ -126,6 +135,7 @@
     start: () => void refresh(),
     renew: () => {
       registered = false;
+      hasCurrentList = false;
       // A refresh that is under way sees it when it ends.
       if (!isRefreshing && !stopped) {
         void refresh();
--- a/packages/gateway/src/store/store_follower.ts
+++ b/packages/gateway/src/store/store_follower.ts
@@ -6,6 +6,7 @@
 import {
   type MirrorBatch,
   type MirrorChange,
+  type MirrorEvent,
   type MirroredObject,
   type StoreMirror,
   type WatcherSelection,
@@ -93,6 +94,15 @@
 const LIST_TIMEOUT_MS = 1_500;
 /** Pause between watches, so that changes in quick succession are batched. */
 const PAUSE_AFTER_CHANGE_MS = 120;
+/** The same at watchers that only stand by for the first one. */
+const STANDBY_PAUSE_AFTER_CHANGE_MS = 400;
+/** Time in which the first watcher's message of a change usually arrives. */
+const STANDBY_BROADCAST_DELAY_MS = 150;
+/**
+ * A copy without changes moves on to the store's version this often. The store
+ * forgets its history within some seconds, and a watch from before fails.
+ */
+const IDLE_ADVANCE_INTERVAL_MS = 5_000;
 const SELECTION_CHECK_INTERVAL_MS = 100;
 const INITIAL_BACKOFF_MS = 100;
 const MAXIMUM_BACKOFF_MS = 800;
@@ -120,6 +130,10 @@
   pendingListing?: PendingListing;
   confirmedAtMs: number;
   needsList: boolean;
+  /** When the copy's version changed last. */
+  advancedAtMs: number;
+  /** Version up to which peers have passed changes on. */
+  toldVersion: number;
 }
 
 export function createStoreFollower(
@@ -133,6 +147,8 @@
       mirror: createStoreMirror(),
       confirmedAtMs: -Infinity,
       needsList: true,
+      advancedAtMs: -Infinity,
+      toldVersion: -Infinity,
     });
   }
   let stopped = false;
@@ -266,10 +282,10 @@
   function applyListing(
     followed: FollowedKind,
     listing: PlatformListing,
-  ): void {
+  ): MirrorChange {
     onSuccess(followed);
     followed.needsList = false;
-    applySnapshot(followed, {
+    return applySnapshot(followed, {
       version: listing.version,
       objects: listing.objects.map(toMirroredObject),
     });
@@ -294,7 +310,13 @@
         return backoffMs();
       },
       Right: listing => {
-        applyListing(followed, listing);
+        const from = followed.mirror.version();
+        const change = applyListing(followed, listing);
+        if (from >= 0 && storeEraOf(from) === storeEraOf(listing.version)) {
+          // Peers need only what the watches have missed.
+          passOn(followed, batchOf(change, from, listing.version));
+          return 0;
+        }
         const message = snapshotMessage(followed.kind);
         if (message) {
           options.broadcast(message);
@@ -321,7 +343,8 @@
       },
       Right: changes => {
         onSuccess(followed);
-        if (changes.changes.length === 0) {
+        const isEmpty = changes.changes.length === 0;
+        if (isEmpty && !isAdvanceDue(followed, changes.version)) {
           return 0;
         }
         const batch: MirrorBatch = {
@@ -330,26 +353,62 @@
           events: changes.changes.map(toMirrorEvent),
         };
         applyBatch(followed, batch);
-        options.broadcast({
-          kind: 'batch',
-          of: followed.kind,
-          from,
-          version: batch.version,
-          events: [...batch.events],
-          settlingMs: settlingMs(),
-        });
-        return PAUSE_AFTER_CHANGE_MS;
+        passOn(followed, batch);
+        if (isEmpty) {
+          return 0;
+        }
+        return options.watcherSelection.isFirst()
+          ? PAUSE_AFTER_CHANGE_MS
+          : STANDBY_PAUSE_AFTER_CHANGE_MS;
       },
     });
   }
 
+  function isAdvanceDue(
+    {mirror, advancedAtMs}: FollowedKind,
+    version: number,
+  ): boolean {
+    return (
+      version > mirror.version() &&
+      timers.nowMs() - advancedAtMs >= IDLE_ADVANCE_INTERVAL_MS
+    );
+  }
+
+  /** A watcher that stands by speaks only if the first one has not. */
+  function passOn(followed: FollowedKind, batch: MirrorBatch): void {
+    if (batch.version <= batch.from) {
+      return;
+    }
+    const broadcastBatch = (): void =>
+      options.broadcast({
+        kind: 'batch',
+        of: followed.kind,
+        from: batch.from,
+        version: batch.version,
+        events: [...batch.events],
+        settlingMs: settlingMs(),
+      });
+    if (options.watcherSelection.isFirst()) {
+      broadcastBatch();
+      return;
+    }
+    timers.after(STANDBY_BROADCAST_DELAY_MS, () => {
+      if (!stopped && followed.toldVersion < batch.version) {
+        broadcastBatch();
+      }
+    });
+  }
+
   function applySnapshot(
     followed: FollowedKind,
     snapshot: {version: number; objects: readonly MirroredObject[]},
-  ): void {
+  ): MirrorChange {
+    followed.advancedAtMs = timers.nowMs();
     restoreProgress.onSnapshot(followed.mirror.version(), snapshot.version);
-    notifyChange(followed, followed.mirror.applySnapshot(snapshot));
+    const change = followed.mirror.applySnapshot(snapshot);
+    notifyChange(followed, change);
     restoreProgress.onApplied(mirrorVersions());
+    return change;
   }
 
   function mirrorVersions(): readonly number[] {
@@ -361,6 +420,7 @@
     if (change === 'gap') {
       return false;
     }
+    followed.advancedAtMs = timers.nowMs();
     notifyChange(followed, change);
     return true;
   }
@@ -404,6 +464,7 @@
           followed.needsList && followed.mirror.version() < 0;
         return true;
       case 'batch':
+        followed.toldVersion = Math.max(followed.toldVersion, message.version);
         return applyBatch(followed, {
           from: message.from,
           version: message.version,
@@ -462,3 +523,18 @@
     receive,
   };
 }
+
+function batchOf(
+  change: MirrorChange,
+  from: number,
+  version: number,
+): MirrorBatch {
+  const events: MirrorEvent[] = [];
+  for (const object of change.put) {
+    events.push({kind: 'put', object});
+  }
+  for (const name of change.removed) {
+    events.push({kind: 'deleted', name, version});
+  }
+  return {from, version, events};
+}
--- a/packages/gateway/src/target_reach.ts
+++ b/packages/gateway/src/target_reach.ts
@@ -117,10 +117,13 @@
     ) {
       takeCandidates(targets, nowMs);
     }
-    const peerReachedAtMs = options.peerReachedAtMs();
+    // A VM that reaches targets need not look through all peers each time.
+    const peerReachedAtMs =
+      reach === 'reaching' ? undefined : options.peerReachedAtMs();
+    const hasPeers = isReady || options.hasPeers();
     const failingSinceMs = reachability.failingSinceMs();
     const decision = reachability.update(
-      {targets: candidates, hasPeers: options.hasPeers(), peerReachedAtMs},
+      {targets: candidates, hasPeers, peerReachedAtMs},
       nowMs,
     );
     for (const {incarnation} of decision.probes) {
--- a/packages/gateway/test/golden/sample_messages.ts
+++ b/packages/gateway/test/golden/sample_messages.ts
@@ -28,7 +28,7 @@
 export const SAMPLE_MESSAGES: {
   readonly [Kind in PeerMessage['kind']]: Extract<PeerMessage, {kind: Kind}>;
 } = {
-  hello: {kind: 'hello', vm: VM, known: [VM]},
+  hello: {kind: 'hello', vm: VM, known: [VM], readsNextWithin: true},
   heartbeat: {
     kind: 'heartbeat',
     serving: true,
@@ -38,6 +38,7 @@
     copyVersions: {targets: 12, configuration: 3, evacuations: 1},
     targetReach: {cutOff: false, ageMs: 10},
     leavingTargets: [{incarnation: 'i-2@1', ageMs: 40}],
+    nextWithinMs: 1_200,
   },
   'want-snapshot': {kind: 'want-snapshot', of: 'targets'},
   'confirm-copies': {kind: 'confirm-copies', askedAtMs: 900},
--- a/packages/gateway/test/peer_mesh.test.ts
+++ b/packages/gateway/test/peer_mesh.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {
   type AddressInfo,
   type Server,
@@ -11,6 +12,8 @@
   createKeyValueLogger,
   createSystemTimerService,
 } from '@ibisbeam/library';
+import {Packr} from 'msgpackr';
+import {WebSocket} from 'ws';
 import type {PeerMessage, VmRecord} from '../src/peers/messages.js';
 import {type PeerMesh, createPeerMesh} from '../src/peers/peer_mesh.js';
 
@@ -44,7 +47,12 @@
     }
   });
 
-  function startVm(id: string, host: string, port: number): Vm {
+  function startVm(
+    id: string,
+    host: string,
+    port: number,
+    seeds: readonly string[] = [],
+  ): Vm {
     const record: VmRecord = {
       id,
       startedWallMs: 1,
@@ -56,8 +64,9 @@
     const mesh = createPeerMesh({
       self: record,
       listen: {host, port},
-      seeds: [],
+      seeds,
       timers,
+      traffic: {record: () => {}},
       log: createKeyValueLogger({
         level: 'warn',
         fields: {},
@@ -76,16 +85,14 @@
   it('keep the same link if they dial each other at the same moment', async () => {
     const port = await freePort();
     const network = `127.${1 + ((process.pid >> 8) % 250)}.${process.pid % 256}`;
-    const one = startVm('edge-1', `${network}.1`, port);
-    const other = startVm('edge-2', `${network}.2`, port);
+    const one = startVm('edge-1', `${network}.1`, port, [`${network}.12`]);
+    const other = startVm('edge-2', `${network}.2`, port, [`${network}.11`]);
     for (const [index, {record}] of [one, other].entries()) {
       proxies.push(
         await startDelayingProxy(`${network}.${11 + index}`, record.host, port),
       );
     }
     await Promise.all([one.mesh.listen(), other.mesh.listen()]);
-    one.mesh.addPeers([{...other.record, host: `${network}.12`}]);
-    other.mesh.addPeers([{...one.record, host: `${network}.11`}]);
     const endsAtMs = timers.nowMs() + OBSERVATION_MS;
     while (timers.nowMs() < endsAtMs) {
       for (const {mesh} of running) {
@@ -103,6 +110,90 @@
     }
   });
 
+  // Guards against a start of the fleet whose bytes grow with its cube.
+  it('name a bounded number of peers in a greeting, each time others', async () => {
+    const port = await freePort();
+    const network = `127.${1 + ((process.pid >> 8) % 250)}.${process.pid % 256}`;
+    const {mesh, record} = startVm('edge-1', `${network}.1`, port);
+    const known = Array.from({length: 48}, (_unused, index) => ({
+      ...record,
+      id: `edge-${100 + index}`,
+      host: `${network}.2`,
+    }));
+    await mesh.listen();
+    mesh.addPeers(known);
+    const named = new Set<string>();
+    for (let greeting = 0; greeting < 3; greeting += 1) {
+      const {known: told} = await readGreeting(record.host, port);
+      assert.equal(told.length, 16);
+      for (const vm of told) {
+        named.add(vm.id);
+      }
+    }
+    assert.equal(named.size, known.length);
+  });
+
+  it('leave the first dial to the one whose identifier sorts first', async () => {
+    const port = await freePort();
+    const network = `127.${1 + ((process.pid >> 8) % 250)}.${process.pid % 256}`;
+    const [one, last] = [
+      startVm('edge-1', `${network}.1`, port),
+      startVm('edge-2', `${network}.2`, port),
+    ];
+    await last.mesh.listen();
+    last.mesh.addPeers([one.record]);
+    await one.mesh.listen();
+    await timers.sleep(400);
+    assert.equal(last.links, 0);
+    await timers.sleep(600);
+    assert.equal(last.links, 1);
+  });
+
+  // Guards against VMs of other regions that seem gone between heartbeats.
+  it('wait longer for a peer that has said that it sends less often', async () => {
+    const port = await freePort();
+    const network = `127.${1 + ((process.pid >> 8) % 250)}.${process.pid % 256}`;
+    const {mesh, record} = startVm('edge-1', `${network}.1`, port);
+    await mesh.listen();
+    const heartbeat = {kind: 'heartbeat', serving: true, demand: []};
+    const links = [
+      await greet(record, port, 'edge-usual', heartbeat),
+      await greet(record, port, 'edge-seldom', {
+        ...heartbeat,
+        nextWithinMs: 1_200,
+      }),
+      // No peer may ask for more than a bounded time.
+      await greet(record, port, 'edge-greedy', {
+        ...heartbeat,
+        nextWithinMs: 1e9,
+      }),
+    ];
+    await timers.sleep(2_000);
+    const heard = mesh.peersHeardWithin(1_500).map(({id}) => id);
+    assert.deepEqual(heard.sort(), ['edge-greedy', 'edge-seldom']);
+    const open = links.map(link => link.readyState === WebSocket.OPEN);
+    assert.deepEqual(open, [false, true, true]);
+    await timers.sleep(1_600);
+    assert.deepEqual(mesh.peersHeardWithin(1_500), []);
+  });
+
+  it('tell apart peers of other regions that need fewer heartbeats', async () => {
+    const port = await freePort();
+    const network = `127.${1 + ((process.pid >> 8) % 250)}.${process.pid % 256}`;
+    const {mesh, record} = startVm('edge-1', `${network}.1`, port);
+    await mesh.listen();
+    const far = {region: 'kurzeme', zone: 'kurz-a'};
+    const heartbeat = {kind: 'heartbeat', serving: true, demand: []};
+    await greet({...record, ...far}, port, 'edge-far', heartbeat, true);
+    await greet({...record, ...far}, port, 'edge-older', heartbeat);
+    await greet(record, port, 'edge-near', heartbeat, true);
+    assert.deepEqual(['edge-far', 'edge-older', 'edge-near'].map(mesh.isFar), [
+      true,
+      false,
+      false,
+    ]);
+  });
+
   // Guards against links that end, or peers that fall silent, while VMs of a
   // newer build send what this one does not know.
   it('ignore messages and fields of newer builds and keep their link', async () => {
@@ -139,6 +230,40 @@
   });
 });
 
+/** Connects to a VM as a peer that sends one message and falls silent. */
+async function greet(
+  place: VmRecord,
+  port: number,
+  id: string,
+  message: unknown,
+  readsNextWithin?: boolean,
+): Promise<WebSocket> {
+  const link = new WebSocket(`ws://${place.host}:${port}`);
+  await once(link, 'open');
+  const packer = new Packr({useRecords: false});
+  // Nobody listens at the address to which the VM would dial.
+  const vm = {...place, id, host: '127.255.255.254'};
+  const hello = {kind: 'hello', vm, known: []};
+  link.send(packer.pack(readsNextWithin ? {...hello, readsNextWithin} : hello));
+  link.send(packer.pack(message));
+  await timers.sleep(HEARTBEAT_INTERVAL_MS / 2);
+  return link;
+}
+
+/** Connects to a VM and returns what it says first. */
+async function readGreeting(
+  host: string,
+  port: number,
+): Promise<Extract<PeerMessage, {kind: 'hello'}>> {
+  const link = new WebSocket(`ws://${host}:${port}`);
+  const [data] = (await once(link, 'message')) as [Buffer];
+  link.terminate();
+  return new Packr({useRecords: false}).unpack(data) as Extract<
+    PeerMessage,
+    {kind: 'hello'}
+  >;
+}
+
 /** Listens at one host and forwards to another with the one-way delay. */
 function startDelayingProxy(
   host: string,
--- a/packages/gateway/test/vm_registration.test.ts
+++ b/packages/gateway/test/vm_registration.test.ts
@@ -24,6 +24,8 @@
 function createFixture(heardIds: readonly string[] = ['live']) {
   const objects = new Map<string, PlatformObject>();
   let nowMs = 0;
+  const listedStale: boolean[] = [];
+  let staleObjects: readonly PlatformObject[] | undefined;
   let due: {readonly atMs: number; readonly run: () => void} | undefined;
   const store = {
     create: (key: string, value: unknown) =>
@@ -34,10 +36,12 @@
       ),
     update: (key: string, _version: number, value: unknown) =>
       EitherAsync.liftEither(Right(put(key, value))),
-    list: () =>
-      EitherAsync.liftEither(
-        Right({objects: [...objects.values()], version: 1}),
-      ),
+    list: (_kind: string, {mayBeStale}: {mayBeStale: boolean}) => {
+      listedStale.push(mayBeStale);
+      const current = [...objects.values()];
+      const listed = mayBeStale ? (staleObjects ?? current) : current;
+      return EitherAsync.liftEither(Right({objects: listed, version: 1}));
+    },
     delete: (key: string, version: number) => {
       if (objects.get(key)?.version === version) {
         objects.delete(key);
@@ -82,6 +86,12 @@
     put,
     registration,
     settle,
+    /** Whether each list that was asked for was allowed to be stale. */
+    listedStale,
+    /** What a stale list brings from now on. */
+    setStaleObjects: (list: readonly PlatformObject[]) => {
+      staleObjects = list;
+    },
     /** Runs the pending refresh and lets its store calls end. */
     runNext: async () => {
       assert.ok(due);
@@ -121,6 +131,28 @@
     assert.ok(objects.has(`${KIND}/other`));
   });
 
+  // Guards against calls to the store that grow with the fleet.
+  it('reads only the first list in its current state', async () => {
+    const {registration, settle, runNext, listedStale} = createFixture();
+    registration.start();
+    await settle();
+    await runNext();
+    await runNext();
+    assert.deepEqual(listedStale, [false, true, true]);
+  });
+
+  it('is not repeated because of a list that is too old', async () => {
+    const {objects, registration, settle, runNext, ...fixture} =
+      createFixture();
+    registration.start();
+    await settle();
+    const version = objects.get(`${KIND}/self`)?.version;
+    fixture.setStaleObjects([]);
+    await runNext();
+    assert.deepEqual(fixture.listedStale, [false, true, false]);
+    assert.equal(objects.get(`${KIND}/self`)?.version, version);
+  });
+
   it('is repeated when the store no longer lists this VM', async () => {
     const {objects, registration, settle, runNext} = createFixture();
     registration.start();
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -59,6 +59,7 @@
   | 'peer-link-failed'
   | 'peer-backlog'
   | 'lines-dropped'
+  | 'traffic'
   | 'crash-suspected'
   | 'copy-behind'
   | 'copies-unconfirmed'
--- a/packages/library/src/core/platform/types.ts
+++ b/packages/library/src/core/platform/types.ts
@@ -81,6 +81,14 @@
   readonly timeoutMs?: number;
 }
 
+export interface PlatformListOptions extends PlatformCallOptions {
+  /**
+   * The list may be some seconds old, which costs the store less. Default:
+   * false.
+   */
+  readonly mayBeStale?: boolean;
+}
+
 export interface PlatformWatchOptions extends PlatformCallOptions {
   /** Longest wait for a change. */
   readonly waitMs: number;
@@ -117,7 +125,7 @@
   /** Lists the objects whose keys start with the prefix. */
   list(
     prefix: string,
-    options: PlatformCallOptions,
+    options: PlatformListOptions,
   ): EitherAsync<PlatformError, PlatformListing>;
   /** Long poll for changes after a version; counted as one call. */
   watch(
--- a/packages/stand_ins/src/core/object_platform/object_store.ts
+++ b/packages/stand_ins/src/core/object_platform/object_store.ts
@@ -76,6 +76,8 @@
 /** Kinds that are written by the operator and the targets. */
 const REWRITTEN_KINDS = ['config', 'evacuations', 'servers'];
 const FIRST_REVISION = 100;
+/** Age that lists may have if the caller allows it. */
+const STALE_MS = 2_000;
 const OBJECTS_PATTERN = /^\/objects\/([^/]+)(?:\/([^/]+))?$/;
 
 export async function startStandInObjectStore(
@@ -88,6 +90,7 @@
   let revision = FIRST_REVISION;
   let oldestWatchable = FIRST_REVISION;
   let fault: StoreFault = {kind: 'none'};
+  let staleCopy: StoreCopy | undefined;
   let calls = 0;
   const waiters = new Set<Waiter>();
 
@@ -203,16 +206,30 @@
       return;
     }
     const after = query.get('after') ?? '';
-    const rest = [...objectsOfKind(kind).values()]
+    const {revision: listedRevision, objects: listed} = query.has('allow_stale')
+      ? staleObjects()
+      : {revision, objects};
+    const rest = [...(listed.get(kind)?.values() ?? [])]
       .filter(object => object.name > after)
       .sort((one, other) => (one.name < other.name ? -1 : 1));
     send(outgoing, 200, {
       items: rest.slice(0, PAGE_SIZE).map(toWire),
       has_more: rest.length > PAGE_SIZE,
-      store_revision: revision,
+      store_revision: listedRevision,
     });
   }
 
+  /** All objects as they were up to `STALE_MS` ago. */
+  function staleObjects(): StoreCopy {
+    if (!staleCopy) {
+      staleCopy = {revision, objects: copyObjects()};
+      timers.after(STALE_MS, () => {
+        staleCopy = undefined;
+      });
+    }
+    return staleCopy;
+  }
+
   function serveWatch(
     kind: string,
     after: number,
@@ -312,6 +329,7 @@
 
   function restore(copy: StoreCopy): void {
     const lost = objects;
+    staleCopy = undefined;
     objects = new Map();
     for (const [kind, byName] of copy.objects) {
       objects.set(kind, new Map(byName));
