Keep large answers in the zone, and probe long runs only when overdue

- key_home.ts: a key of large responses has a target in each zone that has four targets of the service or more.
On smaller deployments nothing changes.
- run_ledger.ts: an open run makes its target silent after 1.25 times the time expected without a cache, between 1 and 3 s.
- region_shares.ts: regions whose requests have time for the way (objective over 450 ms) keep work up to 40 to 60 % of their slots, not 60 %.

--- a/packages/decision/src/core/placement/affinity_placement.ts
+++ b/packages/decision/src/core/placement/affinity_placement.ts
@@ -1,13 +1,14 @@
 /**
  * Chooses the target with the lowest expected cost, in milliseconds, for a
- * request. Rendezvous hashing of the affinity key ranks the targets of a
- * region identically on every VM, so each key is cached at few targets. Load,
+ * request. Rendezvous hashing of the affinity key ranks the targets of a region
+ * or zone identically on every VM, so each key is cached at few targets. Load,
  * distance and health override the ranking only when another target is
  * expected to cost less.
  */
 import {hash32} from '../hashing/index.js';
 import type {RegisteredTarget, TargetRegistry} from '../fleet_targets/index.js';
 import type {RandomSource} from '../model/index.js';
+import {type KeyHome, createKeyHomes} from './key_home.js';
 import type {RegionShares} from './region_shares.js';
 import type {StatedAvailability} from '../target_availability/index.js';
 import type {ServiceTimes} from './service_times.js';
@@ -23,6 +24,8 @@
   readonly affinityKey?: string;
   /** The only regions that may run the request; empty if any region may. */
   readonly homeRegions: readonly string[];
+  /** Whether the route's kind tells that its responses are large. */
+  readonly isDownload: boolean;
   /** Target incarnations that this request was already sent to. */
   readonly excludedIncarnations: ReadonlySet<string>;
 }
@@ -31,6 +34,8 @@
   readonly target: RegisteredTarget;
   /** Expected time until the response, including `waitMs` and `roundTripMs`. */
   readonly expectedMs: number;
+  /** As `expectedMs`, if the target turns out not to have the key cached. */
+  readonly expectedMissMs: number;
   /** Expected wait for a slot, including `delayMs`. */
   readonly waitMs: number;
   /** Average time by which recent responses took longer than expected. */
@@ -112,6 +117,15 @@
   readonly responseBytes: number;
 }
 
+/** What is the same for all candidates of a request. */
+interface PlacementGoal {
+  readonly request: PlacementRequest;
+  readonly assignedRegion: string;
+  /** Where targets remember the request's affinity key. */
+  readonly keyHome: KeyHome;
+  readonly expected: Expectations;
+}
+
 interface ScoredPlacement {
   readonly cost: number;
   readonly placement: Placement;
@@ -140,7 +154,11 @@
     parameters,
     statedAvailability,
   } = dependencies;
-  const shortlist = createTargetShortlist();
+  const shortlists = {
+    region: createTargetShortlist('region'),
+    zone: createTargetShortlist('zone'),
+  };
+  const keyHomes = createKeyHomes(dependencies);
 
   /** Round-trip time to a target and cost of the traffic. */
   function distance(target: RegisteredTarget, responseBytes: number): Distance {
@@ -183,21 +201,30 @@
     const {service, affinityKey} = request;
     const targets = registry.usable(service);
     const assignedRegion = assignRegion(request);
+    const goal: PlacementGoal = {
+      request,
+      assignedRegion,
+      keyHome: keyHomes.homeOf(
+        {
+          service,
+          assignedRegion,
+          responseBytes: serviceTimes.responseBytes(request.route),
+          isDownload: request.isDownload,
+        },
+        targets,
+      ),
+      expected: expectationsOf(request),
+    };
     if (affinityKey === undefined) {
-      return chooseAmong(
-        sampleTargets(targets),
-        request,
-        assignedRegion,
-        nowMs,
-      );
+      return chooseAmong(sampleTargets(targets), goal, nowMs);
     }
+    const shortlist = shortlists[goal.keyHome.kind];
     return (
       chooseAmong(
         shortlist.candidates(service, targets, affinityKey),
-        request,
-        assignedRegion,
+        goal,
         nowMs,
-      ) ?? chooseAmong(targets.map(unranked), request, assignedRegion, nowMs)
+      ) ?? chooseAmong(targets.map(unranked), goal, nowMs)
     );
   }
 
@@ -222,18 +249,17 @@
 
   function chooseAmong(
     candidates: readonly RankedTarget[],
-    request: PlacementRequest,
-    assignedRegion: string,
+    goal: PlacementGoal,
     nowMs: number,
   ): Placement | undefined {
-    const expected = expectationsOf(request);
+    const {request, assignedRegion} = goal;
     let bestInAssigned: ScoredPlacement | undefined;
     let best: ScoredPlacement | undefined;
     for (const candidate of candidates) {
       if (!isEligible(candidate.target, request, nowMs)) {
         continue;
       }
-      const scored = score(candidate, request, expected, assignedRegion, nowMs);
+      const scored = score(candidate, goal, nowMs);
       if (!best || scored.cost < best.cost) {
         best = scored;
       }
@@ -295,16 +321,15 @@
 
   function score(
     {target, rank}: RankedTarget,
-    request: PlacementRequest,
-    {cacheHitMs, cacheMissMs, responseBytes}: Expectations,
-    assignedRegion: string,
+    {request, keyHome, expected}: PlacementGoal,
     nowMs: number,
   ): ScoredPlacement {
-    const {incarnation, region, entry} = target;
+    const {incarnation, entry} = target;
     const {service, affinityKey} = request;
+    const {cacheHitMs, cacheMissMs, responseBytes} = expected;
     const warm =
       affinityKey === undefined ||
-      (rank === 0 && region === assignedRegion) ||
+      (rank === 0 && isWithin(target, keyHome)) ||
       warmKeys.isWarm(incarnation, service, affinityKey, nowMs);
     const slowdown = targetLoad.slowdown(incarnation);
     const runMs = (warm ? cacheHitMs : cacheMissMs) * slowdown;
@@ -314,6 +339,7 @@
     const waitMs = (queued / entry.slots) * cacheHitMs * slowdown + delayMs;
     const {roundTripMs, costMs} = distance(target, responseBytes);
     const expectedMs = roundTripMs + waitMs + runMs;
+    const expectedMissMs = roundTripMs + waitMs + cacheMissMs * slowdown;
     const utilization = Math.min(1, inFlight / entry.slots);
     const isDiscouraged =
       statedAvailability.availability(incarnation, nowMs) === 'discouraged';
@@ -328,13 +354,30 @@
       inFlight / entry.slots;
     return {
       cost,
-      placement: {target, expectedMs, waitMs, delayMs, roundTripMs, warm},
+      placement: {
+        target,
+        expectedMs,
+        expectedMissMs,
+        waitMs,
+        delayMs,
+        roundTripMs,
+        warm,
+      },
     };
   }
 
   return {choose};
 }
 
+function isWithin(target: RegisteredTarget, keyHome: KeyHome): boolean {
+  switch (keyHome.kind) {
+    case 'region':
+      return target.region === keyHome.region;
+    case 'zone':
+      return target.entry.zone === keyHome.zone;
+  }
+}
+
 function unranked(target: RegisteredTarget): RankedTarget {
   return {target, rank: Infinity};
 }
--- a/packages/decision/src/core/placement/index.ts
+++ b/packages/decision/src/core/placement/index.ts
@@ -7,4 +7,5 @@
 export * from './client_retry_detector.js';
 export * from './dispatch_rule.js';
 export * from './target_shortlist.js';
+export * from './key_home.js';
 export * from './dispatch_queue.js';
--- a/packages/decision/src/core/placement/region_shares.ts
+++ b/packages/decision/src/core/placement/region_shares.ts
@@ -24,11 +24,14 @@
   /**
    * @param capacities Capacity of every region for the service; the region of
    *     this VM may be missing.
+   * @param objectiveMs Shortest latency objective of the service's routes;
+   *     undefined if it has none.
    */
   update(
     service: string,
     capacities: ReadonlyMap<string, RegionCapacity>,
     nowMs: number,
+    objectiveMs?: number,
   ): void;
   /**
    * Returns the region that runs a request.
@@ -43,8 +46,16 @@
   localShare(service: string): number;
 }
 
-/** Utilization up to which a region runs all of its own requests. */
-const DESIRED_UTILIZATION = 0.6;
+/**
+ * Utilization up to which a region runs all of its own requests. A queue at home
+ * costs requests more of their objective than the way to another region does,
+ * so regions whose requests have time for the way keep less.
+ */
+const MINIMUM_DESIRED_UTILIZATION = 0.4;
+const MAXIMUM_DESIRED_UTILIZATION = 0.6;
+/** Fraction of the objective from which on the way counts in full. */
+const FAR_OBJECTIVE_FRACTION = 0.1;
+const REGION_ROUND_TRIP_MS = 45;
 
 /** Fraction of the requests that run in each region; they add up to 1. */
 type Distribution = ReadonlyMap<string, number>;
@@ -65,12 +76,17 @@
     service: string,
     measured: ReadonlyMap<string, RegionCapacity>,
     nowMs: number,
+    objectiveMs?: number,
   ): void {
     const before = sharesByService.get(service);
     const capacities = hasDemand(measured)
       ? measured
       : withAssumedDemand(measured);
-    const desired = desiredDistribution(capacities, localRegion);
+    const desired = desiredDistribution(
+      capacities,
+      localRegion,
+      desiredUtilization(objectiveMs),
+    );
     const passedSeconds = before ? (nowMs - before.updatedAtMs) / 1_000 : 0;
     const maximumShift = hasDemand(measured)
       ? options.maximumShiftPerSecond * Math.min(1, passedSeconds)
@@ -127,8 +143,9 @@
 function desiredDistribution(
   capacities: ReadonlyMap<string, RegionCapacity>,
   localRegion: string,
+  desired: number,
 ): Distribution {
-  const limit = utilizationLimit(capacities);
+  const limit = utilizationLimit(capacities, desired);
   const remoteShares = remoteHeadroom(capacities, localRegion, limit);
   const local = desiredLocalShare(
     capacities.get(localRegion),
@@ -220,9 +237,22 @@
   return assumed;
 }
 
-/** `DESIRED_UTILIZATION`, or the overall utilization if that is higher. */
+function desiredUtilization(objectiveMs: number | undefined): number {
+  if (objectiveMs === undefined) {
+    return MAXIMUM_DESIRED_UTILIZATION;
+  }
+  const wayFraction = REGION_ROUND_TRIP_MS / objectiveMs;
+  const range = MAXIMUM_DESIRED_UTILIZATION - MINIMUM_DESIRED_UTILIZATION;
+  return (
+    MINIMUM_DESIRED_UTILIZATION +
+    range * Math.min(1, wayFraction / FAR_OBJECTIVE_FRACTION)
+  );
+}
+
+/** The desired utilization, or the overall one if that is higher. */
 function utilizationLimit(
   capacities: ReadonlyMap<string, RegionCapacity>,
+  desired: number,
 ): number {
   let demand = 0;
   let slots = 0;
@@ -231,9 +261,9 @@
     slots += capacity.slots;
   }
   if (slots === 0) {
-    return DESIRED_UTILIZATION;
+    return desired;
   }
-  return Math.max(DESIRED_UTILIZATION, demand / slots);
+  return Math.max(desired, demand / slots);
 }
 
 function remoteHeadroom(
--- a/packages/decision/src/core/quarantine/run_ledger.ts
+++ b/packages/decision/src/core/quarantine/run_ledger.ts
@@ -11,6 +11,8 @@
   /** Name of the target's incarnation. */
   readonly target: string;
   readonly sentAtMs: number;
+  /** Time from then on until its answer is expected, if nothing is cached. */
+  readonly expectedMs: number;
   /** When the target stops work on it by itself, at the latest. */
   readonly givesUpAtMs: number;
   /** Computed on demand, since few runs are ever suspected. */
@@ -99,8 +101,14 @@
 const SILENCE_OF_DEAD_MS = 300;
 /** Time without a sign of a target after the end of an attempt at it. */
 const CANCELLED_SILENCE_MS = 200;
-/** Time without a sign of a target while an attempt at it waits. */
-const OPEN_SILENCE_MS = 1_000;
+/**
+ * Time without a sign of a target while an attempt at it waits: a multiple of
+ * the time in which the answer is expected, within bounds. The upper one leaves
+ * time to tell peers of a crash.
+ */
+const OPEN_SILENCE_FACTOR = 1.25;
+const MINIMUM_OPEN_SILENCE_MS = 1_000;
+const MAXIMUM_OPEN_SILENCE_MS = 3_000;
 const SILENCE_REPORT_INTERVAL_MS = 500;
 /** Bounds the probes while all targets are slow. */
 const MAXIMUM_SILENT_TARGETS = 2;
@@ -266,8 +274,9 @@
         return true;
       }
     }
-    for (const {sentAtMs} of state.open) {
-      if (nowMs - Math.max(sentAtMs, aliveAtMs) > OPEN_SILENCE_MS) {
+    for (const run of state.open) {
+      const silentMs = nowMs - Math.max(run.sentAtMs, aliveAtMs);
+      if (silentMs > openSilenceMs(run)) {
         return true;
       }
     }
@@ -372,3 +381,10 @@
     clear: () => states.clear(),
   };
 }
+
+function openSilenceMs({expectedMs}: TargetRun): number {
+  return Math.min(
+    MAXIMUM_OPEN_SILENCE_MS,
+    Math.max(MINIMUM_OPEN_SILENCE_MS, expectedMs * OPEN_SILENCE_FACTOR),
+  );
+}
--- a/packages/decision/test/placement/affinity_placement.test.ts
+++ b/packages/decision/test/placement/affinity_placement.test.ts
@@ -26,6 +26,7 @@
   latencyObjectiveMs: 200,
   affinityKey: '17',
   homeRegions: [],
+  isDownload: false,
   excludedIncarnations: new Set(),
 };
 
@@ -217,6 +218,32 @@
     assert.equal(zone, 'riga-a');
   });
 
+  // Load pattern: large responses, and several targets in each zone.
+  it('gives a key of large responses a target in each zone', () => {
+    const {registry, placement, load, incarnationOf} = startVm();
+    for (const id of ['a3', 'a4', 'a5', 'a6']) {
+      registry.put(entry(id, 'riga-a'), 0);
+    }
+    const used = new Set<string>();
+    for (let key = 0; key < 200; key += 1) {
+      const affinityKey = String(key);
+      const large = {...REQUEST, affinityKey, isDownload: true};
+      const first = placement.choose(large, 0);
+      assert.equal(first?.target.entry.zone, 'riga-a');
+      assert.equal(first?.warm, true);
+      assert.equal(placement.choose(large, 10)?.target, first?.target);
+      used.add(first?.target.entry.id ?? 'none');
+    }
+    assert.equal(used.size, 6);
+    for (const id of used) {
+      for (let running = 0; running < 60; running += 1) {
+        load.recordSent(incarnationOf(id));
+      }
+    }
+    const large = {...REQUEST, isDownload: true};
+    assert.notEqual(placement.choose(large, 20)?.target.entry.zone, 'riga-a');
+  });
+
   it('runs requests with home regions only there', () => {
     const {placement} = startVm();
     const request = {...REQUEST, homeRegions: ['kurzeme']};
--- a/packages/decision/test/placement/region_shares.test.ts
+++ b/packages/decision/test/placement/region_shares.test.ts
@@ -145,4 +145,18 @@
     const kept = shares.localShare('rooms') * 80;
     assert.ok(Math.abs(kept - 12 * 1.25) < 0.5, `${kept} slots' work`);
   });
+
+  // Load pattern: long requests, for which the way to a region with room costs
+  // less than the queues of a region that is well used.
+  it('leave more room at home if requests have time for the way', () => {
+    const demand = {riga: 10, kurzeme: 10, latgale: 10};
+    const short = kurzeme();
+    const unknown = kurzeme();
+    const long = kurzeme();
+    short.update('rooms', capacities(demand), 0, 200);
+    unknown.update('rooms', capacities(demand), 0);
+    long.update('rooms', capacities(demand), 0, 1_500);
+    assert.equal(short.localShare('rooms'), unknown.localShare('rooms'));
+    assert.ok(long.localShare('rooms') < short.localShare('rooms') - 0.1);
+  });
 });
--- a/packages/decision/test/quarantine/run_ledger.test.ts
+++ b/packages/decision/test/quarantine/run_ledger.test.ts
@@ -7,6 +7,7 @@
 } from '../../src/index.js';
 
 const DEADLINE_MS = 1_000;
+const EXPECTED_MS = 100;
 
 describe('runs whose end is not known', () => {
   let ledger: RunLedger;
@@ -19,10 +20,12 @@
     fingerprint: string,
     sentAtMs: number,
     target = 'incarnation',
+    expectedMs = EXPECTED_MS,
   ): TargetRun {
     const run = {
       target,
       sentAtMs,
+      expectedMs,
       givesUpAtMs: sentAtMs + DEADLINE_MS,
       fingerprint: () => fingerprint,
     };
@@ -63,6 +66,7 @@
     const run = {
       target: 'incarnation',
       sentAtMs: 400,
+      expectedMs: EXPECTED_MS,
       givesUpAtMs: 400 + DEADLINE_MS,
       fingerprint: () => 'poison',
     };
@@ -135,6 +139,15 @@
     assert.deepEqual(ledger.sweep(1_700).silentTargets, ['a', 'b']);
   });
 
+  // Guards against a probe of each target that works on a long request.
+  it('make a target silent only once its answer is long overdue', () => {
+    start('long', 0, 'a', 2_000);
+    start('longest', 0, 'b', 9_000);
+    assert.deepEqual(ledger.sweep(2_500).silentTargets, []);
+    assert.deepEqual(ledger.sweep(2_501).silentTargets, ['a']);
+    assert.deepEqual(ledger.sweep(3_001).silentTargets, ['b', 'a']);
+  });
+
   it('are bounded in number and time', () => {
     for (let index = 0; index < 100; index += 1) {
       ledger.recordCancel(start(`run-${index}`, 0), 1);
--- a/packages/gateway/src/fleet_state.ts
+++ b/packages/gateway/src/fleet_state.ts
@@ -12,6 +12,7 @@
   type TargetRegistry,
   createRouteTable,
   createTargetRegistry,
+  objectivesByService,
 } from '@ibisbeam/decision';
 import type {Logger, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from './core/protocol.js';
@@ -38,6 +39,11 @@
   expire(): void;
   /** Request rate that one target of the service tolerates while it is cold. */
   coldRequestsPerSecond(service: string): number;
+  /**
+   * Services and the shortest latency objective of their routes, if they have
+   * any; empty before the first configuration.
+   */
+  objectives(): ReadonlyMap<string, number | undefined>;
   /** Connections that one target of the service accepts from all VMs. */
   maximumConnections(service: string): number;
 }
@@ -78,6 +84,7 @@
     isLeaving: options.isLeaving,
   });
   let routes: RouteTable | undefined;
+  let objectives: ReadonlyMap<string, number | undefined> = new Map();
   /** The configuration in force, as its writer wrote it. */
   let inForce: {readonly value: unknown; readonly version: number} | undefined;
   /** Evacuated zones as listed by the store. */
@@ -185,6 +192,7 @@
           return;
         }
         routes = createRouteTable(configuration);
+        objectives = objectivesByService(configuration);
         inForce = {value, version: storeVersion};
         log.log('info', 'configuration-in-force', {
           version: configuration.version,
@@ -313,6 +321,7 @@
     coldRequestsPerSecond: service =>
       routes?.configuration.services.get(service)?.coldRequestsPerSecond ??
       DEFAULT_COLD_REQUESTS_PER_SECOND,
+    objectives: () => objectives,
     maximumConnections: service =>
       routes?.configuration.services.get(service)?.maximumConnections ??
       DEFAULT_MAXIMUM_CONNECTIONS,
--- a/packages/gateway/src/forwarding/attempt_recording.ts
+++ b/packages/gateway/src/forwarding/attempt_recording.ts
@@ -31,6 +31,7 @@
 ): void {
   attempt.run = crashGuard.follow({
     incarnation: attempt.placement.target.incarnation,
+    expectedMs: attempt.placement.expectedMissMs,
     givesUpAtMs: targetDeadlineAtMs(request),
     fingerprint,
     isNewConnection,
@@ -47,6 +48,7 @@
   recordRunEnd(context, end);
   const {target} = end.attempt.placement;
   const {incarnation, entry} = target;
+  recordTraffic(context, end);
   // A target that asks for a pause is in order, and has its slots back after it.
   if (end.attempt.isPauseStated) {
     return;
@@ -84,6 +86,19 @@
   }
 }
 
+/** Counts only answers that were read whole. */
+function recordTraffic(
+  {recordTraffic: record}: ForwardingContext,
+  {request, attempt, response}: EndedAttempt,
+): void {
+  const {entry, region} = attempt.placement.target;
+  const place = {zone: entry.zone, region};
+  if (response?.body.kind === 'whole') {
+    record('target-request', place, request.body?.length ?? 0);
+    record('target-answer', place, response.body.bytes.length);
+  }
+}
+
 function recordRunEnd(
   context: ForwardingContext,
   {attempt, outcome, response}: EndedAttempt,
--- a/packages/gateway/src/forwarding/crash_guard.ts
+++ b/packages/gateway/src/forwarding/crash_guard.ts
@@ -79,6 +79,8 @@
 
 export interface FollowedRun {
   readonly incarnation: string;
+  /** Time until the answer is expected, if nothing is cached. */
+  readonly expectedMs: number;
   /** When the target stops work on the request by itself. */
   readonly givesUpAtMs: number;
   /** Computed only on demand. */
@@ -233,6 +235,7 @@
     const run: TargetRun = {
       target,
       sentAtMs: timers.nowMs(),
+      expectedMs: followed.expectedMs,
       givesUpAtMs: followed.givesUpAtMs,
       fingerprint: followed.fingerprint,
     };
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -261,6 +261,7 @@
         latencyObjectiveMs: route.latencyObjectiveMs,
         affinityKey: request.affinityKey,
         homeRegions,
+        isDownload: route.kind === 'download',
         excludedIncarnations: excluded,
       },
       nowMs,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -497,8 +497,10 @@
     });
     watcherSelection.setVms(liveVmIds);
     updateSharingVms();
-    const services = fleet.routes()?.configuration.services.keys() ?? [];
-    regionPlan.update(services, mesh.peersHeardWithin(PEER_DEMAND_LIFETIME_MS));
+    regionPlan.update(
+      fleet.objectives(),
+      mesh.peersHeardWithin(PEER_DEMAND_LIFETIME_MS),
+    );
   }
 
   function updateSharingVms(): void {
--- a/packages/gateway/src/region_plan.ts
+++ b/packages/gateway/src/region_plan.ts
@@ -22,9 +22,14 @@
   /**
    * Recomputes the shares of the services.
    *
+   * @param objectives Services and the shortest latency objective of their
+   *     routes, if they have any.
    * @param peers Gateways whose reported demand is recent enough to count.
    */
-  update(services: Iterable<string>, peers: readonly VmRecord[]): void;
+  update(
+    objectives: ReadonlyMap<string, number | undefined>,
+    peers: readonly VmRecord[],
+  ): void;
 }
 
 export interface RegionPlanOptions {
@@ -57,7 +62,7 @@
   const peerDemand = new Map<string, ReadonlyMap<string, number>>();
 
   function update(
-    services: Iterable<string>,
+    objectives: ReadonlyMap<string, number | undefined>,
     peers: readonly VmRecord[],
   ): void {
     const nowMs = timers.nowMs();
@@ -66,7 +71,7 @@
     for (const peer of peers) {
       addDemand(demandByRegion, peer.region, peerDemand.get(peer.id));
     }
-    for (const service of services) {
+    for (const [service, objectiveMs] of objectives) {
       const slots = slotsByRegion(service);
       const capacityByRegion = new Map<string, RegionCapacity>();
       for (const name of regions) {
@@ -75,7 +80,7 @@
           slots: slots.get(name) ?? 0,
         });
       }
-      shares.update(service, capacityByRegion, nowMs);
+      shares.update(service, capacityByRegion, nowMs, objectiveMs);
     }
   }
 
--- a/packages/gateway/test/crash_guard.test.ts
+++ b/packages/gateway/test/crash_guard.test.ts
@@ -12,6 +12,7 @@
 const SERVICE = 'rooms';
 const TARGET_COUNT = 12;
 const DEADLINE_MS = 1_200;
+const EXPECTED_MS = 100;
 
 describe('a request that crashes the targets that run it', () => {
   let notifications: string[];
@@ -51,6 +52,7 @@
   ): RunRecorder {
     return sender.follow({
       incarnation,
+      expectedMs: EXPECTED_MS,
       givesUpAtMs: nowMs + DEADLINE_MS,
       fingerprint: () => fingerprint,
       isCheap: true,
