Draw the callers of the soak from a source of their own

A seed did not fix the soak's faults: callers drew from the same source, and how often they draw depends on how fast they are answered. Each seed plays other faults than before from here on, the regression seeds too.

--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -146,6 +146,8 @@
   const limitRandom = createRandomSource(options.seed + 2);
   const restoreRandom = createRandomSource(options.seed + 3);
   const statementRandom = createRandomSource(options.seed + 4);
+  // How often callers draw depends on how fast they are answered.
+  const loadRandom = createRandomSource(options.seed + 5);
   let restoreTimer: TimerHandle | undefined;
   const targets: FleetTarget[] = [];
   /** Targets that leave without telling the store, the oldest first. */
@@ -211,7 +213,7 @@
     await addSilentLeaver();
   }
   const fleet = await startFleet(options, folder, store);
-  const load = createLoadGenerator(fleet.vms, HOST, timers, random);
+  const load = createLoadGenerator(fleet.vms, HOST, timers, loadRandom);
   const dyingTargets = createDyingTargets({
     seed: options.seed,
     timers,
