Tell the VMs of a region of full targets in a large fleet

A heartbeat within the region names up to 24 targets that have stated that they are full since the one before, and those that were said to be and are not any more. A VM takes that for its view of the target for 1.5 s. Fleets of less than 32 VMs tell nothing, and older builds ignore the field.

--- a/packages/decision/src/core/placement/index.ts
+++ b/packages/decision/src/core/placement/index.ts
@@ -8,4 +8,5 @@
 export * from './dispatch_rule.js';
 export * from './target_shortlist.js';
 export * from './key_home.js';
+export * from './congestion_reports.js';
 export * from './dispatch_queue.js';
--- a/packages/decision/src/core/placement/target_load.ts
+++ b/packages/decision/src/core/placement/target_load.ts
@@ -36,6 +36,13 @@
   recordEnd(incarnation: string): void;
   /** Records the load that the target reported with a response. */
   recordReport(incarnation: string, report: LoadReport, nowMs: number): void;
+  /**
+   * Records the load that a full target reported to a peer.
+   *
+   * @param load Requests that it ran or had in its queue.
+   * @param atMs When it said so.
+   */
+  recordPeerReport(incarnation: string, load: number, atMs: number): void;
   /**
    * Records that the target refused a request because its queue is full.
    *
@@ -70,6 +77,13 @@
 const REPORT_WEIGHT = 0.5;
 /** Older reports are ignored. */
 const REPORT_LIFETIME_MS = 500;
+/**
+ * A queue that a peer has told of is there until some requests have ended. The
+ * peers that get answers from the target follow its load.
+ */
+const PEER_REPORT_LIFETIME_MS = 1_500;
+/** Bounds what peers may make this VM remember. */
+const MAXIMUM_RECORDS = 20_000;
 /** Requests assumed at an overloaded target, as a multiple of its slots. */
 const OVERLOAD_FACTOR = 2;
 /** Back-off after a failed connection; doubles with each further failure. */
@@ -93,6 +107,7 @@
   inFlight: number;
   otherInFlight: number;
   reportedAtMs: number;
+  reportLifetimeMs: number;
   slowdown: number;
   delayMs: number;
   delayedAtMs: number;
@@ -116,6 +131,7 @@
       inFlight: 0,
       otherInFlight: 0,
       reportedAtMs: -Infinity,
+      reportLifetimeMs: REPORT_LIFETIME_MS,
       slowdown: 1,
       delayMs: 0,
       delayedAtMs: -Infinity,
@@ -134,7 +150,7 @@
     if (!record) {
       return 0;
     }
-    const isFresh = nowMs - record.reportedAtMs < REPORT_LIFETIME_MS;
+    const isFresh = hasFreshReport(record, nowMs);
     return record.inFlight + (isFresh ? record.otherInFlight : 0);
   }
 
@@ -148,10 +164,28 @@
     // target's report.
     const own = Math.max(0, record.inFlight - 1);
     const others = Math.max(0, report.running + report.waiting - own);
-    const isFresh = nowMs - record.reportedAtMs < REPORT_LIFETIME_MS;
-    const before = isFresh ? record.otherInFlight : others;
+    const before = hasFreshReport(record, nowMs)
+      ? record.otherInFlight
+      : others;
     record.otherInFlight = before + (others - before) * REPORT_WEIGHT;
     record.reportedAtMs = nowMs;
+    record.reportLifetimeMs = REPORT_LIFETIME_MS;
+  }
+
+  function recordPeerReport(
+    incarnation: string,
+    load: number,
+    atMs: number,
+  ): void {
+    if (!records.has(incarnation) && records.size >= MAXIMUM_RECORDS) {
+      return;
+    }
+    const record = recordOf(incarnation);
+    if (atMs > record.reportedAtMs) {
+      record.otherInFlight = Math.max(0, load - record.inFlight);
+      record.reportedAtMs = atMs;
+      record.reportLifetimeMs = PEER_REPORT_LIFETIME_MS;
+    }
   }
 
   function recordOverload(
@@ -161,7 +195,7 @@
   ): boolean {
     const record = recordOf(incarnation);
     const hadRoom = estimatedInFlight(incarnation, nowMs) < slots;
-    const isReported = nowMs - record.reportedAtMs < REPORT_LIFETIME_MS;
+    const isReported = hasFreshReport(record, nowMs);
     if (hadRoom && isReported) {
       return false;
     }
@@ -257,6 +291,7 @@
       }
     },
     recordReport,
+    recordPeerReport,
     recordOverload,
     recordResponse,
     delayMs,
@@ -272,3 +307,10 @@
     },
   };
 }
+
+function hasFreshReport(
+  {reportedAtMs, reportLifetimeMs}: LoadRecord,
+  nowMs: number,
+): boolean {
+  return nowMs - reportedAtMs < reportLifetimeMs;
+}
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -4,6 +4,7 @@
   AffinityPlacement,
   AttemptOutcome,
   ClientRetryDetector,
+  CongestionReports,
   Placement,
   RegisteredTarget,
   Route,
@@ -66,6 +67,8 @@
   readonly droppedAnswerHeaders: ReadonlySet<string>;
   readonly placement: AffinityPlacement;
   readonly targetLoad: TargetLoad;
+  /** What peers are told of targets that are full. */
+  readonly congestion: Pick<CongestionReports, 'record'>;
   readonly serviceTimes: ServiceTimes;
   readonly warmKeys: WarmKeys;
   readonly retryBudget: WindowedRetryBudget;
--- a/packages/gateway/src/forwarding/target_send.ts
+++ b/packages/gateway/src/forwarding/target_send.ts
@@ -66,8 +66,11 @@
         attempt.isPauseStated = statement.pauseMs !== undefined;
         context.availability.recordAnswer(target, statement);
       },
-      onLoadReport: report =>
-        targetLoad.recordReport(incarnation, report, timers.nowMs()),
+      onLoadReport: report => {
+        const nowMs = timers.nowMs();
+        targetLoad.recordReport(incarnation, report, nowMs);
+        context.congestion.record(incarnation, report, nowMs);
+      },
       onRateLimit: perSecond => context.onRateLimitAnswer(target, perSecond),
       onResponseHead: (sent, response) => {
         context.reachEvidence.recordAnswer();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
   createAffinityPlacement,
   createClientRetryDetector,
   createColdStartLimiter,
+  createCongestionReports,
   createRandomSource,
   createWindowedRetryBudget,
   createServiceTimes,
@@ -118,6 +119,7 @@
   const {vm} = settings;
   let {bounds} = settings;
   const targetLoad = createTargetLoad();
+  const congestion = createCongestionReports();
   const serviceTimes = createServiceTimes();
   const warmKeys = createWarmKeys();
   const connections = createTargetConnections(timers, options.connectToTarget);
@@ -290,6 +292,8 @@
     rateLimits,
     availability,
     crashGuard,
+    congestion,
+    targetLoad,
     watcherSelection,
     timers,
     log,
@@ -333,6 +337,7 @@
       statedAvailability: availability.stated,
     }),
     targetLoad,
+    congestion,
     serviceTimes,
     warmKeys,
     retryBudget: createWindowedRetryBudget({
--- a/packages/gateway/src/peers/heartbeat_schedule.ts
+++ b/packages/gateway/src/peers/heartbeat_schedule.ts
@@ -21,6 +21,14 @@
 /** In a smaller fleet, all peers get every heartbeat. */
 const LARGE_FLEET_PEERS = 32;
 
+/**
+ * Whether the fleet has so many VMs that each of them hears of a target too
+ * rarely to know its load.
+ */
+export function isLargeFleet(peerCount: number): boolean {
+  return peerCount >= LARGE_FLEET_PEERS;
+}
+
 export interface HeartbeatSchedule {
   /**
    * Called for each regular heartbeat.
@@ -39,7 +47,7 @@
     next: (peerCount, isWatcher) => {
       sinceFar += 1;
       const isFarDue = sinceFar >= FAR_INTERVAL_FACTOR;
-      if (!isFarDue && !isWatcher && peerCount >= LARGE_FLEET_PEERS) {
+      if (!isFarDue && !isWatcher && isLargeFleet(peerCount)) {
         return 'near';
       }
       sinceFar = 0;
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -48,6 +48,14 @@
   ageMs: z.number().nonnegative(),
 });
 
+const congestionReportSchema = z.object({
+  incarnation: z.string().max(512),
+  /** Requests that the target runs or has in its queue. */
+  load: z.number().nonnegative(),
+  /** Time since the target said so. */
+  ageMs: z.number().nonnegative(),
+});
+
 const targetEntrySchema = z.object({
   id: z.string().max(512),
   service: z.string().max(256),
@@ -109,6 +117,11 @@
     copyVersions: copyVersionsSchema.optional(),
     /** Absent from VMs that do not watch it. */
     targetReach: targetReachSchema.optional(),
+    /**
+     * Targets that have said that they are full, or are not any more; absent
+     * if there are none, and from VMs that do not tell it.
+     */
+    congestedTargets: z.array(congestionReportSchema).max(1_000).optional(),
     /**
      * Time until the sender's next heartbeat to this peer; absent means the
      * usual 400 ms.
--- a/packages/gateway/src/peers/peer_conversation.ts
+++ b/packages/gateway/src/peers/peer_conversation.ts
@@ -5,9 +5,12 @@
  * restored store.
  */
 import type {
+  CongestionReport,
+  CongestionReports,
   LeavingReport,
   RateLimitReport,
   SurvivedRunsReport,
+  TargetLoad,
   WatcherSelection,
 } from '@ibisbeam/decision';
 import type {Logger, TimerService} from '@ibisbeam/library';
@@ -25,6 +28,7 @@
 import {
   FAR_HEARTBEAT_INTERVAL_MS,
   createHeartbeatSchedule,
+  isLargeFleet,
 } from './heartbeat_schedule.js';
 import type {CopyVersions, PeerMessage, VmRecord} from './messages.js';
 import type {PeerMesh} from './peer_mesh.js';
@@ -52,6 +56,8 @@
   readonly rateLimits: TargetRateLimits;
   readonly availability: TargetAvailability;
   readonly crashGuard: CrashGuard;
+  readonly congestion: Pick<CongestionReports, 'takeNews'>;
+  readonly targetLoad: Pick<TargetLoad, 'recordPeerReport'>;
   readonly watcherSelection: WatcherSelection;
   readonly timers: Pick<TimerService, 'nowMs' | 'wallMs'>;
   readonly log: Logger;
@@ -81,8 +87,17 @@
 export function createPeerConversation(
   options: PeerConversationOptions,
 ): PeerConversation {
-  const {mesh, follower, fleet, rateLimits, availability, crashGuard, timers} =
-    options;
+  const {
+    mesh,
+    follower,
+    fleet,
+    rateLimits,
+    availability,
+    crashGuard,
+    congestion,
+    targetLoad,
+    timers,
+  } = options;
   const copyComparison = createCopyComparison({
     follower,
     timers,
@@ -123,7 +138,7 @@
     const limits = rateLimits.takeNews();
     const leaving = availability.takeNews();
     const near = heartbeatMessage(limits, leaving, copyAnnouncements.take());
-    mesh.broadcast(near, 'near');
+    mesh.broadcast(withCongestion(near), 'near');
     // Peers that have no news of this VM may miss a heartbeat, but no news.
     const hasNews = limits.length > 0 || leaving.length > 0;
     if (due === 'all' || hasNews) {
@@ -132,6 +147,15 @@
     }
   }
 
+  /** Targets are mostly shared with the VMs of the region. */
+  function withCongestion(heartbeat: Heartbeat): Heartbeat {
+    const reports = congestion.takeNews(timers.nowMs());
+    if (reports.length === 0 || !isLargeFleet(mesh.knownPeers().length)) {
+      return heartbeat;
+    }
+    return {...heartbeat, congestedTargets: reports.map(roundAge)};
+  }
+
   function tellRestoreMemory(peer: VmRecord): void {
     const memory = fleet.restoreMemory();
     if (memory) {
@@ -194,6 +218,9 @@
     rateLimits.recordPeerReports(from.id, message.rateLimits ?? []);
     copyComparison.compare(from.id, message.copyVersions ?? {});
     availability.recordPeerReports(from.id, message.leavingTargets ?? []);
+    for (const {incarnation, load, ageMs} of message.congestedTargets ?? []) {
+      targetLoad.recordPeerReport(incarnation, load, timers.nowMs() - ageMs);
+    }
     if (message.watchAgeMs !== undefined) {
       options.watcherSelection.recordPeerConfirmation(
         timers.nowMs() - message.watchAgeMs,
@@ -255,6 +282,10 @@
   return {...heartbeat, nextWithinMs: FAR_HEARTBEAT_INTERVAL_MS};
 }
 
+function roundAge(report: CongestionReport): CongestionReport {
+  return {...report, ageMs: Math.ceil(report.ageMs)};
+}
+
 /** Rounded up, so that nothing seems newer than it is. */
 function roundUp(ageMs: number | undefined): number | undefined {
   return ageMs === undefined ? undefined : Math.ceil(ageMs);
--- a/packages/gateway/test/golden/sample_messages.ts
+++ b/packages/gateway/test/golden/sample_messages.ts
@@ -38,6 +38,7 @@
     copyVersions: {targets: 12, configuration: 3, evacuations: 1},
     targetReach: {cutOff: false, ageMs: 10},
     leavingTargets: [{incarnation: 'i-2@1', ageMs: 40}],
+    congestedTargets: [{incarnation: 'i-3@1', load: 9, ageMs: 20}],
     nextWithinMs: 1_200,
   },
   'want-snapshot': {kind: 'want-snapshot', of: 'targets'},
