--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -106,7 +106,7 @@
   const peerOfLink = new WeakMap<WebSocket, Peer>();
   const dialerIds = new WeakMap<WebSocket, string>();
   const nextSeedDialMs = new Map<string, number>();
-  /** Each greeting goes on where the one before ended. */
+  /** Where the next greeting goes on. */
   let nextToldPeer = 0;
   let server: WebSocketServer | undefined;
   let ticker: TimerHandle | undefined;
@@ -139,19 +139,23 @@
     }
   }
 
-  function helloMessage(): PeerMessage {
+  /** Other peers each time, until all have been told of. */
+  function takePeersToTell(): VmRecord[] {
     const all = [...peers.values()];
-    const known: VmRecord[] = [];
-    for (let told = 0; told < all.length; told += 1) {
-      if (told === MAXIMUM_TOLD_PEERS) {
-        break;
-      }
+    const count = Math.min(all.length, MAXIMUM_TOLD_PEERS);
+    const told: VmRecord[] = [];
+    while (told.length < count) {
       const peer = all[nextToldPeer % all.length];
       nextToldPeer += 1;
       if (peer) {
-        known.push(peer.record);
+        told.push(peer.record);
       }
     }
+    return told;
+  }
+
+  function helloMessage(): PeerMessage {
+    const known = takePeersToTell();
     return {kind: 'hello', vm: self, known, readsNextWithin: true};
   }
 
--- a/packages/gateway/test/store_broadcasts.test.ts
+++ b/packages/gateway/test/store_broadcasts.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
-import type {RoutingConfiguration} from '@ibisbeam/decision';
 import {rankByRendezvous} from '@ibisbeam/decision';
+import {createConfiguration} from './fixtures/configuration.js';
 import {type FollowedVm, startFollowedVm} from './fixtures/followed_vm.js';
 import {
   type MemoryNetwork,
@@ -14,20 +14,6 @@
 /** Time within which an accepted configuration is in force everywhere. */
 const APPLY_BOUND_MS = 2_500;
 
-function createConfiguration(version: number): RoutingConfiguration {
-  return {
-    version,
-    routes: [],
-    services: new Map(),
-    limits: {
-      headerBytes: 1,
-      bodyBytes: 1,
-      headerTimeoutMs: 1,
-      idleTimeoutMs: 1,
-    },
-  };
-}
-
 describe('watchers of the store', () => {
   const watchers = rankByRendezvous('store-watch', IDS).slice(0, 2);
   const [first = '', standby = ''] = watchers;
--- a/packages/gateway/test/store_copies.test.ts
+++ b/packages/gateway/test/store_copies.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
-import type {RoutingConfiguration} from '@ibisbeam/decision';
+import {createConfiguration} from './fixtures/configuration.js';
 import {type FollowedVm, startFollowedVm} from './fixtures/followed_vm.js';
 import {
   type MemoryNetwork,
@@ -16,20 +16,6 @@
 /** Time within which an accepted configuration is in force everywhere. */
 const APPLY_BOUND_MS = 2_500;
 
-function createConfiguration(version: number): RoutingConfiguration {
-  return {
-    version,
-    routes: [],
-    services: new Map(),
-    limits: {
-      headerBytes: 1,
-      bodyBytes: 1,
-      headerTimeoutMs: 1,
-      idleTimeoutMs: 1,
-    },
-  };
-}
-
 describe('copies of the store at a VM that is told of changes by peers', () => {
   let network: MemoryNetwork;
   let store: MemoryStore;
