Read load reports that also state how long work takes

Cause: the pattern of the load header took exactly three figures, so that a header with a fourth (how long work takes on the target's machine at the moment, 100 as usual) was thrown away whole, and the gateway steered without any report of load at targets that state it.

Change: the fourth figure is read as workTimeRatio of the report; nothing uses it yet.

--- a/packages/decision/src/core/placement/target_load.ts
+++ b/packages/decision/src/core/placement/target_load.ts
@@ -10,6 +10,11 @@
   /** Requests in the target's queue. */
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * How long work takes on the target's machine at this moment, relative to
+   * the usual time; absent if the target does not tell.
+   */
+  readonly workTimeRatio?: number;
 }
 
 export interface TargetLoad {
