Refuse header names that cannot be written again

Cause: the HTTP parser of the Node.js on this machine (20.19.0, llhttp 8.1.2) accepts a space before the colon of a header. Its writer throws for such a name, so a request with one was taken, and an uncaught error ended the process when it was to be sent; an answer with one did the same.

Change: names are checked before routing (400), and in answers of targets (the attempt counts as broken).

--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -21,7 +21,7 @@
 import type {AcceptBacklog} from './accept_backlog.js';
 import type {ForwardingContext} from './context.js';
 import {startExchange} from './exchange.js';
-import {headerValues} from './header_rules.js';
+import {hasValidHeaderNames, headerValues} from './header_rules.js';
 
 export interface ClientFacingServer {
   listen(): Promise<void>;
@@ -283,6 +283,9 @@
   if (headerValues(incoming.rawHeaders, 'host').length !== 1) {
     return 'exactly one Host header is needed';
   }
+  if (!hasValidHeaderNames(incoming.rawHeaders)) {
+    return 'a header name has characters that are not allowed';
+  }
   if (!(incoming.url ?? '').startsWith('/')) {
     return 'the request target must be a path';
   }
--- a/packages/gateway/src/forwarding/header_rules.ts
+++ b/packages/gateway/src/forwarding/header_rules.ts
@@ -29,6 +29,22 @@
   return kept;
 }
 
+/** Characters of a header name (RFC 9110, token). */
+const HEADER_NAME_PATTERN = /^[!#$%&'*+\-.^_`|~0-9a-z]+$/i;
+
+/**
+ * Whether all names of a flat list may be written again. Some versions of the
+ * HTTP parser accept names that its writer throws for.
+ */
+export function hasValidHeaderNames(raw: readonly string[]): boolean {
+  for (let index = 0; index < raw.length; index += 2) {
+    if (!HEADER_NAME_PATTERN.test(raw[index] ?? '')) {
+      return false;
+    }
+  }
+  return true;
+}
+
 /** Returns all values of a header in a flat list. */
 export function headerValues(
   raw: readonly string[],
--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -13,7 +13,7 @@
 import type {AttemptOutcome, LoadReport} from '@ibisbeam/decision';
 import type {TimerHandle, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
-import {headerValues} from './header_rules.js';
+import {hasValidHeaderNames, headerValues} from './header_rules.js';
 import type {SendScheduler} from './send_scheduler.js';
 
 /**
@@ -192,6 +192,10 @@
       notExecuted,
       rateLimit,
     } = protocol.headers;
+    if (!hasValidHeaderNames(response.rawHeaders)) {
+      fail('the answer has a malformed header name');
+      return;
+    }
     const echoed = headerValues(response.rawHeaders, attemptIdName);
     const [loadHeader] = headerValues(response.rawHeaders, loadReport);
     const report = loadHeader ? protocol.readLoadReport(loadHeader) : undefined;
--- a/packages/stand_ins/src/core/object_platform/fleet_target.ts
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -32,6 +32,8 @@
   | 'unframed'
   /** Sends bytes that are not an HTTP response. */
   | 'not-http'
+  /** Responds with a space in the name of a header. */
+  | 'malformed-header'
   | 'error-500'
   /** Refuses with 503 and states that the request was not executed. */
   | 'shed'
@@ -440,6 +442,9 @@
       case 'not-http':
         socket.end('this is not an HTTP response\r\n\r\n');
         return;
+      case 'malformed-header':
+        socket.end('HTTP/1.1 200 OK\r\nX-Name : value\r\n\r\n');
+        return;
       case 'error-500':
         socket.write(formatAnswer(500, attemptId, 'failed'));
         return;
--- a/packages/stand_ins/test/object_platform/forwarding.test.ts
+++ b/packages/stand_ins/test/object_platform/forwarding.test.ts
@@ -133,6 +133,7 @@
     'unframed-reset',
     'unframed-reset-at-once',
     'not-http',
+    'malformed-header',
     'foreign',
     'error-500',
   ];
