Serve workspaces: API keys, homes and quotas over the fleet

Cause: the gateway read neither the workspaces of a configuration nor which routes need a key.

Change: caller_identity.ts tells the workspace of a request by its key, or by what a peer with this process's relay token says, and is asked again before the first byte. Homes of workspaces bind beside those of routes. Two optional fields of peer messages are new.

--- a/packages/decision/src/core/route_table/types.ts
+++ b/packages/decision/src/core/route_table/types.ts
@@ -35,6 +35,28 @@
   readonly trafficSplit: readonly WeightedService[];
   /** Regions that may process and store the requests; empty for all. */
   readonly homeRegions: readonly string[];
+  /** Whether requests need the API key of a workspace, if there are any. */
+  readonly needsApiKey: boolean;
+}
+
+/** Requests that all VMs together may pass on for a workspace. */
+export interface RequestQuota {
+  readonly perSecond: number;
+  /** Requests on top of the rate, after a time with fewer. */
+  readonly burst: number;
+}
+
+/** A group of callers with API keys, a quota and homes of its own. */
+export interface Workspace {
+  readonly name: string;
+  /** Each of them names the workspace; none means that nobody may call. */
+  readonly apiKeys: readonly string[];
+  /** Goes before the priority of routes; absent to use theirs. */
+  readonly priority?: number;
+  /** Absent for no limit. */
+  readonly quota?: RequestQuota;
+  /** Bind besides those of the route; empty for all regions. */
+  readonly homeRegions: readonly string[];
 }
 
 export interface RoutedService {
@@ -62,4 +84,6 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, RoutedService>;
   readonly limits: ClientLimits;
+  /** Absent if callers need no API keys. */
+  readonly workspaces?: readonly Workspace[];
 }
--- /dev/null
+++ b/packages/decision/src/core/workspaces/index.ts
@@ -0,0 +1,1 @@
+export * from './key_table.js';
--- a/packages/decision/test/route_table/route_table.test.ts
+++ b/packages/decision/test/route_table/route_table.test.ts
@@ -15,6 +15,7 @@
     sticky: true,
     trafficSplit: [{service: 'one', weight: 1}],
     homeRegions: [],
+    needsApiKey: true,
     ...changes,
   };
 }
--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -10,6 +10,8 @@
   recordRelay(service: string, outcome: string): void;
   /** Counts a request sent to a target that states a rate limit. */
   countLimitedSend(service: string): void;
+  /** Counts a request of a workspace with a quota. */
+  countQuotaDecision(decision: 'admitted' | 'refused'): void;
   /** Counts a new connection to a target, or an attempt to make one. */
   countTargetConnection(outcome: 'made' | 'failed'): void;
   /** Counts bytes exchanged with peers and targets. */
@@ -69,6 +71,12 @@
     labelNames: ['service'] as const,
     registers,
   });
+  const quotaDecisions = new Counter({
+    name: 'ibisbeam_quota_decisions_total',
+    help: 'Requests of workspaces with a quota, by whether it had room.',
+    labelNames: ['decision'] as const,
+    registers,
+  });
   const targetConnections = new Counter({
     name: 'ibisbeam_target_connections_total',
     help: 'New connections to targets, by outcome.',
@@ -104,6 +112,7 @@
     recordAttempt: (service, outcome) => attempts.inc({service, outcome}),
     recordRelay: (service, outcome) => relays.inc({service, outcome}),
     countLimitedSend: service => limitedSends.inc({service}),
+    countQuotaDecision: decision => quotaDecisions.inc({decision}),
     countTargetConnection: outcome => targetConnections.inc({outcome}),
     countTraffic: (content, distance, bytes) =>
       traffic.inc({content, distance}, bytes),
--- a/packages/gateway/src/core/protocol.ts
+++ b/packages/gateway/src/core/protocol.ts
@@ -34,6 +34,12 @@
   readonly leaving: string;
   /** On a refusal: how long the target wants no requests from the sender. */
   readonly retryAfter: string;
+  /** Names the workspace of a caller; never forwarded. */
+  readonly apiKey: string;
+  /** Tells targets, and peers of a relayed request, the caller's workspace. */
+  readonly workspace: string;
+  /** Shows a VM that a request was relayed by a peer. */
+  readonly relayToken: string;
 }
 
 /** Kinds of objects in the platform's store. */
--- a/packages/gateway/src/core/settings.ts
+++ b/packages/gateway/src/core/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of one gateway process, provided by the platform adapter. */
+import type {QuotaTolerance} from '@ibisbeam/decision';
 
 export interface HostAndPort {
   readonly host: string;
@@ -25,6 +26,13 @@
   readonly directoryLifetimeMs: number;
   /** Largest fraction of a region's requests to move elsewhere within 2 s. */
   readonly regionShift: number;
+  /** How far all VMs together may exceed the quota of a workspace. */
+  readonly quotaTolerance: QuotaTolerance;
+  /**
+   * A VM whose list of API keys may be older than this refuses requests that
+   * need one; absent if it goes on with the keys that it knows.
+   */
+  readonly revocationMs?: number;
 }
 
 export interface GatewaySettings {
--- a/packages/gateway/src/forwarding/attempt_headers.ts
+++ b/packages/gateway/src/forwarding/attempt_headers.ts
@@ -36,7 +36,8 @@
 }
 
 /**
- * The client's end-to-end headers and those that the gateway sets for a peer.
+ * The client's end-to-end headers and those that the gateway sets for a peer,
+ * which is told the workspace instead of the API key.
  *
  * @param timeLeftMs Time until this VM answers in the peer's place.
  * @returns A flat list of names and values.
@@ -44,25 +45,33 @@
 export function relayHeaders(
   context: ForwardingContext,
   request: ExchangeRequest,
+  peerId: string,
   timeLeftMs: number,
 ): readonly string[] {
-  const {relayedFor} = context.protocol.headers;
+  const {relayedFor, relayToken} = context.protocol.headers;
+  const token = context.relayTokenOf(peerId);
   return [
     ...forwardedHeaders(context, request, timeLeftMs),
     relayedFor,
     request.clientAddress,
+    ...(token === undefined ? [] : [relayToken, token]),
   ];
 }
 
 function forwardedHeaders(
   context: ForwardingContext,
-  {incoming, body}: ExchangeRequest,
+  {incoming, body, caller}: ExchangeRequest,
   timeLeftMs: number,
 ): string[] {
   const rawHeaders = endToEndRawHeaders(
     incoming.rawHeaders,
-    context.droppedHeaders,
+    caller.kind === 'any'
+      ? context.droppedHeaders
+      : context.droppedCallerHeaders,
   );
+  if (caller.kind === 'workspace') {
+    rawHeaders.push(context.protocol.headers.workspace, caller.workspace.name);
+  }
   rawHeaders.push(
     context.protocol.headers.deadlineMs,
     String(Math.max(MINIMUM_DEADLINE_MS, Math.floor(timeLeftMs))),
--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -9,7 +9,12 @@
   createServer,
 } from 'node:http';
 import {Server as NetServer} from 'node:net';
-import type {ClientLimits, Route, RouteTable} from '@ibisbeam/decision';
+import {
+  type ClientLimits,
+  type Route,
+  type RouteTable,
+  commonHomeRegions,
+} from '@ibisbeam/decision';
 import {
   type UnfinishedConnection,
   announcesBody,
@@ -22,6 +27,8 @@
 import type {ForwardingContext} from './context.js';
 import {startExchange} from './exchange.js';
 import {hasValidHeaderNames, headerValues} from './header_rules.js';
+import {homeRegionsOf} from './home_regions.js';
+import type {Caller} from '../workspaces/caller_identity.js';
 
 export interface ClientFacingServer {
   listen(): Promise<void>;
@@ -49,6 +56,17 @@
   routes(): RouteTable | undefined;
 }
 
+/** A request whose body has not been read yet. */
+interface Arrival {
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+  /** Those in force when it arrived. */
+  readonly routes: RouteTable;
+  readonly route: Route;
+  readonly caller: Caller;
+  readonly arrivedAtMs: number;
+}
+
 /**
  * Added to the idle timeout, so that the server does not close a connection
  * that a client is about to reuse.
@@ -58,6 +76,7 @@
 const UNCONFIGURED_RETRY_AFTER_MS = 300;
 /** Interval at which header timeouts are enforced. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
+const SHARE_DIGITS = 4;
 const EMPTY_BODY = Buffer.alloc(0);
 const DEFAULT_LIMITS: ClientLimits = {
   headerBytes: 16_384,
@@ -128,10 +147,21 @@
       refuse(outgoing, 404, 'no route', undefined, announcesBody(incoming));
       return;
     }
+    const caller = identifyCaller(incoming, outgoing, found);
+    if (!caller) {
+      return;
+    }
+    const arrival: Arrival = {
+      incoming,
+      outgoing,
+      routes,
+      route: found,
+      caller,
+      arrivedAtMs,
+    };
     if (!announcesBody(incoming)) {
       const isEmpty = incoming.headers['content-length'] === '0';
-      const body = isEmpty ? EMPTY_BODY : undefined;
-      forward(incoming, outgoing, routes, found, body, arrivedAtMs);
+      forward(arrival, isEmpty ? EMPTY_BODY : undefined);
       return;
     }
     void readRequestBody(incoming, limits.bodyBytes).then(result =>
@@ -141,12 +171,77 @@
             refuse(outgoing, 413, 'the body is too large', undefined, true);
           }
         },
-        Right: body =>
-          forward(incoming, outgoing, routes, found, body, arrivedAtMs),
+        Right: body => forward(arrival, body),
       }),
     );
   }
 
+  /** Refuses the request and returns undefined if it has no valid API key. */
+  function identifyCaller(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    route: Route,
+  ): Caller | undefined {
+    const identification = context.callers.identify(incoming, route);
+    const close = announcesBody(incoming);
+    switch (identification.kind) {
+      case 'refused': {
+        const {status, reason} = identification;
+        context.log.log('info', 'caller-refused', {
+          status,
+          reason,
+          route: route.name,
+        });
+        const retryAfterMs =
+          status === 503 ? UNCONFIGURED_RETRY_AFTER_MS : undefined;
+        refuse(outgoing, status, reason, retryAfterMs, close);
+        return undefined;
+      }
+      case 'identified': {
+        const {caller} = identification;
+        if (caller.kind === 'workspace' && context.mayHoldRemovedKeys()) {
+          const reason = 'the list of API keys may be outdated';
+          refuse(outgoing, 503, reason, UNCONFIGURED_RETRY_AFTER_MS, close);
+          return undefined;
+        }
+        if (!commonHomeRegions(route.homeRegions, homeRegionsOf(caller))) {
+          const reason = 'the route and the workspace have no home in common';
+          refuse(outgoing, 403, reason, undefined, close);
+          return undefined;
+        }
+        return caller;
+      }
+    }
+  }
+
+  /** Returns false if the workspace is beyond its quota. */
+  function admitByQuota(
+    {outgoing, route, caller}: Arrival,
+    isReturning: boolean,
+  ): boolean {
+    if (caller.kind !== 'workspace') {
+      return true;
+    }
+    const {name} = caller.workspace;
+    const decision = context.quotas.admit(name, isReturning);
+    switch (decision.kind) {
+      case 'admitted':
+        return true;
+      case 'refused': {
+        const {share, retryAfterMs} = decision;
+        context.log.log('info', 'quota-exceeded', {
+          workspace: name,
+          route: route.name,
+          share: share.toFixed(SHARE_DIGITS),
+          retryAfterMs: Math.round(retryAfterMs),
+        });
+        const reason = 'the quota of the workspace is used up';
+        refuse(outgoing, 429, reason, retryAfterMs);
+        return false;
+      }
+    }
+  }
+
   /**
    * Sets the attempt identifier in the answer to a relayed request, so that the
    * relaying VM knows for which request this VM refuses. The headers of a
@@ -163,14 +258,8 @@
     }
   }
 
-  function forward(
-    incoming: IncomingMessage,
-    outgoing: ServerResponse,
-    routes: RouteTable,
-    route: Route,
-    body: Buffer | undefined,
-    arrivedAtMs: number,
-  ): void {
+  function forward(arrival: Arrival, body: Buffer | undefined): void {
+    const {incoming, outgoing, routes, route, caller, arrivedAtMs} = arrival;
     const service = routes.nextService(route);
     if (service === undefined) {
       refuse(outgoing, 503, 'no service', UNCONFIGURED_RETRY_AFTER_MS);
@@ -184,6 +273,20 @@
     );
     // A client may set this header as well. That only forgoes the relay.
     const [relayedFor] = headerValues(incoming.rawHeaders, headers.relayedFor);
+    const isRelayed = relayedFor !== undefined;
+    const clientDeadlineMs = clientDeadlineMsOf(incoming, arrivedAtMs);
+    // The deadline of a relayed request is not the timeout that a client stated.
+    const sinceFirstAttemptMs =
+      clientDeadlineMs === undefined || isRelayed
+        ? 0
+        : context.clientRetryDetector.sinceFirstAttemptMs(
+            route.name,
+            clientDeadlineMs - arrivedAtMs,
+          );
+    // The VM that a client has asked keeps the quota.
+    if (!isRelayed && !admitByQuota(arrival, sinceFirstAttemptMs > 0)) {
+      return;
+    }
     startExchange(context, {
       incoming,
       outgoing,
@@ -191,11 +294,13 @@
       configurationVersion: routes.configuration.version,
       service,
       attemptId,
+      caller,
       affinityKey: route.sticky ? affinityKey : undefined,
       body,
       arrivedAtMs,
-      clientDeadlineMs: clientDeadlineMsOf(incoming, arrivedAtMs),
-      isRelayed: relayedFor !== undefined,
+      clientDeadlineMs,
+      sinceFirstAttemptMs,
+      isRelayed,
       clientAddress: relayedFor ?? incoming.socket.remoteAddress ?? '',
     });
   }
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -22,6 +22,8 @@
 import type {VmRecord} from '../peers/messages.js';
 import type {TargetAvailability} from '../target_availability.js';
 import type {TrafficMeter} from '../traffic_meter.js';
+import type {CallerIdentity} from '../workspaces/caller_identity.js';
+import type {WorkspaceQuotas} from '../workspaces/workspace_quotas.js';
 import type {CrashGuard} from './crash_guard.js';
 import type {TargetConnections} from './target_connections.js';
 import type {AdmissionQueue} from './admission_queue.js';
@@ -39,6 +41,8 @@
   readonly status: number;
   /** Why the request was refused; empty for other outcomes. */
   readonly detail: string;
+  /** Undefined if the caller belongs to none. */
+  readonly workspace: string | undefined;
   /** Number of attempts at targets. */
   readonly attempts: number;
   readonly tookMs: number;
@@ -65,6 +69,15 @@
   readonly droppedHeaders: ReadonlySet<string>;
   /** As `droppedHeaders`, of answers of targets. */
   readonly droppedAnswerHeaders: ReadonlySet<string>;
+  /** As `droppedHeaders`, if callers belong to workspaces. */
+  readonly droppedCallerHeaders: ReadonlySet<string>;
+  /** Who may send requests, and for which workspace. */
+  readonly callers: CallerIdentity;
+  readonly quotas: Pick<WorkspaceQuotas, 'admit' | 'refund'>;
+  /** Whether API keys that were removed long ago may still be in force here. */
+  mayHoldRemovedKeys(): boolean;
+  /** What the peer wants to see in requests relayed to it, if anything. */
+  relayTokenOf(vmId: string): string | undefined;
   readonly placement: AffinityPlacement;
   readonly targetLoad: TargetLoad;
   /** What peers are told of targets that are full. */
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -38,6 +38,7 @@
 /** Time in which the run of a suspected request usually ends. */
 const CONTAINED_RETRY_AFTER_MS = 1_000;
 const CONTAINED_REASON = 'a request like this one may be crashing a target';
+const KEY_REMOVED_REASON = 'the API key has been removed from its workspace';
 /** Network time of a request and its response between client and VM. */
 const CLIENT_ROUND_TRIP_MS = 16;
 /** Time reserved to send the final response before the client's deadline. */
@@ -61,7 +62,9 @@
   request: ExchangeRequest,
 ): void {
   const {timers, targetLoad, crashGuard, log} = context;
-  const {route, incoming, outgoing, service} = request;
+  const {route, incoming, outgoing, service, caller} = request;
+  const workspaceName =
+    caller.kind === 'workspace' ? caller.workspace.name : undefined;
   const routeTimeoutAtMs = request.arrivedAtMs + route.timeoutMs;
   const respondByMs = Math.min(
     routeTimeoutAtMs,
@@ -87,6 +90,7 @@
 
   function finish(outcome: string, status: number, detail = ''): void {
     isFinished = true;
+    refundQuota(outcome);
     clientSocket.removeListener('end', onClientDisconnect);
     timeoutTimer.cancel();
     hedgeTimer?.cancel();
@@ -113,6 +117,7 @@
       outcome,
       status,
       detail,
+      workspace: workspaceName,
       attempts: attemptsStarted,
       tookMs: nowMs - request.arrivedAtMs,
       sinceLastAttemptMs:
@@ -123,6 +128,14 @@
     });
   }
 
+  /** What no target has run does not count against the quota. */
+  function refundQuota(outcome: string): void {
+    const hasRun = outcome === 'answered' || possiblyExecuted > 0;
+    if (workspaceName !== undefined && !request.isRelayed && !hasRun) {
+      context.quotas.refund(workspaceName);
+    }
+  }
+
   /** Its target may go on with the request. */
   function logCancelledAttempt(
     attempt: RunningAttempt,
@@ -155,7 +168,12 @@
 
   /** Whether the request may be sent once more, after a first attempt. */
   function mayRepeat(): boolean {
-    return crashVerdict() === 'clear';
+    return crashVerdict() === 'clear' && isCallerCurrent();
+  }
+
+  /** Whether the caller's API key is still that of its workspace. */
+  function isCallerCurrent(): boolean {
+    return context.callers.current(caller) !== undefined;
   }
 
   /** Tell which requests were the same one, if targets crashed under them. */
@@ -189,8 +207,12 @@
     refuse(outgoing, status, reason, retryAfterMs);
   }
 
+  function homeRegions(): readonly string[] {
+    return homeRegionsInForce(context, request) ?? route.homeRegions;
+  }
+
   function retryAfterMs(): number {
-    return context.retryAfterMs(service, route.homeRegions);
+    return context.retryAfterMs(service, homeRegions());
   }
 
   function onTimeout(): void {
@@ -533,7 +555,7 @@
       request.arrivedAtMs,
     );
   }
-  const elapsedMs = elapsedBeforeArrivalMs(context, request);
+  const elapsedMs = request.sinceFirstAttemptMs;
   const queuedRequest: QueuedRequest = {
     service,
     holdUntilMs:
@@ -563,6 +585,10 @@
     if (refuseIfSuspected()) {
       return 'done';
     }
+    if (!isCallerCurrent()) {
+      fail(401, KEY_REMOVED_REASON);
+      return 'done';
+    }
     if (context.copyGuard.state() === 'unconfirmed') {
       return 'hold';
     }
@@ -597,7 +623,7 @@
 
   /** Without a target, waits only for targets that are back from a pause. */
   function holdOrRefuse(nowMs: number): 'done' | 'hold' {
-    const pool = context.availability.poolOf(service, route.homeRegions);
+    const pool = context.availability.poolOf(service, homeRegions());
     if (pool.kind === 'resuming' && nowMs < queuedRequest.holdUntilMs) {
       return 'hold';
     }
@@ -624,20 +650,3 @@
     }
   });
 }
-
-/** Time since the client's first attempt, estimated from its stated timeout. */
-function elapsedBeforeArrivalMs(
-  context: ForwardingContext,
-  request: ExchangeRequest,
-): number {
-  const {clientDeadlineMs, arrivedAtMs, route} = request;
-  // The deadline of a relayed request is not the timeout that a client stated.
-  if (clientDeadlineMs === undefined || request.isRelayed) {
-    return 0;
-  }
-  const statedTimeoutMs = clientDeadlineMs - arrivedAtMs;
-  return context.clientRetryDetector.sinceFirstAttemptMs(
-    route.name,
-    statedTimeoutMs,
-  );
-}
--- a/packages/gateway/src/forwarding/exchange_types.ts
+++ b/packages/gateway/src/forwarding/exchange_types.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Placement, Route} from '@ibisbeam/decision';
 import type {VmRecord} from '../peers/messages.js';
+import type {Caller} from '../workspaces/caller_identity.js';
 import type {RunRecorder} from './crash_guard.js';
 import type {TargetAttempt} from './target_attempt.js';
 
@@ -14,6 +15,8 @@
   /** The service that the route's traffic split chose for this request. */
   readonly service: string;
   readonly attemptId: string | undefined;
+  /** As identified on arrival. */
+  readonly caller: Caller;
   /** Undefined if the route is not sticky or the client sent no key. */
   readonly affinityKey: string | undefined;
   /** Empty for a Content-Length of 0; undefined if no body is announced. */
@@ -21,6 +24,8 @@
   readonly arrivedAtMs: number;
   /** Time on the local clock at which the client gives up, if it states one. */
   readonly clientDeadlineMs: number | undefined;
+  /** Time since the client's first attempt, estimated; 0 for a first one. */
+  readonly sinceFirstAttemptMs: number;
   /** Whether another VM relays the request. */
   readonly isRelayed: boolean;
   /** Address of the client, also if another VM relays its request. */
--- a/packages/gateway/src/forwarding/relay_send.ts
+++ b/packages/gateway/src/forwarding/relay_send.ts
@@ -48,7 +48,12 @@
       port: Number(peer.callerAddress.slice(portStart)),
       method: incoming.method ?? 'GET',
       path: incoming.url ?? '/',
-      headers: relayHeaders(context, request, respondByMs - timers.nowMs()),
+      headers: relayHeaders(
+        context,
+        request,
+        peer.id,
+        respondByMs - timers.nowMs(),
+      ),
       body: request.body,
       attemptId: request.attemptId,
       agent: peerConnections.agentFor(PEER_POOL, {
--- a/packages/gateway/src/forwarding/request_log.ts
+++ b/packages/gateway/src/forwarding/request_log.ts
@@ -13,6 +13,7 @@
   log.log(level, 'request-finished', {
     request: request.attemptId,
     route: request.route,
+    workspace: request.workspace,
     configuration: request.configurationVersion,
     outcome: request.outcome,
     status: request.status,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -62,6 +62,11 @@
 import {createCopyGuard} from './store/copy_guard.js';
 import {createTargetAvailability} from './target_availability.js';
 import {createStoreFollower} from './store/store_follower.js';
+import {createCallerIdentity} from './workspaces/caller_identity.js';
+import {
+  QUOTA_LOG_INTERVAL_MS,
+  createWorkspaceQuotas,
+} from './workspaces/workspace_quotas.js';
 import {createTargetReachMonitor} from './target_reach.js';
 import {TRAFFIC_LOG_INTERVAL_MS, createTrafficMeter} from './traffic_meter.js';
 
@@ -97,6 +102,11 @@
 const PEER_DEMAND_LIFETIME_MS = 3_000;
 /** Peers that were silent for longer count as gone unless all are silent. */
 const RECENT_PEER_SPAN_MS = 25_000;
+/**
+ * A VM that hears from few peers within this time may not be heard by them
+ * either. Longer than two heartbeat intervals.
+ */
+const QUOTA_PEER_SPAN_MS = 1_000;
 /** Number of VMs that always watch the store. */
 const STORE_WATCHER_COUNT = 2;
 /**
@@ -141,6 +151,17 @@
     log,
     recordSpan: metrics.recordAcceptBacklog,
   });
+  const startedWallMs = timers.wallMs();
+  const random = createRandomSource(hash32(`${vm.id} ${startedWallMs}`));
+  const callers = createCallerIdentity(protocol.headers);
+  const quotas = createWorkspaceQuotas({
+    self: vm.id,
+    timers,
+    log,
+    random,
+    tolerance: () => bounds.quotaTolerance,
+    countDecision: metrics.countQuotaDecision,
+  });
   const rateLimits = createTargetRateLimits({
     self: vm,
     timers,
@@ -200,7 +221,11 @@
     zoneRegions: settings.zoneRegions,
     timers,
     log,
-    onConfiguration: ({limits}) => clientFacingServer.setLimits(limits),
+    onConfiguration: ({limits, workspaces}) => {
+      clientFacingServer.setLimits(limits);
+      callers.setWorkspaces(workspaces);
+      quotas.setWorkspaces(workspaces ?? []);
+    },
     isLeaving: availability.isLeaving,
     onTargetDraining: availability.recordListedLeaving,
     onTargetRemoved: ({incarnation, entry}) => {
@@ -224,7 +249,7 @@
 
   const self: VmRecord = {
     id: vm.id,
-    startedWallMs: timers.wallMs(),
+    startedWallMs,
     host: vm.host,
     callerAddress: `${settings.listen.caller.host}:${settings.listen.caller.port}`,
     zone: vm.zone,
@@ -263,6 +288,7 @@
 
   const mesh = createPeerMesh({
     self,
+    relayToken: callers.relayToken,
     listen: settings.listen.peers,
     seeds: settings.seeds,
     timers,
@@ -290,6 +316,7 @@
     fleet,
     regionPlan,
     rateLimits,
+    quotas,
     availability,
     crashGuard,
     congestion,
@@ -301,19 +328,33 @@
     targetReach: reachMonitor,
   });
 
+  const droppedHeaders: readonly string[] = [
+    protocol.headers.deadlineMs,
+    protocol.headers.expectedTarget,
+    protocol.headers.relayedFor,
+    protocol.headers.relayToken,
+    'content-length',
+    'expect',
+  ];
+
   const context: ForwardingContext = {
     timers,
     log,
     protocol,
     zone: vm.zone,
     region: vm.region,
-    droppedHeaders: new Set([
-      protocol.headers.deadlineMs,
-      protocol.headers.expectedTarget,
-      protocol.headers.relayedFor,
-      'content-length',
-      'expect',
+    droppedHeaders: new Set(droppedHeaders),
+    droppedCallerHeaders: new Set([
+      ...droppedHeaders,
+      protocol.headers.apiKey,
+      protocol.headers.workspace,
     ]),
+    callers,
+    quotas,
+    mayHoldRemovedKeys: () =>
+      bounds.revocationMs !== undefined &&
+      copiesConfirmedAgeMs() > bounds.revocationMs,
+    relayTokenOf: mesh.relayTokenOf,
     // It tells of the target's connection, not of the caller's.
     droppedAnswerHeaders: new Set([protocol.headers.leaving]),
     placement: createAffinityPlacement({
@@ -325,7 +366,7 @@
       warmKeys,
       parameters: DEFAULT_PLACEMENT_PARAMETERS,
       regionShares: regionPlan.shares,
-      random: createRandomSource(hash32(`${vm.id} ${self.startedWallMs}`)),
+      random,
       tryTakeSpillover: () => spilloverBudget.take(),
       coldStartAllows: (target, nowMs) =>
         coldStartLimiter.allows(
@@ -448,6 +489,15 @@
     unsettledRuns: crashGuard.unsettledRuns,
   });
 
+  /** Time since the store has last answered this VM or a peer that watches. */
+  function copiesConfirmedAgeMs(): number {
+    const confirmedAtMs = Math.max(
+      follower.lastConfirmedMs(),
+      watcherSelection.lastPeerConfirmationMs(),
+    );
+    return timers.nowMs() - confirmedAtMs;
+  }
+
   /** Whether configuration and targets are known. */
   function hasState(): boolean {
     return fleet.routes() !== undefined && follower.isComplete();
@@ -520,6 +570,23 @@
     coldStartLimiter.setVms(sharingVms);
     rateLimits.setVms(sharingVms);
     availability.stated.setVms(sharingVms.map(({id}) => id));
+    setQuotaVms();
+  }
+
+  /**
+   * A VM that is silent may be serving callers with its part of the quotas, so
+   * it counts for longer than with other bounds.
+   */
+  function setQuotaVms(): void {
+    const recent = mesh.peersHeardWithin(RECENT_PEER_SPAN_MS);
+    const isStarting = recent.length < sharingVms.length;
+    const counted = isStarting ? sharingVms : recent;
+    quotas.setVms(
+      counted.map(({id}) => id),
+      isStarting
+        ? counted.length
+        : mesh.peersHeardWithin(QUOTA_PEER_SPAN_MS).length,
+    );
   }
 
   async function start(): Promise<void> {
@@ -547,6 +614,7 @@
       timers.every(AVAILABILITY_EXPIRY_INTERVAL_MS, availability.expire),
       timers.every(RATE_LIMIT_LOG_INTERVAL_MS, rateLimits.logSends),
       timers.every(TRAFFIC_LOG_INTERVAL_MS, traffic.flush),
+      timers.every(QUOTA_LOG_INTERVAL_MS, quotas.logRefusals),
     );
     log.log('info', 'vm-started', {
       zone: vm.zone,
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -56,6 +56,15 @@
   ageMs: z.number().nonnegative(),
 });
 
+const quotaDemandSchema = z.object({
+  /** Whether workspaces that are not named have none; else unchanged. */
+  whole: z.boolean(),
+  /** Workspaces and requests per second. */
+  rates: z
+    .array(z.tuple([z.string().max(256), z.number().nonnegative()]))
+    .max(20_000),
+});
+
 const targetEntrySchema = z.object({
   id: z.string().max(512),
   service: z.string().max(256),
@@ -102,6 +111,11 @@
      * may send it fewer heartbeats; absent means not.
      */
     readsNextWithin: z.boolean().optional(),
+    /**
+     * What requests that peers relay to the sender carry as a proof; absent
+     * from VMs that ask for none.
+     */
+    relayToken: z.string().min(1).max(128).optional(),
   }),
   z.object({
     kind: z.literal('heartbeat'),
@@ -129,6 +143,11 @@
     nextWithinMs: z.number().nonnegative().optional(),
     /** Targets that say that they are leaving; absent as `rateLimits`. */
     leavingTargets: z.array(leavingReportSchema).max(5_000).optional(),
+    /**
+     * Demand of workspaces with a quota at the sender; absent if nothing has
+     * changed, and from VMs that keep no quotas.
+     */
+    quotaDemand: quotaDemandSchema.optional(),
   }),
   z.object({kind: z.literal('want-snapshot'), of: storeKindSchema}),
   /** Asks whether the sender's copies of the store are current. */
--- a/packages/gateway/src/peers/peer_conversation.ts
+++ b/packages/gateway/src/peers/peer_conversation.ts
@@ -8,6 +8,7 @@
   CongestionReport,
   CongestionReports,
   LeavingReport,
+  QuotaDemandReport,
   RateLimitReport,
   SurvivedRunsReport,
   TargetLoad,
@@ -23,6 +24,7 @@
 import type {TargetReachMonitor} from '../target_reach.js';
 import type {TargetAvailability} from '../target_availability.js';
 import type {TargetRateLimits} from '../target_rate_limits.js';
+import type {WorkspaceQuotas} from '../workspaces/workspace_quotas.js';
 import {createCopyComparison} from './copy_comparison.js';
 import {createCopyAnnouncements} from './copy_announcements.js';
 import {
@@ -54,6 +56,10 @@
   readonly fleet: FleetState;
   readonly regionPlan: RegionPlan;
   readonly rateLimits: TargetRateLimits;
+  readonly quotas: Pick<
+    WorkspaceQuotas,
+    'takeNews' | 'report' | 'recordPeerReport'
+  >;
   readonly availability: TargetAvailability;
   readonly crashGuard: CrashGuard;
   readonly congestion: Pick<CongestionReports, 'takeNews'>;
@@ -92,6 +98,7 @@
     follower,
     fleet,
     rateLimits,
+    quotas,
     availability,
     crashGuard,
     congestion,
@@ -122,7 +129,8 @@
       availability.reports(),
       follower.copyVersions(),
     );
-    mesh.send(peer.id, mesh.isFar(peer.id) ? toFar(heartbeat) : heartbeat);
+    const greeting = withQuotaDemand(heartbeat, quotas.report());
+    mesh.send(peer.id, mesh.isFar(peer.id) ? toFar(greeting) : greeting);
     tellRestoreMemory(peer);
     const {losses, survived} = crashGuard.reports();
     // Losses alone would look like those of a request that is never answered.
@@ -137,13 +145,22 @@
   function broadcastHeartbeat(due: 'near' | 'all'): void {
     const limits = rateLimits.takeNews();
     const leaving = availability.takeNews();
-    const near = heartbeatMessage(limits, leaving, copyAnnouncements.take());
+    // A share may grow only once all peers have heard of the demand.
+    const quotaDemand = due === 'all' ? quotas.takeNews() : undefined;
+    const near = withQuotaDemand(
+      heartbeatMessage(limits, leaving, copyAnnouncements.take()),
+      quotaDemand,
+    );
     mesh.broadcast(withCongestion(near), 'near');
     // Peers that have no news of this VM may miss a heartbeat, but no news.
     const hasNews = limits.length > 0 || leaving.length > 0;
     if (due === 'all' || hasNews) {
       const versions = follower.copyVersions();
-      mesh.broadcast(toFar(heartbeatMessage(limits, leaving, versions)), 'far');
+      const far = withQuotaDemand(
+        heartbeatMessage(limits, leaving, versions),
+        quotaDemand,
+      );
+      mesh.broadcast(toFar(far), 'far');
     }
   }
 
@@ -216,6 +233,9 @@
     });
     options.regionPlan.recordPeerDemand(from.id, new Map(message.demand));
     rateLimits.recordPeerReports(from.id, message.rateLimits ?? []);
+    if (message.quotaDemand) {
+      quotas.recordPeerReport(from.id, message.quotaDemand);
+    }
     copyComparison.compare(from.id, message.copyVersions ?? {});
     availability.recordPeerReports(from.id, message.leavingTargets ?? []);
     for (const {incarnation, load, ageMs} of message.congestedTargets ?? []) {
@@ -277,6 +297,20 @@
   };
 }
 
+function withQuotaDemand(
+  heartbeat: Heartbeat,
+  demand: QuotaDemandReport | undefined,
+): Heartbeat {
+  if (!demand) {
+    return heartbeat;
+  }
+  const rates = demand.rates.map(([workspace, perSecond]): [string, number] => [
+    workspace,
+    perSecond,
+  ]);
+  return {...heartbeat, quotaDemand: {whole: demand.whole, rates}};
+}
+
 /** States when a peer that needs fewer heartbeats gets the next one. */
 function toFar(heartbeat: Heartbeat): Heartbeat {
   return {...heartbeat, nextWithinMs: FAR_HEARTBEAT_INTERVAL_MS};
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -16,6 +16,8 @@
 
 export interface PeerMeshOptions {
   readonly self: VmRecord;
+  /** Told to peers, which prove by it that they relay a request. */
+  readonly relayToken: string;
   /** Peers are dialled at the same port. */
   readonly listen: HostAndPort;
   /** Hosts dialled while there is no link to any peer. */
@@ -46,6 +48,8 @@
   peersHeardWithin(spanMs: number): readonly VmRecord[];
   /** All peers not removed yet, including those never reached. */
   knownPeers(): readonly VmRecord[];
+  /** What the peer wants to see in relayed requests; undefined if nothing. */
+  relayTokenOf(vmId: string): string | undefined;
   close(): void;
 }
 
@@ -95,6 +99,7 @@
   slackMs: number;
   /** Whether it needs fewer heartbeats from other regions. */
   readsNextWithin: boolean;
+  relayToken: string | undefined;
 }
 
 export function createPeerMesh(options: PeerMeshOptions): PeerMesh {
@@ -128,6 +133,7 @@
           lastReceivedMs: timers.nowMs() - PEER_RETENTION_MS / 2,
           slackMs: 0,
           readsNextWithin: false,
+          relayToken: undefined,
         });
         continue;
       }
@@ -156,7 +162,8 @@
 
   function helloMessage(): PeerMessage {
     const known = takePeersToTell();
-    return {kind: 'hello', vm: self, known, readsNextWithin: true};
+    const {relayToken} = options;
+    return {kind: 'hello', vm: self, known, readsNextWithin: true, relayToken};
   }
 
   function attachLink(
@@ -211,8 +218,9 @@
 
   function onHello(
     link: WebSocket,
-    {vm, known, readsNextWithin = false}: Extract<PeerMessage, {kind: 'hello'}>,
+    hello: Extract<PeerMessage, {kind: 'hello'}>,
   ): void {
+    const {vm, known, readsNextWithin = false, relayToken} = hello;
     if (vm.id === self.id) {
       link.terminate();
       return;
@@ -233,6 +241,7 @@
     peer.link = link;
     peer.slackMs = 0;
     peer.readsNextWithin = readsNextWithin;
+    peer.relayToken = relayToken;
     peerOfLink.set(link, peer);
     peer.linkStartedWallMs = vm.startedWallMs;
     peer.failures = 0;
@@ -457,6 +466,7 @@
       return heard;
     },
     knownPeers: () => [...peers.values()].map(peer => peer.record),
+    relayTokenOf: vmId => peers.get(vmId)?.relayToken,
     close: () => {
       closed = true;
       ticker?.cancel();
--- a/packages/gateway/test/golden/sample_messages.ts
+++ b/packages/gateway/test/golden/sample_messages.ts
@@ -28,7 +28,13 @@
 export const SAMPLE_MESSAGES: {
   readonly [Kind in PeerMessage['kind']]: Extract<PeerMessage, {kind: Kind}>;
 } = {
-  hello: {kind: 'hello', vm: VM, known: [VM], readsNextWithin: true},
+  hello: {
+    kind: 'hello',
+    vm: VM,
+    known: [VM],
+    readsNextWithin: true,
+    relayToken: '6f1d',
+  },
   heartbeat: {
     kind: 'heartbeat',
     serving: true,
@@ -40,6 +46,7 @@
     leavingTargets: [{incarnation: 'i-2@1', ageMs: 40}],
     congestedTargets: [{incarnation: 'i-3@1', load: 9, ageMs: 20}],
     nextWithinMs: 1_200,
+    quotaDemand: {whole: false, rates: [['faculty', 2.5]]},
   },
   'want-snapshot': {kind: 'want-snapshot', of: 'targets'},
   'confirm-copies': {kind: 'confirm-copies', askedAtMs: 900},
--- a/packages/gateway/test/peer_mesh.test.ts
+++ b/packages/gateway/test/peer_mesh.test.ts
@@ -63,6 +63,7 @@
     };
     const mesh = createPeerMesh({
       self: record,
+      relayToken: `token of ${id}`,
       listen: {host, port},
       seeds,
       timers,
--- a/packages/stand_ins/src/core/object_platform/fleet_target.ts
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -3,7 +3,11 @@
  * keys and injectable faults. It writes responses to the socket directly, since
  * some faults need bytes that an HTTP library would not send.
  */
-import {type IncomingMessage, createServer} from 'node:http';
+import {
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  createServer,
+} from 'node:http';
 import {type AddressInfo, type Socket, Server as NetServer} from 'node:net';
 import type {TimerService} from '@ibisbeam/library';
 import type {LimitStatement, TargetArrival} from './rate_limit_rule.js';
@@ -57,6 +61,8 @@
   /** Whether the connection closed before the run ended. */
   cancelled: boolean;
   readonly fault: TargetFault;
+  /** Headers as received, by lower-case name. */
+  readonly headers: IncomingHttpHeaders;
 }
 
 /** A request that ends the target in the middle of its work. */
@@ -305,6 +311,7 @@
       atMs: timers.nowMs(),
       cancelled: false,
       fault,
+      headers: incoming.headers,
     };
     runs.push(record);
     if (key !== undefined) {
