Close no connection of a client while requests behind the answer run

Cause: in a planned stop and at a VM that is cut off, each answer closed its connection, also with pipelined requests behind it that targets were already running; those lost their answers. A request read after such an answer was passed on as well.

Change: an answer closes its connection only if no request was read behind it, and what is read later is not served, so that its client sends it again.

Result: pipelining.test (order, planned stop, behind a closing answer, a connection that breaks off) and a case of client_connections.test pass. With the first part taken out the planned stop fails; with the second, the case of client_connections.test (pipelining.test passes then).

--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -33,6 +33,8 @@
 export interface ClientFacingServer {
   listen(): Promise<void>;
   setLimits(limits: ClientLimits): void;
+  /** See `ForwardingContext`. */
+  prepareAnswer(outgoing: ServerResponse): void;
   /** Number of requests whose answer has not left completely. */
   inFlight(): number;
   /** What would be lost if all connections were closed now. */
@@ -108,33 +110,55 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): void {
-    connections.recordRequest(incoming, outgoing);
-    if (context.isStopping() || context.targetReach() === 'cut-off') {
-      outgoing.shouldKeepAlive = false;
+    if (!connections.recordRequest(incoming, outgoing)) {
+      return;
     }
     const arrivedAtMs = context.timers.nowMs();
     nameRelayedRequest(incoming, outgoing);
     const malformation = findMalformation(incoming);
     if (malformation) {
-      refuse(outgoing, 400, malformation, undefined, true);
+      refuseHere(outgoing, 400, malformation, undefined, true);
       return;
     }
     if (!options.routes()) {
       const reason = 'no configuration yet';
-      refuse(outgoing, 503, reason, UNCONFIGURED_RETRY_AFTER_MS, true);
+      refuseHere(outgoing, 503, reason, UNCONFIGURED_RETRY_AFTER_MS, true);
       return;
     }
     context.copyGuard.whenUsable(isUsable => {
       const routes = options.routes();
       if (!routes || !isUsable) {
         const reason = 'the configuration may be outdated';
-        refuse(outgoing, 503, reason, UNCONFIGURED_RETRY_AFTER_MS, true);
+        refuseHere(outgoing, 503, reason, UNCONFIGURED_RETRY_AFTER_MS, true);
         return;
       }
       route(incoming, outgoing, routes, arrivedAtMs);
     });
   }
 
+  /** A client of a VM that goes or reaches no targets is better off elsewhere. */
+  function prepareAnswer(outgoing: ServerResponse): void {
+    if (context.isStopping() || context.targetReach() === 'cut-off') {
+      connections.closeAfter(outgoing);
+    }
+  }
+
+  /** @param close Closes the connection, on which a body may be unread. */
+  function refuseHere(
+    outgoing: ServerResponse,
+    status: number,
+    reason: string,
+    retryAfterMs?: number,
+    close = false,
+  ): void {
+    if (close) {
+      connections.closeAfter(outgoing);
+    } else {
+      prepareAnswer(outgoing);
+    }
+    refuse(outgoing, status, reason, retryAfterMs);
+  }
+
   function route(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
@@ -144,7 +168,7 @@
     const path = incoming.url ?? '/';
     const found = routes.find(incoming.headers.host ?? '', path);
     if (!found) {
-      refuse(outgoing, 404, 'no route', undefined, announcesBody(incoming));
+      refuseHere(outgoing, 404, 'no route', undefined, announcesBody(incoming));
       return;
     }
     const caller = identifyCaller(incoming, outgoing, found);
@@ -168,7 +192,7 @@
       result.caseOf({
         Left: error => {
           if (error.kind === 'too-large') {
-            refuse(outgoing, 413, 'the body is too large', undefined, true);
+            refuseHere(outgoing, 413, 'the body is too large', undefined, true);
           }
         },
         Right: body => forward(arrival, body),
@@ -194,19 +218,19 @@
         });
         const retryAfterMs =
           status === 503 ? UNCONFIGURED_RETRY_AFTER_MS : undefined;
-        refuse(outgoing, status, reason, retryAfterMs, close);
+        refuseHere(outgoing, status, reason, retryAfterMs, close);
         return undefined;
       }
       case 'identified': {
         const {caller} = identification;
         if (caller.kind === 'workspace' && context.mayHoldRemovedKeys()) {
           const reason = 'the list of API keys may be outdated';
-          refuse(outgoing, 503, reason, UNCONFIGURED_RETRY_AFTER_MS, close);
+          refuseHere(outgoing, 503, reason, UNCONFIGURED_RETRY_AFTER_MS, close);
           return undefined;
         }
         if (!commonHomeRegions(route.homeRegions, homeRegionsOf(caller))) {
           const reason = 'the route and the workspace have no home in common';
-          refuse(outgoing, 403, reason, undefined, close);
+          refuseHere(outgoing, 403, reason, undefined, close);
           return undefined;
         }
         return caller;
@@ -236,7 +260,7 @@
           retryAfterMs: Math.round(retryAfterMs),
         });
         const reason = 'the quota of the workspace is used up';
-        refuse(outgoing, 429, reason, retryAfterMs);
+        refuseHere(outgoing, 429, reason, retryAfterMs);
         return false;
       }
     }
@@ -262,7 +286,7 @@
     const {incoming, outgoing, routes, route, caller, arrivedAtMs} = arrival;
     const service = routes.nextService(route);
     if (service === undefined) {
-      refuse(outgoing, 503, 'no service', UNCONFIGURED_RETRY_AFTER_MS);
+      refuseHere(outgoing, 503, 'no service', UNCONFIGURED_RETRY_AFTER_MS);
       return;
     }
     const {headers} = context.protocol;
@@ -354,6 +378,7 @@
         server.listen(port, host, LISTEN_BACKLOG, () => resolve());
       }),
     setLimits,
+    prepareAnswer,
     inFlight: connections.inFlight,
     unfinished: connections.unfinished,
     openConnections: connections.count,
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -204,6 +204,7 @@
 
   function fail(status: number, reason: string, retryAfterMs?: number): void {
     finish('refused', status, reason);
+    context.prepareAnswer(outgoing);
     refuse(outgoing, status, reason, retryAfterMs);
   }
 
@@ -537,9 +538,9 @@
       );
     }
     finish('answered', response.status);
+    context.prepareAnswer(outgoing);
     deliverResponse(outgoing, response, {
       droppedHeaders: context.droppedAnswerHeaders,
-      closeAfter: context.isStopping(),
     });
   }
 
--- a/packages/gateway/src/forwarding/response_delivery.ts
+++ b/packages/gateway/src/forwarding/response_delivery.ts
@@ -9,8 +9,6 @@
 export interface DeliveryOptions {
   /** Names, in lower case, of headers that callers do not get. */
   readonly droppedHeaders: ReadonlySet<string>;
-  /** Whether the client's connection closes after the response. */
-  readonly closeAfter: boolean;
 }
 
 /**
@@ -21,16 +19,13 @@
 export function deliverResponse(
   outgoing: ServerResponse,
   response: TargetResponse,
-  {droppedHeaders, closeAfter}: DeliveryOptions,
+  {droppedHeaders}: DeliveryOptions,
 ): void {
   if (outgoing.destroyed) {
     discardBody(response);
     return;
   }
   const headers = endToEndRawHeaders(response.rawHeaders, droppedHeaders);
-  if (closeAfter) {
-    headers.push('Connection', 'close');
-  }
   const {body} = response;
   if (body.kind === 'whole') {
     if (!hasContentLength(headers) && mayHaveBody(response.status)) {
@@ -69,14 +64,12 @@
  *
  * @param retryAfterMs Sent as Retry-After, in seconds; omit it if a retry would
  *     not help.
- * @param close Closes the connection after the response.
  */
 export function refuse(
   outgoing: ServerResponse,
   status: number,
   reason: string,
   retryAfterMs?: number,
-  close = false,
 ): void {
   if (outgoing.destroyed || outgoing.headersSent) {
     return;
@@ -91,9 +84,6 @@
     const hundredths = Math.ceil(retryAfterMs / MILLISECONDS_PER_HUNDREDTH);
     headers['Retry-After'] = (hundredths / HUNDREDTHS_PER_SECOND).toFixed(2);
   }
-  if (close) {
-    headers['Connection'] = 'close';
-  }
   outgoing.writeHead(status, headers);
   outgoing.end(body);
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -396,6 +396,7 @@
     admissionQueue: createAdmissionQueue(timers),
     sendScheduler: createSendScheduler({timers, acceptBacklog}),
     isStopping: () => stopping,
+    prepareAnswer: outgoing => clientFacingServer.prepareAnswer(outgoing),
     findRoute: incoming =>
       fleet.routes()?.find(incoming.headers.host ?? '', incoming.url ?? '/'),
     copyGuard,
--- a/packages/library/src/core/http/client_connections.ts
+++ b/packages/library/src/core/http/client_connections.ts
@@ -8,8 +8,20 @@
 
 export interface ClientConnections {
   add(socket: Socket): void;
-  /** Call it when the head of a request has been read. */
-  recordRequest(incoming: IncomingMessage, outgoing: ServerResponse): void;
+  /**
+   * Call it when the head of a request has been read.
+   *
+   * @returns False if an earlier answer closes the connection: the request
+   *     counts as not read, its client sends it again, and it must not be served.
+   */
+  recordRequest(incoming: IncomingMessage, outgoing: ServerResponse): boolean;
+  /**
+   * Lets the answer close its connection, unless requests have been read behind
+   * it, whose answers would be lost. Call it before the head is written.
+   *
+   * @returns Whether the connection closes.
+   */
+  closeAfter(outgoing: ServerResponse): boolean;
   /** Number of requests whose answer has not left completely. */
   inFlight(): number;
   inFlightOn(socket: object): number;
@@ -32,12 +44,17 @@
 
 interface ConnectionState {
   requestsInFlight: number;
+  /** Answer to the request that was read last. */
+  lastAnswer: ServerResponse | undefined;
+  /** Whether an answer that closes the connection has been begun. */
+  isClosing: boolean;
   /** Bytes that had been received when the last request was complete. */
   bytesRead: number | undefined;
 }
 
 export function createClientConnections(): ClientConnections {
   const states = new Map<Socket, ConnectionState>();
+  const stateByAnswer = new WeakMap<ServerResponse, ConnectionState>();
   let inFlight = 0;
 
   function isIdle(socket: Socket, state: ConnectionState): boolean {
@@ -50,12 +67,20 @@
 
   return {
     add: socket => {
-      states.set(socket, {requestsInFlight: 0, bytesRead: undefined});
+      states.set(socket, {
+        requestsInFlight: 0,
+        lastAnswer: undefined,
+        isClosing: false,
+        bytesRead: undefined,
+      });
       socket.on('close', () => states.delete(socket));
     },
     recordRequest: (incoming, outgoing) => {
       const {socket} = incoming;
       const state = states.get(socket);
+      if (state?.isClosing) {
+        return false;
+      }
       inFlight += 1;
       // Emitted once the last byte has been handed to the system.
       outgoing.on('close', () => {
@@ -65,13 +90,27 @@
         }
       });
       if (!state) {
-        return;
+        return true;
       }
+      stateByAnswer.set(outgoing, state);
+      state.lastAnswer = outgoing;
       state.requestsInFlight += 1;
       state.bytesRead = socket.bytesRead;
       incoming.on('end', () => {
         state.bytesRead = socket.bytesRead;
       });
+      return true;
+    },
+    closeAfter: outgoing => {
+      const state = stateByAnswer.get(outgoing);
+      if (state && state.lastAnswer !== outgoing) {
+        return false;
+      }
+      outgoing.shouldKeepAlive = false;
+      if (state) {
+        state.isClosing = true;
+      }
+      return true;
     },
     inFlight: () => inFlight,
     inFlightOn: socket => states.get(socket as Socket)?.requestsInFlight ?? 0,
--- a/packages/library/test/core/http/client_connections.test.ts
+++ b/packages/library/test/core/http/client_connections.test.ts
@@ -34,8 +34,9 @@
     clients = [];
     respond = (_, outgoing) => outgoing.end('ok');
     server = createServer((incoming, outgoing) => {
-      connections.recordRequest(incoming, outgoing);
-      respond(incoming, outgoing);
+      if (connections.recordRequest(incoming, outgoing)) {
+        respond(incoming, outgoing);
+      }
     });
     server.on('connection', connections.add);
     await new Promise<void>(resolve => {
@@ -131,4 +132,25 @@
     sendRequest(unused);
     assert.match(await readFor(unused, CLIENT_PAUSE_MS / 4), /200 OK/);
   });
+
+  it('do not close behind an answer with requests behind it', async () => {
+    const answers: ServerResponse[] = [];
+    respond = (_, outgoing) => answers.push(outgoing);
+    const client = await open();
+    sendRequest(client);
+    sendRequest(client);
+    while (answers.length < 2) {
+      await timers.sleep(1);
+    }
+    const [first, second] = answers;
+    assert.ok(first && second);
+    assert.ok(!connections.closeAfter(first));
+    first.end('first');
+    assert.ok(connections.closeAfter(second));
+    sendRequest(client);
+    await timers.sleep(CLIENT_PAUSE_MS);
+    assert.equal(answers.length, 2);
+    second.end('second');
+    assert.match(await readFor(client, CLIENT_PAUSE_MS), /first[^]*second/);
+  });
 });
--- /dev/null
+++ b/packages/stand_ins/test/object_platform/pipelining.test.ts
@@ -0,0 +1,114 @@
+import assert from 'node:assert/strict';
+import {type Socket, connect} from 'node:net';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {settleWithin} from '../../src/index.js';
+import {
+  type Harness,
+  HOST,
+  countRuns,
+  startHarness,
+  timers,
+  waitUntil,
+} from './harness.js';
+
+const CLOSE_TIMEOUT_MS = 8_000;
+const SLOW_MS = 400;
+
+describe('requests sent behind another on its connection', () => {
+  let harness: Harness;
+  let client: Socket;
+  let received: string;
+  let closed: Promise<void>;
+
+  beforeEach(async () => {
+    harness = await startHarness();
+    const {host, port} = harness.gateway.caller;
+    received = '';
+    client = connect(port, host);
+    client.on('data', data => {
+      received += data.toString('latin1');
+    });
+    client.on('error', () => {});
+    closed = new Promise(resolve => {
+      client.on('close', () => resolve());
+    });
+  });
+  afterEach(async () => {
+    client.destroy();
+    await harness.stop();
+  });
+
+  function requestText(attemptId: string): string {
+    return [
+      `GET /rooms/${attemptId} HTTP/1.1`,
+      `Host: ${HOST}`,
+      `X-Ibisbeam-Attempt-Id: ${attemptId}`,
+      'X-Ibisbeam-Deadline-Ms: 3000',
+      '\r\n',
+    ].join('\r\n');
+  }
+
+  /** Attempt identifiers of the answers, in the order in which they came. */
+  function answered(): readonly string[] {
+    const found = received.matchAll(/x-ibisbeam-attempt-id: (\S+)/gi);
+    return [...found].map(([, attemptId]) => attemptId ?? '');
+  }
+
+  function waitForClose(): Promise<void> {
+    return settleWithin(
+      {timers, timeoutMs: CLOSE_TIMEOUT_MS, awaited: 'the connection to close'},
+      closed,
+    );
+  }
+
+  it('are answered in the order in which they were sent', async () => {
+    const [first] = harness.targets;
+    first?.setWorkMs(SLOW_MS);
+    const ids = ['one', 'two', 'three', 'four', 'five'];
+    client.write(ids.map(requestText).join(''));
+    await waitUntil(() => answered().length === ids.length);
+    assert.deepEqual(answered(), ids);
+  });
+
+  // Guards against an answer that closes the connection in a planned stop while
+  // targets are at work on requests behind it.
+  it('get their answers in a planned stop if targets have them', async () => {
+    for (const target of harness.targets) {
+      target.setWorkMs(SLOW_MS);
+    }
+    const ids = ['one', 'two', 'three'];
+    client.write(ids.map(requestText).join(''));
+    await waitUntil(() => countRuns(harness) === ids.length);
+    void harness.gateway.gateway.stop();
+    await waitForClose();
+    assert.deepEqual(answered(), ids);
+    assert.match(received, /connection: close/i);
+  });
+
+  it('reach no target behind an answer that closes the connection', async () => {
+    for (const target of harness.targets) {
+      target.setLargeAnswer('/rooms/long', 2_000_000);
+    }
+    void harness.gateway.gateway.stop();
+    client.write(requestText('long'));
+    await waitUntil(() => /connection: close/i.test(received));
+    client.write(requestText('behind'));
+    await waitForClose();
+    assert.equal(countRuns(harness, 'long'), 1);
+    assert.equal(countRuns(harness, 'behind'), 0);
+  });
+
+  it('leave no target at work when the connection breaks off', async () => {
+    for (const target of harness.targets) {
+      target.setWorkMs(3_000);
+    }
+    const ids = ['one', 'two', 'three', 'four', 'five'];
+    client.write(ids.map(requestText).join(''));
+    await waitUntil(() => countRuns(harness) === ids.length);
+    client.destroy();
+    await waitUntil(() => {
+      const runs = harness.targets.flatMap(target => target.runs);
+      return runs.every(run => run.cancelled);
+    });
+  });
+});
