Judge targets by the load that other VMs bring, and let priorities go first

The waiting queue knew no priority and no workspace.

Change: a target of which nothing is known is taken for as busy as the others of its service; full targets are told to the region from 16 peers on (32 before); refused callers return after the expected wait, spread. Where callers belong to workspaces, waiting requests go by priority and then by the slot time of their workspace, with each fourth turn by arrival, and a request with time to spare leaves the slot to more urgent ones. What a target says of its machine's speed at the moment lengthens the expected run for half a second and is taken out of what runs teach.

--- a/packages/decision/src/core/placement/affinity_placement.ts
+++ b/packages/decision/src/core/placement/affinity_placement.ts
@@ -44,6 +44,8 @@
   readonly roundTripMs: number;
   /** Whether the target is expected to have the affinity key in its cache. */
   readonly warm: boolean;
+  /** Requests that are estimated to be at the target. */
+  readonly inFlight: number;
 }
 
 export interface PlacementParameters {
@@ -94,6 +96,11 @@
   readonly random: RandomSource;
   /** Takes one request from the spillover budget; false if it is used up. */
   tryTakeSpillover(nowMs: number): boolean;
+  /**
+   * Requests assumed per slot of a target whose load is not known; 0 where VMs
+   * hear of their targets often.
+   */
+  assumedRequestsPerSlot(service: string, nowMs: number): number;
   /** Whether the cold-start limit lets this VM send the target a request. */
   coldStartAllows(target: RegisteredTarget, nowMs: number): boolean;
   /** Whether the rate limit that the target states, if any, lets it. */
@@ -319,6 +326,18 @@
     };
   }
 
+  function estimatedInFlight(
+    {incarnation, entry}: RegisteredTarget,
+    nowMs: number,
+  ): number {
+    const estimated = targetLoad.estimatedInFlight(incarnation, nowMs);
+    if (targetLoad.isReported(incarnation, nowMs)) {
+      return estimated;
+    }
+    const perSlot = dependencies.assumedRequestsPerSlot(entry.service, nowMs);
+    return Math.max(estimated, perSlot * entry.slots);
+  }
+
   function score(
     {target, rank}: RankedTarget,
     {request, keyHome, expected}: PlacementGoal,
@@ -331,9 +350,11 @@
       affinityKey === undefined ||
       (rank === 0 && isWithin(target, keyHome)) ||
       warmKeys.isWarm(incarnation, service, affinityKey, nowMs);
-    const slowdown = targetLoad.slowdown(incarnation);
+    const slowdown =
+      targetLoad.slowdown(incarnation) *
+      targetLoad.momentarySlowdown(incarnation, nowMs);
     const runMs = (warm ? cacheHitMs : cacheMissMs) * slowdown;
-    const inFlight = targetLoad.estimatedInFlight(incarnation, nowMs);
+    const inFlight = estimatedInFlight(target, nowMs);
     const queued = Math.max(0, inFlight + 1 - entry.slots);
     const delayMs = targetLoad.delayMs(incarnation, nowMs);
     const waitMs = (queued / entry.slots) * cacheHitMs * slowdown + delayMs;
@@ -362,6 +383,7 @@
         delayMs,
         roundTripMs,
         warm,
+        inFlight,
       },
     };
   }
--- a/packages/decision/src/core/placement/dispatch_rule.ts
+++ b/packages/decision/src/core/placement/dispatch_rule.ts
@@ -32,6 +32,8 @@
   readonly clientTimeoutMs: number;
   /** Whether this request is a client's retry after a refusal. */
   readonly isRetry: boolean;
+  /** Whether requests of a more urgent priority wait for the service. */
+  readonly isOutranked: boolean;
 }
 
 export type DispatchDecision =
@@ -52,10 +54,27 @@
   return clientTimeoutMs * HOLD_FRACTION;
 }
 
+/** Time that must be left to the objective after a request has yielded. */
+const YIELD_MARGIN_MS = 50;
+
+/** Whether a request can leave a slot to more urgent ones and be in time. */
+function canYield(input: DispatchInput): boolean {
+  const leftMs = input.objectiveLeftMs - input.expectedMs;
+  return (
+    input.isOutranked &&
+    !input.isRetry &&
+    leftMs > YIELD_MARGIN_MS &&
+    input.heldMs < maximumHoldMs(input.clientTimeoutMs)
+  );
+}
+
 export function decideDispatch(input: DispatchInput): DispatchDecision {
   const {expectedMs, waitMs, deadlineLeftMs} = input;
   if (expectedMs <= input.objectiveLeftMs) {
-    return {kind: 'send', urgency: 'in-time'};
+    // It queues behind those that it leaves the slot to.
+    return canYield(input)
+      ? {kind: 'hold', urgency: 'late'}
+      : {kind: 'send', urgency: 'in-time'};
   }
   if (expectedMs - waitMs > deadlineLeftMs) {
     return {kind: 'refuse'};
--- a/packages/decision/src/core/placement/target_load.ts
+++ b/packages/decision/src/core/placement/target_load.ts
@@ -22,6 +22,13 @@
   inFlight(incarnation: string): number;
   /** Requests at the target: those of this VM plus reported ones of others. */
   estimatedInFlight(incarnation: string, nowMs: number): number;
+  /**
+   * How much longer than usual work takes at the target's machine at this
+   * moment, as it last said; nears 1 as that gets old, and never goes below.
+   */
+  momentarySlowdown(incarnation: string, nowMs: number): number;
+  /** Whether what the target or a peer said of its load still holds. */
+  isReported(incarnation: string, nowMs: number): boolean;
   /** The target's service time divided by the expected one; 1 if unknown. */
   slowdown(incarnation: string): number;
   /**
@@ -80,6 +87,8 @@
 const SAMPLE_WEIGHT = 0.2;
 /** Weight of the newest report; a single one may not be representative. */
 const REPORT_WEIGHT = 0.5;
+/** Machines that targets share get faster or slower within about this time. */
+const WORK_TIME_LIFETIME_MS = 500;
 /** Older reports are ignored. */
 const REPORT_LIFETIME_MS = 500;
 /**
@@ -110,6 +119,8 @@
 
 interface LoadRecord {
   inFlight: number;
+  workTimeRatio: number;
+  workTimeAtMs: number;
   otherInFlight: number;
   reportedAtMs: number;
   reportLifetimeMs: number;
@@ -134,6 +145,8 @@
     }
     const record: LoadRecord = {
       inFlight: 0,
+      workTimeRatio: 1,
+      workTimeAtMs: -Infinity,
       otherInFlight: 0,
       reportedAtMs: -Infinity,
       reportLifetimeMs: REPORT_LIFETIME_MS,
@@ -175,6 +188,20 @@
     record.otherInFlight = before + (others - before) * REPORT_WEIGHT;
     record.reportedAtMs = nowMs;
     record.reportLifetimeMs = REPORT_LIFETIME_MS;
+    if (report.workTimeRatio !== undefined) {
+      record.workTimeRatio = Math.max(1, report.workTimeRatio);
+      record.workTimeAtMs = nowMs;
+    }
+  }
+
+  function momentarySlowdown(incarnation: string, nowMs: number): number {
+    const record = records.get(incarnation);
+    if (!record) {
+      return 1;
+    }
+    const ageMs = nowMs - record.workTimeAtMs;
+    const weight = Math.max(0, 1 - ageMs / WORK_TIME_LIFETIME_MS);
+    return 1 + (record.workTimeRatio - 1) * weight;
   }
 
   function recordPeerReport(
@@ -280,6 +307,11 @@
   return {
     inFlight: incarnation => records.get(incarnation)?.inFlight ?? 0,
     estimatedInFlight,
+    momentarySlowdown,
+    isReported: (incarnation, nowMs) => {
+      const record = records.get(incarnation);
+      return record !== undefined && hasFreshReport(record, nowMs);
+    },
     slowdown: incarnation => records.get(incarnation)?.slowdown ?? 1,
     failureRate: incarnation => records.get(incarnation)?.failures ?? 0,
     backoffUntilMs: incarnation =>
--- a/packages/decision/test/placement/affinity_placement.test.ts
+++ b/packages/decision/test/placement/affinity_placement.test.ts
@@ -45,7 +45,7 @@
 }
 
 /** A VM in riga-a with four targets in its region and two in another. */
-function startVm(maySpillOver = true) {
+function startVm(maySpillOver = true, assumedPerSlot = 0) {
   const registry = createTargetRegistry({
     zoneRegions: ZONES,
     onEvent: () => {},
@@ -78,6 +78,7 @@
     }),
     random: createRandomSource(1),
     tryTakeSpillover: () => maySpillOver,
+    assumedRequestsPerSlot: () => assumedPerSlot,
     coldStartAllows: () => false,
     rateLimitAllows: () => true,
     statedAvailability,
@@ -269,6 +270,35 @@
     }
     assert.notEqual(placement.choose(REQUEST, 0)?.target.entry.id, home);
   });
+
+  // Many VMs share the targets, and each takes those of which it has not heard
+  // for idle until they refuse.
+  it('takes a target of unknown load for as busy as others', () => {
+    const {placement, load, incarnationOf} = startVm(false, 3);
+    const request = {
+      route: 'look-up',
+      service: 'rooms',
+      latencyObjectiveMs: 200,
+      homeRegions: [],
+      isDownload: false,
+      excludedIncarnations: new Set<string>(),
+    };
+    load.recordReport(
+      incarnationOf('b1'),
+      {running: 0, waiting: 0, slots: 6},
+      0,
+    );
+    const placed = placement.choose(request, 0);
+    assert.equal(placed?.target.entry.id, 'b1');
+    load.recordReport(
+      incarnationOf('b1'),
+      {running: 6, waiting: 30, slots: 6},
+      0,
+    );
+    const elsewhere = placement.choose(request, 0);
+    assert.notEqual(elsewhere?.target.entry.id, 'b1');
+    assert.ok((elsewhere?.waitMs ?? 0) > 0);
+  });
 });
 
 function keyAt(
--- a/packages/decision/test/placement/dispatch_queue.test.ts
+++ b/packages/decision/test/placement/dispatch_queue.test.ts
@@ -16,9 +16,18 @@
   urgency: WaitingRequest['urgency'],
   holdUntilMs = 100,
 ): NamedRequest {
-  return {name, urgency, holdUntilMs};
+  return {
+    name,
+    urgency,
+    holdUntilMs,
+    priority: 0,
+    workspace: '',
+    slotMs: 0,
+  };
 }
 
+const noSlotTime = (): number => 0;
+
 describe('dispatch queue', () => {
   it('orders requests in time before retries and late ones', () => {
     const queue = createDispatchQueue<NamedRequest>();
@@ -27,7 +36,7 @@
     queue.add(waitingRequest('in time', 'in-time'));
     queue.add(waitingRequest('late 2', 'late'));
     assert.deepEqual(
-      queue.first(10).map(request => request.name),
+      queue.first(10, noSlotTime).map(request => request.name),
       ['in time', 'back', 'late 1', 'late 2'],
     );
   });
@@ -37,7 +46,7 @@
     for (let index = 0; index < 500; index += 1) {
       queue.add(waitingRequest(String(index), 'late'));
     }
-    assert.equal(queue.first(4).length, 4);
+    assert.equal(queue.first(4, noSlotTime).length, 4);
     assert.equal(queue.size(), 500);
   });
 
@@ -62,7 +71,7 @@
     moving.urgency = 'late';
     queue.requeue(moving);
     assert.deepEqual(
-      queue.first(2).map(request => request.name),
+      queue.first(2, noSlotTime).map(request => request.name),
       ['late', 'moving'],
     );
     assert.ok(queue.remove(moving));
@@ -81,7 +90,38 @@
       heldMs: maximumHoldMs(clientTimeoutMs),
       clientTimeoutMs,
       isRetry: false,
+      isOutranked: false,
     });
     assert.equal(decision.kind, 'refuse');
   });
+
+  // More urgent requests first, and all others now and then.
+  it('orders equally urgent requests by priority, with turns for all', () => {
+    const queue = createDispatchQueue<NamedRequest>();
+    queue.add({...waitingRequest('low', 'late'), priority: 2});
+    for (let index = 1; index <= 5; index += 1) {
+      queue.add({...waitingRequest(`high ${index}`, 'late'), priority: 1});
+    }
+    assert.deepEqual(
+      queue.first(5, noSlotTime).map(request => request.name),
+      ['high 1', 'high 2', 'high 3', 'low', 'high 4'],
+    );
+  });
+
+  // A workspace that floods a service beside one that asks now and then.
+  it('gives workspaces turns by the slot time that they have had', () => {
+    const queue = createDispatchQueue<NamedRequest>();
+    for (let index = 1; index <= 6; index += 1) {
+      const request = waitingRequest(`flood ${index}`, 'late');
+      queue.add({...request, workspace: 'flood', slotMs: 100});
+    }
+    const request = waitingRequest('rare', 'late');
+    queue.add({...request, workspace: 'rare', slotMs: 100});
+    const used = (workspace: string): number =>
+      workspace === 'flood' ? 1_000 : 0;
+    assert.deepEqual(
+      queue.first(3, used).map(({name}) => name),
+      ['rare', 'flood 1', 'flood 2'],
+    );
+  });
 });
--- a/packages/decision/test/placement/dispatch_rule.test.ts
+++ b/packages/decision/test/placement/dispatch_rule.test.ts
@@ -17,6 +17,7 @@
   heldMs: 0,
   clientTimeoutMs: 1_000,
   isRetry: false,
+  isOutranked: false,
 };
 
 describe('dispatch rule under overload', () => {
@@ -36,6 +37,19 @@
     assert.equal(decideDispatch({...late, heldMs: 400}).kind, 'refuse');
   });
 
+  // Two kinds of request of one service; the less urgent has more time.
+  it('leaves the slot to more urgent requests while there is time', () => {
+    const outranked = {...IDLE, isOutranked: true};
+    assert.deepEqual(decideDispatch(outranked), {
+      kind: 'hold',
+      urgency: 'late',
+    });
+    const short = {...outranked, objectiveLeftMs: 100};
+    assert.equal(decideDispatch(short).kind, 'send');
+    assert.equal(decideDispatch({...outranked, heldMs: 60}).kind, 'send');
+    assert.equal(decideDispatch({...outranked, isRetry: true}).kind, 'send');
+  });
+
   it('sends late requests to free slots', () => {
     const answer = decideDispatch({...IDLE, expectedMs: 260});
     assert.deepEqual(answer, {kind: 'send', urgency: 'late'});
--- a/packages/decision/test/placement/target_load.test.ts
+++ b/packages/decision/test/placement/target_load.test.ts
@@ -53,4 +53,17 @@
     load.recordConnectionFailure('well', 1_600);
     assert.equal(load.backoffUntilMs('well'), 1_800);
   });
+
+  // Machines that targets share slow them down for some hundred milliseconds.
+  it('takes what a target says of the moment for what it is', () => {
+    const load = createTargetLoad();
+    const report = {running: 1, waiting: 0, slots: 4};
+    load.recordReport('one', {...report, workTimeRatio: 2.5}, 1_000);
+    assert.equal(load.momentarySlowdown('one', 1_000), 2.5);
+    assert.equal(load.momentarySlowdown('one', 1_250), 1.75);
+    assert.equal(load.momentarySlowdown('one', 1_500), 1);
+    load.recordReport('one', {...report, workTimeRatio: 0.5}, 1_600);
+    assert.equal(load.momentarySlowdown('one', 1_600), 1);
+    assert.equal(load.slowdown('one'), 1);
+  });
 });
--- a/packages/gateway/src/forwarding/admission_queue.ts
+++ b/packages/gateway/src/forwarding/admission_queue.ts
@@ -1,6 +1,7 @@
 /** Holds requests until a slot may be free, then offers them the slot. */
 import {
   type DispatchQueue,
+  type SlotTimeShares,
   type WaitingRequest,
   createDispatchQueue,
 } from '@ibisbeam/decision';
@@ -19,6 +20,8 @@
   onSlotFreed(service: string): void;
   /** Called when the requests of the service may have no target left. */
   offerAll(service: string): void;
+  /** Whether a request of a more urgent priority waits for the service. */
+  hasAheadOf(service: string, priority: number): boolean;
   length(): number;
 }
 
@@ -32,7 +35,10 @@
 /** Number of requests tried on each poll, when any target may have a slot. */
 const OFFERS_PER_RETRY = 24;
 
-export function createAdmissionQueue(timers: TimerService): AdmissionQueue {
+export function createAdmissionQueue(
+  timers: TimerService,
+  slotTimes: Pick<SlotTimeShares, 'used'>,
+): AdmissionQueue {
   const queues = new Map<string, DispatchQueue<QueuedRequest>>();
   let ticker: TimerHandle | undefined;
   let queuedCount = 0;
@@ -77,10 +83,24 @@
     }
   }
 
+  function offerFirst(service: string, count: number): void {
+    const queue = queues.get(service);
+    if (!queue || queue.size() === 0) {
+      return;
+    }
+    const nowMs = timers.nowMs();
+    offer(
+      queue,
+      queue.first(count, workspace =>
+        slotTimes.used(service, workspace, nowMs),
+      ),
+    );
+  }
+
   function retry(): void {
-    for (const queue of queues.values()) {
+    for (const [service, queue] of queues) {
       offer(queue, queue.expired(timers.nowMs()));
-      offer(queue, queue.first(OFFERS_PER_RETRY));
+      offerFirst(service, OFFERS_PER_RETRY);
     }
   }
 
@@ -91,18 +111,10 @@
       ticker ??= timers.every(RETRY_INTERVAL_MS, retry);
     },
     remove,
-    onSlotFreed: service => {
-      const queue = queues.get(service);
-      if (queue) {
-        offer(queue, queue.first(OFFERS_PER_SLOT));
-      }
-    },
-    offerAll: service => {
-      const queue = queues.get(service);
-      if (queue) {
-        offer(queue, queue.first(Infinity));
-      }
-    },
+    onSlotFreed: service => offerFirst(service, OFFERS_PER_SLOT),
+    offerAll: service => offerFirst(service, Infinity),
+    hasAheadOf: (service, priority) =>
+      queues.get(service)?.hasAheadOf(priority) ?? false,
     length: () => queuedCount,
   };
 }
--- a/packages/gateway/src/forwarding/attempt_recording.ts
+++ b/packages/gateway/src/forwarding/attempt_recording.ts
@@ -169,7 +169,8 @@
   const waitMs = attempt.placement.waitMs - delayMs;
   const objectiveMs = route.latencyObjectiveMs;
   const slowdown = targetLoad.slowdown(target.incarnation);
-  const runMs = Math.max(0, tookMs - waitMs - roundTripMs);
+  const runMs =
+    Math.max(0, tookMs - waitMs - roundTripMs) / usualTimeFactor(attempt);
   const isWarm =
     affinityKey === undefined ||
     serviceTimes.looksWarm(route.name, objectiveMs, runMs, slowdown);
@@ -192,3 +193,12 @@
     );
   }
 }
+
+/**
+ * How much longer than usual work took at the target's machine, as far as it
+ * tells. What lasts for a moment says nothing of the target's own speed, nor of
+ * whether it had the key in its cache.
+ */
+function usualTimeFactor({workTimeRatio}: RunningAttempt): number {
+  return Math.max(1, workTimeRatio ?? 1);
+}
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -11,7 +11,9 @@
   TargetReach,
   RelayOutcome,
   WindowedRetryBudget,
+  TypicalLoad,
   ServiceTimes,
+  SlotTimeShares,
   TargetLoad,
   WarmKeys,
 } from '@ibisbeam/decision';
@@ -82,6 +84,7 @@
   readonly targetLoad: TargetLoad;
   /** What peers are told of targets that are full. */
   readonly congestion: Pick<CongestionReports, 'record'>;
+  readonly typicalLoad: Pick<TypicalLoad, 'record'>;
   readonly serviceTimes: ServiceTimes;
   readonly warmKeys: WarmKeys;
   readonly retryBudget: WindowedRetryBudget;
@@ -92,6 +95,7 @@
   readonly reachEvidence: ReachEvidence;
   readonly clientRetryDetector: ClientRetryDetector;
   readonly admissionQueue: AdmissionQueue;
+  readonly slotTimes: SlotTimeShares;
   readonly sendScheduler: SendScheduler;
   isStopping(): boolean;
   /**
@@ -121,8 +125,13 @@
    * Returns the Retry-After time for refused requests.
    *
    * @param homeRegions The only regions that may run them; empty if any may.
+   * @param waitMs Expected wait at the best target; 0 if unknown.
    */
-  retryAfterMs(service: string, homeRegions: readonly string[]): number;
+  retryAfterMs(
+    service: string,
+    homeRegions: readonly string[],
+    waitMs: number,
+  ): number;
   onRequestSent(target: RegisteredTarget, nowMs: number): void;
   /** @param perSecond Rate limit that the target states; undefined if none. */
   onRateLimitAnswer(
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -81,6 +81,8 @@
   let knownFingerprint: string | undefined;
   let lastPlacement: Placement | undefined;
   let lastAttemptAtMs: number | undefined;
+  /** At the target that was chosen last; 0 before the first choice. */
+  let expectedWaitMs = 0;
   let hedgeTimer: TimerHandle | undefined;
   const relays = createRelays(context, request, respondByMs, {
     onSent,
@@ -213,7 +215,7 @@
   }
 
   function retryAfterMs(): number {
-    return context.retryAfterMs(service, homeRegions());
+    return context.retryAfterMs(service, homeRegions(), expectedWaitMs);
   }
 
   function onTimeout(): void {
@@ -265,7 +267,7 @@
     }
     const nowMs = timers.nowMs();
     const placement = choosePlacement(nowMs);
-    if (!placement || decide(placement, nowMs).kind !== 'send') {
+    if (!placement || decide(placement, nowMs, false).kind !== 'send') {
       return false;
     }
     startAttempt(placement, nowMs);
@@ -298,15 +300,22 @@
       kind: 'target',
       placement,
       startedAtMs: nowMs,
-      inFlightAtStart: targetLoad.estimatedInFlight(incarnation, nowMs),
+      inFlightAtStart: placement.inFlight,
     };
     lastPlacement = placement;
+    expectedWaitMs = placement.waitMs;
     lastAttemptAtMs = nowMs;
     excluded.add(incarnation);
     running.add(attempt);
     attemptsStarted += 1;
     targetLoad.recordSent(incarnation);
     context.onRequestSent(target, nowMs);
+    context.slotTimes.record(
+      service,
+      queuedRequest.workspace,
+      placement.expectedMs - placement.waitMs - placement.roundTripMs,
+      nowMs,
+    );
     context.sendScheduler.schedule(() => send(attempt));
     scheduleHedge(placement);
   }
@@ -562,10 +571,21 @@
     holdUntilMs:
       request.arrivedAtMs + maximumHoldMs(respondByMs - request.arrivedAtMs),
     urgency: 'in-time',
+    ...competitionOf(context, request),
     tryDispatch: () => isFinished || dispatch() !== 'hold',
   };
 
-  function decide(placement: Placement, nowMs: number): DispatchDecision {
+  function isOutranked(): boolean {
+    const {priority} = queuedRequest;
+    return context.admissionQueue.hasAheadOf(service, priority);
+  }
+
+  /** @param isYielding Whether it leaves the slot to more urgent requests. */
+  function decide(
+    placement: Placement,
+    nowMs: number,
+    isYielding: boolean,
+  ): DispatchDecision {
     const heldMs = nowMs - request.arrivedAtMs;
     return decideDispatch({
       expectedMs: placement.expectedMs,
@@ -578,6 +598,7 @@
       heldMs,
       clientTimeoutMs: respondByMs - request.arrivedAtMs,
       isRetry: elapsedMs > 0,
+      isOutranked: isYielding,
     });
   }
 
@@ -608,7 +629,7 @@
       }
       return holdOrRefuse(nowMs);
     }
-    const decision = decide(placement, nowMs);
+    const decision = decide(placement, nowMs, isOutranked());
     switch (decision.kind) {
       case 'send':
         startAttempt(placement, nowMs);
@@ -617,6 +638,7 @@
         queuedRequest.urgency = decision.urgency;
         return 'hold';
       case 'refuse':
+        expectedWaitMs = placement.waitMs;
         fail(503, 'no slot in time', retryAfterMs());
         return 'done';
     }
@@ -651,3 +673,21 @@
     }
   });
 }
+
+/** What decides who goes first, where callers belong to workspaces. */
+function competitionOf(
+  {serviceTimes}: ForwardingContext,
+  {caller, route}: ExchangeRequest,
+): Pick<QueuedRequest, 'priority' | 'workspace' | 'slotMs'> {
+  const slotMs = serviceTimes.meanMs(route.name, route.latencyObjectiveMs);
+  switch (caller.kind) {
+    case 'any':
+      return {priority: 0, workspace: '', slotMs: 0};
+    case 'anonymous':
+      return {priority: route.priority, workspace: '', slotMs};
+    case 'workspace': {
+      const {name, priority = route.priority} = caller.workspace;
+      return {priority, workspace: name, slotMs};
+    }
+  }
+}
--- a/packages/gateway/src/forwarding/exchange_types.ts
+++ b/packages/gateway/src/forwarding/exchange_types.ts
@@ -50,6 +50,8 @@
   readonly inFlightAtStart: number;
   /** Present once the target may have got the request. */
   run?: RunRecorder;
+  /** As in the load report of the answer; absent if the target does not tell. */
+  workTimeRatio?: number | undefined;
 }
 
 /** An attempt at a peer VM, which forwards the request to targets. */
--- a/packages/gateway/src/forwarding/target_send.ts
+++ b/packages/gateway/src/forwarding/target_send.ts
@@ -68,8 +68,10 @@
       },
       onLoadReport: report => {
         const nowMs = timers.nowMs();
+        attempt.workTimeRatio = report.workTimeRatio;
         targetLoad.recordReport(incarnation, report, nowMs);
         context.congestion.record(incarnation, report, nowMs);
+        context.typicalLoad.record(entry.service, report, nowMs);
       },
       onRateLimit: perSecond => context.onRateLimitAnswer(target, perSecond),
       onResponseHead: (sent, response) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,13 +12,16 @@
   createCongestionReports,
   createRandomSource,
   createWindowedRetryBudget,
+  createTypicalLoad,
   createServiceTimes,
+  createSlotTimeShares,
   createFractionalTokenBucket,
   createTargetLoad,
   createWarmKeys,
   createWatcherSelection,
   hash32,
   maximumIdleConnections,
+  returnDelayMs,
   vmsThatShare,
 } from '@ibisbeam/decision';
 import type {
@@ -45,7 +48,10 @@
 } from './forwarding/target_connections.js';
 import {createAdmissionQueue} from './forwarding/admission_queue.js';
 import {createSendScheduler} from './forwarding/send_scheduler.js';
-import {HEARTBEAT_INTERVAL_MS} from './peers/heartbeat_schedule.js';
+import {
+  HEARTBEAT_INTERVAL_MS,
+  hearsRarelyOfTargets,
+} from './peers/heartbeat_schedule.js';
 import type {VmRecord} from './peers/messages.js';
 import {
   createPeerConversation,
@@ -130,8 +136,10 @@
   let {bounds} = settings;
   const targetLoad = createTargetLoad();
   const congestion = createCongestionReports();
+  const typicalLoad = createTypicalLoad();
   const serviceTimes = createServiceTimes();
   const warmKeys = createWarmKeys();
+  const slotTimes = createSlotTimeShares();
   const connections = createTargetConnections(timers, options.connectToTarget);
   const peerConnections = createTargetConnections(timers);
   const coldStartLimiter = createColdStartLimiter(vm);
@@ -368,6 +376,8 @@
       regionShares: regionPlan.shares,
       random,
       tryTakeSpillover: () => spilloverBudget.take(),
+      assumedRequestsPerSlot: (service, nowMs) =>
+        isSparseFleet() ? typicalLoad.requestsPerSlot(service, nowMs) : 0,
       coldStartAllows: (target, nowMs) =>
         coldStartLimiter.allows(
           target,
@@ -379,6 +389,7 @@
     }),
     targetLoad,
     congestion,
+    typicalLoad,
     serviceTimes,
     warmKeys,
     retryBudget: createWindowedRetryBudget({
@@ -393,7 +404,8 @@
     crashGuard,
     reachEvidence: reachMonitor.evidence,
     clientRetryDetector: createClientRetryDetector(),
-    admissionQueue: createAdmissionQueue(timers),
+    admissionQueue: createAdmissionQueue(timers, slotTimes),
+    slotTimes,
     sendScheduler: createSendScheduler({timers, acceptBacklog}),
     isStopping: () => stopping,
     prepareAnswer: outgoing => clientFacingServer.prepareAnswer(outgoing),
@@ -415,12 +427,14 @@
       regionPlan.demandMeter.recordArrival(service, expectedMs, nowMs);
     },
     availability,
-    retryAfterMs: (service, homeRegions) => {
+    retryAfterMs: (service, homeRegions, waitMs) => {
       const pool = availability.poolOf(service, homeRegions);
       switch (pool.kind) {
         case 'open':
         case 'resuming':
-          return REFUSED_RETRY_AFTER_MS;
+          return isSparseFleet()
+            ? returnDelayMs(waitMs, REFUSED_RETRY_AFTER_MS, random.next())
+            : REFUSED_RETRY_AFTER_MS;
         case 'pausing':
           return pool.leftMs;
         case 'leaving':
@@ -499,6 +513,11 @@
     return timers.nowMs() - confirmedAtMs;
   }
 
+  /** Whether what is at a target mostly comes from other VMs, unseen. */
+  function isSparseFleet(): boolean {
+    return hearsRarelyOfTargets(mesh.knownPeers().length);
+  }
+
   /** Whether configuration and targets are known. */
   function hasState(): boolean {
     return fleet.routes() !== undefined && follower.isComplete();
--- a/packages/gateway/src/peers/heartbeat_schedule.ts
+++ b/packages/gateway/src/peers/heartbeat_schedule.ts
@@ -21,12 +21,15 @@
 /** In a smaller fleet, all peers get every heartbeat. */
 const LARGE_FLEET_PEERS = 32;
 
+/** From this number of peers on, a VM hears of most targets too rarely. */
+const SPARSE_FLEET_PEERS = 16;
+
 /**
  * Whether the fleet has so many VMs that each of them hears of a target too
  * rarely to know its load.
  */
-export function isLargeFleet(peerCount: number): boolean {
-  return peerCount >= LARGE_FLEET_PEERS;
+export function hearsRarelyOfTargets(peerCount: number): boolean {
+  return peerCount >= SPARSE_FLEET_PEERS;
 }
 
 export interface HeartbeatSchedule {
@@ -47,7 +50,7 @@
     next: (peerCount, isWatcher) => {
       sinceFar += 1;
       const isFarDue = sinceFar >= FAR_INTERVAL_FACTOR;
-      if (!isFarDue && !isWatcher && isLargeFleet(peerCount)) {
+      if (!isFarDue && !isWatcher && peerCount >= LARGE_FLEET_PEERS) {
         return 'near';
       }
       sinceFar = 0;
--- a/packages/gateway/src/peers/peer_conversation.ts
+++ b/packages/gateway/src/peers/peer_conversation.ts
@@ -30,7 +30,7 @@
 import {
   FAR_HEARTBEAT_INTERVAL_MS,
   createHeartbeatSchedule,
-  isLargeFleet,
+  hearsRarelyOfTargets,
 } from './heartbeat_schedule.js';
 import type {CopyVersions, PeerMessage, VmRecord} from './messages.js';
 import type {PeerMesh} from './peer_mesh.js';
@@ -167,7 +167,8 @@
   /** Targets are mostly shared with the VMs of the region. */
   function withCongestion(heartbeat: Heartbeat): Heartbeat {
     const reports = congestion.takeNews(timers.nowMs());
-    if (reports.length === 0 || !isLargeFleet(mesh.knownPeers().length)) {
+    const peerCount = mesh.knownPeers().length;
+    if (reports.length === 0 || !hearsRarelyOfTargets(peerCount)) {
       return heartbeat;
     }
     return {...heartbeat, congestedTargets: reports.map(roundAge)};
