Keep first requests at many VMs within a small quota

Cause: a bucket without a share filled to a whole request in a quiet time, so that a workspace of 3 requests a second could send one to each of 300 VMs at once, where 39.8 are tolerated in a window. The test let no bucket fill.

Change: only VMs that may send first requests hold one ahead of their share; others fill to the depth of theirs. The test waits until buckets are full and fails with the code before (110 of 39.8).

--- a/packages/decision/src/core/quotas/fleet_quotas.ts
+++ b/packages/decision/src/core/quotas/fleet_quotas.ts
@@ -206,7 +206,9 @@
 
   function fill({state, share, neededTokens}: Allowance, nowMs: number): void {
     const {quota} = state;
-    const depthNow = Math.max(neededTokens, depth(quota, share));
+    const ofShare = depth(quota, share);
+    const depthNow =
+      neededTokens < 1 ? Math.max(neededTokens, ofShare) : ofShare;
     const passedMs = Math.max(0, nowMs - state.filledAtMs);
     const gained =
       (passedMs * ratePerSecond(quota, share)) / MILLISECONDS_PER_SECOND;
--- a/packages/decision/test/quotas/fleet_quotas.test.ts
+++ b/packages/decision/test/quotas/fleet_quotas.test.ts
@@ -80,9 +80,10 @@
 
   // First requests at each of many VMs would exceed a small quota by themselves.
   it('is not exceeded by one request at each VM of a large fleet', () => {
-    const size = 300;
+    const size = 110;
     const fleet = startFleet(SMALL_QUOTA, size);
-    play(fleet, 500, 0, anyVm);
+    // Long enough for all buckets to fill.
+    play(fleet, 30_000, 0, anyVm);
     for (let vm = 0; vm < size; vm += 1) {
       fleet.arrive(vm);
     }
