Bound the memory of request bodies, and what late requests with cold keys get

Cause: a body of up to max_body_bytes (64 MB) was collected whole for each request, on VMs of 202 MB. Change: bodies of requests in flight hold a fifth of the memory that the settings give the VM; one for which there is none left gets 503 (body-refused, ibisbeam_held_body_bytes).

Change: while the targets of a service have no free slots on the average, a late first request without its key in the cache waits and is then refused.

The arithmetic of a quota's bucket is a module of its own.

--- /dev/null
+++ b/packages/decision/src/core/memory/index.ts
@@ -0,0 +1,1 @@
+export * from './byte_budget.js';
--- a/packages/decision/src/core/placement/dispatch_rule.ts
+++ b/packages/decision/src/core/placement/dispatch_rule.ts
@@ -34,6 +34,10 @@
   readonly isRetry: boolean;
   /** Whether requests of a more urgent priority wait for the service. */
   readonly isOutranked: boolean;
+  /** Whether the targets of the service have no free slots on the average. */
+  readonly isContended: boolean;
+  /** Whether its target is expected to have the affinity key in its cache. */
+  readonly isWarm: boolean;
 }
 
 export type DispatchDecision =
@@ -68,6 +72,18 @@
   );
 }
 
+/**
+ * Whether a request that can only be late would take a slot for the time that
+ * several others need to be in time.
+ *
+ * Load pattern: a burst, or a zone that is emptied, on a service whose targets
+ * remember keys. Runs without the key in the cache take several times as long,
+ * fill the slots, and drive further keys to targets that do not have them.
+ */
+function isPoorUseOfSlot(input: DispatchInput): boolean {
+  return input.isContended && !input.isWarm && !input.isRetry;
+}
+
 export function decideDispatch(input: DispatchInput): DispatchDecision {
   const {expectedMs, waitMs, deadlineLeftMs} = input;
   if (expectedMs <= input.objectiveLeftMs) {
@@ -80,6 +96,11 @@
     return {kind: 'refuse'};
   }
   const urgency: Urgency = input.isRetry ? 'retry' : 'late';
+  if (isPoorUseOfSlot(input)) {
+    return input.heldMs < maximumHoldMs(input.clientTimeoutMs)
+      ? {kind: 'hold', urgency}
+      : {kind: 'refuse'};
+  }
   // `waitMs` may be positive only because past responses were slow; without
   // queued requests the target still has a free slot.
   if (input.queueMs <= 0) {
--- a/packages/decision/src/core/quotas/fleet_quotas.ts
+++ b/packages/decision/src/core/quotas/fleet_quotas.ts
@@ -13,6 +13,12 @@
   createAnnouncedDemand,
 } from './announced_demand.js';
 import {type DemandRate, createDemandRate} from './demand_rate.js';
+import {
+  type BucketSize,
+  type QuotaTolerance,
+  bucketSize,
+  excessRequests,
+} from './bucket_size.js';
 import {type QuotaDemandReport, createQuotaShares} from './quota_shares.js';
 import {
   type ReservedReturns,
@@ -29,16 +35,6 @@
       readonly share: number;
     };
 
-/** How far the fleet may exceed a quota for a short time. */
-export interface QuotaTolerance {
-  /** Span over which requests are counted. */
-  readonly windowMs: number;
-  /** Fraction of the requests that the quota allows in a window. */
-  readonly excessRatio: number;
-  /** Requests on top of the ratio, for the whole fleet. */
-  readonly excessRequests: number;
-}
-
 export interface FleetQuotas {
   setQuotas(quotas: ReadonlyMap<string, RequestQuota>, nowMs: number): void;
   /**
@@ -82,16 +78,6 @@
   filledAtMs: number;
 }
 
-/**
- * Parts of the excess that is tolerated: what all VMs may use on top of their
- * shares, and what makes their buckets deeper. The rest covers late messages.
- */
-const BASE_EXCESS_FRACTION = 0.4;
-const DEPTH_EXCESS_FRACTION = 0.55;
-/** Depth of all buckets together, for quotas that are small for the fleet. */
-const LEAST_DEPTH_FRACTION = 0.8;
-/** Part of the depth that does not follow demand: callers change VMs. */
-const EQUAL_DEPTH_FRACTION = 0.5;
 /** A fleet that asks for less of a quota is far from exceeding it. */
 const CALM_DEMAND_FRACTION = 0.75;
 /** Part of what a calm workspace leaves in a window that VMs may draw ahead. */
@@ -129,13 +115,6 @@
    */
   let hasQuotas = false;
 
-  /** Requests beyond the quota that the fleet may pass on in a window. */
-  function excess({perSecond, burst}: RequestQuota): number {
-    const {windowMs, excessRatio, excessRequests} = options.tolerance();
-    const inWindow = (perSecond * windowMs) / MILLISECONDS_PER_SECOND + burst;
-    return inWindow * excessRatio + excessRequests;
-  }
-
   /** This VM's part of the quota, 0 to 1. */
   function shareOf(
     workspace: string,
@@ -148,24 +127,8 @@
       : share;
   }
 
-  function ratePerSecond(quota: RequestQuota, share: number): number {
-    const {windowMs} = options.tolerance();
-    const basePerWindow =
-      (excess(quota) * BASE_EXCESS_FRACTION) / shares.vmCount();
-    return (
-      quota.perSecond * share +
-      (basePerWindow * MILLISECONDS_PER_SECOND) / windowMs
-    );
-  }
-
-  function depth(quota: RequestQuota, share: number): number {
-    const whole = quota.burst + excess(quota) * DEPTH_EXCESS_FRACTION;
-    const equalPart = EQUAL_DEPTH_FRACTION / shares.vmCount();
-    const least = (excess(quota) * LEAST_DEPTH_FRACTION) / shares.vmCount();
-    return Math.max(
-      least,
-      whole * (equalPart + share * (1 - EQUAL_DEPTH_FRACTION)),
-    );
+  function bucketOf(quota: RequestQuota, share: number): BucketSize {
+    return bucketSize(quota, share, shares.vmCount(), options.tolerance());
   }
 
   /**
@@ -174,7 +137,9 @@
    * requests at all of them together would exceed it.
    */
   function maySendFirst(workspace: string, quota: RequestQuota): boolean {
-    const most = excess(quota) * FIRST_REQUESTS_PER_EXCESS_REQUEST;
+    const most =
+      excessRequests(quota, options.tolerance()) *
+      FIRST_REQUESTS_PER_EXCESS_REQUEST;
     const position = hash32(`first ${workspace} ${options.self}`);
     return position / UINT32_RANGE < most / shares.vmCount();
   }
@@ -206,12 +171,11 @@
 
   function fill({state, share, neededTokens}: Allowance, nowMs: number): void {
     const {quota} = state;
-    const ofShare = depth(quota, share);
-    const depthNow =
-      neededTokens < 1 ? Math.max(neededTokens, ofShare) : ofShare;
+    const {perSecond, depth} = bucketOf(quota, share);
+    // Without a share, only a VM that may send first holds a request.
+    const depthNow = neededTokens < 1 ? Math.max(neededTokens, depth) : depth;
     const passedMs = Math.max(0, nowMs - state.filledAtMs);
-    const gained =
-      (passedMs * ratePerSecond(quota, share)) / MILLISECONDS_PER_SECOND;
+    const gained = (passedMs * perSecond) / MILLISECONDS_PER_SECOND;
     state.tokens = Math.min(depthNow, state.tokens + gained);
     state.filledAtMs = nowMs;
   }
@@ -268,8 +232,8 @@
   ): number {
     const {quota, tokens, returns, demand} = state;
     const laterShare = shareOf(workspace, quota, demand.perSecond(nowMs));
-    const rate = ratePerSecond(quota, Math.max(share, laterShare));
-    const intervalMs = MILLISECONDS_PER_SECOND / rate;
+    const {perSecond} = bucketOf(quota, Math.max(share, laterShare));
+    const intervalMs = MILLISECONDS_PER_SECOND / perSecond;
     const earliestMs = nowMs + Math.max(0, neededTokens - tokens) * intervalMs;
     const atMs = returns.reserve(earliestMs, intervalMs, nowMs);
     return atMs === undefined
@@ -352,7 +316,9 @@
     report,
     ownPerSecond: (workspace, nowMs) => {
       const allowance = allowanceOf(workspace, nowMs);
-      return allowance && ratePerSecond(allowance.state.quota, allowance.share);
+      return (
+        allowance && bucketOf(allowance.state.quota, allowance.share).perSecond
+      );
     },
   };
 }
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -8,6 +8,7 @@
 export * from './core/links/index.js';
 export * from './core/lookup/index.js';
 export * from './core/membership/index.js';
+export * from './core/memory/index.js';
 export * from './core/model/index.js';
 export * from './core/objectives/index.js';
 export * from './core/quarantine/index.js';
--- a/packages/decision/test/placement/dispatch_queue.test.ts
+++ b/packages/decision/test/placement/dispatch_queue.test.ts
@@ -91,6 +91,8 @@
       clientTimeoutMs,
       isRetry: false,
       isOutranked: false,
+      isContended: false,
+      isWarm: true,
     });
     assert.equal(decision.kind, 'refuse');
   });
--- a/packages/decision/test/placement/dispatch_rule.test.ts
+++ b/packages/decision/test/placement/dispatch_rule.test.ts
@@ -18,6 +18,8 @@
   clientTimeoutMs: 1_000,
   isRetry: false,
   isOutranked: false,
+  isContended: false,
+  isWarm: true,
 };
 
 describe('dispatch rule under overload', () => {
@@ -50,6 +52,17 @@
     assert.equal(decideDispatch({...outranked, isRetry: true}).kind, 'send');
   });
 
+  // A burst on a service whose targets remember keys.
+  it('gives no slot to late requests with cold keys under contention', () => {
+    const late = {...IDLE, expectedMs: 260, isContended: true};
+    assert.equal(decideDispatch(late).kind, 'send');
+    const cold = {...late, isWarm: false};
+    assert.equal(decideDispatch(cold).kind, 'hold');
+    assert.equal(decideDispatch({...cold, heldMs: 60}).kind, 'refuse');
+    assert.equal(decideDispatch({...cold, isRetry: true}).kind, 'send');
+    assert.equal(decideDispatch({...cold, isContended: false}).kind, 'send');
+  });
+
   it('sends late requests to free slots', () => {
     const answer = decideDispatch({...IDLE, expectedMs: 260});
     assert.deepEqual(answer, {kind: 'send', urgency: 'late'});
--- a/packages/gateway/src/core/gateway_metrics.ts
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -161,6 +161,8 @@
   pausingTargets(): number;
   /** Number of runs whose attempts have ended and whose end is not known. */
   unsettledRuns(): number;
+  /** Bytes of bodies of requests that have no answer yet. */
+  heldBodyBytes(): number;
 }
 
 /** Reported while a value is not known. */
@@ -246,4 +248,9 @@
     'Ended attempts whose targets have neither outlived nor died of them.',
     sources.unsettledRuns,
   );
+  metrics.registerGauge(
+    'ibisbeam_held_body_bytes',
+    'Bytes of request bodies that are kept until the answer.',
+    sources.heldBodyBytes,
+  );
 }
--- a/packages/gateway/src/core/settings.ts
+++ b/packages/gateway/src/core/settings.ts
@@ -58,4 +58,6 @@
   /** Interval at which targets renew their entries. */
   readonly targetHeartbeatMs: number;
   readonly bounds: GatewayBounds;
+  /** Memory that the process may use. */
+  readonly memoryBytes: number;
 }
--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -78,6 +78,8 @@
 const UNCONFIGURED_RETRY_AFTER_MS = 300;
 /** Interval at which header timeouts are enforced. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
+/** Time in which bodies that are held are mostly answered. */
+const MEMORY_RETRY_AFTER_MS = 1_000;
 const SHARE_DIGITS = 4;
 const EMPTY_BODY = Buffer.alloc(0);
 const DEFAULT_LIMITS: ClientLimits = {
@@ -188,11 +190,32 @@
       forward(arrival, isEmpty ? EMPTY_BODY : undefined);
       return;
     }
-    void readRequestBody(incoming, limits.bodyBytes).then(result =>
+    const memory = context.bodyBudget.open();
+    outgoing.on('close', memory.close);
+    const reading = readRequestBody(incoming, limits.bodyBytes, memory.take);
+    void reading.then(result =>
       result.caseOf({
         Left: error => {
-          if (error.kind === 'too-large') {
-            refuseHere(outgoing, 413, 'the body is too large', undefined, true);
+          switch (error.kind) {
+            case 'too-large':
+              refuseHere(
+                outgoing,
+                413,
+                'the body is too large',
+                undefined,
+                true,
+              );
+              return;
+            case 'no-memory': {
+              const reason = 'no memory for the body';
+              context.log.log('warn', 'body-refused', {
+                heldBytes: context.bodyBudget.heldBytes(),
+              });
+              refuseHere(outgoing, 503, reason, MEMORY_RETRY_AFTER_MS, true);
+              return;
+            }
+            case 'truncated':
+              return;
           }
         },
         Right: body => forward(arrival, body),
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -3,6 +3,7 @@
 import type {
   AffinityPlacement,
   AttemptOutcome,
+  ByteBudget,
   ClientRetryDetector,
   CongestionReports,
   Placement,
@@ -96,6 +97,10 @@
   readonly clientRetryDetector: ClientRetryDetector;
   readonly admissionQueue: AdmissionQueue;
   readonly slotTimes: SlotTimeShares;
+  /** Memory for the bodies of requests that have no answer yet. */
+  readonly bodyBudget: ByteBudget;
+  /** Whether the targets of the service have no free slots on the average. */
+  isContended(service: string): boolean;
   readonly sendScheduler: SendScheduler;
   isStopping(): boolean;
   /**
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -599,6 +599,8 @@
       clientTimeoutMs: respondByMs - request.arrivedAtMs,
       isRetry: elapsedMs > 0,
       isOutranked: isYielding,
+      isContended: context.isContended(service),
+      isWarm: placement.warm,
     });
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
   type SharingVm,
   type TargetReach,
   createAffinityPlacement,
+  createByteBudget,
   createClientRetryDetector,
   createColdStartLimiter,
   createCongestionReports,
@@ -128,6 +129,8 @@
 const REFUSED_RETRY_AFTER_MS = 250;
 /** New targets are listed, and known to all VMs, within about this time. */
 const LEAVING_RETRY_AFTER_MS = 1_000;
+/** Part of a VM's memory that bodies of requests may hold. */
+const BODY_MEMORY_FRACTION = 0.2;
 const METRICS_PATH = '/metrics';
 
 export function createGateway(options: GatewayOptions): Gateway {
@@ -140,6 +143,9 @@
   const serviceTimes = createServiceTimes();
   const warmKeys = createWarmKeys();
   const slotTimes = createSlotTimeShares();
+  const bodyBudget = createByteBudget(
+    () => settings.memoryBytes * BODY_MEMORY_FRACTION,
+  );
   const connections = createTargetConnections(timers, options.connectToTarget);
   const peerConnections = createTargetConnections(timers);
   const coldStartLimiter = createColdStartLimiter(vm);
@@ -406,6 +412,10 @@
     clientRetryDetector: createClientRetryDetector(),
     admissionQueue: createAdmissionQueue(timers, slotTimes),
     slotTimes,
+    bodyBudget,
+    isContended: service =>
+      isSparseFleet() &&
+      typicalLoad.requestsPerSlot(service, timers.nowMs()) >= 1,
     sendScheduler: createSendScheduler({timers, acceptBacklog}),
     isStopping: () => stopping,
     prepareAnswer: outgoing => clientFacingServer.prepareAnswer(outgoing),
@@ -502,6 +512,7 @@
     leavingTargets: availability.leavingCount,
     pausingTargets: availability.pausingCount,
     unsettledRuns: crashGuard.unsettledRuns,
+    heldBodyBytes: bodyBudget.heldBytes,
   });
 
   /** Time since the store has last answered this VM or a peer that watches. */
--- a/packages/library/src/core/http/body.ts
+++ b/packages/library/src/core/http/body.ts
@@ -5,6 +5,8 @@
 export type BodyError =
   /** `Content-Length` or the bytes received exceed the limit. */
   | {readonly kind: 'too-large'; readonly limitBytes: number}
+  /** There was no memory for the rest of it. */
+  | {readonly kind: 'no-memory'}
   /** The client disconnected before it had sent the whole body. */
   | {readonly kind: 'truncated'};
 
@@ -20,10 +22,16 @@
   );
 }
 
-/** Reads the whole body into memory; an absent body is empty. */
+/**
+ * Reads the whole body into memory; an absent body is empty.
+ *
+ * @param takeMemory Called for the bytes as they come; false ends the reading.
+ *     Default: there is memory for all of them.
+ */
 export function readRequestBody(
   request: IncomingMessage,
   limitBytes: number,
+  takeMemory: (bytes: number) => boolean = () => true,
 ): Promise<Either<BodyError, Buffer>> {
   if (!announcesBody(request)) {
     request.resume();
@@ -33,22 +41,31 @@
   if (announcedBytes > limitBytes) {
     return Promise.resolve(Left({kind: 'too-large', limitBytes}));
   }
-  return collect(request, limitBytes);
+  return collect(request, limitBytes, takeMemory);
 }
 
 function collect(
   request: IncomingMessage,
   limitBytes: number,
+  takeMemory: (bytes: number) => boolean,
 ): Promise<Either<BodyError, Buffer>> {
   return new Promise(resolve => {
+    function stopReading(error: BodyError): void {
+      request.pause();
+      request.removeAllListeners('data');
+      resolve(Left(error));
+    }
+
     const chunks: Buffer[] = [];
     let receivedBytes = 0;
     request.on('data', (chunk: Buffer) => {
       receivedBytes += chunk.length;
       if (receivedBytes > limitBytes) {
-        request.pause();
-        request.removeAllListeners('data');
-        resolve(Left({kind: 'too-large', limitBytes}));
+        stopReading({kind: 'too-large', limitBytes});
+        return;
+      }
+      if (!takeMemory(chunk.length)) {
+        stopReading({kind: 'no-memory'});
         return;
       }
       chunks.push(chunk);
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -53,6 +53,7 @@
   | 'workspace-quota'
   | 'quota-exceeded'
   | 'caller-refused'
+  | 'body-refused'
   | 'target-resumed'
   | 'target-removed'
   | 'target-entry-refused'
--- a/packages/library/src/plugins/forwarding/request_validator.ts
+++ b/packages/library/src/plugins/forwarding/request_validator.ts
@@ -292,6 +292,12 @@
         outcome: 'not-run',
         detail: `at most ${error.limitBytes} bytes`,
       };
+    case 'no-memory':
+      return {
+        reason: 'overloaded',
+        outcome: 'not-run',
+        detail: 'no memory for the body',
+      };
     case 'truncated':
       return malformed('the body is shorter than announced');
     default:
--- a/packages/stand_ins/src/core/object_platform/local_fleet.ts
+++ b/packages/stand_ins/src/core/object_platform/local_fleet.ts
@@ -44,6 +44,8 @@
   /** Region of each availability zone. */
   readonly zones: Readonly<Record<string, string>>;
   readonly bounds?: Readonly<Record<string, number>>;
+  /** Memory of each gateway. Default: that of the adapter. */
+  readonly memoryMegabytes?: number;
   /** Lets gateways be partitioned from the targets. Default: false. */
   readonly hasTargetLinks?: boolean;
 }
@@ -108,7 +110,13 @@
     const ports = await reservePortsBeside([peerPort, peerPort + 1]);
     const [front = 0, ready = 0, directory = 0] = ports;
     const settingsText = JSON.stringify({
-      self: {node: id, ip: host, zone, region: zones[zone]},
+      self: {
+        node: id,
+        ip: host,
+        zone,
+        region: zones[zone],
+        limits: {memory_mb: options.memoryMegabytes},
+      },
       network: {
         listen: {
           front: `${host}:${front}`,
