Count requests for the quota that only seem to be relayed

Cause: whether a request counts was told by the header of a relay, which callers may set. With it and a valid key a caller was bound by no quota.

Change: a request counts at the VM that has checked its key; only a peer's relay token stands for that.

Result: workspaces.test sends 60 such requests of a workspace of 10 a second; none got 429 before by reading, some do now.

--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -330,8 +330,8 @@
             route.name,
             clientDeadlineMs - arrivedAtMs,
           );
-    // The VM that a client has asked keeps the quota.
-    if (!isRelayed && !admitByQuota(arrival, sinceFirstAttemptMs > 0)) {
+    const countsForQuota = isWithKey(caller);
+    if (countsForQuota && !admitByQuota(arrival, sinceFirstAttemptMs > 0)) {
       return;
     }
     startExchange(context, {
@@ -347,6 +347,7 @@
       arrivedAtMs,
       clientDeadlineMs,
       sinceFirstAttemptMs,
+      countsForQuota,
       isRelayed,
       clientAddress: relayedFor ?? incoming.socket.remoteAddress ?? '',
     });
@@ -428,6 +429,14 @@
 
 const LISTEN_BACKLOG = 1_024;
 
+/**
+ * Whether this VM has checked the caller's key. If not, a peer has, and has
+ * counted the request; a header alone does not tell, since callers may set it.
+ */
+function isWithKey(caller: Caller): boolean {
+  return caller.kind === 'workspace' && caller.keyDigest !== undefined;
+}
+
 /**
  * Returns why a request that the HTTP parser accepted cannot be routed, or
  * undefined if it can.
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -133,7 +133,7 @@
   /** What no target has run does not count against the quota. */
   function refundQuota(outcome: string): void {
     const hasRun = outcome === 'answered' || possiblyExecuted > 0;
-    if (workspaceName !== undefined && !request.isRelayed && !hasRun) {
+    if (workspaceName !== undefined && request.countsForQuota && !hasRun) {
       context.quotas.refund(workspaceName);
     }
   }
--- a/packages/gateway/src/forwarding/exchange_types.ts
+++ b/packages/gateway/src/forwarding/exchange_types.ts
@@ -26,6 +26,8 @@
   readonly clientDeadlineMs: number | undefined;
   /** Time since the client's first attempt, estimated; 0 for a first one. */
   readonly sinceFirstAttemptMs: number;
+  /** Whether it has taken an allowance from its workspace's quota here. */
+  readonly countsForQuota: boolean;
   /** Whether another VM relays the request. */
   readonly isRelayed: boolean;
   /** Address of the client, also if another VM relays its request. */
--- a/packages/stand_ins/test/object_platform/workspaces.test.ts
+++ b/packages/stand_ins/test/object_platform/workspaces.test.ts
@@ -193,6 +193,20 @@
     assert.equal((await callWith({'X-Api-Key': 'guest-key'})).status, 200);
   });
 
+  // Guards against callers that pose as peers to get around their quota.
+  it('keep to a quota although they seem to be relayed', async () => {
+    const limited = {...FACULTY, rate_per_s: 10, burst: 10};
+    await configure({tenants: [limited, GUESTS]});
+    const headers = {
+      'X-Api-Key': API_KEY,
+      'X-Ibisbeam-Relayed-For': '10.0.0.1',
+    };
+    const answers = await Promise.all(
+      Array.from({length: 60}, () => callWith(headers)),
+    );
+    assert.ok(answers.some(({status}) => status === 429));
+  });
+
   it('that a peer relays are those of the workspace that it names', async () => {
     const cutOff = await harness.fleet.addGateway('edge-riga-b-1', 'riga-b', {
       targetReach: () => 'cut-off',
