--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,7 +42,10 @@
 import {createClientFacingServer} from './forwarding/client_facing_server.js';
 import type {ForwardingContext} from './forwarding/context.js';
 import {createCrashGuard} from './forwarding/crash_guard.js';
-import {logFinishedRequest} from './forwarding/request_log.js';
+import {
+  ANSWERED_LOG_INTERVAL_MS,
+  createRequestLog,
+} from './forwarding/request_log.js';
 import {
   type ConnectToTarget,
   createTargetConnections,
@@ -83,6 +86,8 @@
   readonly store: PlatformStore;
   readonly timers: TimerService;
   readonly log: Logger;
+  /** Identifies the program in logs; absent if it was not bundled. */
+  readonly build?: string | undefined;
   /** Default: a TCP connection. */
   readonly connectToTarget?: ConnectToTarget;
   /** Replaces the VM's own finding, for tests. */
@@ -160,6 +165,7 @@
     log,
     countBytes: metrics.countTraffic,
   });
+  const requestLog = createRequestLog(log);
   const acceptBacklog = createAcceptBacklog({
     timers,
     log,
@@ -470,7 +476,7 @@
     onRelayEnded: metrics.recordRelay,
     onRequestFinished: request => {
       metrics.recordRequest(request);
-      logFinishedRequest(log, request);
+      requestLog.record(request);
     },
   };
 
@@ -646,11 +652,14 @@
       timers.every(RATE_LIMIT_LOG_INTERVAL_MS, rateLimits.logSends),
       timers.every(TRAFFIC_LOG_INTERVAL_MS, traffic.flush),
       timers.every(QUOTA_LOG_INTERVAL_MS, quotas.logRefusals),
+      timers.every(ANSWERED_LOG_INTERVAL_MS, requestLog.flush),
     );
     log.log('info', 'vm-started', {
       zone: vm.zone,
       region: vm.region,
       callers: self.callerAddress,
+      metrics: `${settings.listen.metrics.host}:${settings.listen.metrics.port}`,
+      build: options.build,
     });
   }
 
--- a/packages/gateway/test/event_loop_monitor.test.ts
+++ b/packages/gateway/test/event_loop_monitor.test.ts
@@ -32,4 +32,19 @@
     handle.cancel();
     assert.equal(timers.pendingCount(), 0);
   });
+
+  // Guards against pauses of the machine that leave no trace in the log, since
+  // the monotonic clock stands still meanwhile.
+  it('logs how far the time of day has moved on by itself', async () => {
+    const {timers, delays, logged} = start();
+    timers.advanceWallClock(6_000);
+    await timers.advance(50);
+    timers.advanceWallClock(-2_000);
+    await timers.advance(50);
+    assert.deepEqual(delays, [0, 0]);
+    assert.deepEqual(logged, [
+      {event: 'clocks-diverged', byMs: 6_000},
+      {event: 'clocks-diverged', byMs: -2_000},
+    ]);
+  });
 });
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -10,6 +10,7 @@
   | 'task-restarted'
   | 'mailbox-full'
   | 'request-finished'
+  | 'requests-answered'
   | 'request-refused'
   | 'lookup-refused'
   | 'input-refused'
@@ -71,6 +72,7 @@
   | 'vm-isolated'
   | 'vm-reconnected'
   | 'event-loop-delayed'
+  | 'clocks-diverged'
   | 'settings-reloaded'
   | 'settings-rejected';
 
--- a/packages/library/src/core/timers/manual_timer_service.ts
+++ b/packages/library/src/core/timers/manual_timer_service.ts
@@ -17,6 +17,8 @@
 export function createManualTimerService(startWallMs = 0): ManualTimerService {
   const pending = new Set<PendingTimer>();
   let nowMs = 0;
+  /** Time of day at `nowMs` 0. */
+  let wallStartMs = startWallMs;
   let lastOrder = 0;
 
   function add(
@@ -65,7 +67,7 @@
 
   return {
     nowMs: () => nowMs,
-    wallMs: () => startWallMs + nowMs,
+    wallMs: () => wallStartMs + nowMs,
     after: (delayMs, callback) => add(nowMs + Math.max(0, delayMs), callback),
     every: (intervalMs, callback) =>
       add(nowMs + intervalMs, callback, intervalMs),
@@ -79,6 +81,9 @@
     advanceWithoutTimers: spanMs => {
       nowMs += spanMs;
     },
+    advanceWallClock: spanMs => {
+      wallStartMs += spanMs;
+    },
     pendingCount: () => pending.size,
   };
 }
--- a/packages/library/src/core/timers/types.ts
+++ b/packages/library/src/core/timers/types.ts
@@ -32,8 +32,13 @@
   advance(spanMs: number): Promise<void>;
   /**
    * Advances the clocks without running the timers due, as when the process is
-   * suspended.
+   * stopped.
    */
   advanceWithoutTimers(spanMs: number): void;
+  /**
+   * Advances only the time of day, as when the machine is suspended or its clock
+   * is set.
+   */
+  advanceWallClock(spanMs: number): void;
   pendingCount(): number;
 }
