Keep entries that messages cannot hold from hiding the others

What callers saw: the processes of VMs that watch the store ended again and again, or VMs that do not watch it followed the list of targets no longer, and sent to targets that had left.

Cause: another writer's entry went into messages to other VMs as it was. msgpackr exhausts the stack at a value of some 1,600 levels, and the rejection that nobody handles ends the process, which reads the entry again after its restart. The schema of the messages refuses names above 512 characters, and with them every other change in the message.

Change: objects are bounded where they come in, from the store and from peers of earlier builds: a value of more than 32 levels is left out, which no reader accepts, and so is an object with a name that is too long. The schema reads such names now; what a VM sends is a subset of what it sent.

Evidence: foreign_entries.test.ts plays each entry at VMs that run and at one that starts, in the same messages as the replacement of all targets.

--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -13,7 +13,7 @@
 });
 
 const mirroredObjectSchema = z.object({
-  name: z.string().max(512),
+  name: z.string(),
   version: z.number(),
   value: z.unknown(),
 });
@@ -22,7 +22,7 @@
   z.object({kind: z.literal('put'), object: mirroredObjectSchema}),
   z.object({
     kind: z.literal('deleted'),
-    name: z.string().max(512),
+    name: z.string(),
     version: z.number(),
   }),
 ]);
--- a/packages/gateway/src/store/store_follower.ts
+++ b/packages/gateway/src/store/store_follower.ts
@@ -24,9 +24,10 @@
 import type {CopyVersions, PeerMessage, StoreKind} from '../peers/messages.js';
 import {createRestoreProgress} from './restore_progress.js';
 import {
-  toMirrorEvent,
-  toMirroredObject,
-  normalizeObject,
+  fromPeerEvents,
+  fromPeerObjects,
+  toMirrorEvents,
+  toMirroredObjects,
 } from './mirror_objects.js';
 
 export interface StoreFollowerOptions {
@@ -287,7 +288,7 @@
     followed.needsList = false;
     return applySnapshot(followed, {
       version: listing.version,
-      objects: listing.objects.map(toMirroredObject),
+      objects: toMirroredObjects(listing.objects),
     });
   }
 
@@ -350,7 +351,7 @@
         const batch: MirrorBatch = {
           from,
           version: changes.version,
-          events: changes.changes.map(toMirrorEvent),
+          events: toMirrorEvents(changes.changes),
         };
         applyBatch(followed, batch);
         passOn(followed, batch);
@@ -458,7 +459,7 @@
       case 'snapshot':
         applySnapshot(followed, {
           version: message.version,
-          objects: message.objects.map(normalizeObject),
+          objects: fromPeerObjects(message.objects),
         });
         followed.needsList =
           followed.needsList && followed.mirror.version() < 0;
@@ -468,11 +469,7 @@
         return applyBatch(followed, {
           from: message.from,
           version: message.version,
-          events: message.events.map(event =>
-            event.kind === 'put'
-              ? {kind: 'put', object: normalizeObject(event.object)}
-              : event,
-          ),
+          events: fromPeerEvents(message.events),
         });
     }
   }
--- a/packages/stand_ins/src/core/object_platform/object_store.ts
+++ b/packages/stand_ins/src/core/object_platform/object_store.ts
@@ -27,6 +27,8 @@
   /** Number of calls received, including refused ones. */
   callCount(): number;
   put(kind: string, name: string, spec: unknown): void;
+  /** Writes an object whose `spec` is sent as the given JSON text. */
+  putText(kind: string, name: string, specText: string): void;
   remove(kind: string, name: string): void;
   names(kind: string): readonly string[];
   setFault(fault: StoreFault): void;
@@ -380,6 +382,8 @@
     port: (server.address() as AddressInfo).port,
     callCount: () => calls,
     put: (kind, name, spec) => void put(kind, name, spec),
+    putText: (kind, name, specText) =>
+      void put(kind, name, createRawSpec(specText)),
     remove,
     names: kind => [...objectsOfKind(kind).keys()],
     setFault: next => {
@@ -407,6 +411,39 @@
   };
 }
 
+/** Stands for a JSON text that is sent as it is. */
+interface RawSpec {
+  readonly rawText: string;
+}
+
+const rawSpecs = new WeakSet<object>();
+
+function createRawSpec(rawText: string): RawSpec {
+  const raw = {rawText};
+  rawSpecs.add(raw);
+  return raw;
+}
+
+function isRawSpec(value: unknown): value is RawSpec {
+  return typeof value === 'object' && value !== null && rawSpecs.has(value);
+}
+
+/** Numbers that JSON cannot write, and very deep texts, have no other way. */
+function toText(body: unknown): string {
+  const rawTexts: string[] = [];
+  const text = JSON.stringify(body, (_key, value: unknown) => {
+    if (!isRawSpec(value)) {
+      return value;
+    }
+    rawTexts.push(value.rawText);
+    return `raw-text-${rawTexts.length - 1}`;
+  });
+  return text.replace(
+    /"raw-text-(\d+)"/g,
+    (_match, index: string) => rawTexts[Number(index)] ?? 'null',
+  );
+}
+
 function toWire(object: StoredObject): unknown {
   return {
     metadata: {
@@ -429,7 +466,7 @@
   if (!outgoing || outgoing.destroyed) {
     return;
   }
-  const text = JSON.stringify(body);
+  const text = toText(body);
   outgoing.writeHead(status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
