--- a/packages/stand_ins/test/object_platform/foreign_entries.test.ts
+++ b/packages/stand_ins/test/object_platform/foreign_entries.test.ts
@@ -49,6 +49,23 @@
   {what: 'a field 800 deep', text: entryText({extra: nestedArrays(800)})},
   {what: 'a field 1,600 deep', text: entryText({extra: nestedObjects(1_600)})},
   {what: 'a field 2,400 deep', text: entryText({extra: nestedArrays(2_400)})},
+  {what: 'a port above 65535', text: entryText({address: '"127.0.0.1:65536"'})},
+  {what: 'a port of 99999', text: entryText({address: '"127.0.0.1:99999"'})},
+  {what: 'a port of 0', text: entryText({address: '"127.0.0.1:0"'})},
+  {what: 'an address above 255', text: entryText({address: '"999.0.0.1:80"'})},
+  {what: 'infinite slots', text: entryText({slots: '1e999'})},
+  {what: 'slots beyond reason', text: entryText({slots: '9007199254740991'})},
+  {
+    what: 'an infinite cold start',
+    text: entryText({cold_remaining_ms: '1e999'}),
+  },
+  {
+    what: 'a cold start without end',
+    text: entryText({cold_remaining_ms: '1e308'}),
+  },
+  {what: 'an infinite start', text: entryText({born: '1e999'})},
+  {what: 'a start after all time', text: entryText({born: '9007199254740991'})},
+  {what: 'an infinite sequence', text: entryText({sequence: '1e999'})},
   {
     what: 'a name of 2,000 characters',
     name: 'n'.repeat(2_000),
@@ -59,8 +76,16 @@
     name: 'n'.repeat(500),
     text: entryText({}),
   },
+  {
+    what: 'a zone of 2,000 characters',
+    text: entryText({zone: JSON.stringify('z'.repeat(2_000))}),
+  },
+  {
+    what: 'a service of 2,000 characters',
+    text: entryText({service: JSON.stringify('s'.repeat(2_000))}),
+  },
   {what: 'no text at all', text: 'null'},
-  {what: 'a number too large', text: '1e999'},
+  {what: 'a number', text: '1e999'},
 ];
 
 // Guards against processes that end, or stop following the list of targets, since
