--- a/packages/gateway/test/target_attempt.test.ts
+++ b/packages/gateway/test/target_attempt.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import {Agent} from 'node:http';
-import {type AddressInfo, type Server, createServer} from 'node:net';
+import {
+  type AddressInfo,
+  type Server,
+  type Socket,
+  createServer,
+} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import type {AttemptOutcome} from '@ibisbeam/decision';
 import {createSystemTimerService} from '@ibisbeam/library';
@@ -59,6 +64,47 @@
     assert.equal(receivedBytes, 0);
   });
 
+  const heads: Readonly<Record<string, readonly string[]>> = {
+    'with a length': [
+      'X-Attempt: one',
+      'X-Seal: 3e1b.07',
+      'Content-Length: 12',
+    ],
+    'in chunks': ['X-Attempt: one', 'Transfer-Encoding: chunked'],
+    'without a length': ['X-Attempt: one', 'X-Seal: 3e1b.07'],
+  };
+  const ends: Readonly<Record<string, (socket: Socket) => void>> = {
+    closed: socket => socket.end(),
+    reset: socket => socket.resetAndDestroy(),
+  };
+  for (const [framing, fields] of Object.entries(heads)) {
+    for (const [how, endConnection] of Object.entries(ends)) {
+      // Guards against an answer of which the target wrote half a head, and that
+      // callers get as whole, with an empty or short body.
+      it(`takes no part of a head ${framing} for an answer when the connection is ${how}`, async () => {
+        const head = ['HTTP/1.1 200 OK', ...fields, '', ''].join('\r\n');
+        let writtenBytes = 0;
+        server.on('connection', socket => {
+          socket.once('data', () => {
+            socket.write(head.slice(0, writtenBytes), () =>
+              endConnection(socket),
+            );
+          });
+        });
+        for (; writtenBytes < head.length; writtenBytes += 1) {
+          const outcome = await new Promise<AttemptOutcome>(resolve => {
+            start({onEnd: resolve});
+          });
+          assert.equal(
+            outcome.kind,
+            'broken',
+            `${writtenBytes} bytes of ${head.length}`,
+          );
+        }
+      });
+    }
+  }
+
   function start(events: Partial<AttemptEvents>): TargetAttempt {
     const {port} = server.address() as AddressInfo;
     return startTargetAttempt(
