--- a/packages/stand_ins/test/object_platform/foreign_entries.test.ts
+++ b/packages/stand_ins/test/object_platform/foreign_entries.test.ts
@@ -84,6 +84,12 @@
     what: 'a service of 2,000 characters',
     text: entryText({service: JSON.stringify('s'.repeat(2_000))}),
   },
+  {
+    what: 'a name beyond Latin-1',
+    name: 'i-\u00e7al\u0131\u015fan',
+    text: entryText({}),
+  },
+  {what: 'a line break in its name', name: 'i-1\r\nx: y', text: entryText({})},
   {what: 'no text at all', text: 'null'},
   {what: 'a number', text: '1e999'},
 ];
