Write names of workspaces in headers as UTF-8

Cause: the name goes into a header for targets as it is, and node:http throws for such letters.

Change: the header holds the bytes of the name in UTF-8, and peers that relay a request are understood by it; a name as peers of earlier builds write it is found as well.

The test of the header passes.

--- a/packages/gateway/src/forwarding/attempt_headers.ts
+++ b/packages/gateway/src/forwarding/attempt_headers.ts
@@ -2,7 +2,7 @@
 import type {RegisteredTarget} from '@ibisbeam/decision';
 import type {ForwardingContext} from './context.js';
 import type {ExchangeRequest} from './exchange_types.js';
-import {endToEndRawHeaders} from './header_rules.js';
+import {encodeHeaderText, endToEndRawHeaders} from './header_rules.js';
 
 /** Targets read a deadline of 0 as no deadline. */
 const MINIMUM_DEADLINE_MS = 1;
@@ -70,7 +70,10 @@
       : context.droppedCallerHeaders,
   );
   if (caller.kind === 'workspace') {
-    rawHeaders.push(context.protocol.headers.workspace, caller.workspace.name);
+    rawHeaders.push(
+      context.protocol.headers.workspace,
+      encodeHeaderText(caller.workspace.name),
+    );
   }
   rawHeaders.push(
     context.protocol.headers.deadlineMs,
--- a/packages/gateway/src/forwarding/header_rules.ts
+++ b/packages/gateway/src/forwarding/header_rules.ts
@@ -58,3 +58,16 @@
   }
   return values;
 }
+
+/**
+ * Encodes text for a header value, which holds bytes: letters beyond ASCII are
+ * written as UTF-8.
+ */
+export function encodeHeaderText(text: string): string {
+  return Buffer.from(text, 'utf8').toString('latin1');
+}
+
+/** Decodes what `encodeHeaderText` has written. */
+export function decodeHeaderText(value: string): string {
+  return Buffer.from(value, 'latin1').toString('utf8');
+}
--- a/packages/gateway/src/workspaces/caller_identity.ts
+++ b/packages/gateway/src/workspaces/caller_identity.ts
@@ -11,7 +11,7 @@
   createKeyTable,
 } from '@ibisbeam/decision';
 import type {HeaderNames} from '../core/protocol.js';
-import {headerValues} from '../forwarding/header_rules.js';
+import {decodeHeaderText, headerValues} from '../forwarding/header_rules.js';
 
 /** On whose behalf a request is served. */
 export type Caller =
@@ -95,7 +95,9 @@
     if (name === undefined) {
       return {kind: 'identified', caller: {kind: 'anonymous'}};
     }
-    const workspace = known.byName(name);
+    // Peers of earlier builds write letters of Latin-1 as they are.
+    const workspace =
+      known.byName(decodeHeaderText(name)) ?? known.byName(name);
     if (!workspace) {
       const reason = 'the workspace is not in the configuration in force';
       return {kind: 'refused', status: 503, reason};
--- a/packages/stand_ins/test/object_platform/workspaces.test.ts
+++ b/packages/stand_ins/test/object_platform/workspaces.test.ts
@@ -75,6 +75,20 @@
     assert.ok(!harness.logLines.some(line => line.includes(API_KEY)));
   });
 
+  // Guards against a process that ends with each request of a workspace whose name
+  // has letters beyond Latin-1.
+  it('reach targets with a name beyond Latin-1 written in UTF-8', async () => {
+    const name = 'K\u0131z\u0131lay \u0130zmir';
+    await configure({tenants: [FACULTY, {...GUESTS, name}]});
+    const answer = await callWith(
+      {'X-Api-Key': 'guest-key'},
+      {attemptId: 'utf-8'},
+    );
+    assert.equal(answer.status, 200);
+    const written = String(runHeaders('utf-8')?.['x-ibisbeam-tenant-name']);
+    assert.equal(Buffer.from(written, 'latin1').toString('utf8'), name);
+  });
+
   const refusedKeys: Readonly<Record<string, Record<string, string>>> = {
     'no key': {},
     'an unknown key': {'X-Api-Key': 'first-kez'},
