Take no answer with a status that no answer has

Cause: the HTTP parser takes any three digits, and the writer throws for those below 100.

Change: an answer has a status of 200 to 599; another one is broken, as bytes that are no answer are.

Four statuses in target_attempt.test.ts.

--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -89,6 +89,10 @@
 /** Longer response bodies are streamed. */
 const MAXIMUM_BUFFERED_BYTES = 262_144;
 
+/** The HTTP parser accepts any three digits. */
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
+
 /** Starts an attempt, which reports its outcome to `events.onEnd`. */
 export function startTargetAttempt(
   request: AttemptRequest,
@@ -196,6 +200,11 @@
       fail('the answer has a malformed header name');
       return;
     }
+    const status = response.statusCode ?? 0;
+    if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
+      fail(`the answer has the status ${status}`);
+      return;
+    }
     const echoed = headerValues(response.rawHeaders, attemptIdName);
     const [loadHeader] = headerValues(response.rawHeaders, loadReport);
     const report = loadHeader ? protocol.readLoadReport(loadHeader) : undefined;
@@ -208,11 +217,10 @@
     }
     // On a connection that is in use again, it may answer an earlier request.
     if (request.attemptId !== undefined && echoed.length === 0) {
-      fail(`the answer with status ${response.statusCode} names no request`);
+      fail(`the answer with status ${status} names no request`);
       return;
     }
     events.onResponseHead(outgoing, response);
-    const status = response.statusCode ?? 0;
     if (status !== 421) {
       const [limitHeader] = headerValues(response.rawHeaders, rateLimit);
       events.onRateLimit(
--- a/packages/gateway/test/target_attempt.test.ts
+++ b/packages/gateway/test/target_attempt.test.ts
@@ -12,6 +12,7 @@
 import {createSendScheduler} from '../src/forwarding/send_scheduler.js';
 import {
   type AttemptEvents,
+  type AttemptRequest,
   type TargetAttempt,
   startTargetAttempt,
 } from '../src/forwarding/target_attempt.js';
@@ -64,6 +65,24 @@
     assert.equal(receivedBytes, 0);
   });
 
+  // Guards against a process that ends since a target wrote a status that no answer
+  // can have.
+  for (const status of ['000', '099', '600', '999']) {
+    it(`takes no answer with the status ${status}`, async () => {
+      server.on('connection', socket => {
+        socket.once('data', () =>
+          socket.write(
+            `HTTP/1.1 ${status} OK\r\nX-Attempt: one\r\nContent-Length: 0\r\n\r\n`,
+          ),
+        );
+      });
+      const outcome = await new Promise<AttemptOutcome>(resolve => {
+        start({onEnd: resolve});
+      });
+      assert.equal(outcome.kind, 'broken');
+    });
+  }
+
   const heads: Readonly<Record<string, readonly string[]>> = {
     'with a length': [
       'X-Attempt: one',
@@ -105,7 +124,10 @@
     }
   }
 
-  function start(events: Partial<AttemptEvents>): TargetAttempt {
+  function start(
+    events: Partial<AttemptEvents>,
+    changes: Partial<AttemptRequest> = {},
+  ): TargetAttempt {
     const {port} = server.address() as AddressInfo;
     return startTargetAttempt(
       {
@@ -118,6 +140,7 @@
         attemptId: 'one',
         agent: new Agent({keepAlive: true}),
         connectTimeoutMs: 1_000,
+        ...changes,
       },
       {
         headers: {
