End only the request that cannot be written to a target

What callers saw: a path with a tab, form feed or other control character ended the process of the VM that took it. A host or an address that cannot be, told by a registration in the store or by a VM of an earlier build, would have done the same.

Cause: the libraries that write a request or dial a peer throw at once, and nobody catches it.

Change: such a path gets 400. An attempt whose request cannot be written ends as unsendable, which blames no target and promises the truth: 503, or 502 if the request may have run at another one. A host that no URL holds counts as a dial that failed, and entries that have no address are not learnt from peers.

--- a/packages/decision/src/core/attempt_policy/attempt_policy.ts
+++ b/packages/decision/src/core/attempt_policy/attempt_policy.ts
@@ -14,6 +14,8 @@
   | {readonly kind: 'not-sent'; readonly cause: string}
   /** Not sent, because the target wants no more requests for now. */
   | {readonly kind: 'withheld'; readonly cause: string}
+  /** No message to a target can hold the request; none is at fault. */
+  | {readonly kind: 'unsendable'; readonly cause: string}
   /** The response is missing, truncated, malformed or for another request. */
   | {readonly kind: 'broken'; readonly cause: string};
 
@@ -72,6 +74,8 @@
       return canTryAgain(history)
         ? {kind: 'try-another', costsBudget: false}
         : failure(history);
+    case 'unsendable':
+      return failure(history);
     case 'broken':
       return isRetryable(history.routeKind) && canExecuteAgain(history)
         ? {kind: 'try-another', costsBudget: true}
--- a/packages/decision/src/core/relay/relay_policy.ts
+++ b/packages/decision/src/core/relay/relay_policy.ts
@@ -56,6 +56,7 @@
     case 'not-executed':
     case 'not-sent':
     case 'withheld':
+    case 'unsendable':
     case 'broken':
       return decideNextStep(outcome, history);
   }
--- a/packages/decision/test/attempt_policy/attempt_policy.test.ts
+++ b/packages/decision/test/attempt_policy/attempt_policy.test.ts
@@ -160,3 +160,25 @@
     });
   });
 });
+
+describe('an attempt that no message can hold', () => {
+  // Guards against a request that is tried at one target after the other though
+  // none can be sent it.
+  it('fails the request, and says truthfully whether it may have run', () => {
+    const unsendable = {kind: 'unsendable', cause: 'a tab'} as const;
+    assert.deepEqual(
+      decideNextStep(unsendable, {...FRESH, possiblyExecuted: 0}),
+      {
+        kind: 'fail',
+        status: 503,
+      },
+    );
+    assert.deepEqual(
+      decideNextStep(unsendable, {...FRESH, possiblyExecuted: 1}),
+      {
+        kind: 'fail',
+        status: 502,
+      },
+    );
+  });
+});
--- a/packages/gateway/src/fleet_state.ts
+++ b/packages/gateway/src/fleet_state.ts
@@ -2,6 +2,7 @@
  * Routing configuration, targets and evacuated zones as this gateway knows
  * them, updated when the local store mirrors change.
  */
+import {isIP} from 'node:net';
 import {
   type MirrorChange,
   type RegisteredTarget,
@@ -73,6 +74,7 @@
 const REWRITE_MS = 2_500;
 /** Time for a live target that the copy lacks to be listed again. */
 const RELIST_MS = 2_000;
+const MAXIMUM_PORT = 65_535;
 /** An older copy of the store is at most this old. */
 const LIFTED_RETENTION_MS = 60_000;
 
@@ -271,11 +273,11 @@
       rewritesUntilMs,
       nowMs + Math.min(memory.leftMs, REWRITE_MS),
     );
-    for (const entry of memory.departed) {
+    for (const entry of memory.departed.filter(hasAddress)) {
       registry.learnDeparted(entry, nowMs);
     }
     const removeAtMs = nowMs + Math.min(memory.leftMs, RELIST_MS);
-    for (const entry of memory.listed) {
+    for (const entry of memory.listed.filter(hasAddress)) {
       registry.learnListed(entry, nowMs, removeAtMs);
     }
     const zones = new Set([...registry.evacuated(), ...memory.evacuated]);
@@ -327,3 +329,9 @@
       DEFAULT_MAXIMUM_CONNECTIONS,
   };
 }
+
+/** Peers of earlier builds tell of entries whose address cannot be. */
+function hasAddress({host, port}: TargetEntry): boolean {
+  const isPort = Number.isInteger(port) && port >= 1 && port <= MAXIMUM_PORT;
+  return isPort && isIP(host) !== 0;
+}
--- a/packages/gateway/src/forwarding/attempt_recording.ts
+++ b/packages/gateway/src/forwarding/attempt_recording.ts
@@ -75,6 +75,7 @@
       context.connections.closeIdle(incarnation);
       return;
     case 'withheld':
+    case 'unsendable':
       return;
     case 'broken':
       if (context.targetReach() === 'cut-off') {
@@ -124,6 +125,7 @@
       return;
     case 'not-sent':
     case 'withheld':
+    case 'unsendable':
       return;
   }
 }
--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -437,6 +437,9 @@
   return caller.kind === 'workspace' && caller.keyDigest !== undefined;
 }
 
+/** What may be written again; the HTTP parser accepts control characters too. */
+const PATH_PATTERN = /^[!-~\u0080-\u00ff]*$/;
+
 /**
  * Returns why a request that the HTTP parser accepted cannot be routed, or
  * undefined if it can.
@@ -451,5 +454,8 @@
   if (!(incoming.url ?? '').startsWith('/')) {
     return 'the request target must be a path';
   }
+  if (!PATH_PATTERN.test(incoming.url ?? '')) {
+    return 'the path has characters that are not allowed';
+  }
   return undefined;
 }
--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -104,22 +104,18 @@
   events: AttemptEvents,
 ): TargetAttempt {
   const {timers, sendScheduler} = dependencies;
+  let outgoing: ClientRequest;
+  try {
+    outgoing = createRequest(request);
+  } catch (error) {
+    return endAsUnsendable(error, dependencies, events);
+  }
   let ended = false;
   let sent = false;
   let connectTimer: TimerHandle | undefined;
   let streamedResponse: IncomingMessage | undefined;
   let connection: Socket | undefined;
 
-  const outgoing = httpRequest({
-    host: request.host,
-    port: request.port,
-    method: request.method,
-    path: request.path,
-    headers: request.headers as unknown as Record<string, string>,
-    agent: request.agent,
-    setHost: false,
-  });
-
   function end(outcome: AttemptOutcome, response?: TargetResponse): void {
     if (ended) {
       return;
@@ -308,3 +304,35 @@
     },
   };
 }
+
+/** Throws if the address, the path or a header cannot be written. */
+function createRequest(request: AttemptRequest): ClientRequest {
+  return httpRequest({
+    host: request.host,
+    port: request.port,
+    method: request.method,
+    path: request.path,
+    headers: request.headers as unknown as Record<string, string>,
+    agent: request.agent,
+    setHost: false,
+  });
+}
+
+/** Reports the outcome later, as that of every attempt. */
+function endAsUnsendable(
+  error: unknown,
+  {sendScheduler}: AttemptDependencies,
+  events: AttemptEvents,
+): TargetAttempt {
+  let isCancelled = false;
+  sendScheduler.schedule(() => {
+    if (!isCancelled) {
+      events.onEnd({kind: 'unsendable', cause: String(error)});
+    }
+  });
+  return {
+    cancel: () => {
+      isCancelled = true;
+    },
+  };
+}
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -320,12 +320,29 @@
     return true;
   }
 
+  /** Undefined for a host that no URL can hold, as a registration may have. */
+  function openLink(host: string): WebSocket | undefined {
+    try {
+      return new WebSocket(`ws://${host}:${options.listen.port}`, {
+        handshakeTimeout: DIAL_TIMEOUT_MS,
+        perMessageDeflate: false,
+        maxPayload: MAXIMUM_MESSAGE_BYTES,
+      });
+    } catch (error) {
+      log.log('debug', 'peer-link-failed', {
+        peer: host,
+        cause: String(error),
+      });
+      return undefined;
+    }
+  }
+
   function dial(host: string, onDone: (opened: boolean) => void): void {
-    const link = new WebSocket(`ws://${host}:${options.listen.port}`, {
-      handshakeTimeout: DIAL_TIMEOUT_MS,
-      perMessageDeflate: false,
-      maxPayload: MAXIMUM_MESSAGE_BYTES,
-    });
+    const link = openLink(host);
+    if (!link) {
+      onDone(false);
+      return;
+    }
     let opened = false;
     link.on('open', () => {
       opened = true;
--- a/packages/gateway/test/fleet_state.test.ts
+++ b/packages/gateway/test/fleet_state.test.ts
@@ -186,6 +186,25 @@
       );
     });
 
+    // Guards against a process that ends since a VM of an earlier build tells of a
+    // target with a port that cannot be.
+    it('learns no target that has no address', () => {
+      fleet.learn({
+        leftMs: 3_000,
+        listed: [
+          {...TARGET, id: 'i-8', port: 65_536},
+          {...TARGET, id: 'i-9', host: 'nowhere'},
+          {...TARGET, id: 'i-10'},
+        ],
+        departed: [],
+        evacuated: [],
+        lifted: [],
+      });
+      const known = fleet.registry.all().map(({entry}) => entry.id);
+      assert.ok(known.includes('i-10'));
+      assert.ok(!known.includes('i-8') && !known.includes('i-9'));
+    });
+
     // Guards against a restore whose effect on targets no log tells.
     it('logs what was kept, written again, withheld and dropped', () => {
       for (const name of ['i-2', 'i-3', 'i-4']) {
--- a/packages/gateway/test/peer_mesh.test.ts
+++ b/packages/gateway/test/peer_mesh.test.ts
@@ -134,6 +134,23 @@
     assert.equal(named.size, known.length);
   });
 
+  // Guards against a process that ends since a registration names a host that
+  // no URL can hold.
+  it('dial the others beside one whose host cannot be', async () => {
+    const port = await freePort();
+    const network = `127.${1 + ((process.pid >> 8) % 250)}.${process.pid % 256}`;
+    const one = startVm('edge-1', `${network}.1`, port);
+    const other = startVm('edge-2', `${network}.2`, port);
+    await other.mesh.listen();
+    for (const [index, host] of ['', 'a b', '[', '10.0.0.1:1/x'].entries()) {
+      one.mesh.addPeers([{...other.record, id: `odd-${index}`, host}]);
+    }
+    one.mesh.addPeers([other.record]);
+    await one.mesh.listen();
+    await timers.sleep(600);
+    assert.equal(one.links, 1);
+  });
+
   it('leave the first dial to the one whose identifier sorts first', async () => {
     const port = await freePort();
     const network = `127.${1 + ((process.pid >> 8) % 250)}.${process.pid % 256}`;
--- a/packages/gateway/test/target_attempt.test.ts
+++ b/packages/gateway/test/target_attempt.test.ts
@@ -83,6 +83,31 @@
     });
   }
 
+  const unsendable: Readonly<Record<string, Partial<AttemptRequest>>> = {
+    'a port above 65535': {port: 65_536},
+    'a path with a tab': {path: '/rooms/\t7'},
+    'a header with a line break': {headers: ['Host', 'a\r\nb']},
+  };
+  for (const [what, changes] of Object.entries(unsendable)) {
+    // Guards against a process that ends since a request cannot be written.
+    it(`reports later that ${what} cannot be sent`, async () => {
+      let isStarted = false;
+      const outcome = await new Promise<AttemptOutcome>(resolve => {
+        start(
+          {
+            onEnd: ended => {
+              assert.ok(isStarted);
+              resolve(ended);
+            },
+          },
+          changes,
+        );
+        isStarted = true;
+      });
+      assert.equal(outcome.kind, 'unsendable');
+    });
+  }
+
   const heads: Readonly<Record<string, readonly string[]>> = {
     'with a length': [
       'X-Attempt: one',
--- a/packages/stand_ins/test/object_platform/forwarding.test.ts
+++ b/packages/stand_ins/test/object_platform/forwarding.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {connect} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {type TargetFault, settleWithin} from '../../src/index.js';
@@ -56,6 +57,24 @@
     assert.equal(countRuns(harness, 'second'), 1);
   });
 
+  // Guards against a process that ends since a path cannot be written again.
+  for (const character of ['\t', '\f', '\u007f']) {
+    it(`refuses a path with ${JSON.stringify(character)}`, async () => {
+      const {host, port} = harness.gateway.caller;
+      const socket = connect(port, host);
+      socket.write(
+        `GET /rooms/${character}7 HTTP/1.1\r\nHost: ${HOST}\r\nX-Ibisbeam-Attempt-Id: odd\r\n\r\n`,
+      );
+      const [answer] = await settleWithin(
+        {timers, timeoutMs: DISCONNECT_TIMEOUT_MS, awaited: 'the refusal'},
+        once(socket, 'data'),
+      );
+      socket.destroy();
+      assert.match(String(answer), /^HTTP\/1\.1 400 /);
+      assert.equal((await call(harness.gateway)).status, 200);
+    });
+  }
+
   it('passes a request on and its answer back unchanged', async () => {
     const answer = await call(harness.gateway, {
       attemptId: 'one',
