--- a/packages/gateway/test/store_copies.test.ts
+++ b/packages/gateway/test/store_copies.test.ts
@@ -56,6 +56,27 @@
     }
   }
 
+  /** Changes the configuration while the VM does not run and has no links. */
+  async function missChange(how: 'freeze' | 'suspend'): Promise<void> {
+    follower[how]();
+    await pass(LINK_IDLE_MS);
+    network.unlink(follower.id);
+    store.put('configuration', 'main', createConfiguration(2));
+    await pass(4_000);
+    follower.wake();
+  }
+
+  /** Asserts that a request of now is routed by the changed configuration. */
+  async function assertHeldUntilCurrent(): Promise<void> {
+    let routedBy: number | undefined;
+    follower.copyGuard.whenUsable(isUsable => {
+      routedBy = isUsable ? versionAt(follower) : undefined;
+    });
+    assert.equal(routedBy, undefined);
+    await pass(100);
+    assert.equal(routedBy, 2);
+  }
+
   function versionAt(vm: FollowedVm): number | undefined {
     return vm.fleet.routes()?.configuration.version;
   }
@@ -63,12 +84,7 @@
   // Guards against requests that are routed by a replaced configuration long
   // after a pause of the VM.
   it('take up a configuration that was sent while the VM stood still', async () => {
-    follower.freeze();
-    await pass(LINK_IDLE_MS);
-    network.unlink(follower.id);
-    store.put('configuration', 'main', createConfiguration(2));
-    await pass(4_000);
-    follower.wake();
+    await missChange('freeze');
     network.link(follower.id);
     await pass(APPLY_BOUND_MS);
     assert.equal(versionAt(follower), 2);
@@ -99,37 +115,15 @@
   // Guards against requests that are routed by a replaced configuration right
   // after a pause, before anybody has told the VM of the new one.
   it('are not acted on after a pause until they are confirmed', async () => {
-    follower.freeze();
-    await pass(LINK_IDLE_MS);
-    network.unlink(follower.id);
-    store.put('configuration', 'main', createConfiguration(2));
-    await pass(4_000);
-    follower.wake();
-    let routedBy: number | undefined;
-    follower.copyGuard.whenUsable(isUsable => {
-      routedBy = isUsable ? versionAt(follower) : undefined;
-    });
-    assert.equal(routedBy, undefined);
-    await pass(100);
-    assert.equal(routedBy, 2);
+    await missChange('freeze');
+    await assertHeldUntilCurrent();
   });
 
   // Guards against requests that are routed by a replaced configuration after
   // the machine was suspended, which the monotonic clock does not show.
   it('are not acted on after the machine was suspended until they are confirmed', async () => {
-    follower.suspend();
-    await pass(LINK_IDLE_MS);
-    network.unlink(follower.id);
-    store.put('configuration', 'main', createConfiguration(2));
-    await pass(4_000);
-    follower.wake();
-    let routedBy: number | undefined;
-    follower.copyGuard.whenUsable(isUsable => {
-      routedBy = isUsable ? versionAt(follower) : undefined;
-    });
-    assert.equal(routedBy, undefined);
-    await pass(100);
-    assert.equal(routedBy, 2);
+    await missChange('suspend');
+    await assertHeldUntilCurrent();
   });
 
   // Guards against a VM that resumes and confirms the copies of another one that
@@ -179,12 +173,7 @@
   // reads from its sockets, which is as old as its pause.
   it('are confirmed by peers after a pause if the store is away', async () => {
     isStoreReached = false;
-    follower.freeze();
-    await pass(LINK_IDLE_MS);
-    network.unlink(follower.id);
-    store.put('configuration', 'main', createConfiguration(2));
-    await pass(4_000);
-    follower.wake();
+    await missChange('freeze');
     await pass(100);
     assert.equal(follower.copyGuard.state(), 'unconfirmed');
     network.link(follower.id);
