--- a/packages/stand_ins/test/object_platform/workspaces.test.ts
+++ b/packages/stand_ins/test/object_platform/workspaces.test.ts
@@ -235,6 +235,22 @@
     assert.equal(relayed?.headers['x-ibisbeam-relay-token'], undefined);
   });
 
+  // Guards against a peer that does not know a workspace by the bytes of its name.
+  it('that a peer relays are those of a workspace beyond Latin-1', async () => {
+    const name = 'K\u0131z\u0131lay \u0130zmir';
+    await configure({tenants: [FACULTY, {...GUESTS, name}]});
+    const cutOff = await harness.fleet.addGateway('edge-riga-b-1', 'riga-b', {
+      targetReach: () => 'cut-off',
+    });
+    await waitUntil(async () => {
+      const attempt = await callWith({'X-Api-Key': 'guest-key'}, {}, cutOff);
+      return attempt.status === 200;
+    });
+    const relayed = harness.targets.flatMap(target => target.runs).at(-1);
+    const written = String(relayed?.headers['x-ibisbeam-tenant-name']);
+    assert.equal(Buffer.from(written, 'latin1').toString('utf8'), name);
+  });
+
   // Guards against a caller that poses as a peer.
   it('that only seem to be relayed are refused and not run', async () => {
     const answer = await callWith({
