--- a/packages/gateway/src/fleet_state.ts
+++ b/packages/gateway/src/fleet_state.ts
@@ -330,7 +330,7 @@
   };
 }
 
-/** Peers of earlier builds tell of entries whose address cannot be. */
+/** Earlier builds pass on entries whose address is invalid. */
 function hasAddress({host, port}: TargetEntry): boolean {
   const isPort = Number.isInteger(port) && port >= 1 && port <= MAXIMUM_PORT;
   return isPort && isIP(host) !== 0;
--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -318,7 +318,7 @@
   });
 }
 
-/** Reports the outcome later, as that of every attempt. */
+/** Reports the outcome asynchronously, like every other one. */
 function endAsUnsendable(
   error: unknown,
   {sendScheduler}: AttemptDependencies,
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -320,7 +320,7 @@
     return true;
   }
 
-  /** Undefined for a host that no URL can hold, as a registration may have. */
+  /** Undefined if the host, which a registration names, is invalid in a URL. */
   function openLink(host: string): WebSocket | undefined {
     try {
       return new WebSocket(`ws://${host}:${options.listen.port}`, {
--- a/packages/gateway/src/store/mirror_objects.ts
+++ b/packages/gateway/src/store/mirror_objects.ts
@@ -6,7 +6,7 @@
 import type {MirrorEvent, MirroredObject} from '@ibisbeam/decision';
 import type {PlatformChange, PlatformObject} from '@ibisbeam/library';
 
-/** Messages of earlier builds hold no longer names. */
+/** Earlier builds refuse messages that contain longer names. */
 const MAXIMUM_NAME_LENGTH = 512;
 /** Deeper values exhaust the stack where messages are written and read. */
 const MAXIMUM_VALUE_DEPTH = 32;
