Log long answers that a target breaks off

Change: answer-broken-off names the request and its target, or the peer, when a streamed answer ends before its end. What callers get is as before.

--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -550,6 +550,15 @@
     context.prepareAnswer(outgoing);
     deliverResponse(outgoing, response, {
       droppedHeaders: context.droppedAnswerHeaders,
+      onBrokenOff: () =>
+        log.log('info', 'answer-broken-off', {
+          request: request.attemptId,
+          target: lastPlacement?.target.entry.id,
+          peer: relays.lastPeer(),
+          sinceSentMs: Math.round(
+            timers.nowMs() - (lastAttemptAtMs ?? request.arrivedAtMs),
+          ),
+        }),
     });
   }
 
--- a/packages/gateway/src/forwarding/response_delivery.ts
+++ b/packages/gateway/src/forwarding/response_delivery.ts
@@ -9,6 +9,8 @@
 export interface DeliveryOptions {
   /** Names, in lower case, of headers that callers do not get. */
   readonly droppedHeaders: ReadonlySet<string>;
+  /** The target has ended a long answer before its end; called once. */
+  onBrokenOff(): void;
 }
 
 /**
@@ -19,7 +21,7 @@
 export function deliverResponse(
   outgoing: ServerResponse,
   response: TargetResponse,
-  {droppedHeaders}: DeliveryOptions,
+  {droppedHeaders, onBrokenOff}: DeliveryOptions,
 ): void {
   if (outgoing.destroyed) {
     discardBody(response);
@@ -40,6 +42,16 @@
     outgoing.write(chunk);
   }
   const {stream} = body;
+  let isBrokenOff = false;
+
+  function breakOff(): void {
+    if (!isBrokenOff && !outgoing.destroyed) {
+      isBrokenOff = true;
+      onBrokenOff();
+    }
+    resetConnection(outgoing);
+  }
+
   stream.on('data', (chunk: Buffer) => {
     if (!outgoing.write(chunk)) {
       stream.pause();
@@ -51,10 +63,10 @@
       outgoing.end();
       return;
     }
-    resetConnection(outgoing);
+    breakOff();
   });
-  stream.on('error', () => resetConnection(outgoing));
-  stream.on('aborted', () => resetConnection(outgoing));
+  stream.on('error', breakOff);
+  stream.on('aborted', breakOff);
   outgoing.on('close', () => stream.destroy());
   stream.resume();
 }
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -11,6 +11,7 @@
   | 'mailbox-full'
   | 'request-finished'
   | 'requests-answered'
+  | 'answer-broken-off'
   | 'request-refused'
   | 'lookup-refused'
   | 'input-refused'
--- a/packages/stand_ins/test/object_platform/forwarding.test.ts
+++ b/packages/stand_ins/test/object_platform/forwarding.test.ts
@@ -215,6 +215,11 @@
         });
         assert.equal(answer.complete, false, fault);
       }
+      // The line of the request itself may be left out.
+      const logged = longAnswerHarness.logLines.filter(line =>
+        /event=answer-broken-off request=\S+ target=i-0/.test(line),
+      );
+      assert.equal(logged.length, 2);
     } finally {
       await longAnswerHarness.stop();
     }
