Begin nothing in a planned stop that cannot end within it

Cause: the stop decided when to end and nobody decided what may still begin. First attempts, retries, hedges and relays, also of requests that waited for their body or for a slot, were sent until the bound. A connection with requests always under way was never told to close. At the bound, connections were closed without a word.

Change: the stop has phases, decided in decision/core/graceful_stop. A request is sent to a target or a peer only if twice its expected time fits into the grace period, and nothing is sent from 2.8 s on. What has not been sent by then is refused as not run, without delay; the refusals end the connections of clients that send ahead. What has no answer 0.4 s before the end gets 504. docs/design/graceful-stop.md says for each part of the grace period what becomes of each request and connection.

--- /dev/null
+++ b/packages/decision/src/core/graceful_stop/index.ts
@@ -0,0 +1,1 @@
+export * from './stop_schedule.js';
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -23,6 +23,7 @@
 export * from './core/target_availability/index.js';
 export * from './core/templates/index.js';
 export * from './core/fleet_targets/index.js';
+export * from './core/graceful_stop/index.js';
 export * from './core/placement/index.js';
 export * from './core/route_table/index.js';
 export * from './core/store_mirror/index.js';
--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -17,13 +17,18 @@
 } from '@ibisbeam/decision';
 import {
   type ClientAnswer,
+  type Hurry,
   type UnfinishedConnection,
   announcesBody,
   createClientConnections,
   readRequestBody,
 } from '@ibisbeam/library';
 import type {HostAndPort} from '../core/settings.js';
-import {refuse} from './response_delivery.js';
+import {
+  STOPPING_REASON,
+  STOPPING_RETRY_AFTER_MS,
+  refuse,
+} from './response_delivery.js';
 import type {AcceptBacklog} from './accept_backlog.js';
 import type {ForwardingContext} from './context.js';
 import {startExchange} from './exchange.js';
@@ -34,6 +39,10 @@
 export interface ClientFacingServer {
   listen(): Promise<void>;
   setLimits(limits: ClientLimits): void;
+  /** See `ClientConnections`. */
+  hurry(hurry: Hurry): void;
+  /** Closes connections without requests; see `ClientConnections`. */
+  closeIdle(): void;
   /** Number of requests whose answer has not left completely. */
   inFlight(): number;
   /** What would be lost if all connections were closed now. */
@@ -101,7 +110,8 @@
   // A client of a VM that goes or reaches no targets is better off elsewhere.
   const connections = createClientConnections({
     closesAfterAnswers: () =>
-      context.isStopping() || context.targetReach() === 'cut-off',
+      context.gracefulStop.phase() !== 'serving' ||
+      context.targetReach() === 'cut-off',
   });
   const server: Server = createServer(
     {
@@ -126,12 +136,17 @@
     }
     const arrivedAtMs = context.timers.nowMs();
     const request: UnroutedRequest = {incoming, outgoing, answer, arrivedAtMs};
+    answer.onHurry(() => refuseAsStopping(request));
     nameRelayedRequest(incoming, outgoing);
     const malformation = findMalformation(incoming);
     if (malformation) {
       refuseHere(request, 400, malformation, undefined, true);
       return;
     }
+    if (!context.gracefulStop.mayBegin(0)) {
+      refuseAsStopping(request);
+      return;
+    }
     if (!options.routes()) {
       const reason = 'no configuration yet';
       refuseHere(request, 503, reason, UNCONFIGURED_RETRY_AFTER_MS, true);
@@ -164,6 +179,12 @@
     });
   }
 
+  /** Other VMs can take the request at once. */
+  function refuseAsStopping(request: UnroutedRequest): void {
+    const close = announcesBody(request.incoming);
+    refuseHere(request, 503, STOPPING_REASON, STOPPING_RETRY_AFTER_MS, close);
+  }
+
   function route(request: UnroutedRequest, routes: RouteTable): void {
     const {incoming, answer} = request;
     if (answer.isDecided()) {
@@ -400,6 +421,8 @@
         server.listen(port, host, LISTEN_BACKLOG, () => resolve());
       }),
     setLimits,
+    hurry: connections.hurry,
+    closeIdle: connections.closeIdle,
     inFlight: connections.inFlight,
     unfinished: connections.unfinished,
     openConnections: connections.count,
--- a/packages/gateway/src/forwarding/context.ts
+++ b/packages/gateway/src/forwarding/context.ts
@@ -20,6 +20,7 @@
 } from '@ibisbeam/decision';
 import type {Logger, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
+import type {GracefulStop} from '../graceful_stop.js';
 import type {CopyGuard} from '../store/copy_guard.js';
 import type {ReachEvidence} from '../target_reach.js';
 import type {VmRecord} from '../peers/messages.js';
@@ -102,7 +103,7 @@
   /** Whether the targets of the service have no free slots on the average. */
   isContended(service: string): boolean;
   readonly sendScheduler: SendScheduler;
-  isStopping(): boolean;
+  readonly gracefulStop: Pick<GracefulStop, 'phase' | 'mayBegin'>;
   /** Route of the request in the configuration that is in force now. */
   findRoute(incoming: IncomingMessage): Route | undefined;
   /** Requests are sent only while the copies of the store are confirmed. */
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -16,8 +16,14 @@
   isRetryable,
   decideNextStep,
 } from '@ibisbeam/decision';
-import type {TimerHandle} from '@ibisbeam/library';
-import {deliverResponse, discardBody, refuse} from './response_delivery.js';
+import type {Hurry, TimerHandle} from '@ibisbeam/library';
+import {
+  STOPPING_REASON,
+  STOPPING_RETRY_AFTER_MS,
+  deliverResponse,
+  discardBody,
+  refuse,
+} from './response_delivery.js';
 import type {ForwardingContext} from './context.js';
 import {followRun, recordEndedAttempt} from './attempt_recording.js';
 import type {
@@ -213,6 +219,9 @@
   }
 
   function retryAfterMs(): number {
+    if (!context.gracefulStop.mayBegin(0)) {
+      return STOPPING_RETRY_AFTER_MS;
+    }
     return context.retryAfterMs(service, homeRegions(), expectedWaitMs);
   }
 
@@ -224,6 +233,22 @@
     fail(503, 'no target in time', retryAfterMs());
   }
 
+  /** While this VM stops: ends the request if its answer is not awaited. */
+  function onHurry(hurry: Hurry): void {
+    if (hurry === 'unsent' && running.size > 0) {
+      return;
+    }
+    if (possiblyExecuted > 0) {
+      fail(504, 'this VM stops before the answer');
+      return;
+    }
+    failAsStopping();
+  }
+
+  function failAsStopping(): void {
+    fail(503, STOPPING_REASON, STOPPING_RETRY_AFTER_MS);
+  }
+
   function onClientLeft(): void {
     if (!isFinished) {
       finish('client-left', 0);
@@ -246,6 +271,9 @@
     if (!isHedge && nowMs + placement.expectedMs > respondByMs) {
       return false;
     }
+    if (!context.gracefulStop.mayBegin(placement.expectedMs)) {
+      return false;
+    }
     startAttempt(placement, nowMs);
     return true;
   }
@@ -267,6 +295,9 @@
     if (!placement || decide(placement, nowMs, false).kind !== 'send') {
       return false;
     }
+    if (!context.gracefulStop.mayBegin(placement.expectedMs)) {
+      return false;
+    }
     startAttempt(placement, nowMs);
     return true;
   }
@@ -343,12 +374,20 @@
     attempt.sentAtMs = timers.nowMs();
   }
 
+  /** Mean duration of requests of the route at a target. */
+  function typicalMs(): number {
+    return context.serviceTimes.meanMs(route.name, route.latencyObjectiveMs);
+  }
+
   /** Returns false if no peer may take the request. */
   function startRelay(): boolean {
     const isQuarantined = crashVerdict() === 'crashes-targets';
     if (context.copyGuard.state() !== 'confirmed' || isQuarantined) {
       return false;
     }
+    if (!context.gracefulStop.mayBegin(typicalMs())) {
+      return false;
+    }
     const relay = relays.start();
     if (!relay) {
       return false;
@@ -564,14 +603,11 @@
   }
 
   answer.onClientLeft(onClientLeft);
+  answer.onHurry(onHurry);
   // The VM that a client has asked counts what its clients bring.
   if (!request.isRelayed) {
     context.retryBudget.recordRequest(service, request.arrivedAtMs);
-    context.onRequestArrived(
-      service,
-      context.serviceTimes.meanMs(route.name, route.latencyObjectiveMs),
-      request.arrivedAtMs,
-    );
+    context.onRequestArrived(service, typicalMs(), request.arrivedAtMs);
   }
   const elapsedMs = request.sinceFirstAttemptMs;
   const queuedRequest: QueuedRequest = {
@@ -624,6 +660,10 @@
     if (context.copyGuard.state() === 'unconfirmed') {
       return 'hold';
     }
+    if (!context.gracefulStop.mayBegin(0)) {
+      failAsStopping();
+      return 'done';
+    }
     if (context.targetReach() === 'cut-off') {
       if (!startRelay()) {
         fail(503, 'cut off from targets', retryAfterMs());
@@ -632,6 +672,10 @@
     }
     const nowMs = timers.nowMs();
     const placement = choosePlacement(nowMs);
+    if (placement && !context.gracefulStop.mayBegin(placement.expectedMs)) {
+      failAsStopping();
+      return 'done';
+    }
     if (!placement) {
       // Targets that took no connection are avoided for a while.
       if (context.targetReach() === 'suspect' && startRelay()) {
--- a/packages/gateway/src/forwarding/response_delivery.ts
+++ b/packages/gateway/src/forwarding/response_delivery.ts
@@ -3,6 +3,10 @@
 import {endToEndRawHeaders} from './header_rules.js';
 import type {TargetResponse} from './target_attempt.js';
 
+/** Sent while this VM stops and has not passed the request on. */
+export const STOPPING_REASON = 'this VM stops';
+/** Other VMs take the request at once. */
+export const STOPPING_RETRY_AFTER_MS = 0;
 const MILLISECONDS_PER_HUNDREDTH = 10;
 const HUNDREDTHS_PER_SECOND = 100;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -63,7 +63,7 @@
 } from './peers/peer_conversation.js';
 import {createPeerMesh} from './peers/peer_mesh.js';
 import {createVmRegistration} from './peers/vm_registration.js';
-import {runGracefulStop} from './graceful_stop.js';
+import {createGracefulStop} from './graceful_stop.js';
 import {createRegionPlan} from './region_plan.js';
 import {
   RATE_LIMIT_LOG_INTERVAL_MS,
@@ -423,7 +423,10 @@
       isSparseFleet() &&
       typicalLoad.requestsPerSlot(service, timers.nowMs()) >= 1,
     sendScheduler: createSendScheduler({timers, acceptBacklog}),
-    isStopping: () => stopping,
+    gracefulStop: {
+      phase: () => gracefulStop.phase(),
+      mayBegin: expectedMs => gracefulStop.mayBegin(expectedMs),
+    },
     findRoute: incoming =>
       fleet.routes()?.find(incoming.headers.host ?? '', incoming.url ?? '/'),
     copyGuard,
@@ -485,6 +488,14 @@
     acceptBacklog,
     routes: fleet.routes,
   });
+  const gracefulStop = createGracefulStop({
+    clientFacingServer,
+    timers,
+    log,
+    graceMs: () => bounds.stopGraceMs,
+    announceStop: () => peerConversation.broadcastHeartbeat(),
+    stopComponents,
+  });
   const readinessServer = createControlServer(
     settings.listen.readiness,
     new Map([
@@ -668,14 +679,7 @@
       return stopCompletion;
     }
     stopping = true;
-    stopCompletion = runGracefulStop({
-      clientFacingServer,
-      timers,
-      log,
-      graceMs: bounds.stopGraceMs,
-      announceStop: peerConversation.broadcastHeartbeat,
-      stopComponents,
-    });
+    stopCompletion = gracefulStop.run();
     return stopCompletion;
   }
 
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -1,83 +1,150 @@
 /**
  * Graceful stop: withdraws the VM from the directory, closes the listener,
- * answers requests in flight, and ends within the grace period.
+ * answers what has been sent to targets, refuses the rest, and ends within the
+ * grace period. `docs/design/graceful-stop.md` has the parts in order.
  */
-import type {Logger, TimerService} from '@ibisbeam/library';
-import type {ClientFacingServer} from './forwarding/client_facing_server.js';
+import {
+  type StopPhase,
+  type StopSchedule,
+  mayBegin,
+  planStop,
+  stopPhaseAt,
+} from '@ibisbeam/decision';
+import type {
+  Hurry,
+  Logger,
+  TimerService,
+  UnfinishedConnection,
+} from '@ibisbeam/library';
+
+export interface GracefulStop {
+  phase(): StopPhase;
+  /**
+   * Whether a request may be sent to a target or a peer.
+   *
+   * @param expectedMs Time until its answer.
+   */
+  mayBegin(expectedMs: number): boolean;
+  /** Resolves when the process may exit. Call it once. */
+  run(): Promise<void>;
+}
+
+/** What a stop needs of the client-facing server, which documents it. */
+export interface StoppableServer {
+  close(): Promise<void>;
+  closeIdle(): void;
+  hurry(hurry: Hurry): void;
+  terminate(): Promise<void>;
+  inFlight(): number;
+  openConnections(): number;
+  unfinished(): readonly UnfinishedConnection[];
+}
 
 export interface GracefulStopOptions {
-  readonly clientFacingServer: Pick<
-    ClientFacingServer,
-    'close' | 'terminate' | 'inFlight' | 'unfinished' | 'openConnections'
-  >;
+  readonly clientFacingServer: StoppableServer;
   readonly timers: TimerService;
   readonly log: Logger;
   /** Longest time from SIGTERM to the exit of the process. */
-  readonly graceMs: number;
+  graceMs(): number;
   /** Notifies peers that this VM accepts no more clients. */
   announceStop(): void;
   /** Stops everything except the client-facing server. */
   stopComponents(): void;
 }
 
-/** Reserved from the grace period for the exit of the process. */
-const STOP_MARGIN_MS = 400;
-/**
- * Time between the announcement and closing the listener. Clients cache a
- * directory response for up to 2 s before they connect elsewhere.
- */
-const STOP_ANNOUNCEMENT_MS = 2_200;
-/** Time to keep connections without a request after the listener has closed. */
-const IDLE_CONNECTION_GRACE_MS = 600;
-const STOP_POLL_INTERVAL_MS = 50;
+const POLL_INTERVAL_MS = 50;
+/** Time in which the last answers leave; readers that take longer are cut off. */
+const LAST_ANSWERS_MS = 150;
+
+interface Course {
+  readonly startedAtMs: number;
+  readonly schedule: StopSchedule;
+}
 
-export async function runGracefulStop(
-  options: GracefulStopOptions,
-): Promise<void> {
+export function createGracefulStop(options: GracefulStopOptions): GracefulStop {
   const {clientFacingServer, timers, log} = options;
-  const startedAtMs = timers.nowMs();
-  const terminateAtMs = startedAtMs + options.graceMs - STOP_MARGIN_MS;
-  log.log('info', 'vm-stopping', {
-    inFlight: clientFacingServer.inFlight(),
-  });
-  options.announceStop();
-  await timers.sleep(STOP_ANNOUNCEMENT_MS);
-  void clientFacingServer.close();
-  const idleEndMs = timers.nowMs() + IDLE_CONNECTION_GRACE_MS;
-  while (!isDrained(idleEndMs)) {
-    if (timers.nowMs() >= terminateAtMs) {
-      logStopBound();
-      break;
+  let course: Course | undefined;
+
+  function sinceStartMs({startedAtMs}: Course): number {
+    return timers.nowMs() - startedAtMs;
+  }
+
+  async function sleepUntil(current: Course, sinceMs: number): Promise<void> {
+    await timers.sleep(Math.max(sinceMs - sinceStartMs(current), 0));
+  }
+
+  /** Resolves once nothing is in flight, or at the given time. */
+  async function drainUntil(current: Course, sinceMs: number): Promise<void> {
+    while (
+      clientFacingServer.inFlight() > 0 &&
+      sinceStartMs(current) < sinceMs
+    ) {
+      await timers.sleep(POLL_INTERVAL_MS);
+    }
+  }
+
+  async function run(): Promise<void> {
+    const current: Course = {
+      startedAtMs: timers.nowMs(),
+      schedule: planStop(options.graceMs()),
+    };
+    const {closedMs, finishingMs, endingMs} = current.schedule;
+    course = current;
+    log.log('info', 'vm-stopping', {inFlight: clientFacingServer.inFlight()});
+    options.announceStop();
+    await sleepUntil(current, closedMs);
+    void clientFacingServer.close();
+    await waitForFirstRequests(current, finishingMs);
+    clientFacingServer.hurry('unsent');
+    clientFacingServer.closeIdle();
+    await drainUntil(current, endingMs);
+    if (clientFacingServer.inFlight() > 0) {
+      logUnfinished('stop-bound-reached');
+      clientFacingServer.hurry('all');
+      await drainUntil(current, endingMs + LAST_ANSWERS_MS);
+    }
+    if (clientFacingServer.inFlight() > 0) {
+      logUnfinished('stop-bound-hit');
+    }
+    // Stops reading now, because no later request would get a response.
+    void clientFacingServer.terminate();
+    options.stopComponents();
+    log.log('info', 'vm-stopped', {
+      tookMs: Math.round(sinceStartMs(current)),
+    });
+  }
+
+  /** An open connection may still deliver its first request. */
+  async function waitForFirstRequests(
+    current: Course,
+    untilMs: number,
+  ): Promise<void> {
+    while (
+      clientFacingServer.openConnections() > 0 &&
+      sinceStartMs(current) < untilMs
+    ) {
+      await timers.sleep(POLL_INTERVAL_MS);
     }
-    await timers.sleep(STOP_POLL_INTERVAL_MS);
   }
-  // Stops reading now, because no later request would get a response.
-  void clientFacingServer.terminate();
-  options.stopComponents();
-  log.log('info', 'vm-stopped', {
-    tookMs: Math.round(timers.nowMs() - startedAtMs),
-  });
 
-  function logStopBound(): void {
+  function logUnfinished(event: 'stop-bound-reached' | 'stop-bound-hit'): void {
     const unfinished = clientFacingServer.unfinished();
     let bytes = 0;
     for (const {bytesLeft} of unfinished) {
       bytes += bytesLeft;
     }
-    log.log('warn', 'stop-bound-hit', {
+    log.log('warn', event, {
       inFlight: clientFacingServer.inFlight(),
       connections: unfinished.length,
       bytes,
     });
   }
 
-  /** An open connection may still deliver its first request. */
-  function isDrained(idleEndMs: number): boolean {
-    if (clientFacingServer.inFlight() > 0) {
-      return false;
-    }
-    return (
-      clientFacingServer.openConnections() === 0 || timers.nowMs() >= idleEndMs
-    );
-  }
+  return {
+    phase: () =>
+      course ? stopPhaseAt(course.schedule, sinceStartMs(course)) : 'serving',
+    mayBegin: expectedMs =>
+      !course || mayBegin(course.schedule, sinceStartMs(course), expectedMs),
+    run,
+  };
 }
--- a/packages/library/src/core/http/client_connections.ts
+++ b/packages/library/src/core/http/client_connections.ts
@@ -32,8 +32,21 @@
   onClientLeft(listener: () => void): void;
   /** Calls back once: the whole answer has left, or the connection is closed. */
   onEnd(listener: () => void): void;
+  /**
+   * Sets what decides the answer if it cannot be awaited any longer; replaces
+   * an earlier listener. See `ClientConnections.hurry`.
+   */
+  onHurry(listener: HurryListener): void;
 }
 
+/**
+ * - `unsent`: a request that no target has been sent is to be refused.
+ * - `all`: each request is to be answered with what is known.
+ */
+export type Hurry = 'unsent' | 'all';
+
+export type HurryListener = (hurry: Hurry) => void;
+
 export interface ClientConnections {
   add(socket: Socket): void;
   /**
@@ -47,6 +60,8 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): ClientAnswer | undefined;
+  /** Asks for decisions on all answers that have none yet. */
+  hurry(hurry: Hurry): void;
   /** Number of requests whose answer has not left completely. */
   inFlight(): number;
   inFlightOn(socket: object): number;
@@ -81,6 +96,7 @@
   readonly incoming: IncomingMessage;
   readonly outgoing: ServerResponse;
   readonly answer: ClientAnswer;
+  hurry(hurry: Hurry): void;
   leave(): void;
   end(): void;
 }
@@ -147,6 +163,7 @@
     let isDecided = false;
     let isOver = false;
     let hasLeft = false;
+    let hurryListener: HurryListener | undefined;
     const leaveListeners: (() => void)[] = [];
     const endListeners: (() => void)[] = [];
 
@@ -187,12 +204,20 @@
       onEnd: listener => {
         endListeners.push(listener);
       },
+      onHurry: listener => {
+        hurryListener = listener;
+      },
     };
 
     const request: PendingRequest = {
       incoming,
       outgoing,
       answer,
+      hurry: hurry => {
+        if (!isDecided && !isOver) {
+          hurryListener?.(hurry);
+        }
+      },
       leave: () => {
         if (hasLeft || isOver || outgoing.writableFinished) {
           return;
@@ -245,6 +270,13 @@
   return {
     add,
     recordRequest,
+    hurry: hurry => {
+      for (const state of states.values()) {
+        for (const request of pendingOf(state)) {
+          request.hurry(hurry);
+        }
+      }
+    },
     inFlight: () => inFlight,
     inFlightOn: socket => states.get(socket as Socket)?.pending.size ?? 0,
     count: () => states.size,
--- a/packages/library/src/core/logs/types.ts
+++ b/packages/library/src/core/logs/types.ts
@@ -4,6 +4,7 @@
   | 'vm-started'
   | 'vm-stopping'
   | 'vm-stopped'
+  | 'stop-bound-reached'
   | 'stop-bound-hit'
   | 'task-started'
   | 'task-failed'
--- a/packages/library/test/core/http/client_connections.test.ts
+++ b/packages/library/test/core/http/client_connections.test.ts
@@ -245,6 +245,20 @@
     assert.ok(hasLeft);
   });
 
+  it('ask for a decision on each answer that has none', async () => {
+    const client = await open();
+    const requests = await collect(client, 3);
+    const [, decided] = requests;
+    assert.ok(decided);
+    writeAnswer(decided, 'decided');
+    for (const request of requests) {
+      request.answer.onHurry(hurry => writeAnswer(request, hurry));
+    }
+    connections.hurry('all');
+    const text = await readFor(client, CLIENT_PAUSE_MS / 4);
+    assert.match(text, /all[^]*decided[^]*all/);
+  });
+
   // Guards against an answer that ends with its connection and looks complete
   // although it was cut off.
   it('are reset if the answer under way ends with its connection', async () => {
--- /dev/null
+++ b/packages/stand_ins/test/object_platform/planned_stop.test.ts
@@ -0,0 +1,322 @@
+import assert from 'node:assert/strict';
+import {type Socket, connect} from 'node:net';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {type LocalGateway, settleWithin} from '../../src/index.js';
+import {
+  type Answer,
+  type Harness,
+  HOST,
+  call,
+  countLogLines,
+  countRuns,
+  createConfiguration,
+  startHarness,
+  timers,
+  waitUntil,
+} from './harness.js';
+import {
+  type ScriptedTarget,
+  answerText,
+  refusalText,
+  startScriptedTarget,
+} from './scripted_target.js';
+
+/** Longer than the grace period, so that no limit of a route ends a request. */
+const ROUTE_TIMEOUT_MS = 20_000;
+/** Of the stand-in platform. */
+const GRACE_MS = 6_000;
+/** From here on a VM that stops sends nothing to targets. */
+const FINISHING_MS = 2_800;
+/** Shortly before the listener closes. */
+const LATEST_CONNECT_MS = 2_000;
+/** Without hedges, which would run requests twice. */
+const OBJECTIVE_MS = 6_000;
+/** Requests that miss it wait for a slot instead of queueing at a target. */
+const SHORT_OBJECTIVE_MS = 200;
+/** Of the harness's targets. */
+const SLOTS = 4;
+const SEND_INTERVAL_MS = 80;
+const MAXIMUM_UNANSWERED = 6;
+
+interface Connection {
+  readonly socket: Socket;
+  received(): string;
+  /** Status and attempt identifier of each answer; none if it names no request. */
+  answers(): readonly {readonly status: number; readonly attemptId: string}[];
+  readonly closed: Promise<void>;
+}
+
+describe('a planned stop', () => {
+  let harness: Harness;
+  let connections: Connection[];
+  let termAtMs: number;
+  let stopped: Promise<void>;
+
+  beforeEach(async () => {
+    harness = await startHarness();
+    connections = [];
+    await configure(2, OBJECTIVE_MS);
+  });
+  afterEach(async () => {
+    for (const {socket} of connections) {
+      socket.destroy();
+    }
+    await harness.stop();
+  });
+
+  async function configure(
+    version: number,
+    objectiveMs: number,
+  ): Promise<void> {
+    const {routes} = createConfiguration(version);
+    harness.fleet.configure(
+      createConfiguration(version, {
+        routes: (routes as readonly object[]).map(route => ({
+          ...route,
+          timeout_ms: ROUTE_TIMEOUT_MS,
+          target_latency_ms: objectiveMs,
+        })),
+      }),
+    );
+    const inForce = new RegExp(`in-force.*version=${version} `);
+    await waitUntil(() => countLogLines(harness, inForce) === 1);
+  }
+
+  function sendOrder(attemptId: string): Promise<Answer> {
+    return call(harness.gateway, {
+      method: 'POST',
+      path: '/book/7',
+      attemptId,
+      deadlineMs: ROUTE_TIMEOUT_MS,
+    });
+  }
+
+  function stop(gateway: LocalGateway = harness.gateway): void {
+    termAtMs = timers.nowMs();
+    stopped = gateway.gateway.stop();
+  }
+
+  function waitForStop(): Promise<void> {
+    return settleWithin(
+      {timers, timeoutMs: GRACE_MS + 1_000, awaited: 'the stop to end'},
+      stopped,
+    );
+  }
+
+  /** Waits until the time after the stop began. */
+  async function sleepUntil(sinceTermMs: number): Promise<void> {
+    await timers.sleep(termAtMs + sinceTermMs - timers.nowMs());
+  }
+
+  function setWorkMs(workMs: number): void {
+    for (const target of harness.targets) {
+      target.setWorkMs(workMs);
+    }
+  }
+
+  async function open(
+    gateway: LocalGateway = harness.gateway,
+  ): Promise<Connection> {
+    const {host, port} = gateway.caller;
+    const socket = connect(port, host);
+    let text = '';
+    socket.on('data', data => {
+      text += data.toString('latin1');
+    });
+    socket.on('error', () => {});
+    const closed = new Promise<void>(resolve => {
+      socket.on('close', () => resolve());
+    });
+    const connection: Connection = {
+      socket,
+      received: () => text,
+      answers: () => readAnswers(text),
+      closed,
+    };
+    connections.push(connection);
+    await new Promise(resolve => {
+      socket.once('connect', resolve);
+    });
+    return connection;
+  }
+
+  function requestHead(attemptId: string, line: string, bodyBytes = 0): string {
+    return [
+      `${line} HTTP/1.1`,
+      `Host: ${HOST}`,
+      `X-Ibisbeam-Attempt-Id: ${attemptId}`,
+      `X-Ibisbeam-Deadline-Ms: ${ROUTE_TIMEOUT_MS}`,
+      `Content-Length: ${bodyBytes}`,
+      '\r\n',
+    ].join('\r\n');
+  }
+
+  // Guards against an order that is passed on late in the grace period and cut
+  // off, with no answer, at its end.
+  it('refuses an order whose body is whole too late, and does not run it', async () => {
+    setWorkMs(1_500);
+    const order = await open();
+    order.socket.write(`${requestHead('late', 'POST /book/7', 4)}abc`);
+    await timers.sleep(50);
+    stop();
+    await sleepUntil(4_400);
+    order.socket.write('d');
+    await order.closed;
+    assert.match(order.received(), /^HTTP\/1\.1 503 /);
+    assert.match(order.received(), /connection: close/i);
+    assert.equal(countRuns(harness, 'late'), 0);
+    await waitForStop();
+  });
+
+  // Guards against connections on which requests are always under way, and which
+  // are therefore never told to close.
+  it('cuts off no request of a client that sends ahead', async () => {
+    setWorkMs(240);
+    const client = await open();
+    const sent: string[] = [];
+    const sender = timers.every(SEND_INTERVAL_MS, () => {
+      const unanswered = sent.length - client.answers().length;
+      if (client.socket.writable && unanswered < MAXIMUM_UNANSWERED) {
+        sent.push(`ahead-${sent.length}`);
+        client.socket.write(
+          requestHead(sent.at(-1) ?? '', `GET /rooms/${sent.length}`),
+        );
+      }
+    });
+    await timers.sleep(500);
+    stop();
+    await client.closed;
+    const closedAtMs = timers.nowMs();
+    sender.cancel();
+    await waitForStop();
+    const answers = client.answers();
+    const cut = sent
+      .slice(answers.length)
+      .filter(attemptId => countRuns(harness, attemptId) > 0);
+    assert.deepEqual(cut, []);
+    assert.match(client.received(), /connection: close/i);
+    assert.ok(closedAtMs - termAtMs < FINISHING_MS + 1_000);
+    for (const [index, {status}] of answers.entries()) {
+      const runs = countRuns(harness, sent[index] ?? '');
+      assert.equal(runs, status === 200 ? 1 : 0, `status ${status}`);
+    }
+  });
+
+  // Guards against requests that wait for a slot until late in the grace period
+  // and are then passed on.
+  it('refuses what waits for a slot when nothing may be begun any more', async () => {
+    await harness.stop();
+    harness = await startHarness({}, 1);
+    await configure(2, SHORT_OBJECTIVE_MS);
+    // Tells the VM that orders miss their objective.
+    setWorkMs(1_000);
+    await sendOrder('first');
+    setWorkMs(FINISHING_MS + 150);
+    stop();
+    const running = [];
+    for (let index = 0; index < SLOTS; index += 1) {
+      running.push(sendOrder(`running-${index}`));
+    }
+    await sleepUntil(LATEST_CONNECT_MS);
+    setWorkMs(4_000);
+    const waiting = [];
+    for (let index = 0; index < 4; index += 1) {
+      waiting.push(sendOrder(`waiting-${index}`));
+    }
+    for (const answer of await Promise.all(waiting)) {
+      assert.equal(answer.status, 503);
+    }
+    assert.ok(timers.nowMs() - termAtMs < FINISHING_MS + 300);
+    for (const answer of await Promise.all(running)) {
+      assert.equal(answer.status, 200);
+    }
+    assert.equal(countRuns(harness), running.length + 1);
+    await waitForStop();
+  });
+
+  // Guards against a second attempt that is begun late in the grace period.
+  it('tries no other target when nothing may be begun any more', async () => {
+    for (const target of harness.targets) {
+      harness.fleet.store.remove('servers', target.id);
+    }
+    await waitUntil(async () => (await call(harness.gateway)).status === 503);
+    const attempts: string[] = [];
+    const others: ScriptedTarget[] = [];
+    for (const id of ['s-1', 's-2']) {
+      const other = await startScriptedTarget(
+        harness.fleet,
+        id,
+        ({attemptId, socket}) => {
+          attempts.push(attemptId);
+          if (attemptId === 'refused-late') {
+            void sleepUntil(FINISHING_MS + 400).then(() =>
+              socket.write(refusalText(attemptId)),
+            );
+            return;
+          }
+          socket.write(answerText(attemptId));
+        },
+      );
+      others.push(other);
+    }
+    await waitUntil(async () => (await call(harness.gateway)).status === 200);
+    stop();
+    const answer = await sendOrder('refused-late');
+    assert.equal(answer.status, 503);
+    const ownAttempts = attempts.filter(id => id === 'refused-late');
+    assert.equal(ownAttempts.length, 1);
+    await waitForStop();
+    await Promise.all(others.map(other => other.close()));
+  });
+
+  // Guards against requests whose connection just ends because their answer is
+  // not ready when the grace period is over.
+  it('tells a client that the answer to its request cannot be awaited', async () => {
+    setWorkMs(9_000);
+    const order = sendOrder('long');
+    await waitUntil(() => countRuns(harness) === 1);
+    stop();
+    const answer = await order;
+    assert.equal(answer.status, 504);
+    assert.equal(answer.headers['connection'], 'close');
+    assert.ok(timers.nowMs() - termAtMs < GRACE_MS);
+    await waitForStop();
+  });
+
+  // Guards against requests that a VM without targets of its own relays late in
+  // its grace period.
+  it('relays nothing when nothing may be begun any more', async () => {
+    setWorkMs(3_500);
+    const cutOff = await harness.fleet.addGateway('edge-riga-b-1', 'riga-b', {
+      targetReach: () => 'cut-off',
+    });
+    await waitUntil(
+      async () => (await call(cutOff, {path: '/none'})).status === 404,
+    );
+    const running = call(cutOff, {deadlineMs: ROUTE_TIMEOUT_MS});
+    await waitUntil(() => countRuns(harness) === 1);
+    const client = await open(cutOff);
+    stop(cutOff);
+    await sleepUntil(FINISHING_MS + 200);
+    client.socket.write(requestHead('late', 'POST /book/7'));
+    await client.closed;
+    assert.match(client.received(), /^HTTP\/1\.1 503 /);
+    assert.equal(countRuns(harness, 'late'), 0);
+    assert.equal((await running).status, 200);
+    await waitForStop();
+  });
+});
+
+function readAnswers(
+  text: string,
+): readonly {readonly status: number; readonly attemptId: string}[] {
+  const answers = [];
+  for (const [, status, head] of text.matchAll(
+    /HTTP\/1\.1 (\d+) [^\r]*\r\n([^]*?)\r\n\r\n/g,
+  )) {
+    const [, attemptId = ''] =
+      /^x-ibisbeam-attempt-id: (\S+)/im.exec(head ?? '') ?? [];
+    answers.push({status: Number(status), attemptId});
+  }
+  return answers;
+}
