Send nothing on a connection that is established late in a planned stop

What callers saw: nothing that was recorded; found by reading.

Cause: an attempt that begins before 2.8 s, at a target or peer whose connection is established later, was sent then, and may not end within the grace period.

Change: the last look before the first byte, which withholds requests from targets that leave and from foreign regions, also withholds what may not begin any more; it is then refused as not run.

Evidence: planned_stop.test.ts passes, whose relay and second attempt go the same way; a connection that takes so long was not brought about.

--- a/packages/gateway/src/forwarding/home_regions.ts
+++ b/packages/gateway/src/forwarding/home_regions.ts
@@ -3,6 +3,7 @@
 import type {Caller} from '../workspaces/caller_identity.js';
 import type {ForwardingContext} from './context.js';
 import type {ExchangeRequest} from './exchange_types.js';
+import {STOPPING_REASON} from './response_delivery.js';
 
 /**
  * The homes of the request's arrival and those of a configuration that came
@@ -49,10 +50,16 @@
  * been paused, since the target or the peer was chosen.
  */
 export function withheldFromRegion(
-  context: Pick<ForwardingContext, 'findRoute' | 'callers' | 'copyGuard'>,
+  context: Pick<
+    ForwardingContext,
+    'findRoute' | 'callers' | 'copyGuard' | 'gracefulStop'
+  >,
   request: ExchangeRequest,
   region: string,
 ): string | undefined {
+  if (!context.gracefulStop.mayBegin(0)) {
+    return STOPPING_REASON;
+  }
   if (context.copyGuard.state() !== 'confirmed') {
     return 'the configuration may be outdated';
   }
