Refuse in a planned stop what would wait for the copies of the store

What callers saw: nothing that was recorded; found by reading.

Cause: a request that begins to wait for the copies of the store after 2.8 s of a planned stop was held until the stop asked again at its end.

Change: whether anything may begin is looked at first.

Evidence: by reading; planned_stop.test.ts passes.

--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -657,13 +657,13 @@
       fail(401, KEY_REMOVED_REASON);
       return 'done';
     }
-    if (context.copyGuard.state() === 'unconfirmed') {
-      return 'hold';
-    }
     if (!context.gracefulStop.mayBegin(0)) {
       failAsStopping();
       return 'done';
     }
+    if (context.copyGuard.state() === 'unconfirmed') {
+      return 'hold';
+    }
     if (context.targetReach() === 'cut-off') {
       if (!startRelay()) {
         fail(503, 'cut off from targets', retryAfterMs());
