Bound the requests of a connection that have no answer

What callers saw: nothing that was recorded. A client that sends ahead without end could fill the memory of a VM with answers that wait for their turn; node:http, which stopped reading at 16 KiB of them, does not know of answers that are held.

Change: beyond 64 requests without an answer, a connection's further ones are refused as not run, in their turn, and the connection closes with the last.

Evidence: 'are refused if too many of the connection have no answer'.

--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -91,6 +91,10 @@
 const UNCONFIGURED_RETRY_AFTER_MS = 300;
 /** Interval at which header timeouts are enforced. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
+/** Requests of one connection whose answers may be held until their turn. */
+const MAXIMUM_UNANSWERED_REQUESTS = 64;
+/** The client may send the request again on another connection. */
+const UNANSWERED_RETRY_AFTER_MS = 100;
 /** Time in which bodies that are held are mostly answered. */
 const MEMORY_RETRY_AFTER_MS = 1_000;
 const SHARE_DIGITS = 4;
@@ -147,6 +151,11 @@
       refuseAsStopping(request);
       return;
     }
+    if (connections.inFlightOn(incoming.socket) > MAXIMUM_UNANSWERED_REQUESTS) {
+      const reason = 'too many requests on the connection';
+      refuseHere(request, 503, reason, UNANSWERED_RETRY_AFTER_MS, true);
+      return;
+    }
     if (!options.routes()) {
       const reason = 'no configuration yet';
       refuseHere(request, 503, reason, UNCONFIGURED_RETRY_AFTER_MS, true);
--- a/packages/stand_ins/test/object_platform/pipelining.test.ts
+++ b/packages/stand_ins/test/object_platform/pipelining.test.ts
@@ -13,6 +13,7 @@
 
 const CLOSE_TIMEOUT_MS = 8_000;
 const SLOW_MS = 400;
+const MAXIMUM_UNANSWERED = 64;
 /** Little more than the VM holds before it passes an answer on. */
 const STREAMED_BYTES = 300_000;
 
@@ -128,6 +129,27 @@
     assert.equal(countRuns(harness, 'broken-off'), 1);
   });
 
+  // Guards against a connection whose answers, held until their turn, fill the
+  // memory of the VM.
+  it('are refused if too many of the connection have no answer', async () => {
+    for (const target of harness.targets) {
+      target.setWorkMs(SLOW_MS);
+    }
+    const ids = [];
+    for (let index = 0; index < MAXIMUM_UNANSWERED + 6; index += 1) {
+      ids.push(`many-${index}`);
+    }
+    client.write(ids.map(requestText).join(''));
+    await waitForClose();
+    const refusals = received.match(/too many requests on the connection/g);
+    assert.equal(refusals?.length, 6);
+    const answers = received.match(/HTTP\/1\.1 \d/g);
+    assert.equal(answers?.length, ids.length);
+    for (const id of ids.slice(MAXIMUM_UNANSWERED)) {
+      assert.equal(countRuns(harness, id), 0);
+    }
+  });
+
   it('leave no target at work when the connection breaks off', async () => {
     for (const target of harness.targets) {
       target.setWorkMs(3_000);
