Let clients read the last answer of a connection before it is closed

Cause: node:http closes a connection once its last answer has been handed to the system. What the client sends then is answered with a reset, and a client that writes once more before it reads fails, with the answer unread. A refused upload, of which more is on its way, is in the same case.

Change: after the last answer a connection is closed for writing only, and what comes is discarded until the client closes it, or for 1 s. A planned stop waits for that.

--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -54,6 +54,8 @@
   close(): Promise<void>;
   /** Number of open connections, idle ones included. */
   openConnections(): number;
+  /** See `ClientConnections`. */
+  lingering(): number;
   /** Closes all connections at once. */
   terminate(): Promise<void>;
 }
@@ -113,6 +115,7 @@
   let limits = DEFAULT_LIMITS;
   // A client of a VM that goes or reaches no targets is better off elsewhere.
   const connections = createClientConnections({
+    timers: context.timers,
     closesAfterAnswers: () =>
       context.gracefulStop.phase() !== 'serving' ||
       context.targetReach() === 'cut-off',
@@ -136,6 +139,7 @@
   ): void {
     const answer = connections.recordRequest(incoming, outgoing);
     if (!answer) {
+      incoming.resume();
       return;
     }
     const arrivedAtMs = context.timers.nowMs();
@@ -221,6 +225,9 @@
     void reading.then(result =>
       result.caseOf({
         Left: error => {
+          if (answer.isDecided()) {
+            return;
+          }
           switch (error.kind) {
             case 'too-large':
               refuseHere(
@@ -435,6 +442,7 @@
     inFlight: connections.inFlight,
     unfinished: connections.unfinished,
     openConnections: connections.count,
+    lingering: connections.lingering,
     close: () =>
       new Promise(resolve => {
         // The method of http.Server also destroys connections whose answers
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -37,6 +37,7 @@
   terminate(): Promise<void>;
   inFlight(): number;
   openConnections(): number;
+  lingering(): number;
   unfinished(): readonly UnfinishedConnection[];
 }
 
@@ -73,12 +74,17 @@
     await timers.sleep(Math.max(sinceMs - sinceStartMs(current), 0));
   }
 
-  /** Resolves once nothing is in flight, or at the given time. */
+  /** Whether all answers have left, and clients have had time to read them. */
+  function isDrained(): boolean {
+    return (
+      clientFacingServer.inFlight() === 0 &&
+      clientFacingServer.lingering() === 0
+    );
+  }
+
+  /** Resolves once all answers have left, or at the given time. */
   async function drainUntil(current: Course, sinceMs: number): Promise<void> {
-    while (
-      clientFacingServer.inFlight() > 0 &&
-      sinceStartMs(current) < sinceMs
-    ) {
+    while (!isDrained() && sinceStartMs(current) < sinceMs) {
       await timers.sleep(POLL_INTERVAL_MS);
     }
   }
--- a/packages/library/src/core/http/client_connections.ts
+++ b/packages/library/src/core/http/client_connections.ts
@@ -10,6 +10,7 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {TimerService} from '../timers/index.js';
 
 /** The answer that is due to one request. */
 export interface ClientAnswer {
@@ -67,6 +68,8 @@
   inFlightOn(socket: object): number;
   /** Number of open connections, idle ones included. */
   count(): number;
+  /** Number of connections whose client may still be reading the last answer. */
+  lingering(): number;
   /**
    * Closes the connections that have brought requests, owe no byte of an answer
    * and have brought no byte since.
@@ -88,6 +91,7 @@
 }
 
 export interface ClientConnectionsOptions {
+  readonly timers: Pick<TimerService, 'after'>;
   /** Whether connections close with the next answer behind which none is due. */
   readonly closesAfterAnswers?: () => boolean;
 }
@@ -112,14 +116,19 @@
   bytesRead: number | undefined;
 }
 
+/** Time in which a client may read the last answer and close its connection. */
+const LINGER_MS = 1_000;
+
 export function createClientConnections({
+  timers,
   closesAfterAnswers = () => false,
-}: ClientConnectionsOptions = {}): ClientConnections {
+}: ClientConnectionsOptions): ClientConnections {
   const states = new Map<Socket, ConnectionState>();
   let inFlight = 0;
 
   function isIdle(socket: Socket, state: ConnectionState): boolean {
     return (
+      !state.isClosing &&
       state.pending.size === 0 &&
       socket.writableLength === 0 &&
       state.bytesRead === socket.bytesRead
@@ -139,6 +148,7 @@
       bytesRead: undefined,
     };
     states.set(socket, state);
+    lingerAfterLastAnswer(socket, timers);
     // Comes a turn of the event loop before 'close', and Node.js tells only the
     // first of several requests of either.
     socket.on('end', () => {
@@ -234,6 +244,11 @@
         isOver = true;
         inFlight -= 1;
         state.pending.delete(request);
+        if (state.isClosing) {
+          // What is left of its body would reset the connection.
+          incoming.removeAllListeners('data');
+          incoming.resume();
+        }
         for (const listener of endListeners) {
           listener();
         }
@@ -280,6 +295,15 @@
     inFlight: () => inFlight,
     inFlightOn: socket => states.get(socket as Socket)?.pending.size ?? 0,
     count: () => states.size,
+    lingering: () => {
+      let count = 0;
+      for (const {isClosing, pending} of states.values()) {
+        if (isClosing && pending.size === 0) {
+          count += 1;
+        }
+      }
+      return count;
+    },
     closeIdle: () => {
       for (const [socket, state] of states) {
         if (isIdle(socket, state)) {
@@ -309,6 +333,24 @@
   };
 }
 
+/**
+ * Node.js closes a connection once its last answer has been handed to the system.
+ * Bytes that come later reset a closed connection, and a client that sends ahead,
+ * or is in the middle of a body, may lose the answer with it.
+ */
+function lingerAfterLastAnswer(
+  socket: Socket,
+  timers: ClientConnectionsOptions['timers'],
+): void {
+  Object.assign(socket, {
+    destroySoon: () => {
+      socket.end();
+      const timer = timers.after(LINGER_MS, () => socket.destroy());
+      socket.once('close', () => timer.cancel());
+    },
+  });
+}
+
 /** Whether the end of the connection would look like the end of an answer. */
 function endsWithConnection({pending}: ConnectionState): boolean {
   const [first] = pending;
--- a/packages/library/src/plugins/forwarding/caller_server.ts
+++ b/packages/library/src/plugins/forwarding/caller_server.ts
@@ -25,17 +25,17 @@
 }
 
 export function createCallerServer(
-  context: Pick<TaskContext, 'settings' | 'metrics' | 'logger'>,
+  context: Pick<TaskContext, 'settings' | 'metrics' | 'logger' | 'timers'>,
   routes: CallerRoutes,
   forward: Middleware,
 ): CallerServer {
-  const {settings, metrics, logger} = context;
+  const {settings, metrics, logger, timers} = context;
   const application = new Koa();
   application.silent = true;
   application.use(routes.middleware);
   application.use(forward);
 
-  const connections = createClientConnections();
+  const connections = createClientConnections({timers});
   const handle = application.callback();
   const server: Server = createServer(
     {
--- a/packages/library/test/core/http/client_connections.test.ts
+++ b/packages/library/test/core/http/client_connections.test.ts
@@ -38,6 +38,7 @@
   beforeEach(async () => {
     closesAfterAnswers = false;
     connections = createClientConnections({
+      timers,
       closesAfterAnswers: () => closesAfterAnswers,
     });
     clients = [];
@@ -259,6 +260,27 @@
     assert.match(text, /all[^]*decided[^]*all/);
   });
 
+  // Guards against a last answer that is lost since its client was still sending
+  // when the connection was closed.
+  it('let a client that sends on read the last answer', async () => {
+    closesAfterAnswers = true;
+    const client = await open();
+    const requests = await collect(client, 2);
+    client.pause();
+    for (const [index, request] of requests.entries()) {
+      writeAnswer(request, `body-${index}`);
+    }
+    for (let index = 0; index < 10; index += 1) {
+      await timers.sleep(CLIENT_PAUSE_MS / 40);
+      sendRequest(client);
+    }
+    assert.equal(connections.lingering(), 1);
+    const text = await readFor(client, CLIENT_PAUSE_MS / 4);
+    assert.match(text, /body-0[^]*body-1/);
+    assert.equal(requests.length, 2);
+    assert.equal(connections.count(), 0);
+  });
+
   // Guards against an answer that ends with its connection and looks complete
   // although it was cut off.
   it('are reset if the answer under way ends with its connection', async () => {
