Excuse a planned stop of the soak from answers that their target broke off

No VM can complete such an answer, and the users' rule does not count it ("the worker broke off").

Change: the check leaves out a call whose answer had begun and whose target died between the sending of the call and its end. Nothing else is excused.

--- a/packages/soak/src/load_generator.ts
+++ b/packages/soak/src/load_generator.ts
@@ -115,6 +115,7 @@
         outgoing.destroy();
       });
       let ended = false;
+      let hasBegun = false;
       let reason = '';
 
       function finish(status: number, whole: boolean, seal?: string): void {
@@ -133,6 +134,7 @@
           sentMs,
           endedMs,
           status,
+          hasBegun,
           whole,
           seal,
           isCrashing: kind === 'crashing',
@@ -143,6 +145,7 @@
 
       outgoing.on('error', () => finish(0, false));
       outgoing.on('response', incoming => {
+        hasBegun = true;
         const seal = incoming.headers['x-ibisbeam-response-seal'];
         if (readDelayMs > 0) {
           incoming.pause();
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -271,7 +271,7 @@
 function findCallsCutByPlannedStops(
   observations: Observations,
 ): readonly Violation[] {
-  const ran = new Set(observations.runs.map(run => run.attemptId));
+  const runsById = indexRuns(observations.runs);
   const violations: Violation[] = [];
   for (const span of observations.disruptions) {
     if (span.kind !== 'planned-stop') {
@@ -282,7 +282,8 @@
         call.vm === span.vm &&
         !call.hasLeft &&
         call.status === 0 &&
-        ran.has(call.attemptId) &&
+        runsById.has(call.attemptId) &&
+        !wasBrokenOff(observations, runsById, call) &&
         call.endedMs > span.fromMs &&
         call.endedMs <= span.toMs;
       if (wasCutOff && !hasOtherDisruption(observations, span, call)) {
@@ -296,14 +297,40 @@
   return violations;
 }
 
-/** An answer that has begun comes whole, also to a caller that reads slowly. */
-function findAnswersCutShort(observations: Observations): readonly Violation[] {
-  const {calls, runs, targetDeaths} = observations;
+function indexRuns(
+  runs: readonly RunRecord[],
+): ReadonlyMap<string, readonly RunRecord[]> {
   const runsById = new Map<string, RunRecord[]>();
   for (const run of runs) {
     const known = runsById.get(run.attemptId) ?? [];
     runsById.set(run.attemptId, [...known, run]);
   }
+  return runsById;
+}
+
+/**
+ * Whether a target died while it sent the answer, which has begun: no VM can
+ * complete that.
+ */
+function wasBrokenOff(
+  {targetDeaths}: Observations,
+  runsById: ReadonlyMap<string, readonly RunRecord[]>,
+  {attemptId, hasBegun, sentMs, endedMs}: CallRecord,
+): boolean {
+  if (!hasBegun) {
+    return false;
+  }
+  const runs = runsById.get(attemptId) ?? [];
+  return runs.some(({target}) => {
+    const diedMs = targetDeaths.get(target) ?? Infinity;
+    return diedMs >= sentMs && diedMs <= endedMs;
+  });
+}
+
+/** An answer that has begun comes whole, also to a caller that reads slowly. */
+function findAnswersCutShort(observations: Observations): readonly Violation[] {
+  const {calls, targetDeaths} = observations;
+  const runsById = indexRuns(observations.runs);
   const violations: Violation[] = [];
   for (const call of calls) {
     if (call.status !== 200 || call.whole || call.hasLeft) {
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -16,8 +16,10 @@
   readonly hasLeft: boolean;
   readonly sentMs: number;
   readonly endedMs: number;
-  /** 0 if the connection ended without a response. */
+  /** 0 if the connection ended without a response, or within it. */
   readonly status: number;
+  /** Whether the head of a response was received. */
+  readonly hasBegun: boolean;
   /** Whether the response was complete. */
   readonly whole: boolean;
   /** Seal header of the response, which names the target and the attempt. */
