Let callers of the soak send ahead, and upload slowly

Some keep a connection to each VM until the VM closes it and send look-ups ahead, others send bookings whose bodies take 0.3 to 6.5 s.

--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -31,6 +31,7 @@
 import type {Disruption} from './disruptions.js';
 import {createDyingTargets} from './dying_targets.js';
 import {findViolations} from './observations.js';
+import {createPersistentCallers} from './persistent_callers.js';
 import type {
   Departure,
   HomesChange,
@@ -214,6 +215,7 @@
   }
   const fleet = await startFleet(options, folder, store);
   const load = createLoadGenerator(fleet.vms, HOST, timers, loadRandom);
+  const persistentCallers = createPersistentCallers(fleet.vms, HOST, timers);
   const dyingTargets = createDyingTargets({
     seed: options.seed,
     timers,
@@ -229,6 +231,7 @@
   try {
     await waitUntilReady(fleet.vms, load, timers);
     load.start();
+    persistentCallers.start();
     startRateLimit();
     scheduleRestore();
     scheduleStatement();
@@ -249,6 +252,7 @@
     slowReaderTimer?.cancel();
     await clearFaults();
     const violations = [...(await findUnrecoveredVms(fleet.vms, load, timers))];
+    await persistentCallers.stop();
     await load.stop();
     endRateLimit();
     for (const vm of fleet.vms) {
@@ -259,7 +263,7 @@
         });
       }
     }
-    const {calls} = load;
+    const calls = [...load.calls, ...persistentCallers.calls];
     const allTargets = [
       ...targets,
       ...silentLeavers,
