End a long answer whose target goes dark at the timeout of its route

Cause: the timer of the route ended with the head of the answer.

Change: from the timeout on, an answer whose target has sent nothing for 250 ms is broken off, as one that its target ends early is. A client that reads slowly keeps its target waiting; its answer goes on.

--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -587,6 +587,8 @@
     answer.write(() =>
       deliverResponse(outgoing, response, {
         droppedHeaders: context.droppedAnswerHeaders,
+        timers,
+        limitAtMs: respondByMs,
         onBrokenOff: logBrokenOff,
       }),
     );
--- a/packages/gateway/src/forwarding/response_delivery.ts
+++ b/packages/gateway/src/forwarding/response_delivery.ts
@@ -1,5 +1,6 @@
 /** Writes target responses and refusals to clients. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {TimerService} from '@ibisbeam/library';
 import {endToEndRawHeaders} from './header_rules.js';
 import type {TargetResponse} from './target_attempt.js';
 
@@ -7,13 +8,18 @@
 export const STOPPING_REASON = 'this VM stops';
 /** Other VMs take the request at once. */
 export const STOPPING_RETRY_AFTER_MS = 0;
+/** Silence of a target after which it is taken to send no more. */
+const SILENCE_MS = 250;
 const MILLISECONDS_PER_HUNDREDTH = 10;
 const HUNDREDTHS_PER_SECOND = 100;
 
 export interface DeliveryOptions {
   /** Names, in lower case, of headers that callers do not get. */
   readonly droppedHeaders: ReadonlySet<string>;
-  /** The target has ended a long answer before its end; called once. */
+  readonly timers: Pick<TimerService, 'nowMs' | 'at' | 'after'>;
+  /** Time after which a target may no longer be silent in a long answer. */
+  readonly limitAtMs: number;
+  /** A long answer has ended, or has been ended, before its end; called once. */
   onBrokenOff(): void;
 }
 
@@ -25,7 +31,7 @@
 export function deliverResponse(
   outgoing: ServerResponse,
   response: TargetResponse,
-  {droppedHeaders, onBrokenOff}: DeliveryOptions,
+  {droppedHeaders, timers, limitAtMs, onBrokenOff}: DeliveryOptions,
 ): void {
   if (outgoing.destroyed) {
     discardBody(response);
@@ -61,13 +67,32 @@
     resetConnection(outgoing);
   }
 
+  let lastBytesAtMs = timers.nowMs();
+
+  /** A client that reads slowly keeps its target waiting. */
+  function checkSilence(): void {
+    const isSilent = timers.nowMs() - lastBytesAtMs >= SILENCE_MS;
+    if (isSilent && !outgoing.writableNeedDrain) {
+      breakOff();
+      return;
+    }
+    silenceTimer = timers.after(SILENCE_MS, checkSilence);
+  }
+
+  let silenceTimer = timers.at(limitAtMs, checkSilence);
+  outgoing.on('close', () => silenceTimer.cancel());
   stream.on('data', (chunk: Buffer) => {
+    lastBytesAtMs = timers.nowMs();
     if (!outgoing.write(chunk)) {
       stream.pause();
     }
   });
-  outgoing.on('drain', () => stream.resume());
+  outgoing.on('drain', () => {
+    lastBytesAtMs = timers.nowMs();
+    stream.resume();
+  });
   stream.on('end', () => {
+    silenceTimer.cancel();
     if (stream.complete) {
       outgoing.end();
       return;
--- a/packages/stand_ins/test/object_platform/forwarding.test.ts
+++ b/packages/stand_ins/test/object_platform/forwarding.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
+import {type IncomingMessage, request as httpRequest} from 'node:http';
 import {connect} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {type TargetFault, settleWithin} from '../../src/index.js';
@@ -15,6 +16,8 @@
 } from './harness.js';
 
 const DISCONNECT_TIMEOUT_MS = 20_000;
+/** Of the harness's routes. */
+const ROUTE_TIMEOUT_MS = 1_000;
 
 describe('forwarding on the users’ platform', () => {
   let harness: Harness;
@@ -225,6 +228,62 @@
     }
   });
 
+  // Guards against a long answer whose target goes dark, and for which its client
+  // waits until it gives up.
+  it('ends a long answer at the route’s timeout when its target goes dark', async () => {
+    const longAnswerHarness = await startHarness({}, 1);
+    try {
+      for (const target of longAnswerHarness.targets) {
+        target.setCrashingRequest({
+          path: '/packs/dark',
+          connections: 'hang',
+          outlivesConnection: false,
+          bytesBefore: 300_000,
+        });
+      }
+      const startMs = timers.nowMs();
+      const answer = await call(longAnswerHarness.gateway, {
+        path: '/packs/dark',
+        deadlineMs: 5_000,
+      });
+      assert.equal(answer.complete, false);
+      assert.ok(timers.nowMs() - startMs < ROUTE_TIMEOUT_MS + 500);
+    } finally {
+      await longAnswerHarness.stop();
+    }
+  });
+
+  it('sends a long answer on beyond the timeout to a client that reads slowly', async () => {
+    const longAnswerHarness = await startHarness({bodyBytes: 8_000_000}, 1);
+    try {
+      const {host, port} = longAnswerHarness.gateway.caller;
+      const client = httpRequest({
+        host,
+        port,
+        path: '/packs/7',
+        agent: false,
+        headers: {
+          Host: HOST,
+          'X-Ibisbeam-Attempt-Id': 'slow',
+          'X-Ibisbeam-Deadline-Ms': '5000',
+        },
+      });
+      client.end();
+      const [response] = (await once(client, 'response')) as [IncomingMessage];
+      response.pause();
+      await timers.sleep(ROUTE_TIMEOUT_MS * 2);
+      let bytes = 0;
+      response.on('data', (chunk: Buffer) => {
+        bytes += chunk.length;
+      });
+      response.resume();
+      await once(response, 'end');
+      assert.equal(bytes, 8_000_000);
+    } finally {
+      await longAnswerHarness.stop();
+    }
+  });
+
   it('does not take a reset for the end of a booking’s answer', async () => {
     planFaultsOnAllTargets('unframed-reset-at-once');
     const answer = await call(harness.gateway, {
