Take the time of a crash in the soak from the target that crashed

What was seen: nothing; the check of planned stops compares the death of a target with the end of a call since, and a crash was dated by when it was noticed, which may be later than the end of the call that it cut.

Change: a target that crashed tells when.

Evidence: by reading; observations.test.ts passes.

--- a/packages/soak/src/dying_targets.ts
+++ b/packages/soak/src/dying_targets.ts
@@ -150,7 +150,13 @@
     },
     isGone: target => goneAtMs.has(target),
     deaths: () =>
-      new Map([...goneAtMs].map(([target, atMs]) => [target.id, atMs])),
+      new Map(
+        // Crashes are noticed some time later.
+        [...goneAtMs].map(([target, noticedAtMs]) => [
+          target.id,
+          target.crashedAtMs() ?? noticedAtMs,
+        ]),
+      ),
     replacements,
     crashingRuns: () =>
       armed.flatMap(target =>
