--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -17,7 +17,7 @@
 } from '@ibisbeam/decision';
 import {
   type ClientAnswer,
-  type Hurry,
+  type DecisionScope,
   type UnfinishedConnection,
   announcesBody,
   createClientConnections,
@@ -40,7 +40,7 @@
   listen(): Promise<void>;
   setLimits(limits: ClientLimits): void;
   /** See `ClientConnections`. */
-  hurry(hurry: Hurry): void;
+  decideNow(scope: DecisionScope): void;
   /** Closes connections without requests; see `ClientConnections`. */
   closeIdle(): void;
   /** Number of requests whose answer has not left completely. */
@@ -144,7 +144,7 @@
     }
     const arrivedAtMs = context.timers.nowMs();
     const request: UnroutedRequest = {incoming, outgoing, answer, arrivedAtMs};
-    answer.onHurry(() => refuseAsStopping(request));
+    answer.onDecisionDue(() => refuseAsStopping(request));
     nameRelayedRequest(incoming, outgoing);
     const malformation = findMalformation(incoming);
     if (malformation) {
@@ -437,7 +437,7 @@
         server.listen(port, host, LISTEN_BACKLOG, () => resolve());
       }),
     setLimits,
-    hurry: connections.hurry,
+    decideNow: connections.decideNow,
     closeIdle: connections.closeIdle,
     inFlight: connections.inFlight,
     unfinished: connections.unfinished,
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -16,7 +16,7 @@
   isRetryable,
   decideNextStep,
 } from '@ibisbeam/decision';
-import type {Hurry, TimerHandle} from '@ibisbeam/library';
+import type {DecisionScope, TimerHandle} from '@ibisbeam/library';
 import {
   STOPPING_REASON,
   STOPPING_RETRY_AFTER_MS,
@@ -234,8 +234,8 @@
   }
 
   /** While this VM stops: ends the request if its answer is not awaited. */
-  function onHurry(hurry: Hurry): void {
-    if (hurry === 'unsent' && running.size > 0) {
+  function onDecisionDue(scope: DecisionScope): void {
+    if (scope === 'unsent' && running.size > 0) {
       return;
     }
     if (possiblyExecuted > 0) {
@@ -605,7 +605,7 @@
   }
 
   answer.onClientLeft(onClientLeft);
-  answer.onHurry(onHurry);
+  answer.onDecisionDue(onDecisionDue);
   // The VM that a client has asked counts what its clients bring.
   if (!request.isRelayed) {
     context.retryBudget.recordRequest(service, request.arrivedAtMs);
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -11,7 +11,7 @@
   stopPhaseAt,
 } from '@ibisbeam/decision';
 import type {
-  Hurry,
+  DecisionScope,
   Logger,
   TimerService,
   UnfinishedConnection,
@@ -33,7 +33,7 @@
 export interface StoppableServer {
   close(): Promise<void>;
   closeIdle(): void;
-  hurry(hurry: Hurry): void;
+  decideNow(scope: DecisionScope): void;
   terminate(): Promise<void>;
   inFlight(): number;
   openConnections(): number;
@@ -101,12 +101,12 @@
     await sleepUntil(current, closedMs);
     void clientFacingServer.close();
     await waitForFirstRequests(current, finishingMs);
-    clientFacingServer.hurry('unsent');
+    clientFacingServer.decideNow('unsent');
     clientFacingServer.closeIdle();
     await drainUntil(current, endingMs);
     if (clientFacingServer.inFlight() > 0) {
       logUnfinished('stop-bound-reached');
-      clientFacingServer.hurry('all');
+      clientFacingServer.decideNow('all');
       await drainUntil(current, endingMs + LAST_ANSWERS_MS);
     }
     if (clientFacingServer.inFlight() > 0) {
--- a/packages/library/src/core/http/client_connections.ts
+++ b/packages/library/src/core/http/client_connections.ts
@@ -15,11 +15,10 @@
 /** The answer that is due to one request. */
 export interface ClientAnswer {
   /**
-   * Calls `write`, which is to write the head, once all earlier answers of the
-   * connection have left; never if the connection closes before. Only the first
-   * call counts.
+   * Calls `writeHead` once all earlier answers of the connection have left; never
+   * if the connection closes before. Only the first call counts.
    */
-  write(write: () => void): void;
+  write(writeHead: () => void): void;
   /** Whether `write` has been called. */
   isDecided(): boolean;
   /**
@@ -35,18 +34,18 @@
   onEnd(listener: () => void): void;
   /**
    * Sets what decides the answer if it cannot be awaited any longer; replaces
-   * an earlier listener. See `ClientConnections.hurry`.
+   * an earlier listener. See `ClientConnections.decideNow`.
    */
-  onHurry(listener: HurryListener): void;
+  onDecisionDue(listener: DecisionListener): void;
 }
 
 /**
  * - `unsent`: a request that no target has been sent is to be refused.
  * - `all`: each request is to be answered with what is known.
  */
-export type Hurry = 'unsent' | 'all';
+export type DecisionScope = 'unsent' | 'all';
 
-export type HurryListener = (hurry: Hurry) => void;
+export type DecisionListener = (scope: DecisionScope) => void;
 
 export interface ClientConnections {
   add(socket: Socket): void;
@@ -62,7 +61,7 @@
     outgoing: ServerResponse,
   ): ClientAnswer | undefined;
   /** Asks for decisions on all answers that have none yet. */
-  hurry(hurry: Hurry): void;
+  decideNow(scope: DecisionScope): void;
   /** Number of requests whose answer has not left completely. */
   inFlight(): number;
   inFlightOn(socket: object): number;
@@ -100,7 +99,7 @@
   readonly incoming: IncomingMessage;
   readonly outgoing: ServerResponse;
   readonly answer: ClientAnswer;
-  hurry(hurry: Hurry): void;
+  decideNow(scope: DecisionScope): void;
   leave(): void;
   end(): void;
 }
@@ -173,12 +172,12 @@
     let isDecided = false;
     let isOver = false;
     let hasLeft = false;
-    let hurryListener: HurryListener | undefined;
+    let decisionListener: DecisionListener | undefined;
     const leaveListeners: (() => void)[] = [];
     const endListeners: (() => void)[] = [];
 
     const answer: ClientAnswer = {
-      write: write => {
+      write: writeHead => {
         if (isDecided || isOver) {
           return;
         }
@@ -190,7 +189,7 @@
           if (closesAfterAnswers()) {
             answer.closeAfter();
           }
-          write();
+          writeHead();
         };
         if (outgoing.socket) {
           writeInTurn();
@@ -214,8 +213,8 @@
       onEnd: listener => {
         endListeners.push(listener);
       },
-      onHurry: listener => {
-        hurryListener = listener;
+      onDecisionDue: listener => {
+        decisionListener = listener;
       },
     };
 
@@ -223,9 +222,9 @@
       incoming,
       outgoing,
       answer,
-      hurry: hurry => {
+      decideNow: scope => {
         if (!isDecided && !isOver) {
-          hurryListener?.(hurry);
+          decisionListener?.(scope);
         }
       },
       leave: () => {
@@ -285,10 +284,10 @@
   return {
     add,
     recordRequest,
-    hurry: hurry => {
+    decideNow: scope => {
       for (const state of states.values()) {
         for (const request of pendingOf(state)) {
-          request.hurry(hurry);
+          request.decideNow(scope);
         }
       }
     },
--- a/packages/library/test/core/http/client_connections.test.ts
+++ b/packages/library/test/core/http/client_connections.test.ts
@@ -253,9 +253,9 @@
     assert.ok(decided);
     writeAnswer(decided, 'decided');
     for (const request of requests) {
-      request.answer.onHurry(hurry => writeAnswer(request, hurry));
+      request.answer.onDecisionDue(scope => writeAnswer(request, scope));
     }
-    connections.hurry('all');
+    connections.decideNow('all');
     const text = await readFor(client, CLIENT_PAUSE_MS / 4);
     assert.match(text, /all[^]*decided[^]*all/);
   });
