Read no request behind one that asks to close its connection

What callers saw: nothing that was recorded; found by reading. A client that says 'Connection: close' and sends another request violates the protocol; since connections linger after their last answer, that request could run, with no way to answer it.

Change: such a request is the last of its connection, as one whose answer closes it.

Evidence: 'bring no request behind one that asks to close'.

--- a/packages/library/src/core/http/client_connections.ts
+++ b/packages/library/src/core/http/client_connections.ts
@@ -109,7 +109,7 @@
   readonly pending: Set<PendingRequest>;
   /** Answer to the request that was read last. */
   lastAnswer: ServerResponse | undefined;
-  /** Whether an answer that closes the connection has been begun. */
+  /** Whether the answer that closes the connection is known. */
   isClosing: boolean;
   /** Bytes that had been received when the last request was complete. */
   bytesRead: number | undefined;
@@ -270,6 +270,8 @@
     state.pending.add(request);
     state.lastAnswer = outgoing;
     state.bytesRead = socket.bytesRead;
+    // The client has asked for it, or Node.js closes it for another reason.
+    state.isClosing = !outgoing.shouldKeepAlive;
     // Emitted once the last byte has been handed to the system.
     outgoing.on('close', () => {
       request.leave();
--- a/packages/library/test/core/http/client_connections.test.ts
+++ b/packages/library/test/core/http/client_connections.test.ts
@@ -281,6 +281,25 @@
     assert.equal(connections.count(), 0);
   });
 
+  it('bring no request behind one that asks to close', async () => {
+    const requests = collectRequests();
+    const client = await open();
+    client.write(
+      'GET /last HTTP/1.1\r\nHost: rooms.example\r\nConnection: close\r\n\r\n',
+    );
+    sendRequest(client);
+    while (requests.length < 1) {
+      await timers.sleep(1);
+    }
+    const [last] = requests;
+    assert.ok(last);
+    writeAnswer(last, 'last');
+    await timers.sleep(CLIENT_PAUSE_MS / 8);
+    sendRequest(client);
+    assert.match(await readFor(client, CLIENT_PAUSE_MS / 8), /last/);
+    assert.equal(requests.length, 1);
+  });
+
   // Guards against an answer that ends with its connection and looks complete
   // although it was cut off.
   it('are reset if the answer under way ends with its connection', async () => {
