Read what clients have sent before a connection closes

Cause: whether an answer closes its connection, whether a connection is idle, and whether its idle timeout counts was decided by what had been read. After a pause of the process, timers and the sockets of targets come first, and what clients have sent meanwhile is still unread.

Change: afterInputRead awaits two ends of a turn, between which all sockets are read. The owner of the connections decides only then: an answer that may close its connection is written then, and closes it unless requests have been read behind it; idle connections and those past their idle timeout close then, unless they brought bytes. closeAfter is gone: a refusal that closes says so with the answer, so that all closes are decided in one place. Answers that do not close are written as before.

Evidence: three new cases of client_connections.test.ts fail on (with the handler of the idle timeout in place of closeUnused) and pass: "do not close before what their clients have sent is read", "do not close as idle ones before their input is read", "do not close after their idle timeout before their input is read". Two cases that called closeAfter write their answers with `closes`, with the same assertions and one on the number of closes.

--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -244,19 +244,16 @@
     );
   }
 
-  /** @param close Closes the connection, on which a body may be unread. */
+  /** @param closes Closes the connection, on which a body may be unread. */
   function refuseHere(
     {outgoing, answer}: UnroutedRequest,
     status: number,
     reason: string,
     retryAfterMs?: number,
-    close = false,
+    closes = false,
   ): void {
-    answer.write(() => {
-      if (close) {
-        answer.closeAfter();
-      }
-      refuse(outgoing, status, reason, retryAfterMs);
+    answer.write(() => refuse(outgoing, status, reason, retryAfterMs), {
+      closes,
     });
   }
 
@@ -503,7 +500,7 @@
       socket.setTimeout(STALLED_READER_TIMEOUT_MS);
       return;
     }
-    socket.destroy();
+    connections.closeUnused(socket);
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     context.log.log('info', 'input-refused', {cause: error.code});
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -657,7 +657,7 @@
           });
         }
       },
-      stream ? 'streamed' : 'whole',
+      {delivery: stream ? 'streamed' : 'whole'},
     );
   }
 
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -10,11 +10,12 @@
   planStop,
   stopPhaseAt,
 } from '@ibisbeam/decision';
-import type {
-  DecisionScope,
-  Logger,
-  TimerService,
-  UnfinishedConnection,
+import {
+  type DecisionScope,
+  type Logger,
+  type TimerService,
+  type UnfinishedConnection,
+  afterInputRead,
 } from '@ibisbeam/library';
 
 export interface GracefulStop {
@@ -71,14 +72,10 @@
     return timers.nowMs() - startedAtMs;
   }
 
-  /**
-   * Timers fire before sockets are read. After a pause of the process, what
-   * clients have sent meanwhile is unread until the turn ends.
-   */
   async function sleep(delayMs: number): Promise<void> {
     await timers.sleep(delayMs);
     await new Promise<void>(resolve => {
-      timers.atTurnEnd(resolve);
+      afterInputRead(timers, resolve);
     });
   }
 
--- a/packages/library/src/core/http/client_connections.ts
+++ b/packages/library/src/core/http/client_connections.ts
@@ -13,7 +13,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
-import type {TimerService} from '../timers/index.js';
+import {type TimerService, afterInputRead} from '../timers/index.js';
 
 /**
  * - `whole`: head and body are written at once.
@@ -22,23 +22,23 @@
  */
 export type AnswerDelivery = 'whole' | 'streamed';
 
+export interface AnswerOptions {
+  /** `whole` is the default. A `streamed` answer does not close its connection. */
+  readonly delivery?: AnswerDelivery;
+  /** Whether it closes the connection, unless requests are read behind it. */
+  readonly closes?: boolean;
+}
+
 /** The answer that is due to one request. */
 export interface ClientAnswer {
   /**
    * Calls `writeHead` once all earlier answers of the connection have left; never
-   * if the connection closes before. Only the first call counts. A `streamed`
-   * answer does not close its connection; `whole` is the default.
+   * if the connection closes before. Only the first call counts. An answer that
+   * may close its connection waits until what the client has sent is read.
    */
-  write(writeHead: () => void, delivery?: AnswerDelivery): void;
+  write(writeHead: () => void, options?: AnswerOptions): void;
   /** Whether `write` has been called. */
   isDecided(): boolean;
-  /**
-   * Lets this answer close its connection, unless requests have been read behind
-   * it. Call it when the answer is written, before its head.
-   *
-   * @returns Whether the connection closes.
-   */
-  closeAfter(): boolean;
   /** Calls back once: the client has left before it had the whole answer. */
   onClientLeft(listener: () => void): void;
   /** Calls back once: the whole answer has left, or the connection is closed. */
@@ -91,11 +91,16 @@
    */
   lingering(): number;
   /**
-   * Closes the connections that have brought requests, owe no byte of an answer
-   * and have brought no byte since. Those whose client may still be reading a
-   * streamed answer stay.
+   * Reads what has come, and closes the connections that have brought requests,
+   * owe no byte of an answer and have brought no byte since. Those whose client
+   * may still be reading a streamed answer stay.
    */
   closeIdle(): void;
+  /**
+   * Reads what has come, and closes the connection if it brought no byte and has
+   * no request in flight.
+   */
+  closeUnused(socket: Socket): void;
   /**
    * Closes all connections. An answer that has been begun is cut off so that it
    * does not look complete.
@@ -112,7 +117,7 @@
 }
 
 export interface ClientConnectionsOptions {
-  readonly timers: Pick<TimerService, 'after' | 'nowMs'>;
+  readonly timers: Pick<TimerService, 'after' | 'nowMs' | 'atTurnEnd'>;
   /**
    * Whether connections close with the next answer behind which none is due.
    * Streamed ones are passed over.
@@ -221,8 +226,18 @@
     const leaveListeners: (() => void)[] = [];
     const endListeners: (() => void)[] = [];
 
+    /** Whether the answer closes the connection if it is written now. */
+    function shouldClose(closes: boolean): boolean {
+      if (state.lastAnswer !== outgoing) {
+        return false;
+      }
+      // A streamed answer to HTTP/1.0 may end with its connection anyway.
+      const mayClose = !isStreamed || incoming.httpVersionMinor === 0;
+      return closes || (mayClose && closesAfterAnswers());
+    }
+
     const answer: ClientAnswer = {
-      write: (writeHead, delivery = 'whole') => {
+      write: (writeHead, {delivery = 'whole', closes = false} = {}) => {
         if (isDecided || isOver) {
           return;
         }
@@ -232,12 +247,20 @@
           if (isOver) {
             return;
           }
-          // A streamed answer to HTTP/1.0 may end with its connection anyway.
-          const mayClose = !isStreamed || incoming.httpVersionMinor === 0;
-          if (mayClose && closesAfterAnswers()) {
-            answer.closeAfter();
+          if (state.isClosing || !shouldClose(closes)) {
+            writeHead();
+            return;
           }
-          writeHead();
+          afterInputRead(timers, () => {
+            if (isOver) {
+              return;
+            }
+            if (shouldClose(closes)) {
+              outgoing.shouldKeepAlive = false;
+              state.isClosing = true;
+            }
+            writeHead();
+          });
         };
         if (outgoing.socket) {
           writeInTurn();
@@ -247,14 +270,6 @@
         outgoing.once('socket', () => queueMicrotask(writeInTurn));
       },
       isDecided: () => isDecided,
-      closeAfter: () => {
-        if (state.lastAnswer !== outgoing) {
-          return false;
-        }
-        outgoing.shouldKeepAlive = false;
-        state.isClosing = true;
-        return true;
-      },
       onClientLeft: listener => {
         leaveListeners.push(listener);
       },
@@ -366,11 +381,22 @@
       return count;
     },
     closeIdle: () => {
-      for (const [socket, state] of states) {
-        if (isIdle(socket, state)) {
+      afterInputRead(timers, () => {
+        for (const [socket, state] of states) {
+          if (isIdle(socket, state)) {
+            socket.destroy();
+          }
+        }
+      });
+    },
+    closeUnused: socket => {
+      const {bytesRead} = socket;
+      afterInputRead(timers, () => {
+        const inFlightHere = states.get(socket)?.pending.size ?? 0;
+        if (inFlightHere === 0 && socket.bytesRead === bytesRead) {
           socket.destroy();
         }
-      }
+      });
     },
     terminate: () => {
       for (const [socket, state] of states) {
--- a/packages/library/test/core/http/client_connections.test.ts
+++ b/packages/library/test/core/http/client_connections.test.ts
@@ -156,14 +156,17 @@
     }
     const [first, second] = requests;
     assert.ok(first && second);
-    assert.ok(!first.answer.closeAfter());
-    first.outgoing.end('first');
-    assert.ok(second.answer.closeAfter());
+    client.pause();
+    const closes = true;
+    first.answer.write(() => first.outgoing.end('first'), {closes});
+    second.answer.write(() => second.outgoing.end('second'), {closes});
+    await timers.sleep(CLIENT_PAUSE_MS / 4);
     sendRequest(client);
     await timers.sleep(CLIENT_PAUSE_MS);
     assert.equal(requests.length, 2);
-    second.outgoing.end('second');
-    assert.match(await readFor(client, CLIENT_PAUSE_MS), /first[^]*second/);
+    const text = await readFor(client, CLIENT_PAUSE_MS);
+    assert.match(text, /first[^]*connection: close[^]*second/i);
+    assert.equal(text.match(/connection: close/gi)?.length, 1);
   });
 
   function collectRequests(): CollectedRequest[] {
@@ -222,7 +225,8 @@
     }
     const [streamed] = requests;
     assert.ok(streamed);
-    streamed.answer.write(() => streamed.outgoing.write('body-0'), 'streamed');
+    const delivery = 'streamed';
+    streamed.answer.write(() => streamed.outgoing.write('body-0'), {delivery});
     sendRequest(client);
     while (requests.length < 2) {
       await timers.sleep(1);
@@ -242,7 +246,7 @@
   it('stay while a client may be reading the end of a streamed answer', async () => {
     closesAfterAnswers = true;
     respond = (_, outgoing, answer) =>
-      answer.write(() => outgoing.end('streamed'), 'streamed');
+      answer.write(() => outgoing.end('streamed'), {delivery: 'streamed'});
     const client = await open();
     sendRequest(client);
     await timers.sleep(CLIENT_PAUSE_MS / 4);
@@ -258,6 +262,60 @@
     assert.equal(connections.count(), 0);
   });
 
+  // Guards against a request that has come while the process stood still, and that
+  // is read only after an earlier answer has closed its connection.
+  it('do not close before what their clients have sent is read', async () => {
+    closesAfterAnswers = true;
+    const client = await open();
+    const paths: string[] = [];
+    respond = ({url = ''}, outgoing, answer) => {
+      paths.push(url);
+      if (paths.length < 3) {
+        sendRequest(client, `/${paths.length}`);
+      }
+      answer.write(() => outgoing.end(`answer to ${url}`));
+    };
+    sendRequest(client, '/0');
+    const text = await readFor(client, CLIENT_PAUSE_MS / 2);
+    assert.match(text, /answer to \/0[^]*answer to \/1[^]*answer to \/2/);
+    assert.match(text, /connection: close[^]*answer to \/2/i);
+    assert.equal(text.match(/connection: close/gi)?.length, 1);
+    assert.equal(connections.count(), 0);
+  });
+
+  // Guards against a request that is lost because its connection counted as idle
+  // until the request was read.
+  for (const [name, closeConnections] of [
+    ['as idle ones', () => connections.closeIdle()],
+    ['after their idle timeout', socket => connections.closeUnused(socket)],
+  ] satisfies readonly (readonly [string, (socket: Socket) => void])[]) {
+    it(`do not close ${name} before their input is read`, async () => {
+      const [idle, busy] = [await open(), await open()];
+      let idleSocket: Socket | undefined;
+      respond = ({socket}, outgoing) => {
+        idleSocket = socket;
+        outgoing.end('before');
+      };
+      sendRequest(idle);
+      await readFor(idle, CLIENT_PAUSE_MS / 8);
+      respond = ({url}, outgoing) => {
+        if (url === '/busy' && idleSocket) {
+          sendRequest(idle, '/late');
+          closeConnections(idleSocket);
+        }
+        outgoing.end(`answer to ${url}`);
+      };
+      sendRequest(busy, '/busy');
+      const text = await readFor(idle, CLIENT_PAUSE_MS / 4);
+      assert.match(text, /answer to \/late/);
+      if (idleSocket) {
+        closeConnections(idleSocket);
+      }
+      await timers.sleep(CLIENT_PAUSE_MS / 8);
+      assert.ok(idleSocket?.destroyed);
+    });
+  }
+
   // Guards against requests that node:http tells nothing of the end of their
   // connection, because earlier ones have no answer yet.
   for (const leave of ['destroy', 'resetAndDestroy', 'end'] as const) {
@@ -351,9 +409,8 @@
   // when the connection is closed.
   it('that close stay while a refused body is on its way', async () => {
     respond = (_, outgoing, answer) =>
-      answer.write(() => {
-        answer.closeAfter();
-        outgoing.writeHead(413).end('too large');
+      answer.write(() => outgoing.writeHead(413).end('too large'), {
+        closes: true,
       });
     const client = await open();
     const errors: string[] = [];
