Hold long answers that other requests of their connection wait behind

Cause: an answer of more than 256 KiB was streamed whether it was its turn or not, and whether others waited behind it or not. Once its head has left, only the end of the connection can tell that it broke off.

Change: decision/core/answer_delivery decides on a long answer with each part of it: it is held until it is whole as long as it is not its turn, or requests have been read behind it, and one percent of the VM's memory holds it. If it breaks off, the attempt has failed like that of a short answer, and another target is tried under the usual conditions, or 502 is given in its turn. When its caller or its route gives up, what has come of it is passed on, unless its target is silent. What a failed attempt held is given back to the memory budget.

"are ended if their target breaks off behind a slower one" asks what becomes of an answer that is too long to be held; that takes 8,000,000 bytes now instead of 300,000, with the same assertions.

--- /dev/null
+++ b/packages/decision/src/core/answer_delivery/hold_rule.ts
@@ -0,0 +1,50 @@
+/**
+ * Decides whether a long answer is held until it is whole, or passed on while it
+ * is read. One that is held and breaks off can be had from another target, or be
+ * replaced by an error. One whose head has left can only end its connection, and
+ * takes the answers behind it along.
+ *
+ * Load pattern: callers that send requests ahead, and targets that break off some
+ * of their long answers.
+ */
+export interface LongAnswer {
+  /** Bytes that have been read of its body. */
+  readonly readBytes: number;
+  /** Length of its body as its head states it. */
+  readonly statedBytes: number | undefined;
+  /** Whether all earlier requests of its connection have been answered. */
+  readonly isInTurn: boolean;
+  /** Requests of the connection that were read after this one. */
+  readonly requestsBehind: number;
+  /** Until its caller, or its route, gives up. */
+  readonly timeLeftMs: number;
+}
+
+export interface HoldLimits {
+  /** Whether there is room to hold answers that need not be held. */
+  readonly hasRoom: boolean;
+  /** Length of the longest answer that may be held. */
+  readonly maximumBytes: number;
+}
+
+/**
+ * - `hold`: read on until the answer is whole.
+ * - `stream`: pass on what has been read, and the rest as it comes.
+ */
+export type LongAnswerDelivery = 'hold' | 'stream';
+
+export function decideLongAnswer(
+  answer: LongAnswer,
+  limits: HoldLimits,
+): LongAnswerDelivery {
+  const {readBytes, statedBytes = 0, isInTurn, requestsBehind} = answer;
+  const bytes = Math.max(readBytes, statedBytes);
+  if (!limits.hasRoom || bytes > limits.maximumBytes) {
+    return 'stream';
+  }
+  if (answer.timeLeftMs <= 0) {
+    return 'stream';
+  }
+  // Nobody waits for its first bytes, or others depend on its end.
+  return !isInTurn || requestsBehind > 0 ? 'hold' : 'stream';
+}
--- /dev/null
+++ b/packages/decision/src/core/answer_delivery/index.ts
@@ -0,0 +1,1 @@
+export * from './hold_rule.js';
--- a/packages/decision/src/index.ts
+++ b/packages/decision/src/index.ts
@@ -1,6 +1,7 @@
 /** Decision logic of ibisbeam: pure state machines that perform no I/O. */
 export * from './core/access/index.js';
 export * from './core/admission/index.js';
+export * from './core/answer_delivery/index.js';
 export * from './core/capacity/index.js';
 export * from './core/claims/index.js';
 export * from './core/drains/index.js';
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -8,6 +8,7 @@
   type CrashVerdict,
   type DispatchDecision,
   type EstimateTrial,
+  type LongAnswerDelivery,
   type Placement,
   type RelayOutcome,
   decideAfterRelay,
@@ -16,6 +17,7 @@
   type TrialResult,
   assertNever,
   decideDispatch,
+  decideLongAnswer,
   maximumHoldMs,
   isRetryable,
   decideNextStep,
@@ -38,10 +40,12 @@
 import {retryAfterMsOf} from './relay_send.js';
 import {createRelays} from './relays.js';
 import {
+  type AnswerSize,
   type TargetResponse,
   keepUntilTurn,
   streamOf,
 } from './target_attempt.js';
+import {LONG_ANSWER_BYTES} from './held_memory.js';
 import {homeRegionsInForce} from './home_regions.js';
 import {sendToTarget} from './target_send.js';
 
@@ -100,6 +104,7 @@
   /** When the first attempt was sent whose pooled connection may be silent. */
   let silentSinceMs: number | undefined;
   const relays = createRelays(context, request, respondByMs, {
+    decideLongAnswer: decideDelivery,
     onSent,
     onEnd: onRelayEnd,
   });
@@ -237,7 +242,32 @@
     return context.retryAfterMs(service, homeRegions(), expectedWaitMs);
   }
 
+  function decideDelivery(size: AnswerSize): LongAnswerDelivery {
+    return decideLongAnswer(
+      {
+        ...size,
+        isInTurn: answer.isInTurn(),
+        requestsBehind: answer.requestsBehind(),
+        timeLeftMs: respondByMs - timers.nowMs(),
+      },
+      context.heldMemory.holdLimits(),
+    );
+  }
+
+  /** Returns whether an answer that was held is delivered now. */
+  function reviewLongAnswers(): boolean {
+    for (const {handle} of running) {
+      if (handle?.reviewLongAnswer()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   function onTimeout(): void {
+    if (reviewLongAnswers()) {
+      return;
+    }
     distrustSilentConnections();
     if (possiblyExecuted > 0) {
       fail(504, 'no answer in time');
@@ -382,6 +412,7 @@
       context.connections.closeUnusedSince(incarnation, silentSinceMs);
     }
     attempt.handle = sendToTarget(context, request, attempt, {
+      decideLongAnswer: decideDelivery,
       onSent: isNewConnection => {
         attempt.isOnPooledConnection = !isNewConnection;
         onSent(attempt);
@@ -629,10 +660,9 @@
       // Its run may break off later than the body of the request is kept.
       fingerprint();
     }
-    let response: TargetResponse | undefined =
-      outgoing.socket === null
-        ? keepUntilTurn(answered, request.memory)
-        : answered;
+    let response: TargetResponse | undefined = answer.isInTurn()
+      ? answered
+      : keepUntilTurn(answered, request.memory);
     if (answered.body.kind === 'whole' && relays.tried() === 0) {
       context.serviceTimes.recordResponseBytes(
         route.name,
@@ -657,7 +687,7 @@
           });
         }
       },
-      {delivery: stream ? 'streamed' : 'whole'},
+      {delivery: isLong(answered) ? 'streamed' : 'whole'},
     );
   }
 
@@ -668,10 +698,12 @@
       target: lastPlacement?.target.entry.id,
       peer: relays.lastPeer(),
       sinceSentMs: Math.round(timers.nowMs() - sentAtMs),
+      behind: answer.requestsBehind(),
     });
   }
 
   answer.onClientLeft(onClientLeft);
+  answer.onTurn(reviewLongAnswers);
   answer.onDecisionDue(onDecisionDue);
   // The VM that a client has asked counts what its clients bring.
   if (!request.isRelayed) {
@@ -819,6 +851,11 @@
   });
 }
 
+/** Whether its client may send more before the last byte has left. */
+function isLong({body}: TargetResponse): boolean {
+  return body.kind === 'streaming' || body.byteCount > LONG_ANSWER_BYTES;
+}
+
 function trialResultOf(outcome: AttemptOutcome): TrialResult {
   switch (outcome.kind) {
     case 'answered':
--- a/packages/gateway/src/forwarding/held_memory.ts
+++ b/packages/gateway/src/forwarding/held_memory.ts
@@ -5,6 +5,7 @@
 import type {ServerResponse} from 'node:http';
 import {
   type ByteAccount,
+  type HoldLimits,
   type MemoryLevel,
   createAheadQueue,
   createByteBudget,
@@ -27,8 +28,10 @@
     begin: (memory: RequestMemory) => void,
   ): void;
   level(): MemoryLevel;
-  /** Bytes of an answer that may be held before it is streamed. */
+  /** Length up to which answers are always held until they are whole. */
   bufferedAnswerBytes(): number;
+  /** Which longer answers may be held, if that serves their callers. */
+  holdLimits(): HoldLimits;
   heldBytes(): number;
   /** Those among them that are bodies of requests. */
   bodyBytes(): number;
@@ -73,11 +76,13 @@
 
 /** Part of a VM's memory that may be held for callers. */
 const HELD_MEMORY_FRACTION = 0.2;
-/** Longer answers are streamed. */
-const MAXIMUM_BUFFERED_BYTES = 262_144;
+/** Part of that which one answer may take. */
+const HELD_ANSWER_FRACTION = 0.05;
+/** Longer answers take a while to leave, and clients may send more meanwhile. */
+export const LONG_ANSWER_BYTES = 262_144;
 /** Shorter ones are not worth memory of their own. */
 const MINIMUM_HELD_BUFFER_BYTES = 16_384;
-/** As `MAXIMUM_BUFFERED_BYTES`, while memory is near its bound. */
+/** As `LONG_ANSWER_BYTES`, while memory is near its bound. */
 const MAXIMUM_BUFFERED_NEAR_BYTES = 32_768;
 
 export function createHeldMemory({
@@ -136,8 +141,12 @@
     level: budget.level,
     bufferedAnswerBytes: () =>
       budget.level() === 'room'
-        ? MAXIMUM_BUFFERED_BYTES
+        ? LONG_ANSWER_BYTES
         : MAXIMUM_BUFFERED_NEAR_BYTES,
+    holdLimits: () => ({
+      hasRoom: budget.level() === 'room',
+      maximumBytes: memoryBytes * HELD_MEMORY_FRACTION * HELD_ANSWER_FRACTION,
+    }),
     heldBytes: budget.heldBytes,
     bodyBytes: budget.takenBytes,
     waiting: queue.waiting,
--- a/packages/gateway/src/forwarding/relay_send.ts
+++ b/packages/gateway/src/forwarding/relay_send.ts
@@ -15,12 +15,16 @@
 import {withheldFromRegion} from './home_regions.js';
 import {headerValues} from './header_rules.js';
 import {
+  type AttemptRequest,
   type TargetAttempt,
   type TargetResponse,
   startTargetAttempt,
 } from './target_attempt.js';
 
-export interface RelaySendEvents {
+export interface RelaySendEvents extends Pick<
+  AttemptRequest,
+  'decideLongAnswer'
+> {
   /** The peer may now forward the request. */
   onSent(): void;
   onEnd(outcome: RelayOutcome, response?: TargetResponse): void;
@@ -56,6 +60,7 @@
       ),
       body: request.body,
       memory: request.memory,
+      decideLongAnswer: events.decideLongAnswer,
       attemptId: request.attemptId,
       agent: peerConnections.agentFor(PEER_POOL, {
         maximumIdleMs: maximumIdleMs(route.kind),
--- a/packages/gateway/src/forwarding/relays.ts
+++ b/packages/gateway/src/forwarding/relays.ts
@@ -3,7 +3,7 @@
 import type {ForwardingContext} from './context.js';
 import type {ExchangeRequest, RunningRelay} from './exchange_types.js';
 import {homeRegionsInForce} from './home_regions.js';
-import {sendToPeer} from './relay_send.js';
+import {type RelaySendEvents, sendToPeer} from './relay_send.js';
 import type {TargetAttempt, TargetResponse} from './target_attempt.js';
 
 export interface Relays {
@@ -18,7 +18,7 @@
   lastPeer(): string | undefined;
 }
 
-export interface RelayEvents {
+export interface RelayEvents extends Pick<RelaySendEvents, 'decideLongAnswer'> {
   /** The peer may now forward the request. */
   onSent(relay: RunningRelay): void;
   /** Called once for each relay, unless it is cancelled first. */
@@ -80,6 +80,7 @@
           sending?.cancel();
           context.onRelayEnded(service, 'cancelled');
         },
+        reviewLongAnswer: () => sending?.reviewLongAnswer() ?? false,
       },
     };
     context.sendScheduler.schedule(() => {
@@ -87,6 +88,7 @@
         return;
       }
       sending = sendToPeer(context, request, peer, respondByMs, {
+        decideLongAnswer: events.decideLongAnswer,
         onSent: () => events.onSent(relay),
         onEnd: (outcome, response) => {
           recordEnd(relay, outcome);
--- a/packages/gateway/src/forwarding/response_delivery.ts
+++ b/packages/gateway/src/forwarding/response_delivery.ts
@@ -2,14 +2,16 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {TimerService} from '@ibisbeam/library';
 import {endToEndRawHeaders} from './header_rules.js';
-import {type TargetResponse, streamOf} from './target_attempt.js';
+import {
+  TARGET_SILENCE_MS,
+  type TargetResponse,
+  streamOf,
+} from './target_attempt.js';
 
 /** Sent while this VM stops and has not passed the request on. */
 export const STOPPING_REASON = 'this VM stops';
 /** Other VMs take the request at once. */
 export const STOPPING_RETRY_AFTER_MS = 0;
-/** Silence of a target after which it is taken to send no more. */
-const SILENCE_MS = 250;
 const MILLISECONDS_PER_HUNDREDTH = 10;
 const HUNDREDTHS_PER_SECOND = 100;
 
@@ -79,12 +81,12 @@
 
   /** A client that reads slowly keeps its target waiting. */
   function checkSilence(): void {
-    const isSilent = timers.nowMs() - lastBytesAtMs >= SILENCE_MS;
+    const isSilent = timers.nowMs() - lastBytesAtMs >= TARGET_SILENCE_MS;
     if (isSilent && !outgoing.writableNeedDrain) {
       breakOff();
       return;
     }
-    silenceTimer = timers.after(SILENCE_MS, checkSilence);
+    silenceTimer = timers.after(TARGET_SILENCE_MS, checkSilence);
   }
 
   let silenceTimer = timers.at(limitAtMs, checkSilence);
--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -1,7 +1,7 @@
 /**
  * One attempt of a request at one target, with a single outcome. Short
  * responses are buffered completely, so that a broken one can be retried at
- * another target; longer ones are streamed.
+ * another target; of longer ones, its owner decides.
  */
 import {
   type Agent,
@@ -10,7 +10,12 @@
   request as httpRequest,
 } from 'node:http';
 import type {Socket} from 'node:net';
-import type {AttemptOutcome, LoadReport} from '@ibisbeam/decision';
+import type {
+  AttemptOutcome,
+  LoadReport,
+  LongAnswer,
+  LongAnswerDelivery,
+} from '@ibisbeam/decision';
 import type {TimerHandle, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
 import {hasValidHeaderNames, headerValues} from './header_rules.js';
@@ -45,6 +50,8 @@
   readonly rawHeaders: readonly string[];
 }
 
+export type AnswerSize = Pick<LongAnswer, 'readBytes' | 'statedBytes'>;
+
 export interface AttemptRequest {
   readonly host: string;
   readonly port: number;
@@ -55,7 +62,9 @@
   readonly body: Buffer | undefined;
   readonly attemptId: string | undefined;
   /** Counts what is held of the answer, and keeps the body. */
-  readonly memory: Pick<RequestMemory, 'add' | 'useBody'>;
+  readonly memory: Pick<RequestMemory, 'add' | 'give' | 'useBody'>;
+  /** Asked for each part of a long answer. */
+  decideLongAnswer(size: AnswerSize): LongAnswerDelivery;
   readonly agent: Agent;
   readonly connectTimeoutMs: number;
 }
@@ -85,7 +94,7 @@
 }
 
 export interface AttemptDependencies {
-  readonly timers: Pick<TimerService, 'after'>;
+  readonly timers: Pick<TimerService, 'after' | 'nowMs'>;
   readonly sendScheduler: Pick<SendScheduler, 'schedule'>;
   readonly heldMemory: Pick<HeldMemory, 'bufferedAnswerBytes'>;
 }
@@ -93,8 +102,17 @@
 export interface TargetAttempt {
   /** Ends the attempt and closes its connection. */
   cancel(): void;
+  /**
+   * Decides once more on a long answer that is held. Call it when what the
+   * decision depends on has changed.
+   *
+   * @returns Whether the answer has been passed on.
+   */
+  reviewLongAnswer(): boolean;
 }
 
+/** Silence of a target after which it is taken to send no more. */
+export const TARGET_SILENCE_MS = 250;
 /** What the connection of a paused stream may hold: one read of it. */
 const PAUSED_STREAM_BYTES = 65_536;
 
@@ -124,6 +142,9 @@
   let connectTimer: TimerHandle | undefined;
   let streamedResponse: IncomingMessage | undefined;
   let connection: Socket | undefined;
+  /** Of an answer that has not been passed on. */
+  let heldBytes = 0;
+  let reviewLongAnswer = (): boolean => false;
 
   function end(outcome: AttemptOutcome, response?: TargetResponse): void {
     if (ended) {
@@ -155,10 +176,16 @@
     if (ended) {
       return;
     }
+    giveHeldBytes();
     end(sent ? {kind: 'broken', cause} : {kind: 'not-sent', cause});
     outgoing.destroy();
   }
 
+  function giveHeldBytes(): void {
+    request.memory.give(heldBytes);
+    heldBytes = 0;
+  }
+
   function send(): void {
     if (sent || ended) {
       return;
@@ -250,15 +277,32 @@
     status: number,
   ): void {
     const chunks: Buffer[] = [];
-    let bufferedBytes = 0;
+    let lastBytesAtMs = timers.nowMs();
+    const statedBytes = statedLength(response);
 
     function onData(chunk: Buffer): void {
       chunks.push(chunk);
-      bufferedBytes += chunk.length;
+      heldBytes += chunk.length;
+      lastBytesAtMs = timers.nowMs();
       request.memory.add(chunk.length);
-      if (bufferedBytes <= heldMemory.bufferedAnswerBytes() || ended) {
+      passOnUnlessHeld();
+    }
+
+    function passOnUnlessHeld(): void {
+      if (heldBytes <= heldMemory.bufferedAnswerBytes() || ended) {
         return;
       }
+      const size = {readBytes: heldBytes, statedBytes};
+      switch (request.decideLongAnswer(size)) {
+        case 'hold':
+          return;
+        case 'stream':
+          passOn();
+          return;
+      }
+    }
+
+    function passOn(): void {
       response.pause();
       request.memory.add(PAUSED_STREAM_BYTES);
       streamedResponse = response;
@@ -272,7 +316,7 @@
           body: {
             kind: 'streaming',
             bufferedChunks: chunks.splice(0),
-            bufferedBytes,
+            bufferedBytes: heldBytes,
             stream: response,
           },
         },
@@ -290,7 +334,7 @@
         body: {
           kind: 'whole',
           chunks: chunks.splice(0),
-          byteCount: bufferedBytes,
+          byteCount: heldBytes,
         },
       };
       if (isNotExecuted) {
@@ -300,6 +344,13 @@
       end({kind: 'answered', status}, buffered);
     }
 
+    reviewLongAnswer = () => {
+      const wasEnded = ended;
+      if (timers.nowMs() - lastBytesAtMs < TARGET_SILENCE_MS) {
+        passOnUnlessHeld();
+      }
+      return ended && !wasEnded;
+    };
     response.on('data', onData);
     response.on('end', onEnd);
     response.on('error', error =>
@@ -320,10 +371,12 @@
   return {
     cancel: () => {
       ended = true;
+      giveHeldBytes();
       connectTimer?.cancel();
       connection?.removeListener('end', onConnectionEnd);
       outgoing.destroy();
     },
+    reviewLongAnswer: () => reviewLongAnswer(),
   };
 }
 
@@ -351,6 +404,12 @@
   }
 }
 
+/** Length of the body as the head states it. */
+function statedLength({headers}: IncomingMessage): number | undefined {
+  const bytes = Number(headers['content-length'] ?? NaN);
+  return Number.isFinite(bytes) ? bytes : undefined;
+}
+
 /** Throws if the address, the path or a header cannot be written. */
 function createRequest(request: AttemptRequest): ClientRequest {
   return httpRequest({
@@ -380,5 +439,6 @@
     cancel: () => {
       isCancelled = true;
     },
+    reviewLongAnswer: () => false,
   };
 }
--- a/packages/gateway/src/forwarding/target_send.ts
+++ b/packages/gateway/src/forwarding/target_send.ts
@@ -7,12 +7,16 @@
 import type {ExchangeRequest, RunningAttempt} from './exchange_types.js';
 import {withheldFromRegion} from './home_regions.js';
 import {
+  type AttemptRequest,
   type TargetAttempt,
   type TargetResponse,
   startTargetAttempt,
 } from './target_attempt.js';
 
-export interface TargetSendEvents {
+export interface TargetSendEvents extends Pick<
+  AttemptRequest,
+  'decideLongAnswer'
+> {
   /** The target may now run the request. */
   onSent(isNewConnection: boolean): void;
   onEnd(outcome: AttemptOutcome, response?: TargetResponse): void;
@@ -37,6 +41,7 @@
       headers: attemptHeaders(context, request, target, timers.nowMs()),
       body: request.body,
       memory: request.memory,
+      decideLongAnswer: events.decideLongAnswer,
       attemptId: request.attemptId,
       agent: connections.agentFor(incarnation, {
         maximumIdleMs: maximumIdleMs(route.kind),
--- a/packages/library/src/core/http/client_connections.ts
+++ b/packages/library/src/core/http/client_connections.ts
@@ -39,6 +39,12 @@
   write(writeHead: () => void, options?: AnswerOptions): void;
   /** Whether `write` has been called. */
   isDecided(): boolean;
+  /** Whether all earlier answers of the connection have left. */
+  isInTurn(): boolean;
+  /** Calls back once all earlier answers have left, if they have not yet. */
+  onTurn(listener: () => void): void;
+  /** Number of requests of the connection that were read after this one. */
+  requestsBehind(): number;
   /** Calls back once: the client has left before it had the whole answer. */
   onClientLeft(listener: () => void): void;
   /** Calls back once: the whole answer has left, or the connection is closed. */
@@ -182,6 +188,21 @@
     return lastAnswer !== undefined && !lastAnswer.req.complete;
   }
 
+  function requestsBehind(
+    {pending}: ConnectionState,
+    request: PendingRequest,
+  ): number {
+    let count = 0;
+    let isBehind = false;
+    for (const other of pending) {
+      if (isBehind) {
+        count += 1;
+      }
+      isBehind ||= other === request;
+    }
+    return count;
+  }
+
   /** Copied, because requests end while they are visited. */
   function pendingOf(state: ConnectionState): readonly PendingRequest[] {
     return [...state.pending];
@@ -262,14 +283,22 @@
             writeHead();
           });
         };
-        if (outgoing.socket) {
+        if (answer.isInTurn()) {
           writeInTurn();
           return;
         }
-        // Node.js goes on with the response after this event.
-        outgoing.once('socket', () => queueMicrotask(writeInTurn));
+        answer.onTurn(writeInTurn);
       },
       isDecided: () => isDecided,
+      // Node.js gives a response its socket when it is its turn, and goes on with
+      // the response after the event.
+      isInTurn: () => outgoing.socket !== null,
+      onTurn: listener => {
+        if (!answer.isInTurn()) {
+          outgoing.once('socket', () => queueMicrotask(listener));
+        }
+      },
+      requestsBehind: () => requestsBehind(state, request),
       onClientLeft: listener => {
         leaveListeners.push(listener);
       },
--- a/packages/stand_ins/src/core/object_platform/fleet_target.ts
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -101,6 +101,11 @@
   readonly openConnections: () => number;
   /** Queues faults for the next requests, one each. */
   plan(...faults: readonly TargetFault[]): void;
+  /**
+   * Applies a fault to each of the next requests on this path. Several targets may
+   * take theirs from one list.
+   */
+  planFor(path: string, faults: TargetFault[]): void;
   setWorkMs(workMs: number): void;
   /**
    * States the limit in all answers from now on. The target does not enforce
@@ -163,6 +168,7 @@
   const leavingStatements: LeavingStatement[] = [];
   const pauseStatements: PauseStatement[] = [];
   const faults: TargetFault[] = [];
+  const faultsByPath = new Map<string, TargetFault[]>();
   /** Values of Retry-After for the next refusals. */
   const refusals: string[] = [];
   const warm = new Set<string>();
@@ -205,7 +211,8 @@
       return;
     }
     arrivals.push({attemptId, atMs: timers.nowMs()});
-    const fault = faults.shift() ?? 'none';
+    const ownFaults = faultsByPath.get(incoming.url ?? '') ?? faults;
+    const fault = ownFaults.shift() ?? 'none';
     if (fault === 'early') {
       writeAnswer(incoming.socket, 'early', attemptId);
       return;
@@ -545,6 +552,9 @@
     plan: (...planned) => {
       faults.push(...planned);
     },
+    planFor: (path, planned) => {
+      faultsByPath.set(path, planned);
+    },
     setWorkMs: next => {
       workMs = next;
     },
--- a/packages/stand_ins/test/object_platform/pipelining.test.ts
+++ b/packages/stand_ins/test/object_platform/pipelining.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {type Socket, connect} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
-import {settleWithin} from '../../src/index.js';
+import {type TargetFault, settleWithin} from '../../src/index.js';
 import {
   type Harness,
   HOST,
@@ -16,14 +16,17 @@
 const MAXIMUM_UNANSWERED = 64;
 /** Little less than what the VM passes on before it has the whole. */
 const WHOLE_BYTES = 250_000;
-/** Little more than the VM holds before it passes an answer on. */
-const STREAMED_BYTES = 300_000;
+/** Little more than the VM holds of one answer before it passes it on. */
+const STREAMED_BYTES = 8_000_000;
+/** More than the VM holds of an answer that nothing waits for. */
+const LONG_BYTES = 540_000;
 
 describe('requests sent behind another on its connection', () => {
   let harness: Harness;
   let client: Socket;
   let received: string;
   let closed: Promise<void>;
+  let isClosed: boolean;
 
   beforeEach(async () => {
     harness = await startHarness();
@@ -34,8 +37,12 @@
       received += data.toString('latin1');
     });
     client.on('error', () => {});
+    isClosed = false;
     closed = new Promise(resolve => {
-      client.on('close', () => resolve());
+      client.on('close', () => {
+        isClosed = true;
+        resolve();
+      });
     });
   });
   afterEach(async () => {
@@ -137,15 +144,61 @@
       target.plan('cut-short');
     }
     client.write(requestText('broken-off'));
-    let isClosed = false;
-    void closed.then(() => {
-      isClosed = true;
-    });
     await waitUntil(() => isClosed || /HTTP\/1\.1 502/.test(received));
     assert.equal(answered()[0], 'slow');
     assert.equal(countRuns(harness, 'broken-off'), 1);
   });
 
+  // Guards against a long answer that its target breaks off, and that is lost with
+  // all other answers of its connection although another target could serve it.
+  it('are answered if a long answer breaks off behind a slower one', async () => {
+    const faults = breakOffLongAnswer();
+    for (const target of harness.targets) {
+      target.setWorkMs(SLOW_MS);
+    }
+    client.write(requestText('slow'));
+    await waitUntil(() => haveAllRun(['slow']));
+    for (const target of harness.targets) {
+      target.setWorkMs(0);
+    }
+    client.write(['long', 'last'].map(requestText).join(''));
+    await waitUntil(() => answered().includes('last') || isClosed);
+    expectWholeAnswers(['slow', 'long', 'last'], faults);
+  });
+
+  // Guards against the same loss if the long answer is the first one.
+  it('are answered if a long answer breaks off before them', async () => {
+    const faults = breakOffLongAnswer();
+    for (const target of harness.targets) {
+      target.setWorkMs(SLOW_MS);
+    }
+    const ids = ['long', 'behind', 'last'];
+    client.write(ids.map(requestText).join(''));
+    await waitUntil(() => answered().includes('last') || isClosed);
+    expectWholeAnswers(ids, faults);
+  });
+
+  /** One target breaks off the answer, whichever gets the request first. */
+  function breakOffLongAnswer(): readonly TargetFault[] {
+    const faults: TargetFault[] = ['cut-short'];
+    for (const target of harness.targets) {
+      target.setLargeAnswer('/rooms/long', LONG_BYTES);
+      target.planFor('/rooms/long', faults);
+    }
+    return faults;
+  }
+
+  function expectWholeAnswers(
+    ids: readonly string[],
+    faults: readonly TargetFault[],
+  ): void {
+    assert.deepEqual(answered(), ids);
+    assert.equal(received.match(/HTTP\/1\.1 200/g)?.length, ids.length);
+    assert.ok(received.includes('x'.repeat(LONG_BYTES)));
+    assert.equal(faults.length, 0);
+    assert.ok(!isClosed);
+  }
+
   // Guards against a connection whose answers, held until their turn, fill the
   // memory of the VM.
   it('are refused if too many of the connection have no answer', async () => {
