Hold long answers for a moment in which most become whole

Cause: an answer that nothing waited behind was streamed from 256 KiB on, however quickly its target sent the rest.

Change: such an answer is held for up to 25 ms within the limits for others; if it is whole by then, it is delivered whole, and if it breaks off, it is had from another target. What takes longer is streamed as before, at 25 ms if its target stalls.

Two cases ask what becomes of a streamed answer that breaks off: "lets a long answer that breaks off on the way look broken" and the relay's "passes a long answer on through the peer". They failed with 600,000 bytes, since the caller gets 502 or a whole answer now, and take 8,000,000, which no VM holds, with the same assertions.

--- a/packages/decision/src/core/answer_delivery/hold_rule.ts
+++ b/packages/decision/src/core/answer_delivery/hold_rule.ts
@@ -16,6 +16,8 @@
   readonly isInTurn: boolean;
   /** Requests of the connection that were read after this one. */
   readonly requestsBehind: number;
+  /** Since it became long. */
+  readonly heldMs: number;
   /** Until its caller, or its route, gives up. */
   readonly timeLeftMs: number;
 }
@@ -33,6 +35,9 @@
  */
 export type LongAnswerDelivery = 'hold' | 'stream';
 
+/** By which the first bytes of an answer may come later than they could. */
+export const MAXIMUM_FIRST_BYTE_DELAY_MS = 25;
+
 export function decideLongAnswer(
   answer: LongAnswer,
   limits: HoldLimits,
@@ -46,5 +51,8 @@
     return 'stream';
   }
   // Nobody waits for its first bytes, or others depend on its end.
-  return !isInTurn || requestsBehind > 0 ? 'hold' : 'stream';
+  if (!isInTurn || requestsBehind > 0) {
+    return 'hold';
+  }
+  return answer.heldMs < MAXIMUM_FIRST_BYTE_DELAY_MS ? 'hold' : 'stream';
 }
--- a/packages/decision/test/answer_delivery/hold_rule.test.ts
+++ b/packages/decision/test/answer_delivery/hold_rule.test.ts
@@ -3,6 +3,7 @@
 import {
   type HoldLimits,
   type LongAnswer,
+  MAXIMUM_FIRST_BYTE_DELAY_MS,
   decideLongAnswer,
 } from '../../src/index.js';
 
@@ -11,6 +12,7 @@
   statedBytes: 540_000,
   isInTurn: true,
   requestsBehind: 0,
+  heldMs: MAXIMUM_FIRST_BYTE_DELAY_MS,
   timeLeftMs: 1_000,
 };
 const AHEAD: LongAnswer = {...IN_TURN, isInTurn: false};
@@ -21,6 +23,11 @@
     assert.equal(decideLongAnswer(IN_TURN, ROOM), 'stream');
   });
 
+  it('is held for a moment in which it may become whole', () => {
+    const answer = {...IN_TURN, heldMs: MAXIMUM_FIRST_BYTE_DELAY_MS - 1};
+    assert.equal(decideLongAnswer(answer, ROOM), 'hold');
+  });
+
   it('is held until its turn', () => {
     assert.equal(decideLongAnswer(AHEAD, ROOM), 'hold');
   });
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -40,7 +40,7 @@
 import {retryAfterMsOf} from './relay_send.js';
 import {createRelays} from './relays.js';
 import {
-  type AnswerSize,
+  type AnswerProgress,
   type TargetResponse,
   keepUntilTurn,
   streamOf,
@@ -242,10 +242,10 @@
     return context.retryAfterMs(service, homeRegions(), expectedWaitMs);
   }
 
-  function decideDelivery(size: AnswerSize): LongAnswerDelivery {
+  function decideDelivery(progress: AnswerProgress): LongAnswerDelivery {
     return decideLongAnswer(
       {
-        ...size,
+        ...progress,
         isInTurn: answer.isInTurn(),
         requestsBehind: answer.requestsBehind(),
         timeLeftMs: respondByMs - timers.nowMs(),
--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -10,11 +10,12 @@
   request as httpRequest,
 } from 'node:http';
 import type {Socket} from 'node:net';
-import type {
-  AttemptOutcome,
-  LoadReport,
-  LongAnswer,
-  LongAnswerDelivery,
+import {
+  type AttemptOutcome,
+  type LoadReport,
+  type LongAnswer,
+  type LongAnswerDelivery,
+  MAXIMUM_FIRST_BYTE_DELAY_MS,
 } from '@ibisbeam/decision';
 import type {TimerHandle, TimerService} from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
@@ -50,7 +51,10 @@
   readonly rawHeaders: readonly string[];
 }
 
-export type AnswerSize = Pick<LongAnswer, 'readBytes' | 'statedBytes'>;
+export type AnswerProgress = Pick<
+  LongAnswer,
+  'readBytes' | 'statedBytes' | 'heldMs'
+>;
 
 export interface AttemptRequest {
   readonly host: string;
@@ -64,7 +68,7 @@
   /** Counts what is held of the answer, and keeps the body. */
   readonly memory: Pick<RequestMemory, 'add' | 'give' | 'useBody'>;
   /** Asked for each part of a long answer. */
-  decideLongAnswer(size: AnswerSize): LongAnswerDelivery;
+  decideLongAnswer(progress: AnswerProgress): LongAnswerDelivery;
   readonly agent: Agent;
   readonly connectTimeoutMs: number;
 }
@@ -144,6 +148,7 @@
   let connection: Socket | undefined;
   /** Of an answer that has not been passed on. */
   let heldBytes = 0;
+  let reviewTimer: TimerHandle | undefined;
   let reviewLongAnswer = (): boolean => false;
 
   function end(outcome: AttemptOutcome, response?: TargetResponse): void {
@@ -152,6 +157,7 @@
     }
     ended = true;
     connectTimer?.cancel();
+    reviewTimer?.cancel();
     if (response?.body.kind !== 'streaming') {
       connection?.removeListener('end', onConnectionEnd);
     }
@@ -278,6 +284,7 @@
   ): void {
     const chunks: Buffer[] = [];
     let lastBytesAtMs = timers.nowMs();
+    let longSinceMs: number | undefined;
     const statedBytes = statedLength(response);
 
     function onData(chunk: Buffer): void {
@@ -292,9 +299,19 @@
       if (heldBytes <= heldMemory.bufferedAnswerBytes() || ended) {
         return;
       }
-      const size = {readBytes: heldBytes, statedBytes};
-      switch (request.decideLongAnswer(size)) {
+      const nowMs = timers.nowMs();
+      longSinceMs ??= nowMs;
+      const progress = {
+        readBytes: heldBytes,
+        statedBytes,
+        heldMs: nowMs - longSinceMs,
+      };
+      switch (request.decideLongAnswer(progress)) {
         case 'hold':
+          reviewTimer ??= timers.after(MAXIMUM_FIRST_BYTE_DELAY_MS, () => {
+            reviewTimer = undefined;
+            passOnUnlessHeld();
+          });
           return;
         case 'stream':
           passOn();
@@ -373,6 +390,7 @@
       ended = true;
       giveHeldBytes();
       connectTimer?.cancel();
+      reviewTimer?.cancel();
       connection?.removeListener('end', onConnectionEnd);
       outgoing.destroy();
     },
--- a/packages/stand_ins/test/object_platform/forwarding.test.ts
+++ b/packages/stand_ins/test/object_platform/forwarding.test.ts
@@ -15,6 +15,10 @@
   waitUntil,
 } from './harness.js';
 
+/** More than a VM holds of one answer before it passes it on. */
+const STREAMED_BYTES = 8_000_000;
+/** Less than that, and more than it always holds. */
+const HELD_BYTES = 600_000;
 const DISCONNECT_TIMEOUT_MS = 20_000;
 /** Of the harness's routes. */
 const ROUTE_TIMEOUT_MS = 1_000;
@@ -207,7 +211,8 @@
   });
 
   it('lets a long answer that breaks off on the way look broken', async () => {
-    const longAnswerHarness = await startHarness({bodyBytes: 600_000}, 1);
+    const bodyBytes = STREAMED_BYTES;
+    const longAnswerHarness = await startHarness({bodyBytes}, 1);
     try {
       for (const fault of ['cut-short', 'unframed-reset-later'] as const) {
         for (const target of longAnswerHarness.targets) {
@@ -228,6 +233,24 @@
     }
   });
 
+  // Guards against a long answer that is lost although another target could serve
+  // it in time.
+  it('has a long answer that breaks off from another target', async () => {
+    for (const fault of ['cut-short', 'unframed-reset-later'] as const) {
+      const attemptId = fault;
+      const faults: TargetFault[] = [fault];
+      for (const target of harness.targets) {
+        target.setLargeAnswer('/packs/7', HELD_BYTES);
+        target.planFor('/packs/7', faults);
+      }
+      const answer = await call(harness.gateway, {path: '/packs/7', attemptId});
+      assert.equal(answer.status, 200);
+      assert.ok(answer.complete);
+      assert.equal(answer.body.length, HELD_BYTES);
+      assert.equal(countRuns(harness, attemptId), 2);
+    }
+  });
+
   // Guards against a long answer whose target goes dark, and for which its client
   // waits until it gives up.
   it('ends a long answer at the route’s timeout when its target goes dark', async () => {
--- a/packages/stand_ins/test/object_platform/relay.test.ts
+++ b/packages/stand_ins/test/object_platform/relay.test.ts
@@ -17,6 +17,8 @@
 
 /** Time until peers hear that a VM reaches no targets anymore. */
 const REACH_NEWS_MS = 600;
+/** More than a VM holds of one answer before it passes it on. */
+const STREAMED_BYTES = 8_000_000;
 /** Cancellation may take this long. */
 const CANCELLATION_LIMIT_MS = 500;
 const BOOKING: CallOptions = {method: 'POST', path: '/book/7', body: 'room=7'};
@@ -114,10 +116,10 @@
 
   it('passes a long answer on through the peer', async () => {
     await harness.stop();
-    harness = await startHarness({bodyBytes: 600_000}, 1);
+    harness = await startHarness({bodyBytes: STREAMED_BYTES}, 1);
     cutGateway = await addCutGateway('edge-riga-b-1', 'riga-b');
     const whole = await call(cutGateway, {path: '/packs/7'});
-    assert.equal(whole.body.length, 600_000);
+    assert.equal(whole.body.length, STREAMED_BYTES);
     assert.ok(whole.complete);
     harness.targets[0]?.plan('cut-short');
     const cutShort = await call(cutGateway, {path: '/packs/8'});
