Let callers of the soak send around long answers, and list what remains

The soak's long answers have 8,000,000 bytes, which no VM holds, so that it could not meet answers that are held. Callers send a look-up, a download of 540,000 bytes and another look-up at once now, every 400 ms; nothing excuses a planned stop that cuts one of them because the download broke off.

--- a/packages/soak/src/load_generator.ts
+++ b/packages/soak/src/load_generator.ts
@@ -33,6 +33,8 @@
 export const CRASH_PATH = '/rooms/crash';
 /** Path of the look-up that targets answer at length. */
 export const LARGE_PATH = '/rooms/large';
+/** Its answer is long, and VMs have the memory to hold it. */
+export const HELD_PATH = '/rooms/held';
 const SLOW_READER_PATIENCE_MS = 6_000;
 const QUARANTINE_REASON = 'requests like this one crashed targets';
 const MAXIMUM_REASON_BYTES = 1_024;
--- a/packages/soak/src/persistent_callers.ts
+++ b/packages/soak/src/persistent_callers.ts
@@ -1,12 +1,12 @@
 /**
  * Callers that go on using a connection until its VM closes it. Some send
- * look-ups ahead or behind long answers, others send bookings whose bodies take
- * seconds.
+ * look-ups ahead, or before and behind long answers, others send bookings whose
+ * bodies take seconds.
  */
 import {type Socket, connect} from 'node:net';
 import type {TimerHandle, TimerService} from '@ibisbeam/library';
 import type {GatewayProcess} from './gateway_process.js';
-import {LARGE_PATH} from './load_generator.js';
+import {HELD_PATH, LARGE_PATH} from './load_generator.js';
 import type {CallRecord} from './records.js';
 
 export interface PersistentCallers {
@@ -83,11 +83,12 @@
     };
   }
 
-  function open(vm: GatewayProcess): CallerConnection {
+  function open(
+    vm: GatewayProcess,
+    record: (call: CallRecord) => void = call => calls.push(call),
+  ): CallerConnection {
     const {host: address, port} = vm.caller;
-    return openConnection(connect(port, address), vm.id, timers, record =>
-      calls.push(record),
-    );
+    return openConnection(connect(port, address), vm.id, timers, record);
   }
 
   function headOf(line: string, call: SentCall, others: readonly string[]) {
@@ -159,6 +160,22 @@
     );
   }
 
+  /**
+   * Sends look-ups before and behind a long answer that VMs hold until it is whole:
+   * if it breaks off, the others are answered all the same.
+   */
+  function sendAround(vm: GatewayProcess): void {
+    const connection = open(vm, call =>
+      calls.push({...call, behind: undefined}),
+    );
+    shortLived.add(connection);
+    for (const path of ['/rooms/1', HELD_PATH, '/rooms/2']) {
+      const call = begin('around', true);
+      const deadline = `X-Ibisbeam-Deadline-Ms: ${LONG_ANSWER_DEADLINE_MS}`;
+      connection.send(call, headOf(`GET ${path}`, call, [deadline]));
+    }
+  }
+
   function crowd(vm: GatewayProcess): void {
     const fromMs = timers.nowMs() + CROWD_DELAY_MS;
     const handle = timers.every(CROWD_INTERVAL_MS, () => {
@@ -225,6 +242,7 @@
           longAnswers += 1;
           if (vm) {
             sendBehind(vm);
+            sendAround(vm);
           }
         }),
         timers.every(UPLOAD_INTERVAL_MS, () => {
--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -19,6 +19,7 @@
   buildTwoRouteConfiguration,
 } from '@ibisbeam/stand-ins';
 import {
+  HELD_PATH,
   LARGE_PATH,
   type LoadGenerator,
   createLoadGenerator,
@@ -121,6 +122,7 @@
 ];
 /** More than the buffers of the system hold on the way to a caller. */
 const LARGE_ANSWER_BYTES = 8_000_000;
+const HELD_ANSWER_BYTES = 540_000;
 const SLOW_READER_INTERVAL_MS = 300;
 /** Some outlast the moment at which a VM that stops closes its listener. */
 const READ_DELAYS_MS = [500, 1_500, 2_500];
@@ -178,6 +180,7 @@
       timers,
     });
     target.setLargeAnswer(LARGE_PATH, LARGE_ANSWER_BYTES);
+    target.setLargeAnswer(HELD_PATH, HELD_ANSWER_BYTES);
     store.put('servers', target.id, target.entry());
     return target;
   }
