--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -1,7 +1,7 @@
 /**
  * One attempt of a request at one target, with a single outcome. Short
  * responses are buffered completely, so that a broken one can be retried at
- * another target; of longer ones, its owner decides.
+ * another target; whether longer ones are, the owner of the attempt decides.
  */
 import {
   type Agent,
@@ -107,8 +107,8 @@
   /** Ends the attempt and closes its connection. */
   cancel(): void;
   /**
-   * Decides once more on a long answer that is held. Call it when what the
-   * decision depends on has changed.
+   * Decides once more on a long answer that is held, unless its target is silent.
+   * Call it when what the decision depends on has changed.
    *
    * @returns Whether the answer has been passed on.
    */
