--- a/review/support-2/client.ts
+++ b/review/support-2/client.ts
@@ -20,6 +20,9 @@
   readonly agent?: Agent;
 }
 
+/** Node.js itself ends with 1 if a script cannot be loaded. */
+const RULE_BROKEN = 10;
+
 /** Sends one client attempt; gives up at its deadline. */
 export function send(
   {host, port}: Address,
@@ -125,7 +128,7 @@
     finish: (status, why) => {
       write(`${why} (exit ${status})`);
       writeFileSync(file, `${lines.join('\n')}\n`);
-      process.exit(status);
+      process.exit(status === 1 ? RULE_BROKEN : status);
     },
   };
 }
--- a/review/support-2/fleet.ts
+++ b/review/support-2/fleet.ts
@@ -99,18 +99,22 @@
 const PORTS_PER_VM = 4;
 const SHARED_PORTS = 2;
 const KILL_WAIT_MS = 200;
+/** A script may run for 120 s. */
+const LONGEST_RUN_MS = 110_000;
+const CANNOT_RUN = 2;
 /** Test runs beside each other use different networks. */
 const NETWORK = `127.${60 + ((process.pid >> 8) % 150)}.${process.pid % 256}`;
 
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
   const timers = createSystemTimerService();
   const folder = mkdtempSync(join(tmpdir(), 'ibisbeam-review-'));
+  const vms: VmProcess[] = [];
+  endWithScript(vms, folder);
   const store = await startStandInObjectStore(timers, `${NETWORK}.1`);
   const storeAddress = options.storeAddress
     ? await options.storeAddress(store)
     : {host: store.host, port: store.port};
   const targets: FleetTarget[] = [];
-  const vms: VmProcess[] = [];
   const hosts = options.zones.map((_, index) => `${NETWORK}.${10 + index}`);
   const ports = await freePorts(PORTS_PER_VM + SHARED_PORTS, hosts[0] ?? '');
   const [front = 0, ready = 0, directory = 0, control = 0, inner = 0] = ports;
@@ -208,6 +212,29 @@
   return {timers, store, vms, targets, addTarget, stop};
 }
 
+/**
+ * Ends all VMs with the script, however it ends. A script that fails by itself has
+ * found nothing.
+ */
+function endWithScript(vms: readonly VmProcess[], folder: string): void {
+  function fail(cause: unknown): void {
+    console.error(cause);
+    process.exit(CANNOT_RUN);
+  }
+
+  process.on('exit', () => {
+    for (const vm of vms) {
+      vm.signal('SIGKILL');
+    }
+    rmSync(folder, {recursive: true, force: true});
+  });
+  process.on('uncaughtException', fail);
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
+    process.on(signal, () => fail(signal));
+  }
+  setTimeout(() => fail('the script takes too long'), LONGEST_RUN_MS).unref();
+}
+
 interface VmOptions {
   readonly front: Address;
   readonly ready: Address;
