Show that bookings with many header lines are run with an empty body

Cause: the server for clients leaves maxHeadersCount of node:http at its default. Lines behind the first 1,000 are dropped, a Content-Length among them, and what decides whether there is a body asks the headers that are left. The body is thrown away, and the request passed on without it.

--- a/review/support-2/client.ts
+++ b/review/support-2/client.ts
@@ -17,6 +17,8 @@
   readonly attemptId: string;
   readonly deadlineMs: number;
   readonly body?: string;
+  /** Sent before those of the body. */
+  readonly headers?: Readonly<Record<string, readonly string[]>>;
   readonly agent?: Agent;
 }
 
@@ -39,6 +41,7 @@
         Host: request.host,
         'X-Ibisbeam-Attempt-Id': request.attemptId,
         'X-Ibisbeam-Deadline-Ms': String(request.deadlineMs),
+        ...request.headers,
         ...(request.body === undefined
           ? {}
           : {'Content-Length': Buffer.byteLength(request.body)}),
