Divide lists of the stand-in store by bytes as the platform does

Change: a page ends at 500 objects or with the object that reaches 1,000,000 bytes.

Measured: fleet, store_restore and foreign_entries tests pass with it.

--- a/packages/stand_ins/src/core/object_platform/object_store.ts
+++ b/packages/stand_ins/src/core/object_platform/object_store.ts
@@ -70,7 +70,9 @@
   readonly answer: () => void;
 }
 
-const PAGE_SIZE = 50;
+const MAXIMUM_PAGE_OBJECTS = 500;
+/** A page ends with the object that reaches this length. */
+const MAXIMUM_PAGE_BYTES = 1_000_000;
 /** Time in which writers notice what a restored store has lost. */
 export const REWRITE_MS = 2_000;
 /** Three heartbeat intervals of 1.5 s. */
@@ -214,9 +216,10 @@
     const rest = [...(listed.get(kind)?.values() ?? [])]
       .filter(object => object.name > after)
       .sort((one, other) => (one.name < other.name ? -1 : 1));
+    const page = firstPage(rest);
     send(outgoing, 200, {
-      items: rest.slice(0, PAGE_SIZE).map(toWire),
-      has_more: rest.length > PAGE_SIZE,
+      items: page.map(toWire),
+      has_more: rest.length > page.length,
       store_revision: listedRevision,
     });
   }
@@ -444,6 +447,19 @@
   );
 }
 
+function firstPage(objects: readonly StoredObject[]): readonly StoredObject[] {
+  const page: StoredObject[] = [];
+  let bytes = 0;
+  for (const object of objects) {
+    if (page.length === MAXIMUM_PAGE_OBJECTS || bytes >= MAXIMUM_PAGE_BYTES) {
+      break;
+    }
+    page.push(object);
+    bytes += Buffer.byteLength(toText(toWire(object)));
+  }
+  return page;
+}
+
 function toWire(object: StoredObject): unknown {
   return {
     metadata: {
