Judge objects of the store one by one while they are read

VMs that had run on heard of no drain, evacuation or configuration.

Cause: an answer of the store was read and decoded as a whole, so that its bounds (bytes and values of an answer, of all pages of a list, of a watch) were bounds for all entries together. One entry used them up; lists and watches failed and were repeated without end.

Change: answers are scanned as their bytes come. An object beyond the limits of its kind is refused alone: its name and revision are read, the rest is skipped and not held. What has no use is judged while it is read and neither kept nor told to peers; a change to it counts as its deletion, so that watches advance. It is logged once a change. Of a target's entry only the fields that are read are kept.

--- a/packages/gateway/src/core/protocol.ts
+++ b/packages/gateway/src/core/protocol.ts
@@ -69,6 +69,11 @@
   readonly directoryPath: string;
   /** Left: why the object is not a valid target entry. */
   readTarget(name: string, value: unknown): Either<string, TargetEntry>;
+  /**
+   * The part of an entry that `readTarget` reads, which VMs keep and tell each
+   * other. Left: why the object is not a valid target entry.
+   */
+  trimTarget(name: string, value: unknown): Either<string, unknown>;
   /** Left: why the object is not a valid configuration. */
   readConfiguration(value: unknown): Either<string, RoutingConfiguration>;
   /** Returns undefined if the header value is malformed. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -75,6 +75,7 @@
   createTargetRateLimits,
 } from './target_rate_limits.js';
 import {createCopyGuard} from './store/copy_guard.js';
+import {createEntrySelections} from './store/entry_selection.js';
 import {createTargetAvailability} from './target_availability.js';
 import {createStoreFollower} from './store/store_follower.js';
 import {createCallerIdentity} from './workspaces/caller_identity.js';
@@ -299,6 +300,7 @@
   const follower = createStoreFollower({
     store: options.store,
     kindNames: protocol.kinds,
+    selections: createEntrySelections({protocol, log}),
     watcherSelection,
     timers,
     log,
--- a/packages/gateway/src/peers/vm_registration.ts
+++ b/packages/gateway/src/peers/vm_registration.ts
@@ -6,6 +6,7 @@
 import {createRegistrationAges} from '@ibisbeam/decision';
 import type {
   Logger,
+  ObjectSelection,
   PlatformObject,
   PlatformStore,
   TimerHandle,
@@ -34,6 +35,17 @@
 const LIST_INTERVAL_MS = 15_000;
 const RETRY_INTERVAL_MS = 1_000;
 const CALL_TIMEOUT_MS = 1_500;
+/** Objects that other writers have left among the registrations are left out. */
+const VM_RECORDS: ObjectSelection = {
+  limits: {bytes: 8_192, values: 100, depth: 8},
+  select: ({content}) => {
+    const parsed =
+      content.kind === 'value'
+        ? vmRecordSchema.safeParse(content.value)
+        : undefined;
+    return parsed?.success ? {value: parsed.data} : undefined;
+  },
+};
 /** Registrations of VMs that are silent for longer are removed. */
 const REGISTRATION_LIFETIME_MS = 600_000;
 
@@ -74,7 +86,9 @@
 
   /** Returns whether the store has answered. */
   async function addPeersFromStore(mayBeStale: boolean): Promise<boolean> {
-    const listed = await store.list(kind, {...callOptions, mayBeStale}).run();
+    const listed = await store
+      .list(kind, {...callOptions, mayBeStale, selection: VM_RECORDS})
+      .run();
     return listed.caseOf({
       Left: async () => false,
       Right: async ({objects}) => {
--- a/packages/gateway/src/store/copy_guard.ts
+++ b/packages/gateway/src/store/copy_guard.ts
@@ -69,6 +69,8 @@
   let lastRunMs = timers.nowMs();
   let lastRunWallMs = timers.wallMs();
   let lastAskedMs = -Infinity;
+  /** Lists under way. */
+  let listings = 0;
   const freshness = createCopyFreshness(lastRunMs);
   const isolation = createIsolationDetector(lastRunMs);
   const waiting = new Set<WaitingCall>();
@@ -95,7 +97,9 @@
     const askedAtMs = timers.nowMs();
     lastAskedMs = askedAtMs;
     options.broadcast(question());
+    listings += 1;
     void follower.listAll(askedAtMs).then(isListed => {
+      listings -= 1;
       if (isListed) {
         confirm(askedAtMs, 'store');
       }
@@ -104,9 +108,16 @@
 
   function onCheckDue(): void {
     const isOverdue = timers.nowMs() - lastAskedMs >= REPEAT_INTERVAL_MS;
-    if (state() === 'unconfirmed' && isOverdue) {
+    if (state() !== 'unconfirmed' || !isOverdue) {
+      return;
+    }
+    // A list of many pages takes longer than the interval.
+    if (listings === 0) {
       ask();
+      return;
     }
+    lastAskedMs = timers.nowMs();
+    options.broadcast(question());
   }
 
   function question(): PeerMessage {
--- a/packages/gateway/src/store/mirror_objects.ts
+++ b/packages/gateway/src/store/mirror_objects.ts
@@ -10,7 +10,7 @@
 /** Earlier builds refuse messages that contain longer names. */
 const MAXIMUM_NAME_LENGTH = 512;
 /** Deeper values exhaust the stack where messages are written and read. */
-const MAXIMUM_VALUE_DEPTH = 32;
+export const MAXIMUM_VALUE_DEPTH = 32;
 
 interface ValueLimits {
   /** Members of objects and lists, at all depths. */
@@ -74,7 +74,7 @@
 }
 
 /** Keys have the form KIND/NAME. */
-function nameOf(key: string): string {
+export function nameOf(key: string): string {
   return key.slice(key.indexOf('/') + 1);
 }
 
--- a/packages/gateway/src/store/store_follower.ts
+++ b/packages/gateway/src/store/store_follower.ts
@@ -22,6 +22,7 @@
 } from '@ibisbeam/library';
 import type {Either} from 'purify-ts';
 import type {CopyVersions, PeerMessage, StoreKind} from '../peers/messages.js';
+import type {EntrySelections} from './entry_selection.js';
 import {createRestoreProgress} from './restore_progress.js';
 import {
   fromPeerEvents,
@@ -34,6 +35,8 @@
   readonly store: Pick<PlatformStore, 'list' | 'watch'>;
   /** The platform's name of each kind. */
   readonly kindNames: Readonly<Record<StoreKind, string>>;
+  /** What is kept of each kind. */
+  readonly selections: EntrySelections;
   readonly watcherSelection: WatcherSelection;
   readonly timers: TimerService;
   readonly log: Logger;
@@ -104,6 +107,8 @@
  * forgets its history within some seconds, and a watch from before fails.
  */
 const IDLE_ADVANCE_INTERVAL_MS = 5_000;
+/** After more changes at once, peers are sent the whole copy. */
+const MAXIMUM_BATCH_EVENTS = 10_000;
 const SELECTION_CHECK_INTERVAL_MS = 100;
 const INITIAL_BACKOFF_MS = 100;
 const MAXIMUM_BACKOFF_MS = 800;
@@ -268,6 +273,7 @@
         .list(options.kindNames[followed.kind], {
           purpose: 'store-follow',
           timeoutMs: LIST_TIMEOUT_MS,
+          selection: options.selections[followed.kind],
         })
         .run()
         .finally(() => {
@@ -335,6 +341,7 @@
         purpose: 'store-follow',
         waitMs,
         timeoutMs: waitMs + WATCH_TIMEOUT_MARGIN_MS,
+        selection: options.selections[followed.kind],
       })
       .run();
     return result.caseOf({
@@ -380,15 +387,21 @@
     if (batch.version <= batch.from) {
       return;
     }
+    const snapshot =
+      batch.events.length > MAXIMUM_BATCH_EVENTS
+        ? snapshotMessage(followed.kind)
+        : undefined;
     const broadcastBatch = (): void =>
-      options.broadcast({
-        kind: 'batch',
-        of: followed.kind,
-        from: batch.from,
-        version: batch.version,
-        events: [...batch.events],
-        settlingMs: settlingMs(),
-      });
+      options.broadcast(
+        snapshot ?? {
+          kind: 'batch',
+          of: followed.kind,
+          from: batch.from,
+          version: batch.version,
+          events: [...batch.events],
+          settlingMs: settlingMs(),
+        },
+      );
     if (options.watcherSelection.isFirst()) {
       broadcastBatch();
       return;
--- a/packages/library/src/core/platform/types.ts
+++ b/packages/library/src/core/platform/types.ts
@@ -24,6 +24,44 @@
       readonly version: ObjectVersion;
     };
 
+/** What the value of one object may take; a larger one is not decoded. */
+export interface ValueLimits {
+  /** Length of its text. */
+  readonly bytes: number;
+  /** Upper bound of its values at all depths, with itself. */
+  readonly values: number;
+  /** Objects and lists within each other. */
+  readonly depth: number;
+}
+
+/** Why the value of an object was not decoded. */
+export type ValueFault =
+  'long-value' | 'many-values' | 'deep-value' | 'malformed-value';
+
+/** An object as it is read, before it is known whether it has a use. */
+export interface ReadObject {
+  readonly key: string;
+  readonly version: ObjectVersion;
+  /** Length of the object's text in the answer, with its metadata. */
+  readonly bytes: number;
+  readonly content:
+    | {readonly kind: 'value'; readonly value: unknown}
+    | {readonly kind: 'refused'; readonly fault: ValueFault};
+}
+
+/**
+ * Judges objects one by one while an answer is read, so that what other writers
+ * have left beside the objects of use is never held.
+ */
+export interface ObjectSelection {
+  readonly limits: ValueLimits;
+  /**
+   * Returns the value to keep. Undefined leaves the object out; a change to such
+   * an object is reported as its deletion.
+   */
+  select(object: ReadObject): {readonly value: unknown} | undefined;
+}
+
 export interface PlatformListing {
   readonly objects: readonly PlatformObject[];
   /** Store version of this listing; a watch resumes after it. */
@@ -87,12 +125,16 @@
    * false.
    */
   readonly mayBeStale?: boolean;
+  /** Default: all objects. */
+  readonly selection?: ObjectSelection;
 }
 
 export interface PlatformWatchOptions extends PlatformCallOptions {
   /** Longest wait for a change. */
   readonly waitMs: number;
   readonly signal?: AbortSignal;
+  /** Default: all objects. */
+  readonly selection?: ObjectSelection;
 }
 
 export interface PlatformStore {
