Send peers no message that they would end the link for

Cause: a peer ends the link on a message of more than 8 MiB or 600,000 values. Many changes of the store at once, each of them sound, made such a batch, and the link went with all that others need it for: heartbeats, drains and losses.

Evidence: by reading. A watch of 16 MiB may report some 100,000 changes, of 7 values each in a message.

Change: such a message is not sent and logged; the peer misses the change, sees it in the versions that heartbeats state, and asks for a copy.

--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -96,6 +96,8 @@
 const MAXIMUM_MESSAGE_BYTES = MAXIMUM_BACKLOG_BYTES;
 /** Fits a copy of 20,000 targets. */
 const MAXIMUM_MESSAGE_VALUES = 600_000;
+/** Shorter messages cannot have too many values. */
+const UNCOUNTED_MESSAGE_BYTES = MAXIMUM_MESSAGE_VALUES;
 /** Fits the 2,000 peers that a greeting may name. */
 const MAXIMUM_HELLO_BYTES = 1_048_576;
 /** Gateways send every message whole. */
@@ -393,6 +395,15 @@
     kind: PeerMessage['kind'],
     bytes: Buffer,
   ): void {
+    // The peer would end the link, and with it all that others need it for.
+    if (!isReadable(bytes)) {
+      log.log('warn', 'peer-message-withheld', {
+        peer: record.id,
+        kind,
+        bytes: bytes.length,
+      });
+      return;
+    }
     if (link && sendBytes(link, bytes)) {
       options.traffic.record(kind, record, bytes.length);
     }
@@ -600,6 +611,17 @@
   return Math.max(0, intervalMs - HEARTBEAT_INTERVAL_MS);
 }
 
+/** Whether peers take the message. */
+function isReadable(bytes: Buffer): boolean {
+  if (bytes.length <= UNCOUNTED_MESSAGE_BYTES) {
+    return true;
+  }
+  const values = countMessageValues(bytes) ?? Infinity;
+  return (
+    bytes.length <= MAXIMUM_MESSAGE_BYTES && values <= MAXIMUM_MESSAGE_VALUES
+  );
+}
+
 /** Undefined if the message may be decoded. */
 function messageFault(
   data: Buffer,
