Write entries of another writer in the soak

Change: entries of up to 1 MiB, up to 3 MiB at once, in each kind that VMs read, at random times of a seed of their own, when a process starts and before a worker drains. The invariants judge from outside, as before.

--- a/packages/soak/src/run_soak.ts
+++ b/packages/soak/src/run_soak.ts
@@ -33,6 +33,7 @@
 import type {Disruption} from './disruptions.js';
 import {createEndlessDisruptions} from './endless_disruptions.js';
 import {createDyingTargets} from './dying_targets.js';
+import {createForeignEntries} from './foreign_entries.js';
 import {findViolations} from './observations.js';
 import {createPersistentCallers} from './persistent_callers.js';
 import {createReturningCallers} from './returning_callers.js';
@@ -240,12 +241,16 @@
     recordEvent,
     stopGracefully,
   });
-  const fleet = await startFleet(
-    options,
-    folder,
+  const foreignEntries = createForeignEntries({
+    seed: options.seed,
+    timers,
     store,
-    startDisruptions.onStart,
-  );
+    recordEvent,
+  });
+  const fleet = await startFleet(options, folder, store, vm => {
+    foreignEntries.onStart();
+    startDisruptions.onStart(vm);
+  });
   const load = createLoadGenerator(fleet.vms, HOST, timers, loadRandom);
   const persistentCallers = createPersistentCallers(fleet.vms, HOST, timers);
   const returningCallers = createReturningCallers(HOST, timers);
@@ -266,6 +271,7 @@
     load.start();
     persistentCallers.start();
     startDisruptions.start();
+    foreignEntries.start();
     startRateLimit();
     scheduleRestore();
     scheduleStatement();
@@ -287,6 +293,7 @@
     endlessDisruptions.stop();
     slowReaderTimer?.cancel();
     startDisruptions.stop();
+    foreignEntries.stop();
     await clearFaults();
     const violations = [...(await findUnrecoveredVms(fleet.vms, load, timers))];
     await persistentCallers.stop();
@@ -332,6 +339,7 @@
     statementTimer?.cancel();
     dyingTargets.stop();
     endlessDisruptions.stop();
+    foreignEntries.stop();
     slowReaderTimer?.cancel();
     fleet.end();
     for (const target of [
@@ -459,6 +467,7 @@
     if (!target || dyingTargets.isGone(target)) {
       return;
     }
+    foreignEntries.write();
     recordEvent(`${target.id} leaves`);
     store.put('servers', target.id, target.entry({state: 'draining'}));
     departures.push({target: target.id, atMs: timers.nowMs()});
