Judge the heads of answers by one module on both forwarding paths

Callers saw: an answer with the status 000 ended the process of a VM that runs packages/library/src/plugins/forwarding (npm start, packages/entry), with all requests under way; its own caller got no answer, and a streamed one a closed connection.

Evidence: ERR_HTTP_INVALID_STATUS_CODE as an uncaught exception in the new cases of answers.test.ts.

Change: answer_head.ts judges status, names, transfer coding and whose request an answer names, for targets and relays of both paths. A transfer coding other than chunked alone counts as malformed on both.

--- a/packages/gateway/src/forwarding/answer_statement.ts
+++ b/packages/gateway/src/forwarding/answer_statement.ts
@@ -1,7 +1,7 @@
 /** Reads what an answer of a target says of the target itself. */
+import {headerValues} from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
 import type {AnswerStatement} from '../target_availability.js';
-import {headerValues} from './header_rules.js';
 import type {AnswerHead} from './target_attempt.js';
 
 const UNAVAILABLE_STATUS = 503;
--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -25,6 +25,8 @@
   collectRequestBody,
   createClientConnections,
   discardInput,
+  hasValidHeaderNames,
+  headerValues,
   isInputDiscarded,
 } from '@ibisbeam/library';
 import type {InputFault} from '../core/input_faults.js';
@@ -38,7 +40,6 @@
 import type {ForwardingContext} from './context.js';
 import {startExchange} from './exchange.js';
 import type {RequestMemory} from './held_memory.js';
-import {hasValidHeaderNames, headerValues} from './header_rules.js';
 import {homeRegionsOf} from './home_regions.js';
 import {type ListenerClosure, closeWhenNoneWaits} from './listener_closure.js';
 import type {Caller} from '../workspaces/caller_identity.js';
--- a/packages/gateway/src/forwarding/header_rules.ts
+++ b/packages/gateway/src/forwarding/header_rules.ts
@@ -1,6 +1,10 @@
 /** Header filtering on flat lists of alternating names and values. */
 
-import {HOP_BY_HOP_HEADERS, parseConnectionOptions} from '@ibisbeam/library';
+import {
+  HOP_BY_HOP_HEADERS,
+  headerValues,
+  parseConnectionOptions,
+} from '@ibisbeam/library';
 
 /**
  * Copies the end-to-end headers, except those in `dropped`.
@@ -29,36 +33,6 @@
   return kept;
 }
 
-/** Characters of a header name (RFC 9110, token). */
-const HEADER_NAME_PATTERN = /^[!#$%&'*+\-.^_`|~0-9a-z]+$/i;
-
-/**
- * Whether all names of a flat list may be written again. Some versions of the
- * HTTP parser accept names that its writer throws for.
- */
-export function hasValidHeaderNames(raw: readonly string[]): boolean {
-  for (let index = 0; index < raw.length; index += 2) {
-    if (!HEADER_NAME_PATTERN.test(raw[index] ?? '')) {
-      return false;
-    }
-  }
-  return true;
-}
-
-/** Returns all values of a header in a flat list. */
-export function headerValues(
-  raw: readonly string[],
-  lowerName: string,
-): readonly string[] {
-  const values: string[] = [];
-  for (let index = 0; index + 1 < raw.length; index += 2) {
-    if (raw[index]?.toLowerCase() === lowerName) {
-      values.push(raw[index + 1] ?? '');
-    }
-  }
-  return values;
-}
-
 /**
  * Encodes text for a header value, which holds bytes: letters beyond ASCII are
  * written as UTF-8.
--- a/packages/gateway/src/forwarding/relay_send.ts
+++ b/packages/gateway/src/forwarding/relay_send.ts
@@ -7,13 +7,13 @@
   type RelayOutcome,
   classifyPeerAnswer,
 } from '@ibisbeam/decision';
+import {headerValues} from '@ibisbeam/library';
 import {connectTimeoutMs, maximumIdleMs} from './attempt_connections.js';
 import {relayHeaders} from './attempt_headers.js';
 import type {ForwardingContext} from './context.js';
 import type {VmRecord} from '../peers/messages.js';
 import type {ExchangeRequest} from './exchange_types.js';
 import {withheldFromRegion} from './home_regions.js';
-import {headerValues} from './header_rules.js';
 import {
   type AttemptRequest,
   type TargetAttempt,
--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -18,9 +18,12 @@
   MAXIMUM_FIRST_BYTE_DELAY_MS,
 } from '@ibisbeam/decision';
 import {
+  type AnswerHeadFault,
   type TimerHandle,
   type TimerService,
   createPieceBuffer,
+  findAnswerHeadProblem,
+  headerValues,
 } from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
 import {
@@ -28,7 +31,6 @@
   type AnswerInput,
   readAnswer,
 } from './answer_input.js';
-import {hasValidHeaderNames, headerValues} from './header_rules.js';
 import type {HeldMemory, RequestMemory} from './held_memory.js';
 import type {SendScheduler} from './send_scheduler.js';
 
@@ -152,10 +154,14 @@
   unexpected: 'bytes after the end of the answer',
 };
 
-/** The HTTP parser accepts any three digits. */
-const FIRST_INTERIM_STATUS = 100;
-const FIRST_FINAL_STATUS = 200;
-const LAST_STATUS = 599;
+const REFUSED_HEADS: Readonly<
+  Record<Exclude<AnswerHeadFault, 'foreign'>, AnswerFault>
+> = {
+  'interim-status': 'interim-answers',
+  'impossible-status': 'malformed',
+  'malformed-name': 'malformed',
+  'unknown-framing': 'malformed',
+};
 
 /** Starts an attempt, which reports its outcome to `events.onEnd`. */
 export function startTargetAttempt(
@@ -304,32 +310,24 @@
       notExecuted,
       rateLimit,
     } = protocol.headers;
-    if (!hasValidHeaderNames(response.rawHeaders)) {
-      refuse('malformed', 'the answer has a malformed header name');
-      return;
-    }
     const status = response.statusCode ?? 0;
-    if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
-      const isInterim = status >= FIRST_INTERIM_STATUS && status <= LAST_STATUS;
-      refuse(
-        isInterim ? 'interim-answers' : 'malformed',
-        `the answer has the status ${status}`,
-      );
+    const problem = findAnswerHeadProblem(response, {
+      header: attemptIdName,
+      identifier: request.attemptId,
+      // On a connection that is in use again, it may answer an earlier request.
+      isRequired: request.attemptId !== undefined,
+    });
+    if (problem && problem.fault !== 'foreign') {
+      refuse(REFUSED_HEADS[problem.fault], problem.cause);
       return;
     }
-    const echoed = headerValues(response.rawHeaders, attemptIdName);
     const [loadHeader] = headerValues(response.rawHeaders, loadReport);
     const report = loadHeader ? protocol.readLoadReport(loadHeader) : undefined;
     if (report) {
       events.onLoadReport(report);
     }
-    if (echoed.some(value => value !== request.attemptId)) {
-      fail('the answer belongs to another request');
-      return;
-    }
-    // On a connection that is in use again, it may answer an earlier request.
-    if (request.attemptId !== undefined && echoed.length === 0) {
-      fail(`the answer with status ${status} names no request`);
+    if (problem) {
+      fail(problem.cause);
       return;
     }
     events.onResponseHead(outgoing, response);
--- a/packages/gateway/src/workspaces/caller_identity.ts
+++ b/packages/gateway/src/workspaces/caller_identity.ts
@@ -10,8 +10,9 @@
   type Workspace,
   createKeyTable,
 } from '@ibisbeam/decision';
+import {headerValues} from '@ibisbeam/library';
 import type {HeaderNames} from '../core/protocol.js';
-import {decodeHeaderText, headerValues} from '../forwarding/header_rules.js';
+import {decodeHeaderText} from '../forwarding/header_rules.js';
 
 /** On whose behalf a request is served. */
 export type Caller =
--- a/packages/library/src/core/http/index.ts
+++ b/packages/library/src/core/http/index.ts
@@ -1,3 +1,4 @@
+export * from './answer_head.js';
 export * from './body.js';
 export * from './caller_routes.js';
 export * from './client_connections.js';
--- a/packages/library/src/plugins/forwarding/attempt.ts
+++ b/packages/library/src/plugins/forwarding/attempt.ts
@@ -18,6 +18,7 @@
   LEAVING_HEADER,
   OUTCOME_HEADER,
   REQUEST_ID_HEADER,
+  findAnswerHeadProblem,
 } from '../../core/http/index.js';
 import type {TimerService} from '../../core/timers/index.js';
 
@@ -150,15 +151,16 @@
       return;
     }
     response = head;
-    const {headers} = head;
-    const echoed = headers[REQUEST_ID_HEADER];
-    if (echoed !== undefined && echoed !== request.requestId) {
-      abandon({
-        kind: 'broken',
-        cause: 'response carries the ID of another request',
-      });
+    const problem = findAnswerHeadProblem(head, {
+      header: REQUEST_ID_HEADER,
+      identifier: request.requestId,
+      isRequired: false,
+    });
+    if (problem) {
+      abandon({kind: 'broken', cause: problem.cause});
       return;
     }
+    const {headers} = head;
     if (headers[LEAVING_HEADER] === 'true' && !request.relay) {
       listener.leaving();
     }
--- a/packages/stand_ins/src/core/targets/stand_in_target.ts
+++ b/packages/stand_ins/src/core/targets/stand_in_target.ts
@@ -54,6 +54,7 @@
     echoedRequestId: undefined,
     crashOnPath: undefined,
     extraHeaders: {},
+    rawAnswer: undefined,
   };
 
   const application = new Koa();
@@ -109,6 +110,11 @@
       return;
     }
     const run = countRun(context);
+    if (faults.rawAnswer !== undefined) {
+      const identifier = context.get('ibisbeam-request-id');
+      res.socket?.write(faults.rawAnswer.replace('REQUEST', identifier));
+      return;
+    }
     await applyDelays();
     if (res.destroyed) {
       return;
--- a/packages/stand_ins/src/core/targets/types.ts
+++ b/packages/stand_ins/src/core/targets/types.ts
@@ -22,6 +22,11 @@
   crashOnPath: string | undefined;
   /** Headers added to each response. */
   extraHeaders: Readonly<Record<string, string>>;
+  /**
+   * Writes this in place of an answer and keeps the connection open; `REQUEST`
+   * in it stands for the identifier of the request.
+   */
+  rawAnswer: string | undefined;
 }
 
 /** Event in the life of a request at a target, recorded in traces. */
--- a/packages/stand_ins/test/forwarding/answers.test.ts
+++ b/packages/stand_ins/test/forwarding/answers.test.ts
@@ -104,6 +104,47 @@
     assert.doesNotMatch(await answer.text(), /"target":/);
   });
 
+  for (const status of ['000', '001', '099', '100', '199', '600', '999']) {
+    for (const [delivery, path] of [
+      ['held', READ_PATH],
+      ['streamed', PACK_PATH],
+    ] as const) {
+      // Guards against a process that ends, with all requests under way, since
+      // the writer of answers throws for a status that the parser has taken.
+      it(`takes the status ${status} for no answer (${delivery})`, async () => {
+        const unhandled: unknown[] = [];
+        const onUnhandled = (error: unknown): void =>
+          void unhandled.push(error);
+        process.on('uncaughtException', onUnhandled);
+        try {
+          bed = await createRunningBed();
+          for (const {faults} of bed.targets) {
+            faults.rawAnswer = `HTTP/1.1 ${status} OK\r\nIbisbeam-Request-Id: REQUEST\r\nContent-Length: 2\r\n\r\n{}`;
+          }
+          const answer = await fetch(`${bed.url}${path}/rooms`, {
+            headers: bed.headers({'ibisbeam-deadline-ms': '1500'}),
+          });
+          assert.ok([502, 504].includes(answer.status), `${answer.status}`);
+          assert.deepEqual(unhandled, []);
+        } finally {
+          process.off('uncaughtException', onUnhandled);
+        }
+      });
+    }
+  }
+
+  it('takes an answer with a transfer coding for no answer', async () => {
+    bed = await createRunningBed();
+    for (const {faults} of bed.targets) {
+      faults.rawAnswer =
+        'HTTP/1.1 200 OK\r\nIbisbeam-Request-Id: REQUEST\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n';
+    }
+    const answer = await fetch(`${bed.url}${READ_PATH}/rooms`, {
+      headers: bed.headers({'ibisbeam-deadline-ms': '1500'}),
+    });
+    assert.equal(answer.status, 502);
+  });
+
   it('cancels a read at the target when its caller goes away', async () => {
     bed = await createRunningBed();
     const [target] = bed.targets;
