Read all lines of a head on both forwarding paths

Cause: Node.js drops the lines of a head behind the first 1,000 without an error, and with them a length, an identifier, a deadline or a seal.

Change: the servers for callers and the requests to targets and peers of both paths read all lines; the bound on the bytes of a head stays, with 431 for callers.

--- a/packages/gateway/src/forwarding/client_facing_server.ts
+++ b/packages/gateway/src/forwarding/client_facing_server.ts
@@ -28,6 +28,7 @@
   hasValidHeaderNames,
   headerValues,
   isInputDiscarded,
+  readAllHeaderLines,
 } from '@ibisbeam/library';
 import type {InputFault} from '../core/input_faults.js';
 import type {HostAndPort} from '../core/settings.js';
@@ -166,6 +167,7 @@
     },
     onRequest,
   );
+  readAllHeaderLines(server);
 
   function onRequest(
     incoming: IncomingMessage,
--- a/packages/gateway/src/forwarding/target_attempt.ts
+++ b/packages/gateway/src/forwarding/target_attempt.ts
@@ -24,6 +24,7 @@
   createPieceBuffer,
   findAnswerHeadProblem,
   headerValues,
+  readAllHeaderLines,
 } from '@ibisbeam/library';
 import type {GatewayProtocol} from '../core/protocol.js';
 import {
@@ -522,15 +523,17 @@
 
 /** Throws if the address, the path or a header cannot be written. */
 function createRequest(request: AttemptRequest): ClientRequest {
-  return httpRequest({
-    host: request.host,
-    port: request.port,
-    method: request.method,
-    path: request.path,
-    headers: request.headers as unknown as Record<string, string>,
-    agent: request.agent,
-    setHost: false,
-  });
+  return readAllHeaderLines(
+    httpRequest({
+      host: request.host,
+      port: request.port,
+      method: request.method,
+      path: request.path,
+      headers: request.headers as unknown as Record<string, string>,
+      agent: request.agent,
+      setHost: false,
+    }),
+  );
 }
 
 /** Reports the outcome asynchronously, like every other one. */
--- a/packages/library/src/core/http/answer_head.ts
+++ b/packages/library/src/core/http/answer_head.ts
@@ -46,6 +46,19 @@
 const LAST_STATUS = 599;
 /** Characters of a header name (RFC 9110, token). */
 const HEADER_NAME_PATTERN = /^[!#$%&'*+\-.^_`|~0-9a-z]+$/i;
+/** Value of `maxHeadersCount` for no limit but that on the bytes of a head. */
+const ALL_HEADER_LINES = 0;
+
+/**
+ * Lets a server or a request read heads whole. By default, Node.js drops the
+ * header lines behind the first 1,000 without an error.
+ */
+export function readAllHeaderLines<
+  Reader extends {maxHeadersCount: number | null},
+>(reader: Reader): Reader {
+  reader.maxHeadersCount = ALL_HEADER_LINES;
+  return reader;
+}
 
 /** Undefined if the answer may be passed on. */
 export function findAnswerHeadProblem(
--- a/packages/library/src/plugins/forwarding/attempt.ts
+++ b/packages/library/src/plugins/forwarding/attempt.ts
@@ -19,6 +19,7 @@
   OUTCOME_HEADER,
   REQUEST_ID_HEADER,
   findAnswerHeadProblem,
+  readAllHeaderLines,
 } from '../../core/http/index.js';
 import type {TimerService} from '../../core/timers/index.js';
 
@@ -66,7 +67,9 @@
   callback?: (response: IncomingMessage) => void,
 ): ClientRequest {
   const {method, headers, agent} = options;
-  return httpRequest(url, {method, headers, agent}, callback);
+  return readAllHeaderLines(
+    httpRequest(url, {method, headers, agent}, callback),
+  );
 }
 
 const client = got.extend({
--- a/packages/library/src/plugins/forwarding/caller_server.ts
+++ b/packages/library/src/plugins/forwarding/caller_server.ts
@@ -7,6 +7,7 @@
   type CallerRoutes,
   beginRequestBody,
   createClientConnections,
+  readAllHeaderLines,
 } from '../../core/http/index.js';
 import type {TaskContext} from '../../core/kernel/index.js';
 
@@ -51,6 +52,7 @@
       void handle(incoming, outgoing);
     },
   );
+  readAllHeaderLines(server);
   server.on('connection', connections.add);
 
   server.on('clientError', (error: Error & {code?: string}, socket) => {
--- a/packages/stand_ins/src/core/object_platform/fleet_target.ts
+++ b/packages/stand_ins/src/core/object_platform/fleet_target.ts
@@ -9,7 +9,7 @@
   createServer,
 } from 'node:http';
 import {type AddressInfo, type Socket, Server as NetServer} from 'node:net';
-import type {TimerService} from '@ibisbeam/library';
+import {type TimerService, readAllHeaderLines} from '@ibisbeam/library';
 import {
   type EndlessAnswer,
   buildEndlessAnswer,
@@ -542,6 +542,7 @@
     return `${lines.join('\r\n')}\r\n`;
   }
 
+  readAllHeaderLines(server);
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   server.on('connection', socket => {
     sockets.add(socket);
--- a/packages/stand_ins/src/core/targets/stand_in_target.ts
+++ b/packages/stand_ins/src/core/targets/stand_in_target.ts
@@ -7,7 +7,7 @@
 import type {AddressInfo} from 'node:net';
 import {Readable} from 'node:stream';
 import {pipeline} from 'node:stream/promises';
-import type {TimerService} from '@ibisbeam/library';
+import {type TimerService, readAllHeaderLines} from '@ibisbeam/library';
 import Koa, {type Context} from 'koa';
 import type {
   ReceivedRequest,
@@ -253,9 +253,11 @@
 }
 
 async function listen(application: Koa, port: number): Promise<Server> {
-  const server = createServer(
-    {keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS},
-    application.callback(),
+  const server = readAllHeaderLines(
+    createServer(
+      {keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS},
+      application.callback(),
+    ),
   );
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
--- a/packages/stand_ins/test/object_platform/harness.ts
+++ b/packages/stand_ins/test/object_platform/harness.ts
@@ -3,6 +3,7 @@
 import {
   createKeyValueLogger,
   createSystemTimerService,
+  readAllHeaderLines,
 } from '@ibisbeam/library';
 import {
   type FleetTarget,
@@ -247,7 +248,7 @@
     localAddress: options.clientAddress,
     agent: false,
   });
-  const answer = answerTo(clientRequest);
+  const answer = answerTo(readAllHeaderLines(clientRequest));
   clientRequest.end(options.body);
   if (options.abortAfterMs !== undefined) {
     timers.after(options.abortAfterMs, () => clientRequest.destroy());
