Keep the repeated headers of relayed answers

Callers saw: of several headers of one name in a relayed answer only the last, such as one of several Set-Cookie.

Cause: the VM that answers a relayed request sets the request's identifier on its answer, and beside headers that were set writeHead of Node.js keeps the last of repeated ones.

Change: headers that were set are taken back before a target's answer is written, and the target's are appended one by one.

Measured: 21 tests of header_lines, response_delivery and relay pass; the relay case failed before. The case begins without other targets now, since one that leaves the list soon after the start of a VM is used for some seconds more.

--- a/packages/gateway/src/forwarding/response_delivery.ts
+++ b/packages/gateway/src/forwarding/response_delivery.ts
@@ -60,11 +60,11 @@
     if (!hasContentLength(headers) && mayHaveBody(response.status)) {
       headers.push('Content-Length', String(body.byteCount));
     }
-    outgoing.writeHead(response.status, headers);
+    writeHead(outgoing, response.status, headers);
     writeWhole(outgoing, body.chunks);
     return;
   }
-  outgoing.writeHead(response.status, headers);
+  writeHead(outgoing, response.status, headers);
   for (const chunk of body.bufferedChunks) {
     outgoing.write(chunk);
   }
@@ -136,6 +136,27 @@
   stream.resume();
 }
 
+/** @param headers Flat list of names and values, which replace those set. */
+function writeHead(
+  outgoing: ServerResponse,
+  status: number,
+  headers: readonly string[],
+): void {
+  const namesSet = outgoing.getHeaderNames();
+  if (namesSet.length === 0) {
+    outgoing.writeHead(status, headers as string[]);
+    return;
+  }
+  // Beside headers that were set, `writeHead` keeps the last of repeated ones.
+  for (const name of namesSet) {
+    outgoing.removeHeader(name);
+  }
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    outgoing.appendHeader(headers[index] ?? '', headers[index + 1] ?? '');
+  }
+  outgoing.writeHead(status);
+}
+
 /** Head and body leave together, without a copy of the body. */
 function writeWhole(outgoing: ServerResponse, chunks: readonly Buffer[]): void {
   const [first, ...others] = chunks;
--- a/packages/stand_ins/test/object_platform/header_lines.test.ts
+++ b/packages/stand_ins/test/object_platform/header_lines.test.ts
@@ -67,10 +67,27 @@
     assert.equal(run?.body, '{"room":"many-lines"}');
   });
 
+  it('is refused as a whole if it is too long', async () => {
+    const line = `Tag: ${'x'.repeat(100)}\r\n`;
+    const head = `GET /rooms/1 HTTP/1.1\r\nHost: ${HOST}\r\n${line.repeat((2 * HEAD_LIMIT_BYTES) / 100)}\r\n`;
+    const socket = connect(harness.gateway.caller);
+    socket.on('error', () => {});
+    let text = '';
+    socket.on('data', (data: Buffer) => {
+      text += data.toString('latin1');
+    });
+    socket.write(head);
+    await waitUntil(() => text.includes('\r\n\r\n'));
+    assert.match(text, /^HTTP\/1.1 431 /);
+    socket.destroy();
+    await timers.sleep(20);
+    assert.equal((await call(harness.gateway)).status, 200);
+  });
+});
+
+describe('an answer whose head has more than 1,000 lines', () => {
   it('brings its seal back from a target, directly and by a relay', async () => {
-    for (const target of harness.targets) {
-      harness.fleet.store.remove('servers', target.id);
-    }
+    const harness = await startHarness({}, 0);
     const scripted = await startScriptedTarget(
       harness.fleet,
       'i-scripted',
@@ -95,23 +112,7 @@
       }
     } finally {
       await scripted.close();
+      await harness.stop();
     }
   });
-
-  it('is refused as a whole if it is too long', async () => {
-    const line = `Tag: ${'x'.repeat(100)}\r\n`;
-    const head = `GET /rooms/1 HTTP/1.1\r\nHost: ${HOST}\r\n${line.repeat((2 * HEAD_LIMIT_BYTES) / 100)}\r\n`;
-    const socket = connect(harness.gateway.caller);
-    socket.on('error', () => {});
-    let text = '';
-    socket.on('data', (data: Buffer) => {
-      text += data.toString('latin1');
-    });
-    socket.write(head);
-    await waitUntil(() => text.includes('\r\n\r\n'));
-    assert.match(text, /^HTTP\/1.1 431 /);
-    socket.destroy();
-    await timers.sleep(20);
-    assert.equal((await call(harness.gateway)).status, 200);
-  });
 });
