Make the fingerprint of a request in parts

Cause: the fingerprint was made of one text with the whole body in it, twice; each hash copied the text, and the memory of the hash function is never given back.

Change: the body is hashed in parts of 64 KiB by two hashes side by side. The result is the same, so that builds side by side recognise the same request.

--- a/packages/decision/src/core/hashing/hashing.ts
+++ b/packages/decision/src/core/hashing/hashing.ts
@@ -8,6 +8,25 @@
   return xxhash.h32(text);
 }
 
+/** As `hash32` of the text that the parts make together. */
+export interface PartwiseHash {
+  /** @param part Text, or text in UTF-8. */
+  add(part: string | Uint8Array): void;
+  /** Ends the hash, which takes no further part. */
+  digest(): number;
+}
+
+/** A hash of a text of any length, in memory of the length of its parts. */
+export function createPartwiseHash(): PartwiseHash {
+  const hash = xxhash.create32();
+  return {
+    add: part => {
+      hash.update(part);
+    },
+    digest: () => hash.digest(),
+  };
+}
+
 /**
  * Orders candidates by rendezvous hashing, highest score first. If a candidate
  * is removed, only the keys that it ranked first for are reassigned.
--- a/packages/gateway/src/forwarding/crash_guard.ts
+++ b/packages/gateway/src/forwarding/crash_guard.ts
@@ -12,6 +12,7 @@
   type TargetLoss,
   type TargetRun,
   createCrashEvidence,
+  createPartwiseHash,
   createRunLedger,
   hash32,
 } from '@ibisbeam/decision';
@@ -143,6 +144,7 @@
 /** Time between two reports of survived runs of one request. */
 const SURVIVAL_REPORT_INTERVAL_MS = 1_000;
 const MAXIMUM_REPORTED = 2_000;
+const TEXT_PART_BYTES = 65_536;
 const HEXADECIMAL_RADIX = 16;
 
 export function createCrashGuard(options: CrashGuardOptions): CrashGuard {
@@ -333,11 +335,20 @@
     fingerprint: ({incoming, body}) => {
       const {method, url, headers} = incoming;
       const host = headers.host?.toLowerCase() ?? '';
-      const text = `${method} ${host} ${url} ${body?.toString('latin1') ?? ''}`;
-      return (
-        hash32(text).toString(HEXADECIMAL_RADIX) +
-        hash32(`2 ${text}`).toString(HEXADECIMAL_RADIX)
-      );
+      const start = `${method} ${host} ${url} `;
+      const hashes = [start, `2 ${start}`].map(text => {
+        const hash = createPartwiseHash();
+        hash.add(text);
+        return hash;
+      });
+      for (const part of textParts(body)) {
+        for (const hash of hashes) {
+          hash.add(part);
+        }
+      }
+      return hashes
+        .map(hash => hash.digest().toString(HEXADECIMAL_RADIX))
+        .join('');
     },
     follow,
     hasSuspicions: () => anySuspicion,
@@ -390,6 +401,15 @@
   };
 }
 
+/** The bytes as Latin-1 text in UTF-8, in parts that take little memory. */
+function* textParts(body: Buffer | undefined): Iterable<Uint8Array> {
+  const byteCount = body?.length ?? 0;
+  for (let from = 0; body && from < byteCount; from += TEXT_PART_BYTES) {
+    const to = Math.min(byteCount, from + TEXT_PART_BYTES);
+    yield Buffer.from(body.toString('latin1', from, to), 'utf8');
+  }
+}
+
 /** Encodes an incarnation in the characters allowed in identifiers. */
 function targetNameOf(incarnation: string): string {
   return `life-${hash32(incarnation).toString(HEXADECIMAL_RADIX)}`;
--- a/packages/gateway/test/crash_guard.test.ts
+++ b/packages/gateway/test/crash_guard.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
-import type {RunRate, SurvivedRunsReport} from '@ibisbeam/decision';
+import {
+  type RunRate,
+  type SurvivedRunsReport,
+  hash32,
+} from '@ibisbeam/decision';
 import {createKeyValueLogger} from '@ibisbeam/library';
 import {
   type CrashGuard,
@@ -396,3 +400,45 @@
     assert.equal(isQuarantined('a1'), false);
   });
 });
+
+describe('the fingerprint of a request', () => {
+  const MEGABYTE = 1_048_576;
+  const guard = createCrashGuard({
+    self: 'edge-0',
+    timers: {nowMs: () => 0},
+    log: createKeyValueLogger({level: 'error', fields: {}, write: () => {}}),
+    targetCount: () => TARGET_COUNT,
+    probe: () => {},
+    notifyPeersOfLoss: () => {},
+    notifyPeersOfSurvival: () => {},
+  });
+
+  function fingerprintOf(body: Buffer | undefined): string {
+    const headers = {host: 'Rooms.example'};
+    const incoming = {method: 'POST', url: '/book/1?a=b', headers};
+    return guard.fingerprint({incoming, body});
+  }
+
+  // Guards against VMs of two builds that do not recognise the same request.
+  it('is that of the builds before', () => {
+    const bodies = [0, 1, 20, 65_535, 65_536, 65_537, 200_000].map(length =>
+      Buffer.from(Array.from({length}, (_, index) => (index * 7) % 256)),
+    );
+    for (const body of [undefined, ...bodies]) {
+      const text = `POST rooms.example /book/1?a=b ${body?.toString('latin1') ?? ''}`;
+      const expected =
+        hash32(text).toString(16) + hash32(`2 ${text}`).toString(16);
+      assert.equal(fingerprintOf(body), expected);
+    }
+  });
+
+  // Guards against a VM that exceeds its memory as the answer to one large
+  // upload is lost.
+  it('takes little memory, however long the body is', () => {
+    const body = Buffer.alloc(64 * MEGABYTE, 'x');
+    const before = process.memoryUsage().rss;
+    fingerprintOf(body);
+    const grownBytes = process.memoryUsage().rss - before;
+    assert.ok(grownBytes < 32 * MEGABYTE, `${grownBytes} bytes`);
+  });
+});
