Keep connections until slow readers have their long answers

Cause: an answer counted as delivered once the system of the VM had taken it. A second later the connection counted as idle and was destroyed, and the bytes of the further request reset it with what the system still held.

Evidence: vm-stopped tookMs=2809 with no stop-bound-hit; the resets come with the further requests, 3.0 s after SIGTERM.

Change: a connection whose long answer (over 16 KiB) ended less than 10 s ago is half-closed, read and counted as lingering until its client closes; a planned stop waits for it up to its bound, on both forwarding paths.

--- a/packages/library/src/core/http/client_connections.ts
+++ b/packages/library/src/core/http/client_connections.ts
@@ -100,7 +100,8 @@
   /**
    * Reads what has come, and closes the connections that have brought requests,
    * owe no byte of an answer and have brought no byte since. Those whose client
-   * may still be reading a streamed answer stay.
+   * may still be reading a long answer take no further request, and close when
+   * their client does.
    */
   closeIdle(): void;
   /**
@@ -152,12 +153,21 @@
   bytesRead: number | undefined;
   /** When the last byte of a streamed answer was handed to the system. */
   streamEndedAtMs: number | undefined;
+  /** Bytes of answers that had been handed to the system by the last one's end. */
+  answeredBytes: number;
+  /** When the last byte of a long answer was handed to the system. */
+  longAnswerEndedAtMs: number | undefined;
 }
 
 /** Time in which a client may read the last answer and close its connection. */
 const LINGER_MS = 1_000;
-/** Bound for clients that go on sending the body of a refused request. */
+/**
+ * Bound for clients that go on sending the body of a refused request, or read a
+ * long answer slowly.
+ */
 const MAXIMUM_LINGER_MS = 10_000;
+/** Clients have shorter answers at once. */
+const LONG_ANSWER_BYTES = 16_384;
 
 export function createClientConnections({
   timers,
@@ -184,6 +194,29 @@
     );
   }
 
+  /** Whether the system may hold much of an answer for the client. */
+  function isLongAnswerBeingRead({
+    longAnswerEndedAtMs,
+  }: ConnectionState): boolean {
+    return (
+      longAnswerEndedAtMs !== undefined &&
+      timers.nowMs() - longAnswerEndedAtMs < MAXIMUM_LINGER_MS
+    );
+  }
+
+  /**
+   * Bytes that come for a closed socket would reset the connection, and what the
+   * system still holds for the client would be lost.
+   */
+  function close(socket: Socket, state: ConnectionState): void {
+    if (!isLongAnswerBeingRead(state)) {
+      socket.destroy();
+      return;
+    }
+    state.isClosing = true;
+    socket.end();
+  }
+
   /** Whether the client has not sent the whole of its last request. */
   function isBodyDue({lastAnswer}: ConnectionState): boolean {
     return lastAnswer !== undefined && !lastAnswer.req.complete;
@@ -216,9 +249,14 @@
       isClosing: false,
       bytesRead: undefined,
       streamEndedAtMs: undefined,
+      answeredBytes: 0,
+      longAnswerEndedAtMs: undefined,
     };
     states.set(socket, state);
-    lingerAfterLastAnswer(socket, timers, () => isBodyDue(state));
+    lingerAfterLastAnswer(socket, timers, {
+      isBodyDue: () => isBodyDue(state),
+      isBeingRead: () => isLongAnswerBeingRead(state),
+    });
     // Comes a turn of the event loop before 'close', and Node.js tells only the
     // first of several requests of either.
     socket.on('end', () => {
@@ -235,6 +273,14 @@
     });
   }
 
+  function recordAnsweredBytes(socket: Socket, state: ConnectionState): void {
+    const {bytesWritten} = socket;
+    if (bytesWritten - state.answeredBytes > LONG_ANSWER_BYTES) {
+      state.longAnswerEndedAtMs = timers.nowMs();
+    }
+    state.answeredBytes = bytesWritten;
+  }
+
   function createPending(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
@@ -339,6 +385,7 @@
         if (isStreamed) {
           state.streamEndedAtMs = timers.nowMs();
         }
+        recordAnsweredBytes(incoming.socket, state);
         if (state.isClosing) {
           // What is left of its body would reset the connection.
           discardInput(incoming, timers);
@@ -402,7 +449,10 @@
     lingering: () => {
       let count = 0;
       for (const state of states.values()) {
-        const mayBeRead = state.isClosing || isStreamBeingRead(state);
+        const mayBeRead =
+          state.isClosing ||
+          isStreamBeingRead(state) ||
+          isLongAnswerBeingRead(state);
         if (mayBeRead && state.pending.size === 0) {
           count += 1;
         }
@@ -413,7 +463,7 @@
       afterInputRead(timers, () => {
         for (const [socket, state] of states) {
           if (isIdle(socket, state)) {
-            socket.destroy();
+            close(socket, state);
           }
         }
       });
@@ -458,7 +508,7 @@
 function lingerAfterLastAnswer(
   socket: Socket,
   timers: ClientConnectionsOptions['timers'],
-  isBodyDue: () => boolean,
+  client: {isBodyDue(): boolean; isBeingRead(): boolean},
 ): void {
   Object.assign(socket, {
     destroySoon: () => {
@@ -469,8 +519,9 @@
       socket.once('close', () => timer.cancel());
 
       function destroyUnlessSending(): void {
-        const isSending = socket.bytesRead > bytesRead;
-        if (!isSending || !isBodyDue() || timers.nowMs() >= endAtMs) {
+        const isSending = socket.bytesRead > bytesRead && client.isBodyDue();
+        const isInUse = isSending || client.isBeingRead();
+        if (!isInUse || timers.nowMs() >= endAtMs) {
           socket.destroy();
           return;
         }
--- a/packages/library/src/plugins/forwarding/caller_server.ts
+++ b/packages/library/src/plugins/forwarding/caller_server.ts
@@ -20,6 +20,9 @@
   listen(): Promise<string>;
   /** Number of requests whose response has not left completely. */
   inFlight(): number;
+  /** Number of connections whose caller may still be reading the last response. */
+  lingering(): number;
+  closeIdle(): void;
   /** Stops accepting connections and closes idle ones. */
   close(): void;
   /** Closes all connections, including those with requests in flight. */
@@ -89,6 +92,8 @@
       });
     },
     inFlight: connections.inFlight,
+    lingering: connections.lingering,
+    closeIdle: connections.closeIdle,
     close: () => {
       // The method of http.Server also destroys connections whose responses
       // still wait for a slow reader.
--- a/packages/library/src/plugins/forwarding/forwarder.ts
+++ b/packages/library/src/plugins/forwarding/forwarder.ts
@@ -286,10 +286,12 @@
     await runGracefulStop(context, {
       inFlight: () =>
         Math.max(exchanges.size + validatingCount, server.inFlight()),
+      lingering: server.lingering,
       closeListener: () => {
         stopping = true;
         server.close();
       },
+      closeIdle: server.closeIdle,
       terminate: () => {
         for (const exchange of exchanges.values()) {
           exchange.abort();
--- a/packages/library/src/plugins/forwarding/graceful_stop.ts
+++ b/packages/library/src/plugins/forwarding/graceful_stop.ts
@@ -9,8 +9,12 @@
 
 export interface GracefulStopSteps {
   inFlight(): number;
+  /** Number of callers that may still be reading their last response. */
+  lingering(): number;
   /** Stops accepting connections; further responses close their connection. */
   closeListener(): void;
+  /** Closes the connections that wait for a request. */
+  closeIdle(): void;
   /** Aborts the requests still in flight and closes all connections. */
   terminate(): void;
 }
@@ -39,6 +43,10 @@
   if (remaining > 0) {
     logger.log('warn', 'stop-bound-hit', {inFlight: remaining});
   }
+  steps.closeIdle();
+  while (steps.lingering() > 0 && timers.nowMs() < endsAtMs) {
+    await timers.sleep(IN_FLIGHT_CHECK_INTERVAL_MS);
+  }
   steps.terminate();
   logger.log('info', 'vm-stopped', {
     tookMs: Math.round(timers.nowMs() - startedAtMs),
--- a/packages/library/test/core/http/client_connections.test.ts
+++ b/packages/library/test/core/http/client_connections.test.ts
@@ -110,6 +110,40 @@
     assert.equal(connections.inFlight(), 0);
   });
 
+  for (const delivery of ['whole', 'streamed'] as const) {
+    // Guards against a long answer that a reset cuts off, since its client reads
+    // slowly and sends ahead on a connection that was closed as idle.
+    it(`stay until a client that sends ahead has a long answer (${delivery})`, async () => {
+      const bodyBytes = 400_000;
+      const client = await open();
+      client.pause();
+      await new Promise<void>(resolve => {
+        respond = (_, outgoing, answer) => {
+          // The system holds all of it.
+          answer.onEnd(resolve);
+          answer.write(
+            () => {
+              outgoing.writeHead(200, {'Content-Length': bodyBytes});
+              outgoing.end('x'.repeat(bodyBytes));
+            },
+            {delivery},
+          );
+        };
+        sendRequest(client);
+      });
+      await timers.sleep(LINGER_MS + CLIENT_PAUSE_MS / 2);
+      stopListening();
+      await timers.sleep(CLIENT_PAUSE_MS / 2);
+      assert.equal(connections.lingering(), 1);
+      sendRequest(client, '/ahead');
+      await timers.sleep(CLIENT_PAUSE_MS / 2);
+      const text = await readFor(client, CLIENT_PAUSE_MS);
+      const bodyAt = text.indexOf('\r\n\r\n') + '\r\n\r\n'.length;
+      assert.equal(text.length - bodyAt, bodyBytes);
+      assert.equal(connections.lingering(), 0);
+    });
+  }
+
   it('stay while a request is read, also the second of a connection', async () => {
     const client = await open();
     sendRequest(client);
