Let one VM at a time test a contained request

Cause: two unrelated deaths beside the first burst kept the verdict at contained, in which one run at a time may find out more; each VM counted its own runs only, so that the fleet made seven.

Change: for each second since the last loss one of the running VMs may test the request, in an order that follows from the fingerprint. The others refuse it.

--- a/packages/decision/src/core/quarantine/crash_evidence.ts
+++ b/packages/decision/src/core/quarantine/crash_evidence.ts
@@ -73,6 +73,8 @@
   ownSurvivedRuns(fingerprint: string, nowMs: number): RunRate;
   /** Number of targets that are known to have died while they ran it. */
   countLosses(fingerprint: string): number;
+  /** Time since the last of them died; 0 if there is none. */
+  sinceLastLossMs(fingerprint: string, nowMs: number): number;
   /** @param targetCount Number of targets that could run the request. */
   judge(fingerprint: string, targetCount: number, nowMs: number): CrashFindings;
   /** The losses of the requests with the most, for a VM that has just started. */
@@ -331,6 +333,8 @@
     recordPeerSurvivedRuns,
     ownSurvivedRuns,
     countLosses: fingerprint => suspects.get(fingerprint)?.losses.size ?? 0,
+    sinceLastLossMs: (fingerprint, nowMs) =>
+      nowMs - (suspects.get(fingerprint)?.lastLossMs ?? nowMs),
     judge,
     gravestLosses,
     survivedRuns: (fingerprint, nowMs) => {
--- a/packages/gateway/src/forwarding/crash_guard.ts
+++ b/packages/gateway/src/forwarding/crash_guard.ts
@@ -15,6 +15,7 @@
   createPartwiseHash,
   createRunLedger,
   hash32,
+  rankByRendezvous,
 } from '@ibisbeam/decision';
 import type {Logger, TimerService} from '@ibisbeam/library';
 
@@ -35,8 +36,12 @@
   isDoubtful(fingerprint: string): boolean;
   /** @param service The service that would run the request. */
   verdictOf(fingerprint: string, service: string): CrashVerdict;
-  /** Whether the end of a run of the request at a target is not known. */
-  hasUnsettledRun(fingerprint: string): boolean;
+  /**
+   * Whether this VM may run a contained request to find out more. The VMs of the
+   * fleet take turns, since each test may cost a target, and a request may come
+   * to all of them at once.
+   */
+  mayTest(fingerprint: string): boolean;
   /**
    * Called when a target is found gone; may be called again for it.
    *
@@ -128,6 +133,8 @@
   readonly self: string;
   readonly timers: Pick<TimerService, 'nowMs'>;
   readonly log: Logger;
+  /** Identifiers of the VMs that run, with this one. */
+  liveVms(): readonly string[];
   /** Number of targets of the service. */
   targetCount(service: string): number;
   /** Finds out whether a target that has been silent is gone. */
@@ -137,6 +144,8 @@
   notifyPeersOfSurvival(report: SurvivedRunsReport): void;
 }
 
+/** Time in which one VM may test a contained request. */
+const TEST_TURN_MS = 1_000;
 const QUARANTINE_MS = 60_000;
 const LONG_QUARANTINE_MS = 300_000;
 /** Assumed of peers that say only that a target has answered the request. */
@@ -316,6 +325,16 @@
     return verdict;
   }
 
+  function mayTest(fingerprint: string): boolean {
+    if (ledger.hasUnsettledRun(fingerprint)) {
+      return false;
+    }
+    const sinceMs = evidence.sinceLastLossMs(fingerprint, timers.nowMs());
+    const turn = Math.max(0, Math.floor(sinceMs / TEST_TURN_MS));
+    const ranked = rankByRendezvous(fingerprint, options.liveVms());
+    return ranked[turn % ranked.length] === options.self;
+  }
+
   function update(): void {
     const nowMs = timers.nowMs();
     const {fatal, silentTargets} = ledger.sweep(nowMs);
@@ -356,7 +375,7 @@
       evidence.countLosses(fingerprint) > 0 &&
       evidence.survivedRuns(fingerprint, timers.nowMs()).length === 0,
     verdictOf,
-    hasUnsettledRun: ledger.hasUnsettledRun,
+    mayTest,
     recordTargetDeath: (incarnation, how, atMs = timers.nowMs()) => {
       const target = targetNameOf(incarnation);
       const suspects = recordDeath(target, atMs);
--- a/packages/gateway/src/forwarding/exchange.ts
+++ b/packages/gateway/src/forwarding/exchange.ts
@@ -190,7 +190,7 @@
       case 'clear':
         return false;
       case 'contained':
-        if (!crashGuard.hasUnsettledRun(identity.fingerprint())) {
+        if (crashGuard.mayTest(identity.fingerprint())) {
           return false;
         }
         fail(503, CONTAINED_REASON, CONTAINED_RETRY_AFTER_MS);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -207,6 +207,7 @@
     self: vm.id,
     timers,
     log,
+    liveVms: () => directory.liveVmIds(),
     targetCount: service => registry.usable(service).length,
     probe: incarnation => reachMonitor.evidence.doubt(incarnation),
     notifyPeersOfLoss: loss => mesh.broadcast({kind: 'target-lost', ...loss}),
--- a/packages/gateway/test/crash_guard.test.ts
+++ b/packages/gateway/test/crash_guard.test.ts
@@ -42,6 +42,7 @@
       self: 'edge-0',
       timers: {nowMs: () => nowMs},
       log: createKeyValueLogger({level: 'error', fields: {}, write: () => {}}),
+      liveVms: () => ['edge-0'],
       targetCount: () => TARGET_COUNT,
       probe: incarnation => probed.push(incarnation),
       notifyPeersOfLoss,
@@ -401,12 +402,85 @@
   });
 });
 
+describe('a request that is contained', () => {
+  const VMS = ['edge-0', 'edge-1', 'edge-2', 'edge-3'];
+  let nowMs: number;
+  let guards: readonly CrashGuard[];
+
+  beforeEach(() => {
+    nowMs = 10_000;
+    guards = VMS.map(self => {
+      const guard = createCrashGuard({
+        self,
+        timers: {nowMs: () => nowMs},
+        log: createKeyValueLogger({
+          level: 'error',
+          fields: {},
+          write: () => {},
+        }),
+        liveVms: () => VMS,
+        targetCount: () => TARGET_COUNT,
+        probe: () => {},
+        notifyPeersOfLoss: () => {},
+        notifyPeersOfSurvival: () => {},
+      });
+      for (const target of ['life-1', 'life-2', 'life-3']) {
+        // Two other targets have died beside them.
+        const loss = {
+          fingerprint: 'a1',
+          target,
+          ageMs: 0,
+          spanMs: 0,
+          deaths: 5,
+        };
+        guard.recordPeerLoss(loss);
+      }
+      return guard;
+    });
+  });
+
+  function testers(): readonly string[] {
+    return VMS.filter((_, index) => guards[index]?.mayTest('a1'));
+  }
+
+  // Guards against a request that costs as many more targets as there are VMs,
+  // since it comes to all of them at once.
+  it('is run by one VM of the fleet at a time, by each in its turn', () => {
+    const seen = new Set<string>();
+    for (let turn = 0; turn < VMS.length; turn += 1) {
+      for (const guard of guards) {
+        assert.equal(guard.verdictOf('a1', SERVICE), 'contained');
+      }
+      assert.equal(testers().length, 1);
+      seen.add(testers()[0] ?? '');
+      nowMs += 1_000;
+    }
+    assert.deepEqual([...seen].sort(), VMS);
+  });
+
+  it('is run by no VM that does not know yet how its last run has ended', () => {
+    const tester = guards[VMS.indexOf(testers()[0] ?? '')];
+    const run = tester?.follow({
+      incarnation: 'i-4',
+      expectedMs: EXPECTED_MS,
+      givesUpAtMs: nowMs + DEADLINE_MS,
+      fingerprint: () => 'a1',
+      isCheap: true,
+      isNewConnection: true,
+    });
+    assert.deepEqual(testers(), []);
+    run?.answered();
+    assert.equal(testers().length, 1);
+  });
+});
+
 describe('the fingerprint of a request', () => {
   const MEGABYTE = 1_048_576;
   const guard = createCrashGuard({
     self: 'edge-0',
     timers: {nowMs: () => 0},
     log: createKeyValueLogger({level: 'error', fields: {}, write: () => {}}),
+    liveVms: () => ['edge-0'],
     targetCount: () => TARGET_COUNT,
     probe: () => {},
     notifyPeersOfLoss: () => {},
