Read what a target has sent before it is taken for silent

Cause: after its time limit a long answer is broken off once its target has been silent for 250 ms. The timer runs before sockets are read, so that a pause of the VM counts as silence.

Evidence: event-loop-delayed delayMs=263 at edge-2 8 ms before answer-broken-off; the target answered other requests before and after.

Change: the silence is judged once what has come is read.

--- a/packages/gateway/src/forwarding/response_delivery.ts
+++ b/packages/gateway/src/forwarding/response_delivery.ts
@@ -1,6 +1,6 @@
 /** Writes target responses and refusals to clients. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {TimerService} from '@ibisbeam/library';
+import {type TimerService, afterInputRead} from '@ibisbeam/library';
 import {endToEndRawHeaders} from './header_rules.js';
 import {
   TARGET_SILENCE_MS,
@@ -20,7 +20,7 @@
 export interface DeliveryOptions {
   /** Names, in lower case, of headers that callers do not get. */
   readonly droppedHeaders: ReadonlySet<string>;
-  readonly timers: Pick<TimerService, 'nowMs' | 'at' | 'after'>;
+  readonly timers: Pick<TimerService, 'nowMs' | 'at' | 'after' | 'atTurnEnd'>;
   /** Time after which a target may no longer be silent in a long answer. */
   readonly limitAtMs: number;
   /** So much memory of a long answer, read before its delivery, is free. */
@@ -102,13 +102,23 @@
   }
 
   /** A client that reads slowly keeps its target waiting. */
+  function isTargetSilent(): boolean {
+    const silentMs = timers.nowMs() - lastBytesAtMs;
+    return silentMs >= TARGET_SILENCE_MS && !isCallerBehind();
+  }
+
   function checkSilence(): void {
-    const isSilent = timers.nowMs() - lastBytesAtMs >= TARGET_SILENCE_MS;
-    if (isSilent && !isCallerBehind()) {
-      breakOff();
+    silenceTimer = timers.after(TARGET_SILENCE_MS, checkSilence);
+    if (!isTargetSilent()) {
       return;
     }
-    silenceTimer = timers.after(TARGET_SILENCE_MS, checkSilence);
+    // After a pause of this process, what the target has sent is unread.
+    afterInputRead(timers, () => {
+      if (isTargetSilent() && !stream.readableEnded) {
+        silenceTimer.cancel();
+        breakOff();
+      }
+    });
   }
 
   let silenceTimer = timers.at(limitAtMs, checkSilence);
--- a/packages/gateway/test/response_delivery.test.ts
+++ b/packages/gateway/test/response_delivery.test.ts
@@ -23,6 +23,8 @@
   let caller: Socket;
   let outgoing: ServerResponse;
   let stream: Readable;
+  let limitAfterMs: number;
+  let brokenOff: number;
 
   beforeEach(async () => {
     server = createServer();
@@ -38,6 +40,11 @@
       ServerResponse,
     ];
     stream = Object.assign(new Readable({read: () => {}}), {complete: true});
+    limitAfterMs = 60_000;
+    brokenOff = 0;
+  });
+
+  function deliver(): void {
     deliverResponse(
       outgoing,
       {
@@ -54,12 +61,15 @@
       {
         droppedHeaders: new Set(),
         timers,
-        limitAtMs: timers.nowMs() + 60_000,
+        limitAtMs: timers.nowMs() + limitAfterMs,
         onBufferedSent: () => {},
-        onBrokenOff: () => {},
+        onBrokenOff: () => {
+          brokenOff += 1;
+        },
       },
     );
-  });
+  }
+
   afterEach(() => {
     caller.destroy();
     outgoing.destroy();
@@ -84,12 +94,14 @@
   // Guards against callers that read nothing while each short piece of their
   // stream takes several objects.
   it('waits for its caller when many short pieces have not left', async () => {
+    deliver();
     await sendUntilPaused();
     const waitingBytes = outgoing.writableLength;
     assert.ok(waitingBytes <= MAXIMUM_WAITING_BYTES, `${waitingBytes} bytes`);
   });
 
   it('goes on when its caller reads again', async () => {
+    deliver();
     const pieces = await sendUntilPaused();
     stream.push(null);
     const parts: string[] = [];
@@ -102,4 +114,31 @@
     const lines = parts.join('').split('a line of 20 bytes.').length - 1;
     assert.equal(lines, pieces);
   });
+
+  // Guards against a target that is taken for silent, and its answer cut off,
+  // because this process did not run for a while.
+  it('goes on after a pause of this process, with what came meanwhile', async () => {
+    limitAfterMs = 50;
+    caller.resume();
+    deliver();
+    stream.push(PIECE);
+    await timers.sleep(20);
+    const untilMs = timers.nowMs() + 400;
+    while (timers.nowMs() < untilMs) {
+      // The event loop stands still.
+    }
+    // Sockets are read after the timers that are due.
+    setImmediate(() => stream.push(PIECE));
+    await timers.sleep(100);
+    assert.equal(brokenOff, 0);
+  });
+
+  it('is broken off if its target is silent after the time limit', async () => {
+    limitAfterMs = 50;
+    caller.resume();
+    deliver();
+    stream.push(PIECE);
+    await timers.sleep(700);
+    assert.equal(brokenOff, 1);
+  });
 });
